Add the design, the messages between processes and the build

The messages are plain structs generated by flatc's object API, so decisions and codec share one definition.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,48 @@
+# make demo      build, start every process on this machine, run three jobs and one table edit
+# make test      what CI runs: tests, formatter, linter
+# make bench     measurements, from fixed seeds
+# make fuzz SECONDS=N  random exploration beyond the fixed seeds of the tests
+BUILD ?= build
+SECONDS ?= 30
+
+.PHONY: all deps build test unit format lint bench demo fuzz generate sanitize clean
+all: build
+
+deps:
+	tools/deps.sh
+
+build: deps
+	cmake -S . -B $(BUILD) -G Ninja > /dev/null
+	cmake --build $(BUILD)
+
+unit: build
+	ctest --test-dir $(BUILD) --output-on-failure -j 4
+
+# The tests once more with the address and undefined-behaviour sanitizers.
+sanitize: deps
+	cmake -S . -B $(BUILD)-sanitize -G Ninja -DFLAMINGO_SANITIZE=ON -DCMAKE_BUILD_TYPE=Debug > /dev/null
+	cmake --build $(BUILD)-sanitize
+	ctest --test-dir $(BUILD)-sanitize --output-on-failure -j 4
+
+format: deps
+	tools/format.sh
+
+lint: build
+	tools/lint.sh $(BUILD)
+
+test: unit format lint
+
+bench: build
+	tools/bench.sh $(BUILD)
+
+demo: build
+	tools/demo.sh $(BUILD)
+
+fuzz: build
+	tools/fuzz.sh $(BUILD) $(SECONDS)
+
+generate:
+	flatc --cpp --cpp-std c++17 --gen-object-api --scoped-enums -o flamingo/wire schema/messages.fbs
+
+clean:
+	rm -rf $(BUILD) $(BUILD)-sanitize
--- /dev/null
+++ b/flamingo/messages.h
@@ -0,0 +1,212 @@
+#ifndef FLAMINGO_MESSAGES_H
+#define FLAMINGO_MESSAGES_H
+
+// Input and output of all decisions.
+//
+// A process is driven by events and answers with effects:
+//
+//   handle(State &state, const Event &event, TimeMs now, Random &random, Outbox &out)
+//
+// The daemons feed events from sockets and timers and carry the outbox out. A test or a bench feeds
+// events by hand and moves outbox entries between several states in one process.
+//
+// Messages between processes are the plain structs that schema/messages.fbs generates. All strings
+// in an event are owned by the event.
+
+#include "flamingo/types.h"
+
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace flamingo {
+
+using Hello = wire::HelloT;
+using Report = wire::ReportT;
+using ReportAck = wire::ReportAckT;
+using Start = wire::StartT;
+using StartReply = wire::StartReplyT;
+using Outcome = wire::OutcomeT;
+using OutcomeAck = wire::OutcomeAckT;
+using Cancel = wire::CancelT;
+using Hold = wire::HoldT;
+using HoldReply = wire::HoldReplyT;
+using GangStart = wire::GangStartT;
+using GangRenew = wire::GangRenewT;
+using GangRenewReply = wire::GangRenewReplyT;
+using GangMemberDone = wire::GangMemberDoneT;
+using GangStop = wire::GangStopT;
+using Begin = wire::BeginT;
+using BeginReply = wire::BeginReplyT;
+using Settle = wire::SettleT;
+using SettleAck = wire::SettleAckT;
+using KeyQuery = wire::KeyQueryT;
+using KeyReply = wire::KeyReplyT;
+using Witness = wire::WitnessT;
+using WitnessReply = wire::WitnessReplyT;
+using LogLines = wire::LogLinesT;
+using LogLinesRequest = wire::LogLinesRequestT;
+using VersionSummary = wire::VersionSummaryT;
+using Forward = wire::ForwardT;
+using ForwardReply = wire::ForwardReplyT;
+using JobQuery = wire::JobQueryT;
+using JobReply = wire::JobReplyT;
+using Drain = wire::DrainT;
+
+using Message =
+    std::variant<Hello, Report, ReportAck, Start, StartReply, Outcome, OutcomeAck, Cancel, Hold,
+                 HoldReply, GangStart, GangRenew, GangRenewReply, GangMemberDone, GangStop, Begin,
+                 BeginReply, Settle, SettleAck, KeyQuery, KeyReply, Witness, WitnessReply, LogLines,
+                 LogLinesRequest, VersionSummary, Forward, ForwardReply, JobQuery, JobReply, Drain>;
+
+// ---- Events ----
+
+// A message from the process `from`. Messages may be late, repeated, reordered or missing.
+struct PeerMessage
+{
+    std::string from;
+    Message message;
+};
+
+// The connection to a process was established (after its Hello) or lost.
+struct PeerUp
+{
+    PeerInfo peer;
+};
+
+struct PeerDown
+{
+    std::string process;
+};
+
+// Lines read from a log stream, in order. `next` is the offset to read from next. `trimmed` is true
+// when the service no longer has the lines asked for and `lines` begin at the oldest retained one.
+struct LogRead
+{
+    std::string stream;
+    std::vector<wire::LogLineT> lines;
+    std::uint64_t next = 0;
+    bool trimmed = false;
+};
+
+// An append ended. `acknowledged` false means that the result is unknown: the line may be in the
+// log.
+struct LogAppended
+{
+    std::uint64_t id = 0;
+    bool acknowledged = false;
+    std::uint64_t offset = 0;
+};
+
+// A task on the agent's own worker. `task` is the id given in the command.
+struct TaskStarted
+{
+    std::string task;
+    bool ok = false;
+    std::string detail;
+};
+
+struct TaskFinished
+{
+    std::string task;
+    bool ok = false;
+    std::string answer;
+    std::string detail;
+};
+
+struct TaskCheckpointed
+{
+    std::string task;
+    bool ok = false;
+    std::string checkpoint;
+};
+
+struct TaskStopped
+{
+    std::string task;
+};
+
+// Usage of a task; the worker reports it with a lag.
+struct TaskUsage
+{
+    std::string task;
+    std::uint32_t cores = 0;
+    std::uint32_t memoryMib = 0;
+    TimeMs ranMs = 0;
+};
+
+// The worker accepted (ok) or did not answer the renewal of all leases of this agent.
+struct LeaseRenewed
+{
+    bool ok = false;
+};
+
+struct Tick
+{
+};
+
+// ---- Effects ----
+
+struct Send
+{
+    std::string to;
+    Message message;
+};
+
+// Appends `lines` to a log stream in one group commit; answered by LogAppended with the same id.
+// `id` comes from Outbox::nextAppend of the state that asked for it.
+struct Append
+{
+    std::uint64_t id = 0;
+    std::string stream;
+    std::vector<std::string> lines;
+};
+
+// Commands to the agent's own worker.
+struct RunTask
+{
+    std::string task;
+    std::string job;
+    std::string payload;
+    std::string checkpoint; // empty: start from the beginning
+    std::uint64_t mask = 0; // accelerators
+    std::uint32_t cores = 0;
+    std::uint32_t memoryMib = 0;
+};
+
+struct CheckpointTask
+{
+    std::string task;
+};
+
+struct StopTask
+{
+    std::string task;
+};
+
+using WorkerCommand = std::variant<RunTask, CheckpointTask, StopTask>;
+
+// The whole answer to one request of a caller or operator. `request` is the id given in the event.
+struct Reply
+{
+    std::string request;
+    Verdict verdict = Verdict::NotRun;
+    Reason reason;
+    std::string answer;
+    std::string job;
+    bool accepted = false; // the request was taken and continues; ask again with the job's id
+    TimeMs retryAfterMs = 0;
+};
+
+struct Outbox
+{
+    std::vector<Send> sends;
+    std::vector<Append> appends;
+    std::vector<WorkerCommand> commands;
+    std::vector<Reply> replies;
+};
+
+} // namespace flamingo
+
+#endif
