--- /dev/null
+++ b/flamingo/adapters/log_client.cc
@@ -0,0 +1,129 @@
+// One long poll per stream is in flight at any time. A failed read is repeated after a delay that
+// doubles up to retryMaxMs, half of it at random, so that a recovering service is not hit by all
+// processes at once. A trimmed stream is read on from its oldest retained line.
+
+#include "flamingo/adapters/log_client.h"
+
+#include <glog/logging.h>
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+
+namespace flamingo::adapters {
+namespace {
+
+constexpr int statusOk = 200;
+constexpr int statusGone = 410;
+constexpr TimeMs longPollMarginMs = 3000;
+
+LogRead parseRead(const std::string &stream, const nlohmann::json &body)
+{
+    LogRead read;
+    read.stream = stream;
+    read.next = body.at("next").get<std::uint64_t>();
+    for (const auto &item : body.at("lines")) {
+        wire::LogLineT line;
+        line.offset = item.at("offset").get<std::uint64_t>();
+        line.text = item.at("text").get<std::string>();
+        read.lines.push_back(std::move(line));
+    }
+    return read;
+}
+
+} // namespace
+
+LogClient::LogClient(Loop &loop, HttpClient &http, const LogClientOptions &options,
+                     Handlers handlers)
+    : loop(loop)
+    , http(http)
+    , options(options)
+    , handlers(std::move(handlers))
+    , retryMs(options.retryMinMs)
+    , random(std::random_device()())
+{
+}
+
+void LogClient::tail(const std::string &stream, std::uint64_t from)
+{
+    HttpCall call;
+    call.address = this->options.address;
+    call.target = "/log/" + stream + "?from=" + std::to_string(from)
+        + "&wait_ms=" + std::to_string(this->options.longPollMs)
+        + "&max=" + std::to_string(this->options.maxLinesPerRead);
+    call.timeoutMs = this->options.longPollMs + longPollMarginMs;
+    this->http.call(call, [this, stream, from](const HttpResult &result) {
+        this->takeRead(stream, from, result);
+    });
+}
+
+void LogClient::takeRead(const std::string &stream, std::uint64_t from, const HttpResult &result)
+{
+    const auto body = nlohmann::json::parse(result.body, nullptr, false);
+    try {
+        if (result.status == statusGone) {
+            const auto oldest = body.at("oldest").get<std::uint64_t>();
+            LOG(WARNING) << "stream " << stream << " was trimmed at " << from << ", oldest line is "
+                         << oldest;
+            LogRead trimmed;
+            trimmed.stream = stream;
+            trimmed.next = oldest;
+            trimmed.trimmed = true;
+            this->handlers.read(trimmed);
+            this->tail(stream, oldest);
+            return;
+        }
+        if (result.status != statusOk) {
+            LOG_IF(WARNING, this->answering) << "log service does not answer reads of " << stream
+                                             << ": status " << result.status << " " << result.error;
+            this->answering = false;
+            this->retry(stream, from);
+            return;
+        }
+        LogRead read = parseRead(stream, body);
+        const std::uint64_t next = read.next;
+        LOG_IF(INFO, !this->answering) << "log service answers again";
+        this->answering = true;
+        this->retryMs = this->options.retryMinMs;
+        this->handlers.read(std::move(read));
+        this->tail(stream, next);
+    } catch (const nlohmann::json::exception &error) {
+        LOG(ERROR) << "invalid answer of the log service for " << stream << ": " << error.what();
+        this->retry(stream, from);
+    }
+}
+
+void LogClient::retry(const std::string &stream, std::uint64_t from)
+{
+    const TimeMs half = this->retryMs / 2;
+    const TimeMs delay =
+        half + static_cast<TimeMs>(this->random() % static_cast<std::uint64_t>(half + 1));
+    this->retryMs = std::min(this->retryMs * 2, this->options.retryMaxMs);
+    this->loop.after(delay, [this, stream, from] { this->tail(stream, from); });
+}
+
+void LogClient::append(const Append &append)
+{
+    HttpCall call;
+    call.address = this->options.address;
+    call.method = "POST";
+    call.target = "/log/" + append.stream;
+    call.body = nlohmann::json({{"lines", append.lines}}).dump();
+    call.timeoutMs = this->options.appendTimeoutMs;
+    const std::uint64_t id = append.id;
+    this->http.call(call, [this, id](const HttpResult &result) {
+        LogAppended appended;
+        appended.id = id;
+        const auto body = nlohmann::json::parse(result.body, nullptr, false);
+        if (result.status == statusOk && body.is_object() && body.contains("offset")
+            && body["offset"].is_number_unsigned()) {
+            appended.acknowledged = true;
+            appended.offset = body["offset"].get<std::uint64_t>();
+        } else {
+            LOG_EVERY_N(WARNING, 20)
+                << "append not acknowledged: status " << result.status << " " << result.error;
+        }
+        this->handlers.appended(appended);
+    });
+}
+
+} // namespace flamingo::adapters
--- /dev/null
+++ b/flamingo/adapters/log_client.h
@@ -0,0 +1,69 @@
+#ifndef FLAMINGO_ADAPTERS_LOG_CLIENT_H
+#define FLAMINGO_ADAPTERS_LOG_CLIENT_H
+
+// Client of the platform's append-only log service. This is the one adapter to replace when an
+// operator's log service speaks another protocol: it turns appends and stream reads into the
+// events LogAppended and LogRead.
+//
+//   POST /log/STREAM {"lines": [...]}          -> 200 {"offset": N}
+//   GET  /log/STREAM?from=N&wait_ms=M&max=K    -> 200 {"lines": [{"offset", "text"}], "next": N}
+//                                                 410 {"error": "trimmed", "oldest": N}
+
+#include "flamingo/adapters/http_client.h"
+#include "flamingo/messages.h"
+
+#include <functional>
+#include <string>
+
+namespace flamingo::adapters {
+
+struct LogClientOptions
+{
+    std::string address;
+    TimeMs appendTimeoutMs = 2000;
+    TimeMs longPollMs = 10000;
+    TimeMs retryMinMs = 200;
+    TimeMs retryMaxMs = 2000;
+    std::uint32_t maxLinesPerRead = 500;
+};
+
+class LogClient
+{
+public:
+    struct Handlers
+    {
+        std::function<void(LogRead)> read;
+        std::function<void(LogAppended)> appended;
+    };
+
+    LogClient(Loop &loop, HttpClient &http, const LogClientOptions &options, Handlers handlers);
+
+    // Reads the stream from `from` on, for ever, with a back-off while the service is out.
+    void tail(const std::string &stream, std::uint64_t from);
+
+    // Answered by one LogAppended event with the same id. Not repeated here: the caller knows
+    // whether a second append is harmless.
+    void append(const Append &append);
+
+    // False while the last call to the service failed.
+    bool reachable() const
+    {
+        return this->answering;
+    }
+
+private:
+    void takeRead(const std::string &stream, std::uint64_t from, const HttpResult &result);
+    void retry(const std::string &stream, std::uint64_t from);
+
+    Loop &loop;
+    HttpClient &http;
+    LogClientOptions options;
+    Handlers handlers;
+    bool answering = true;
+    TimeMs retryMs;
+    Random random;
+};
+
+} // namespace flamingo::adapters
+
+#endif
--- /dev/null
+++ b/flamingo/adapters/worker_client.cc
@@ -0,0 +1,168 @@
+// A call whose answer is lost is repeated: starts and stops are idempotent by task id. A start is
+// no longer repeated once a stop for the same task was asked for; the worker refuses a start that
+// arrives after the stop.
+
+#include "flamingo/adapters/worker_client.h"
+
+#include <glog/logging.h>
+#include <nlohmann/json.hpp>
+
+namespace flamingo::adapters {
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr int statusOk = 200;
+constexpr int firstClientError = 400;
+constexpr int firstServerError = 500;
+constexpr TimeMs longPollMarginMs = 3000;
+
+bool isDefinite(const HttpResult &result)
+{
+    return result.status == statusOk
+        || (result.status >= firstClientError && result.status < firstServerError);
+}
+
+std::optional<WorkerEvent> parseEvent(const Json &item)
+{
+    const auto type = item.at("type").get<std::string>();
+    const auto task = item.at("task").get<std::string>();
+    if (type == "finished")
+        return TaskFinished{task, item.value("ok", false), item.value("answer", ""),
+                            item.value("detail", "")};
+    if (type == "stopped")
+        return TaskStopped{task};
+    if (type == "usage")
+        return TaskUsage{task, item.value("cores", 0U), item.value("memoryMib", 0U),
+                         item.value("ranMs", TimeMs(0))};
+    return std::nullopt;
+}
+
+} // namespace
+
+WorkerClient::WorkerClient(Loop &loop, HttpClient &http, const WorkerClientOptions &options,
+                           Handler handler)
+    : loop(loop)
+    , http(http)
+    , options(options)
+    , handler(std::move(handler))
+{
+    this->loop.after(0, [this] {
+        this->renew();
+        this->readEvents(0);
+    });
+    this->loop.every(this->options.renewMs, [this] { this->renew(); });
+}
+
+void WorkerClient::command(const WorkerCommand &command)
+{
+    if (const auto *run = std::get_if<RunTask>(&command))
+        this->run(*run);
+    else if (const auto *checkpoint = std::get_if<CheckpointTask>(&command))
+        this->checkpoint(*checkpoint);
+    else if (const auto *stop = std::get_if<StopTask>(&command))
+        this->stop(*stop);
+}
+
+void WorkerClient::post(const std::string &path, const std::string &body, Answer answer)
+{
+    HttpCall call;
+    call.address = this->options.address;
+    call.method = "POST";
+    call.target = "/workers/" + this->options.worker + path;
+    call.body = body;
+    call.timeoutMs = this->options.callTimeoutMs;
+    this->http.call(call, std::move(answer));
+}
+
+void WorkerClient::run(const RunTask &command)
+{
+    if (this->stopping.count(command.task) > 0)
+        return;
+    const Json body = {{"task", command.task},
+                       {"job", command.job},
+                       {"payload", command.payload},
+                       {"mask", command.mask},
+                       {"cores", command.cores},
+                       {"memoryMib", command.memoryMib},
+                       {"checkpoint", command.checkpoint},
+                       {"leaseMs", this->options.leaseMs}};
+    this->post("/tasks", body.dump(), [this, command](const HttpResult &result) {
+        if (!isDefinite(result)) {
+            this->loop.after(this->options.retryMs, [this, command] { this->run(command); });
+            return;
+        }
+        const Json answer = Json::parse(result.body, nullptr, false);
+        const std::string detail = answer.is_object() ? answer.value("detail", "") : "";
+        this->handler(TaskStarted{command.task, result.status == statusOk, detail});
+    });
+}
+
+void WorkerClient::checkpoint(const CheckpointTask &command)
+{
+    this->post("/tasks/" + command.task + "/checkpoint", "{}",
+               [this, command](const HttpResult &result) {
+                   const Json answer = Json::parse(result.body, nullptr, false);
+                   const bool ok = result.status == statusOk && answer.is_object();
+                   this->handler(TaskCheckpointed{command.task, ok,
+                                                  ok ? answer.value("checkpoint", "") : ""});
+               });
+}
+
+void WorkerClient::stop(const StopTask &command)
+{
+    this->stopping.insert(command.task);
+    this->post("/tasks/" + command.task + "/stop", "{}", [this, command](const HttpResult &result) {
+        if (!isDefinite(result)) {
+            this->loop.after(this->options.retryMs, [this, command] { this->stop(command); });
+            return;
+        }
+        this->stopping.erase(command.task);
+        this->handler(TaskStopped{command.task});
+    });
+}
+
+void WorkerClient::renew()
+{
+    const Json body = {{"leaseMs", this->options.leaseMs}};
+    this->post("/lease", body.dump(), [this](const HttpResult &result) {
+        LOG_IF_EVERY_N(WARNING, result.status != statusOk, 10)
+            << "worker " << this->options.worker << " did not renew the leases: status "
+            << result.status << " " << result.error;
+        this->handler(LeaseRenewed{result.status == statusOk});
+    });
+}
+
+void WorkerClient::readEvents(std::uint64_t from)
+{
+    HttpCall call;
+    call.address = this->options.address;
+    call.target = "/workers/" + this->options.worker + "/events?from=" + std::to_string(from)
+        + "&wait_ms=" + std::to_string(this->options.longPollMs);
+    call.timeoutMs = this->options.longPollMs + longPollMarginMs;
+    this->http.call(call,
+                    [this, from](const HttpResult &result) { this->takeEvents(from, result); });
+}
+
+void WorkerClient::takeEvents(std::uint64_t from, const HttpResult &result)
+{
+    const Json body = Json::parse(result.body, nullptr, false);
+    std::uint64_t next = from;
+    bool valid = result.status == statusOk;
+    try {
+        if (valid) {
+            for (const Json &item : body.at("events")) {
+                const auto event = parseEvent(item);
+                if (event)
+                    this->handler(*event);
+            }
+            next = body.at("next").get<std::uint64_t>();
+        }
+    } catch (const Json::exception &error) {
+        LOG(ERROR) << "invalid events of worker " << this->options.worker << ": " << error.what();
+        valid = false;
+    }
+    this->loop.after(valid ? 0 : this->options.retryMs, [this, next] { this->readEvents(next); });
+}
+
+} // namespace flamingo::adapters
--- /dev/null
+++ b/flamingo/adapters/worker_client.h
@@ -0,0 +1,67 @@
+#ifndef FLAMINGO_ADAPTERS_WORKER_CLIENT_H
+#define FLAMINGO_ADAPTERS_WORKER_CLIENT_H
+
+// Client of the worker beside the agent. Turns commands into calls of the platform's worker
+// interface and the worker's events into events of the agent.
+//
+//   POST /workers/W/tasks                  starts a task; repeating the same task id is harmless
+//   POST /workers/W/lease                  renews the leases of all tasks
+//   POST /workers/W/tasks/T/checkpoint     saves the task's state
+//   POST /workers/W/tasks/T/stop           stops the task
+//   GET  /workers/W/events?from=N&wait_ms=M
+
+#include "flamingo/adapters/http_client.h"
+#include "flamingo/messages.h"
+
+#include <functional>
+#include <set>
+#include <string>
+#include <variant>
+
+namespace flamingo::adapters {
+
+using WorkerEvent =
+    std::variant<TaskStarted, TaskFinished, TaskCheckpointed, TaskStopped, TaskUsage, LeaseRenewed>;
+
+struct WorkerClientOptions
+{
+    std::string address;
+    std::string worker;
+    TimeMs leaseMs = 3000;
+    TimeMs renewMs = 1000;
+    TimeMs callTimeoutMs = 1000;
+    TimeMs longPollMs = 10000;
+    TimeMs retryMs = 200;
+};
+
+class WorkerClient
+{
+public:
+    using Handler = std::function<void(WorkerEvent)>;
+
+    // Starts renewing leases and reading events at once.
+    WorkerClient(Loop &loop, HttpClient &http, const WorkerClientOptions &options, Handler handler);
+
+    void command(const WorkerCommand &command);
+
+private:
+    using Answer = std::function<void(const HttpResult &)>;
+
+    void post(const std::string &path, const std::string &body, Answer answer);
+    void run(const RunTask &command);
+    void checkpoint(const CheckpointTask &command);
+    void stop(const StopTask &command);
+    void renew();
+    void readEvents(std::uint64_t from);
+    void takeEvents(std::uint64_t from, const HttpResult &result);
+
+    Loop &loop;
+    HttpClient &http;
+    WorkerClientOptions options;
+    Handler handler;
+    std::set<std::string> stopping; // tasks whose start must not be repeated any more
+};
+
+} // namespace flamingo::adapters
+
+#endif
--- a/flamingo/messages.h
+++ b/flamingo/messages.h
@@ -53,12 +53,16 @@
 using JobQuery = wire::JobQueryT;
 using JobReply = wire::JobReplyT;
 using Drain = wire::DrainT;
+using Proof = wire::ProofT;
+using Locate = wire::LocateT;
+using Located = wire::LocatedT;
 
 using Message =
     std::variant<Hello, Report, ReportAck, Start, StartReply, Outcome, OutcomeAck, Cancel, Hold,
                  HoldReply, GangStart, GangRenew, GangRenewReply, GangMemberDone, GangStop, Begin,
                  BeginReply, Settle, SettleAck, KeyQuery, KeyReply, Witness, WitnessReply, LogLines,
-                 LogLinesRequest, VersionSummary, Forward, ForwardReply, JobQuery, JobReply, Drain>;
+                 LogLinesRequest, VersionSummary, Forward, ForwardReply, JobQuery, JobReply, Drain,
+                 Proof, Locate, Located>;
 
 // ---- Events ----
 
--- a/flamingo/wire/messages_generated.h
+++ b/flamingo/wire/messages_generated.h
@@ -164,6 +164,18 @@
 struct DrainBuilder;
 struct DrainT;
 
+struct Proof;
+struct ProofBuilder;
+struct ProofT;
+
+struct Locate;
+struct LocateBuilder;
+struct LocateT;
+
+struct Located;
+struct LocatedBuilder;
+struct LocatedT;
+
 struct Envelope;
 struct EnvelopeBuilder;
 struct EnvelopeT;
@@ -450,11 +462,14 @@
   JobQuery = 29,
   JobReply = 30,
   Drain = 31,
+  Proof = 32,
+  Locate = 33,
+  Located = 34,
   MIN = NONE,
-  MAX = Drain
+  MAX = Located
 };
 
-inline const Message (&EnumValuesMessage())[32] {
+inline const Message (&EnumValuesMessage())[35] {
   static const Message values[] = {
     Message::NONE,
     Message::Hello,
@@ -487,13 +502,16 @@
     Message::ForwardReply,
     Message::JobQuery,
     Message::JobReply,
-    Message::Drain
+    Message::Drain,
+    Message::Proof,
+    Message::Locate,
+    Message::Located
   };
   return values;
 }
 
 inline const char * const *EnumNamesMessage() {
-  static const char * const names[33] = {
+  static const char * const names[36] = {
     "NONE",
     "Hello",
     "Report",
@@ -526,13 +544,16 @@
     "JobQuery",
     "JobReply",
     "Drain",
+    "Proof",
+    "Locate",
+    "Located",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNameMessage(Message e) {
-  if (flatbuffers::IsOutRange(e, Message::NONE, Message::Drain)) return "";
+  if (flatbuffers::IsOutRange(e, Message::NONE, Message::Located)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesMessage()[index];
 }
@@ -665,6 +686,18 @@
   static const Message enum_value = Message::Drain;
 };
 
+template<> struct MessageTraits<flamingo::wire::Proof> {
+  static const Message enum_value = Message::Proof;
+};
+
+template<> struct MessageTraits<flamingo::wire::Locate> {
+  static const Message enum_value = Message::Locate;
+};
+
+template<> struct MessageTraits<flamingo::wire::Located> {
+  static const Message enum_value = Message::Located;
+};
+
 template<typename T> struct MessageUnionTraits {
   static const Message enum_value = Message::NONE;
 };
@@ -793,6 +826,18 @@
   static const Message enum_value = Message::Drain;
 };
 
+template<> struct MessageUnionTraits<flamingo::wire::ProofT> {
+  static const Message enum_value = Message::Proof;
+};
+
+template<> struct MessageUnionTraits<flamingo::wire::LocateT> {
+  static const Message enum_value = Message::Locate;
+};
+
+template<> struct MessageUnionTraits<flamingo::wire::LocatedT> {
+  static const Message enum_value = Message::Located;
+};
+
 struct MessageUnion {
   Message type;
   void *value;
@@ -1071,6 +1116,30 @@
     return type == Message::Drain ?
       reinterpret_cast<const flamingo::wire::DrainT *>(value) : nullptr;
   }
+  flamingo::wire::ProofT *AsProof() {
+    return type == Message::Proof ?
+      reinterpret_cast<flamingo::wire::ProofT *>(value) : nullptr;
+  }
+  const flamingo::wire::ProofT *AsProof() const {
+    return type == Message::Proof ?
+      reinterpret_cast<const flamingo::wire::ProofT *>(value) : nullptr;
+  }
+  flamingo::wire::LocateT *AsLocate() {
+    return type == Message::Locate ?
+      reinterpret_cast<flamingo::wire::LocateT *>(value) : nullptr;
+  }
+  const flamingo::wire::LocateT *AsLocate() const {
+    return type == Message::Locate ?
+      reinterpret_cast<const flamingo::wire::LocateT *>(value) : nullptr;
+  }
+  flamingo::wire::LocatedT *AsLocated() {
+    return type == Message::Located ?
+      reinterpret_cast<flamingo::wire::LocatedT *>(value) : nullptr;
+  }
+  const flamingo::wire::LocatedT *AsLocated() const {
+    return type == Message::Located ?
+      reinterpret_cast<const flamingo::wire::LocatedT *>(value) : nullptr;
+  }
 };
 
 bool VerifyMessage(flatbuffers::Verifier &verifier, const void *obj, Message type);
@@ -1504,6 +1573,7 @@
 struct HelloT : public flatbuffers::NativeTable {
   typedef Hello TableType;
   std::vector<flamingo::wire::PeerInfoT> peers{};
+  std::string nonce{};
 };
 
 struct Hello FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -1511,16 +1581,22 @@
   typedef HelloBuilder Builder;
   struct Traits;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
-    VT_PEERS = 4
+    VT_PEERS = 4,
+    VT_NONCE = 6
   };
   const flatbuffers::Vector<flatbuffers::Offset<flamingo::wire::PeerInfo>> *peers() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<flamingo::wire::PeerInfo>> *>(VT_PEERS);
   }
+  const flatbuffers::String *nonce() const {
+    return GetPointer<const flatbuffers::String *>(VT_NONCE);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffsetRequired(verifier, VT_PEERS) &&
            verifier.VerifyVector(peers()) &&
            verifier.VerifyVectorOfTables(peers()) &&
+           VerifyOffset(verifier, VT_NONCE) &&
+           verifier.VerifyString(nonce()) &&
            verifier.EndTable();
   }
   HelloT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -1535,6 +1611,9 @@
   void add_peers(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flamingo::wire::PeerInfo>>> peers) {
     fbb_.AddOffset(Hello::VT_PEERS, peers);
   }
+  void add_nonce(flatbuffers::Offset<flatbuffers::String> nonce) {
+    fbb_.AddOffset(Hello::VT_NONCE, nonce);
+  }
   explicit HelloBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1549,8 +1628,10 @@
 
 inline flatbuffers::Offset<Hello> CreateHello(
     flatbuffers::FlatBufferBuilder &_fbb,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flamingo::wire::PeerInfo>>> peers = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flamingo::wire::PeerInfo>>> peers = 0,
+    flatbuffers::Offset<flatbuffers::String> nonce = 0) {
   HelloBuilder builder_(_fbb);
+  builder_.add_nonce(nonce);
   builder_.add_peers(peers);
   return builder_.Finish();
 }
@@ -1562,11 +1643,14 @@
 
 inline flatbuffers::Offset<Hello> CreateHelloDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
-    const std::vector<flatbuffers::Offset<flamingo::wire::PeerInfo>> *peers = nullptr) {
+    const std::vector<flatbuffers::Offset<flamingo::wire::PeerInfo>> *peers = nullptr,
+    const char *nonce = nullptr) {
   auto peers__ = peers ? _fbb.CreateVector<flatbuffers::Offset<flamingo::wire::PeerInfo>>(*peers) : 0;
+  auto nonce__ = nonce ? _fbb.CreateString(nonce) : 0;
   return flamingo::wire::CreateHello(
       _fbb,
-      peers__);
+      peers__,
+      nonce__);
 }
 
 flatbuffers::Offset<Hello> CreateHello(flatbuffers::FlatBufferBuilder &_fbb, const HelloT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -5752,6 +5836,212 @@
 
 flatbuffers::Offset<Drain> CreateDrain(flatbuffers::FlatBufferBuilder &_fbb, const DrainT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct ProofT : public flatbuffers::NativeTable {
+  typedef Proof TableType;
+  std::string mac{};
+};
+
+struct Proof FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef ProofT NativeTableType;
+  typedef ProofBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_MAC = 4
+  };
+  const flatbuffers::String *mac() const {
+    return GetPointer<const flatbuffers::String *>(VT_MAC);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_MAC) &&
+           verifier.VerifyString(mac()) &&
+           verifier.EndTable();
+  }
+  ProofT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(ProofT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<Proof> Pack(flatbuffers::FlatBufferBuilder &_fbb, const ProofT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct ProofBuilder {
+  typedef Proof Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_mac(flatbuffers::Offset<flatbuffers::String> mac) {
+    fbb_.AddOffset(Proof::VT_MAC, mac);
+  }
+  explicit ProofBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<Proof> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<Proof>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<Proof> CreateProof(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> mac = 0) {
+  ProofBuilder builder_(_fbb);
+  builder_.add_mac(mac);
+  return builder_.Finish();
+}
+
+struct Proof::Traits {
+  using type = Proof;
+  static auto constexpr Create = CreateProof;
+};
+
+inline flatbuffers::Offset<Proof> CreateProofDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *mac = nullptr) {
+  auto mac__ = mac ? _fbb.CreateString(mac) : 0;
+  return flamingo::wire::CreateProof(
+      _fbb,
+      mac__);
+}
+
+flatbuffers::Offset<Proof> CreateProof(flatbuffers::FlatBufferBuilder &_fbb, const ProofT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct LocateT : public flatbuffers::NativeTable {
+  typedef Locate TableType;
+  std::string process{};
+};
+
+struct Locate FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef LocateT NativeTableType;
+  typedef LocateBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_PROCESS = 4
+  };
+  const flatbuffers::String *process() const {
+    return GetPointer<const flatbuffers::String *>(VT_PROCESS);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_PROCESS) &&
+           verifier.VerifyString(process()) &&
+           verifier.EndTable();
+  }
+  LocateT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(LocateT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<Locate> Pack(flatbuffers::FlatBufferBuilder &_fbb, const LocateT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct LocateBuilder {
+  typedef Locate Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_process(flatbuffers::Offset<flatbuffers::String> process) {
+    fbb_.AddOffset(Locate::VT_PROCESS, process);
+  }
+  explicit LocateBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<Locate> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<Locate>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<Locate> CreateLocate(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> process = 0) {
+  LocateBuilder builder_(_fbb);
+  builder_.add_process(process);
+  return builder_.Finish();
+}
+
+struct Locate::Traits {
+  using type = Locate;
+  static auto constexpr Create = CreateLocate;
+};
+
+inline flatbuffers::Offset<Locate> CreateLocateDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *process = nullptr) {
+  auto process__ = process ? _fbb.CreateString(process) : 0;
+  return flamingo::wire::CreateLocate(
+      _fbb,
+      process__);
+}
+
+flatbuffers::Offset<Locate> CreateLocate(flatbuffers::FlatBufferBuilder &_fbb, const LocateT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct LocatedT : public flatbuffers::NativeTable {
+  typedef Located TableType;
+  std::vector<flamingo::wire::PeerInfoT> peers{};
+};
+
+struct Located FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef LocatedT NativeTableType;
+  typedef LocatedBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_PEERS = 4
+  };
+  const flatbuffers::Vector<flatbuffers::Offset<flamingo::wire::PeerInfo>> *peers() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<flamingo::wire::PeerInfo>> *>(VT_PEERS);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffsetRequired(verifier, VT_PEERS) &&
+           verifier.VerifyVector(peers()) &&
+           verifier.VerifyVectorOfTables(peers()) &&
+           verifier.EndTable();
+  }
+  LocatedT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(LocatedT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<Located> Pack(flatbuffers::FlatBufferBuilder &_fbb, const LocatedT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct LocatedBuilder {
+  typedef Located Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_peers(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flamingo::wire::PeerInfo>>> peers) {
+    fbb_.AddOffset(Located::VT_PEERS, peers);
+  }
+  explicit LocatedBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<Located> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<Located>(end);
+    fbb_.Required(o, Located::VT_PEERS);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<Located> CreateLocated(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flamingo::wire::PeerInfo>>> peers = 0) {
+  LocatedBuilder builder_(_fbb);
+  builder_.add_peers(peers);
+  return builder_.Finish();
+}
+
+struct Located::Traits {
+  using type = Located;
+  static auto constexpr Create = CreateLocated;
+};
+
+inline flatbuffers::Offset<Located> CreateLocatedDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const std::vector<flatbuffers::Offset<flamingo::wire::PeerInfo>> *peers = nullptr) {
+  auto peers__ = peers ? _fbb.CreateVector<flatbuffers::Offset<flamingo::wire::PeerInfo>>(*peers) : 0;
+  return flamingo::wire::CreateLocated(
+      _fbb,
+      peers__);
+}
+
+flatbuffers::Offset<Located> CreateLocated(flatbuffers::FlatBufferBuilder &_fbb, const LocatedT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct EnvelopeT : public flatbuffers::NativeTable {
   typedef Envelope TableType;
   flamingo::wire::MessageUnion message{};
@@ -5865,6 +6155,15 @@
   const flamingo::wire::Drain *message_as_Drain() const {
     return message_type() == flamingo::wire::Message::Drain ? static_cast<const flamingo::wire::Drain *>(message()) : nullptr;
   }
+  const flamingo::wire::Proof *message_as_Proof() const {
+    return message_type() == flamingo::wire::Message::Proof ? static_cast<const flamingo::wire::Proof *>(message()) : nullptr;
+  }
+  const flamingo::wire::Locate *message_as_Locate() const {
+    return message_type() == flamingo::wire::Message::Locate ? static_cast<const flamingo::wire::Locate *>(message()) : nullptr;
+  }
+  const flamingo::wire::Located *message_as_Located() const {
+    return message_type() == flamingo::wire::Message::Located ? static_cast<const flamingo::wire::Located *>(message()) : nullptr;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_MESSAGE_TYPE, 1) &&
@@ -6001,6 +6300,18 @@
   return message_as_Drain();
 }
 
+template<> inline const flamingo::wire::Proof *Envelope::message_as<flamingo::wire::Proof>() const {
+  return message_as_Proof();
+}
+
+template<> inline const flamingo::wire::Locate *Envelope::message_as<flamingo::wire::Locate>() const {
+  return message_as_Locate();
+}
+
+template<> inline const flamingo::wire::Located *Envelope::message_as<flamingo::wire::Located>() const {
+  return message_as_Located();
+}
+
 struct EnvelopeBuilder {
   typedef Envelope Table;
   flatbuffers::FlatBufferBuilder &fbb_;
@@ -6164,6 +6475,7 @@
   (void)_o;
   (void)_resolver;
   { auto _e = peers(); if (_e) { _o->peers.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->peers[_i] = *std::unique_ptr<flamingo::wire::PeerInfoT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = nonce(); if (_e) _o->nonce = _e->str(); }
 }
 
 inline flatbuffers::Offset<Hello> Hello::Pack(flatbuffers::FlatBufferBuilder &_fbb, const HelloT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -6175,9 +6487,11 @@
   (void)_o;
   struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const HelloT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
   auto _peers = _fbb.CreateVector<flatbuffers::Offset<flamingo::wire::PeerInfo>> (_o->peers.size(), [](size_t i, _VectorArgs *__va) { return CreatePeerInfo(*__va->__fbb, &(__va->__o->peers[i]), __va->__rehasher); }, &_va );
+  auto _nonce = _o->nonce.empty() ? 0 : _fbb.CreateString(_o->nonce);
   return flamingo::wire::CreateHello(
       _fbb,
-      _peers);
+      _peers,
+      _nonce);
 }
 
 inline TaskInfoT *TaskInfo::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
@@ -7525,6 +7839,84 @@
       _drain);
 }
 
+inline ProofT *Proof::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<ProofT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void Proof::UnPackTo(ProofT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = mac(); if (_e) _o->mac = _e->str(); }
+}
+
+inline flatbuffers::Offset<Proof> Proof::Pack(flatbuffers::FlatBufferBuilder &_fbb, const ProofT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateProof(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<Proof> CreateProof(flatbuffers::FlatBufferBuilder &_fbb, const ProofT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const ProofT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _mac = _o->mac.empty() ? 0 : _fbb.CreateString(_o->mac);
+  return flamingo::wire::CreateProof(
+      _fbb,
+      _mac);
+}
+
+inline LocateT *Locate::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<LocateT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void Locate::UnPackTo(LocateT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = process(); if (_e) _o->process = _e->str(); }
+}
+
+inline flatbuffers::Offset<Locate> Locate::Pack(flatbuffers::FlatBufferBuilder &_fbb, const LocateT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateLocate(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<Locate> CreateLocate(flatbuffers::FlatBufferBuilder &_fbb, const LocateT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const LocateT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _process = _o->process.empty() ? 0 : _fbb.CreateString(_o->process);
+  return flamingo::wire::CreateLocate(
+      _fbb,
+      _process);
+}
+
+inline LocatedT *Located::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<LocatedT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void Located::UnPackTo(LocatedT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = peers(); if (_e) { _o->peers.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->peers[_i] = *std::unique_ptr<flamingo::wire::PeerInfoT>(_e->Get(_i)->UnPack(_resolver)); } } }
+}
+
+inline flatbuffers::Offset<Located> Located::Pack(flatbuffers::FlatBufferBuilder &_fbb, const LocatedT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateLocated(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<Located> CreateLocated(flatbuffers::FlatBufferBuilder &_fbb, const LocatedT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const LocatedT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _peers = _fbb.CreateVector<flatbuffers::Offset<flamingo::wire::PeerInfo>> (_o->peers.size(), [](size_t i, _VectorArgs *__va) { return CreatePeerInfo(*__va->__fbb, &(__va->__o->peers[i]), __va->__rehasher); }, &_va );
+  return flamingo::wire::CreateLocated(
+      _fbb,
+      _peers);
+}
+
 inline EnvelopeT *Envelope::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
   auto _o = std::make_unique<EnvelopeT>();
   UnPackTo(_o.get(), _resolver);
@@ -7683,6 +8075,18 @@
       auto ptr = reinterpret_cast<const flamingo::wire::Drain *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case Message::Proof: {
+      auto ptr = reinterpret_cast<const flamingo::wire::Proof *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case Message::Locate: {
+      auto ptr = reinterpret_cast<const flamingo::wire::Locate *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case Message::Located: {
+      auto ptr = reinterpret_cast<const flamingo::wire::Located *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
@@ -7826,6 +8230,18 @@
       auto ptr = reinterpret_cast<const flamingo::wire::Drain *>(obj);
       return ptr->UnPack(resolver);
     }
+    case Message::Proof: {
+      auto ptr = reinterpret_cast<const flamingo::wire::Proof *>(obj);
+      return ptr->UnPack(resolver);
+    }
+    case Message::Locate: {
+      auto ptr = reinterpret_cast<const flamingo::wire::Locate *>(obj);
+      return ptr->UnPack(resolver);
+    }
+    case Message::Located: {
+      auto ptr = reinterpret_cast<const flamingo::wire::Located *>(obj);
+      return ptr->UnPack(resolver);
+    }
     default: return nullptr;
   }
 }
@@ -7957,6 +8373,18 @@
       auto ptr = reinterpret_cast<const flamingo::wire::DrainT *>(value);
       return CreateDrain(_fbb, ptr, _rehasher).Union();
     }
+    case Message::Proof: {
+      auto ptr = reinterpret_cast<const flamingo::wire::ProofT *>(value);
+      return CreateProof(_fbb, ptr, _rehasher).Union();
+    }
+    case Message::Locate: {
+      auto ptr = reinterpret_cast<const flamingo::wire::LocateT *>(value);
+      return CreateLocate(_fbb, ptr, _rehasher).Union();
+    }
+    case Message::Located: {
+      auto ptr = reinterpret_cast<const flamingo::wire::LocatedT *>(value);
+      return CreateLocated(_fbb, ptr, _rehasher).Union();
+    }
     default: return 0;
   }
 }
@@ -8087,6 +8515,18 @@
       value = new flamingo::wire::DrainT(*reinterpret_cast<flamingo::wire::DrainT *>(u.value));
       break;
     }
+    case Message::Proof: {
+      value = new flamingo::wire::ProofT(*reinterpret_cast<flamingo::wire::ProofT *>(u.value));
+      break;
+    }
+    case Message::Locate: {
+      value = new flamingo::wire::LocateT(*reinterpret_cast<flamingo::wire::LocateT *>(u.value));
+      break;
+    }
+    case Message::Located: {
+      value = new flamingo::wire::LocatedT(*reinterpret_cast<flamingo::wire::LocatedT *>(u.value));
+      break;
+    }
     default:
       break;
   }
@@ -8249,6 +8689,21 @@
       delete ptr;
       break;
     }
+    case Message::Proof: {
+      auto ptr = reinterpret_cast<flamingo::wire::ProofT *>(value);
+      delete ptr;
+      break;
+    }
+    case Message::Locate: {
+      auto ptr = reinterpret_cast<flamingo::wire::LocateT *>(value);
+      delete ptr;
+      break;
+    }
+    case Message::Located: {
+      auto ptr = reinterpret_cast<flamingo::wire::LocatedT *>(value);
+      delete ptr;
+      break;
+    }
     default: break;
   }
   value = nullptr;
