--- /dev/null
+++ b/flamingo/adapters/agent_service.h
@@ -0,0 +1,55 @@
+#ifndef FLAMINGO_ADAPTERS_AGENT_SERVICE_H
+#define FLAMINGO_ADAPTERS_AGENT_SERVICE_H
+
+// The agent process: carries events from peers, the log, the worker and the clock to handleNode() and
+// its effects back. Serves GET /health, /ready, /metrics and /v1/dump to operators.
+
+#include "flamingo/adapters/http_client.h"
+#include "flamingo/adapters/http_server.h"
+#include "flamingo/adapters/log_client.h"
+#include "flamingo/adapters/metrics.h"
+#include "flamingo/adapters/peers.h"
+#include "flamingo/adapters/worker_client.h"
+#include "flamingo/agent_node.h"
+#include "flamingo/settings.h"
+
+#include <memory>
+#include <string>
+
+namespace flamingo::adapters {
+
+class AgentService
+{
+public:
+    // Listens and starts; nullptr with a reason when an address cannot be bound.
+    static std::unique_ptr<AgentService> start(Loop &loop, const AgentSettings &settings,
+                                               Reason &reason);
+
+    // Drains: accepts no new work, finishes what runs and stops the loop when all is acknowledged.
+    void shutDown();
+
+private:
+    AgentService(Loop &loop, const AgentSettings &settings);
+    void dispatch(const NodeEvent &event);
+    void carryOut(const Outbox &out);
+    void route(const HttpRequest &request);
+    void stopWhenIdle();
+    std::string dump() const;
+    std::string metricsText();
+
+    Loop &loop;
+    AgentSettings settings;
+    AgentNode node;
+    Random random;
+    HttpClient httpClient;
+    std::unique_ptr<HttpServer> server;
+    std::unique_ptr<Peers> peers;
+    std::unique_ptr<LogClient> log;
+    std::unique_ptr<WorkerClient> worker;
+    Metrics metrics;
+    bool stopping = false;
+};
+
+} // namespace flamingo::adapters
+
+#endif
--- /dev/null
+++ b/flamingo/adapters/entry_service.cc
@@ -0,0 +1,336 @@
+// Every HTTP request that needs a decision gets a request id and waits in `waiting` until the Reply
+// with that id arrives or maxWaitMs passes. After maxWaitMs the caller gets 202 with the job's id and
+// asks again; the job itself goes on.
+
+#include "flamingo/adapters/entry_service.h"
+
+#include "flamingo/adapters/job_json.h"
+#include "flamingo/adapters/traffic_json.h"
+
+#include <glog/logging.h>
+#include <nlohmann/json.hpp>
+
+namespace flamingo::adapters {
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr TimeMs tickMs = 100;
+constexpr TimeMs unreadyMs = 1000;  // time for the balancer to notice before requests are refused
+constexpr TimeMs idleCheckMs = 50;
+constexpr TimeMs msPerSecond = 1000;
+constexpr std::string_view jobsPath = "/v1/jobs";
+constexpr std::string_view targetsPath = "/v1/targets";
+
+std::optional<std::string_view> below(std::string_view path, std::string_view parent)
+{
+    if (path.size() <= parent.size() + 1 || path.substr(0, parent.size()) != parent
+        || path[parent.size()] != '/')
+        return std::nullopt;
+    return path.substr(parent.size() + 1);
+}
+
+bool removeSuffix(std::string_view &text, std::string_view suffix)
+{
+    if (text.size() <= suffix.size() || text.substr(text.size() - suffix.size()) != suffix)
+        return false;
+    text.remove_suffix(suffix.size());
+    return true;
+}
+
+HttpResponse notFound(const HttpRequest &request)
+{
+    HttpResponse response = refusal(
+        {ReasonCode::InvalidInput, "no such resource: " + request.method + " " + request.path});
+    response.status = 404;
+    return response;
+}
+
+PeersOptions peersOptions(const EntrySettings &settings)
+{
+    PeersOptions options;
+    options.self.process = settings.options.name;
+    options.self.kind = ProcessKind::Entry;
+    options.self.region = settings.options.region;
+    options.self.dataCentre = settings.options.dataCentre;
+    options.self.address = settings.peerAddress;
+    options.self.incarnation = settings.options.incarnation;
+    options.seeds = settings.seeds;
+    options.key = settings.peerKey;
+    return options;
+}
+
+HttpServerOptions serverOptions(const EntrySettings &settings)
+{
+    HttpServerOptions options;
+    options.address = settings.httpAddress;
+    options.maxBodyBytes = settings.maxBodyBytes;
+    options.maxPending = settings.maxPendingRequests;
+    return options;
+}
+
+} // namespace
+
+EntryService::EntryService(Loop &loop, const EntrySettings &settings)
+    : loop(loop), settings(settings), entry(makeEntry(settings.options)),
+      random(std::random_device()()), httpClient(loop)
+{
+}
+
+std::unique_ptr<EntryService> EntryService::start(Loop &loop, const EntrySettings &settings,
+                                                  Reason &reason)
+{
+    std::unique_ptr<EntryService> owned(new EntryService(loop, settings));
+    EntryService *service = owned.get();
+    service->peers = Peers::listen(
+        loop, peersOptions(settings),
+        {[service](const std::string &from, Message message) {
+             service->dispatch(PeerMessage{from, std::move(message)});
+         },
+         [service](const PeerInfo &peer) { service->dispatch(PeerUp{peer}); },
+         [service](const std::string &process) { service->dispatch(PeerDown{process}); }},
+        reason);
+    if (!service->peers)
+        return nullptr;
+    service->server = HttpServer::listen(
+        loop, serverOptions(settings),
+        [service](const HttpRequest &request) { service->route(request); }, nullptr, reason);
+    if (!service->server)
+        return nullptr;
+    LogClientOptions logOptions;
+    logOptions.address = settings.logAddress;
+    service->log = std::make_unique<LogClient>(
+        loop, service->httpClient, logOptions,
+        LogClient::Handlers{[service](const LogRead &read) { service->dispatch(read); },
+                            [service](const LogAppended &appended) { service->dispatch(appended); }});
+    service->log->tail(std::string(tableStream), 0);
+    service->log->tail(std::string(claimsStream), 0);
+    loop.every(tickMs, [service] { service->dispatch(Tick()); });
+    return owned;
+}
+
+void EntryService::dispatch(const EntryEvent &event)
+{
+    Outbox out;
+    handleEntry(this->entry, event, Loop::now(), this->random, out);
+    this->carryOut(out);
+}
+
+void EntryService::carryOut(const Outbox &out)
+{
+    for (const Send &send : out.sends)
+        this->peers->send(send.to, send.message);
+    for (const Append &append : out.appends)
+        this->log->append(append);
+    for (const Reply &reply : out.replies)
+        this->reply(reply);
+}
+
+void EntryService::reply(const Reply &reply)
+{
+    const auto found = this->waiting.find(reply.request);
+    if (found == this->waiting.end())
+        return;
+    const Waiting waited = found->second;
+    this->waiting.erase(found);
+    this->loop.cancel(waited.timer);
+    const double seconds = static_cast<double>(Loop::now() - waited.since) / msPerSecond;
+    this->metrics.observe("flamingo_request_duration_seconds", "Time from request to reply", seconds,
+                          {{"verdict", std::string(verdictName(reply.verdict))}});
+    LOG_EVERY_N(INFO, 1) << "reply request=" << reply.request << " job=" << reply.job
+                         << " verdict=" << verdictName(reply.verdict)
+                         << " reason=" << reasonName(reply.reason.code)
+                         << " accepted=" << reply.accepted << " detail=\"" << reply.reason.text
+                         << "\"";
+    this->answer(waited.http, replyResponse(reply));
+}
+
+void EntryService::answer(HttpRequestId request, const HttpResponse &response)
+{
+    this->metrics.add("flamingo_http_responses_total", "HTTP responses by status", 1,
+                      {{"status", std::to_string(response.status)}});
+    this->server->respond(request, response);
+}
+
+void EntryService::route(const HttpRequest &request)
+{
+    const std::string_view path = request.path;
+    if (request.method == "GET" && this->routeRead(request))
+        return;
+    if (request.method == "POST" && path == jobsPath) {
+        this->submit(request);
+        return;
+    }
+    if (request.method == "POST" && path == "/v1/table") {
+        this->edit(request);
+        return;
+    }
+    if (const auto job = below(path, jobsPath)) {
+        this->routeJob(request, *job);
+        return;
+    }
+    if (const auto target = below(path, targetsPath)) {
+        this->routeTarget(request, *target);
+        return;
+    }
+    this->answer(request.id, notFound(request));
+}
+
+bool EntryService::routeRead(const HttpRequest &request)
+{
+    const std::string_view path = request.path;
+    const TimeMs now = Loop::now();
+    HttpResponse response;
+    if (path == "/health") {
+        response.body = "{\"health\":\"ok\"}\n";
+    } else if (path == "/ready") {
+        response.status = this->stopping ? 503 : 200;
+        response.body = this->stopping ? "{\"ready\":false}\n" : "{\"ready\":true}\n";
+    } else if (path == "/metrics") {
+        response.body = this->metricsText();
+        response.contentType = "text/plain; version=0.0.4";
+    } else if (path == "/v1/table") {
+        response.body = tableJson(this->entry.table);
+    } else if (path == targetsPath) {
+        response.body = targetsJson(this->entry, now);
+    } else if (path == "/v1/status") {
+        response.body = statusJson(this->entry, now);
+    } else if (path == "/v1/dump") {
+        response.body = this->dump();
+    } else {
+        return false;
+    }
+    this->answer(request.id, response);
+    return true;
+}
+
+void EntryService::submit(const HttpRequest &request)
+{
+    Reason reason;
+    auto parsed = parseJobRequest(request.body, reason);
+    if (!parsed) {
+        this->answer(request.id, refusal(reason));
+        return;
+    }
+    Submit submit;
+    submit.request = std::to_string(request.id);
+    submit.spec = std::move(parsed->spec);
+    submit.spec.job = this->settings.options.name + "."
+        + std::to_string(this->settings.options.incarnation) + "." + std::to_string(this->nextJob++);
+    if (submit.spec.homeRegion.empty())
+        submit.spec.homeRegion = this->settings.options.region;
+    submit.wait = parsed->wait;
+    this->expectReply(request, submit.spec.job);
+    this->dispatch(submit);
+}
+
+void EntryService::expectReply(const HttpRequest &request, const std::string &job)
+{
+    const std::string id = std::to_string(request.id);
+    const auto timer = this->loop.after(this->settings.maxWaitMs, [this, id] {
+        const Waiting waited = this->waiting.at(id);
+        this->waiting.erase(id);
+        this->dispatch(CallerGone{id});
+        Reply reply;
+        reply.job = waited.job;
+        reply.accepted = true;
+        reply.verdict = Verdict::MayHaveRun;
+        reply.reason = {ReasonCode::None, "not ended yet, ask again with GET /v1/jobs/" + waited.job};
+        this->answer(waited.http, replyResponse(reply));
+    });
+    this->waiting[id] = {request.id, job, Loop::now(), timer};
+}
+
+void EntryService::routeJob(const HttpRequest &request, std::string_view rest)
+{
+    const std::string id = std::to_string(request.id);
+    if (request.method == "GET" && removeSuffix(rest, "/explain")) {
+        HttpResponse response;
+        response.body = explainJob(this->entry, rest, Loop::now());
+        this->answer(request.id, response);
+        return;
+    }
+    const std::string job(rest);
+    if (request.method == "GET") {
+        const auto wait = request.query.find("wait");
+        this->expectReply(request, job);
+        this->dispatch(QueryJob{id, job, wait != request.query.end() && wait->second != "0"});
+    } else if (request.method == "DELETE") {
+        this->expectReply(request, job);
+        this->dispatch(CancelJob{id, job});
+    } else {
+        this->answer(request.id, notFound(request));
+    }
+}
+
+void EntryService::routeTarget(const HttpRequest &request, std::string_view rest)
+{
+    const bool undrain = removeSuffix(rest, "/undrain");
+    const bool drain = !undrain && removeSuffix(rest, "/drain");
+    if (request.method != "POST" || (!drain && !undrain)) {
+        this->answer(request.id, notFound(request));
+        return;
+    }
+    this->expectReply(request, "");
+    this->dispatch(DrainTarget{std::to_string(request.id), std::string(rest), drain});
+}
+
+void EntryService::edit(const HttpRequest &request)
+{
+    Reason reason;
+    const auto parsed = parseEditRequest(request.body, reason);
+    if (!parsed) {
+        this->answer(request.id, refusal(reason));
+        return;
+    }
+    this->expectReply(request, "");
+    this->dispatch(EditTable{std::to_string(request.id), parsed->author, parsed->baseVersion,
+                             parsed->change, Loop::unixNow(), parsed->wait});
+}
+
+std::string EntryService::dump() const
+{
+    const Json result = {{"process", this->settings.options.name},
+                         {"stopping", this->stopping},
+                         {"logReachable", this->log->reachable()},
+                         {"waitingRequests", this->waiting.size()},
+                         {"peers", peersJson(*this->peers)},
+                         {"traffic", trafficJson(*this->peers)},
+                         {"entry", Json::parse(dumpEntry(this->entry, Loop::now()))}};
+    return result.dump(2) + "\n";
+}
+
+std::string EntryService::metricsText()
+{
+    this->metrics.set("flamingo_log_reachable", "1 while the log service answers",
+                      this->log->reachable() ? 1 : 0);
+    this->metrics.set("flamingo_table_version", "Version of the table in force",
+                      static_cast<double>(this->entry.table.version));
+    this->metrics.set("flamingo_waiting_requests", "HTTP requests that wait for a reply",
+                      static_cast<double>(this->waiting.size()));
+    addTraffic(this->metrics, *this->peers);
+    return this->metrics.text();
+}
+
+void EntryService::shutDown()
+{
+    LOG(INFO) << "shutdown requested, " << this->waiting.size() << " requests at hand";
+    this->stopping = true;
+    this->loop.after(unreadyMs, [this] {
+        this->dispatch(StopAccepting());
+        this->server->shutDown();
+        this->stopWhenIdle();
+    });
+}
+
+void EntryService::stopWhenIdle()
+{
+    if (entryIdle(this->entry) && this->server->pending() == 0 && this->peers->flushed()) {
+        LOG(INFO) << "shutdown complete";
+        this->loop.after(idleCheckMs, [this] { this->loop.stop(); });
+        return;
+    }
+    this->loop.after(idleCheckMs, [this] { this->stopWhenIdle(); });
+}
+
+} // namespace flamingo::adapters
--- /dev/null
+++ b/flamingo/adapters/job_json.cc
@@ -0,0 +1,232 @@
+// Each accepted field stands once in a list of readers; what is not in the list is unknown. A reader
+// checks type and range and leaves a text about what is wrong.
+
+#include "flamingo/adapters/job_json.h"
+
+#include <algorithm>
+#include <array>
+#include <functional>
+#include <limits>
+#include <vector>
+
+namespace flamingo::adapters {
+namespace {
+
+using Json = nlohmann::json;
+using Mistakes = std::vector<std::string>;
+
+constexpr std::uint64_t maxDurationMs = 30ULL * 24 * 3600 * 1000;
+constexpr std::uint64_t maxCores = 4096;
+constexpr std::uint64_t maxMemoryMib = 64ULL * 1024 * 1024;
+constexpr std::size_t maxMistakesShown = 10;
+
+using Reader = std::function<void(const Json &value, const std::string &path, Mistakes &mistakes)>;
+
+struct FieldReader
+{
+    std::string_view name;
+    Reader read;
+};
+
+Reader text(std::string &target, std::size_t maxBytes)
+{
+    return [&target, maxBytes](const Json &value, const std::string &path, Mistakes &mistakes) {
+        if (!value.is_string())
+            mistakes.push_back(path + " must be a string");
+        else if (value.get_ref<const std::string &>().size() > maxBytes)
+            mistakes.push_back(path + " must have at most " + std::to_string(maxBytes) + " bytes");
+        else
+            target = value.get<std::string>();
+    };
+}
+
+Reader boolean(bool &target)
+{
+    return [&target](const Json &value, const std::string &path, Mistakes &mistakes) {
+        if (value.is_boolean())
+            target = value.get<bool>();
+        else
+            mistakes.push_back(path + " must be true or false");
+    };
+}
+
+template <typename Number>
+Reader number(Number &target, std::uint64_t least, std::uint64_t most)
+{
+    return [&target, least, most](const Json &value, const std::string &path, Mistakes &mistakes) {
+        if (!value.is_number_unsigned() || value.get<std::uint64_t>() < least
+            || value.get<std::uint64_t>() > most) {
+            mistakes.push_back(path + " must be a whole number from " + std::to_string(least)
+                               + " to " + std::to_string(most));
+            return;
+        }
+        target = static_cast<Number>(value.get<std::uint64_t>());
+    };
+}
+
+Reader jobClass(JobClass &target)
+{
+    return [&target](const Json &value, const std::string &path, Mistakes &mistakes) {
+        if (value == "urgent")
+            target = JobClass::Urgent;
+        else if (value == "interactive")
+            target = JobClass::Interactive;
+        else if (value == "batch")
+            target = JobClass::Batch;
+        else
+            mistakes.push_back(path + R"( must be "urgent", "interactive" or "batch")");
+    };
+}
+
+Reason joined(const Mistakes &mistakes)
+{
+    std::string detail;
+    for (std::size_t i = 0; i < std::min(mistakes.size(), maxMistakesShown); ++i)
+        detail += (i == 0 ? "" : "; ") + mistakes[i];
+    if (mistakes.size() > maxMistakesShown)
+        detail += "; and " + std::to_string(mistakes.size() - maxMistakesShown) + " more";
+    return {ReasonCode::InvalidInput, detail};
+}
+
+// Reads `body` with `readers`; false with the reason when anything in it is wrong.
+bool readObject(std::string_view body, const std::vector<FieldReader> &readers, Reason &reason)
+{
+    const Json object = Json::parse(body, nullptr, false);
+    if (!object.is_object()) {
+        reason = {ReasonCode::InvalidInput, "body is not a JSON object"};
+        return false;
+    }
+    Mistakes mistakes;
+    for (const auto &[name, value] : object.items()) {
+        const auto reader = std::find_if(readers.begin(), readers.end(),
+                                         [&name = name](const auto &field) { return field.name == name; });
+        if (reader == readers.end())
+            mistakes.push_back("unknown field '" + name + "'");
+        else
+            reader->read(value, name, mistakes);
+    }
+    if (mistakes.empty())
+        return true;
+    reason = joined(mistakes);
+    return false;
+}
+
+int statusOf(const Reply &reply)
+{
+    if (reply.accepted)
+        return 202;
+    if (reply.verdict == Verdict::Ran)
+        return 200;
+    if (reply.verdict == Verdict::MayHaveRun)
+        return 504;
+    switch (reply.reason.code) {
+    case ReasonCode::InvalidInput:
+        return 400;
+    case ReasonCode::UnknownOrganisation:
+        return 404;
+    case ReasonCode::ImpossibleShape:
+    case ReasonCode::Unpackable:
+        return 422;
+    case ReasonCode::VersionConflict:
+    case ReasonCode::Cancelled:
+        return 409;
+    case ReasonCode::QueueFull:
+    case ReasonCode::LimitReached:
+        return 429;
+    default:
+        return 503;
+    }
+}
+
+} // namespace
+
+std::optional<JobRequest> parseJobRequest(std::string_view body, Reason &reason)
+{
+    JobRequest request;
+    JobSpec &spec = request.spec;
+    const std::vector<FieldReader> readers = {
+        {"key", text(spec.key, maxNameBytes)},
+        {"organisation", text(spec.organisation, maxNameBytes)},
+        {"homeRegion", text(spec.homeRegion, maxNameBytes)},
+        {"jobClass", jobClass(spec.jobClass)},
+        {"idempotent", boolean(spec.idempotent)},
+        {"firstAttempt", boolean(spec.firstAttempt)},
+        {"checkpointable", boolean(spec.checkpointable)},
+        {"anyRegion", boolean(spec.anyRegion)},
+        {"members", number(spec.members, 1, maxGangMembers)},
+        {"accelerators", number(spec.accelerators, 0, maxAcceleratorsPerWorker)},
+        {"cores", number(spec.cores, 0, maxCores)},
+        {"memoryMib", number(spec.memoryMib, 0, maxMemoryMib)},
+        {"declaredMs", number(spec.declaredMs, 0, maxDurationMs)},
+        {"deadlineMs", number(spec.deadlineMs, 0, maxDurationMs)},
+        {"payload", text(spec.payload, maxPayloadBytes)},
+        {"wait", boolean(request.wait)},
+    };
+    spec.jobClass = JobClass::Interactive;
+    if (!readObject(body, readers, reason))
+        return std::nullopt;
+    if (spec.organisation.empty()) {
+        reason = {ReasonCode::InvalidInput, "organisation is missing"};
+        return std::nullopt;
+    }
+    return request;
+}
+
+std::optional<EditRequest> parseEditRequest(std::string_view body, Reason &reason)
+{
+    EditRequest request;
+    bool hasChange = false;
+    bool hasVersion = false;
+    const std::vector<FieldReader> readers = {
+        {"baseVersion",
+         [&](const Json &value, const std::string &path, Mistakes &mistakes) {
+             hasVersion = true;
+             number(request.baseVersion, 0, std::numeric_limits<std::int64_t>::max())(value, path,
+                                                                                    mistakes);
+         }},
+        {"author", text(request.author, maxNameBytes)},
+        {"wait", boolean(request.wait)},
+        {"change",
+         [&](const Json &value, const std::string & /*path*/, Mistakes & /*mistakes*/) {
+             hasChange = true;
+             request.change = value.dump();
+         }},
+    };
+    if (!readObject(body, readers, reason))
+        return std::nullopt;
+    if (!hasChange || !hasVersion || request.author.empty()) {
+        reason = {ReasonCode::InvalidInput, "baseVersion, author and change are required"};
+        return std::nullopt;
+    }
+    return request;
+}
+
+HttpResponse replyResponse(const Reply &reply)
+{
+    constexpr TimeMs msPerSecond = 1000;
+    HttpResponse response;
+    response.status = statusOf(reply);
+    const auto replace = Json::error_handler_t::replace;
+    response.body = Json({{"job", reply.job},
+                          {"verdict", verdictName(reply.verdict)},
+                          {"reason", reasonName(reply.reason.code)},
+                          {"detail", reply.reason.text},
+                          {"answer", reply.answer},
+                          {"accepted", reply.accepted}})
+                        .dump(-1, ' ', false, replace)
+        + "\n";
+    if (reply.retryAfterMs > 0)
+        response.retryAfterSeconds
+            = static_cast<std::uint32_t>((reply.retryAfterMs + msPerSecond - 1) / msPerSecond);
+    return response;
+}
+
+HttpResponse refusal(const Reason &reason)
+{
+    Reply reply;
+    reply.verdict = Verdict::NotRun;
+    reply.reason = reason;
+    return replyResponse(reply);
+}
+
+} // namespace flamingo::adapters
--- /dev/null
+++ b/flamingo/agent_node.cc
@@ -0,0 +1,115 @@
+// Hands each event to those parts that take it. The table is folded first, so that the agent decides
+// with the newest one. A table line whose offset is past the next expected one means that lines were
+// missed; the node then asks an entry, which answers with a snapshot.
+
+#include "flamingo/agent_node.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <type_traits>
+
+namespace flamingo {
+namespace {
+
+template <typename T, typename Variant>
+struct IsAlternative;
+
+template <typename T, typename... Alternatives>
+struct IsAlternative<T, std::variant<Alternatives...>>
+    : std::disjunction<std::is_same<T, Alternatives>...>
+{
+};
+
+void requestTable(AgentNode &node, TimeMs now, Random &random, Outbox &out)
+{
+    if (node.entries.empty() || now < node.nextTableRequest)
+        return;
+    node.nextTableRequest = now + tableRequestIntervalMs;
+    LogLinesRequest request;
+    request.stream = tableStream;
+    request.from = node.table.nextOffset;
+    const auto chosen = std::next(node.entries.begin(),
+                                  static_cast<std::ptrdiff_t>(random() % node.entries.size()));
+    out.sends.push_back({*chosen, request});
+}
+
+void foldLines(AgentNode &node, const LogLines &lines, TimeMs now, Random &random, Outbox &out)
+{
+    if (lines.stream != tableStream)
+        return;
+    const bool snapshotFirst = lines.lines.size() == 1 && lines.next == lines.lines[0].offset + 1
+        && node.table.version == 0;
+    for (const wire::LogLineT &line : lines.lines) {
+        const bool gap = line.offset > node.table.nextOffset;
+        Reason reason;
+        Table copy = node.table;
+        const FoldResult result = foldTable(copy, line.text, line.offset, reason);
+        // Across a gap only a snapshot may be applied; an edit made against an unknown version is a
+        // conflict here although it may have been applied elsewhere.
+        if (gap && !snapshotFirst && result != FoldResult::Applied) {
+            requestTable(node, now, random, out);
+            return;
+        }
+        if (result == FoldResult::Malformed)
+            ++node.malformedTableLines;
+        node.table = std::move(copy);
+    }
+}
+
+void handlePeer(AgentNode &node, const PeerMessage &message, TimeMs now, Random &random, Outbox &out)
+{
+    if (const auto *lines = std::get_if<LogLines>(&message.message))
+        foldLines(node, *lines, now, random, out);
+    const auto *ack = std::get_if<ReportAck>(&message.message);
+    if (ack != nullptr && ack->tableVersion > node.table.version)
+        requestTable(node, now, random, out);
+}
+
+} // namespace
+
+AgentNode makeAgentNode(const AgentOptions &agent, const OwnerOptions &owner)
+{
+    AgentNode node;
+    node.agent = makeAgent(agent);
+    node.owner = makeOwner(owner);
+    node.region = agent.region;
+    return node;
+}
+
+void handleNode(AgentNode &node, const NodeEvent &event, TimeMs now, Random &random, Outbox &out)
+{
+    if (const auto *message = std::get_if<PeerMessage>(&event))
+        handlePeer(node, *message, now, random, out);
+    if (const auto *up = std::get_if<PeerUp>(&event)) {
+        if (up->peer.kind == ProcessKind::Entry && up->peer.region == node.region) {
+            node.entries.insert(up->peer.process);
+            node.nextTableRequest = now;
+            requestTable(node, now, random, out);
+        }
+    }
+    if (const auto *down = std::get_if<PeerDown>(&event))
+        node.entries.erase(down->process);
+    std::visit(
+        [&](const auto &one) {
+            using Event = std::decay_t<decltype(one)>;
+            if constexpr (IsAlternative<Event, OwnerEvent>::value)
+                handleOwner(node.owner, one, now, random, out);
+            if constexpr (IsAlternative<Event, AgentEvent>::value)
+                handleAgent(node.agent, one, node.table, now, random, out);
+        },
+        event);
+}
+
+std::string dumpNode(const AgentNode &node, TimeMs now)
+{
+    using Json = nlohmann::json;
+    const Json result = {{"agent", Json::parse(dumpAgent(node.agent, now))},
+                         {"owner", Json::parse(dumpOwner(node.owner, now))},
+                         {"table", Json::parse(tableJson(node.table))},
+                         {"entries", node.entries},
+                         {"malformedTableLines", node.malformedTableLines}};
+    return result.dump();
+}
+
+} // namespace flamingo
