--- /dev/null
+++ b/flamingo/anchors.cc
@@ -0,0 +1,637 @@
+#include "flamingo/anchors.h"
+
+#include <algorithm>
+#include <array>
+#include <set>
+#include <tuple>
+#include <unordered_set>
+
+// Packing.
+//
+// Every region is packed by itself. Its workers are kept as bit masks of free accelerators. A
+// "unit" is one copy that misses members; a "placement" puts one member on the leftmost
+// accelerators of a free run of one worker. Placing leftmost loses nothing: blocks within one run
+// can be shifted together.
+//
+// First comes best fit: units in order of block size, and for each member the placement with the
+// least key (same rack, tightest run). A first member goes only into a data centre with enough
+// workers for the whole unit, so a unit fails only when no data centre can hold it.
+//
+// If a unit failed, a depth-first search starts over with the same keys. At each level it keeps
+// only the key of the last placement and takes the next greater one on return, so memory is linear
+// in the number of members. A state that failed before is recognised by a hash over the multiset of
+// (data centre, free mask, used by the current unit), which makes workers of equal state
+// interchangeable. The search ends after maxPackingSteps placements; best fit stands then.
+
+namespace flamingo {
+namespace {
+
+using Rows = std::map<std::string, Organisation, std::less<>>;
+
+// A worker during packing. `dataCentre` and `rack` are numbers within the region.
+struct Site
+{
+    std::string_view worker;
+    std::uint32_t dataCentre = 0;
+    std::uint32_t rack = 0;
+    std::uint32_t accelerators = 0;
+    std::uint64_t freeMask = 0;
+    bool used = false; // by the unit at hand
+};
+
+struct Unit
+{
+    const Organisation *organisation = nullptr;
+    std::uint32_t shape = 0;
+    std::uint32_t copy = 0;
+    std::uint32_t accelerators = 0;
+    std::vector<std::uint32_t> members; // that miss an anchor
+    std::vector<std::uint32_t> keptSites;
+};
+
+struct Placement
+{
+    std::uint32_t site = 0;
+    std::uint32_t first = 0;
+};
+
+struct Region
+{
+    std::vector<Site> sites; // ordered by worker
+    std::uint32_t dataCentres = 0;
+    std::uint32_t racks = 0;
+    std::vector<Unit> units;
+};
+
+std::uint64_t lowBits(std::uint32_t count)
+{
+    return count >= maxAcceleratorsPerWorker ? ~std::uint64_t{0} : (std::uint64_t{1} << count) - 1;
+}
+
+std::uint32_t trailingZeros(std::uint64_t mask)
+{
+    return mask == 0 ? maxAcceleratorsPerWorker : static_cast<std::uint32_t>(__builtin_ctzll(mask));
+}
+
+// A maximal run of adjacent free accelerators; length 0 stands for none.
+struct Run
+{
+    std::uint32_t first = 0;
+    std::uint32_t length = 0;
+};
+
+// The first run at or after accelerator `from`.
+Run nextRun(std::uint64_t freeMask, std::uint32_t from)
+{
+    if (from >= maxAcceleratorsPerWorker)
+        return {};
+    const auto rest = freeMask & ~lowBits(from);
+    const auto first = trailingZeros(rest);
+    if (first >= maxAcceleratorsPerWorker)
+        return {};
+    const auto end = trailingZeros(~(rest | lowBits(first)));
+    return {first, end - first};
+}
+
+std::uint32_t largestRun(std::uint64_t freeMask)
+{
+    std::uint32_t largest = 0;
+    for (auto run = nextRun(freeMask, 0); run.length > 0;
+         run = nextRun(freeMask, run.first + run.length))
+        largest = std::max(largest, run.length);
+    return largest;
+}
+
+// ---- Keys ----
+
+// Order in which placements of one member are tried; smaller is better.
+struct Key
+{
+    std::array<std::uint32_t, 4> rank{}; // rack preference, then tightness
+    std::uint32_t site = 0;
+    std::uint32_t first = 0;
+};
+
+auto orderOf(const Key &key)
+{
+    return std::tie(key.rank, key.site, key.first);
+}
+
+bool operator<(const Key &left, const Key &right)
+{
+    return orderOf(left) < orderOf(right);
+}
+
+// What the choice for one member depends on, besides the site itself.
+struct Context
+{
+    std::uint32_t accelerators = 0;
+    std::uint32_t needed = 0; // members still to place, this one included
+    std::optional<std::uint32_t> dataCentre; // fixed by earlier members
+    std::vector<std::uint32_t> eligibleInDataCentre;
+    std::vector<std::uint32_t> eligibleInRack;
+    std::vector<bool> rackUsed;
+};
+
+Context contextOf(const Region &region, const Unit &unit, std::uint32_t needed)
+{
+    Context context;
+    context.accelerators = unit.accelerators;
+    context.needed = needed;
+    context.eligibleInDataCentre.resize(region.dataCentres);
+    context.eligibleInRack.resize(region.racks);
+    context.rackUsed.resize(region.racks);
+    for (const auto &site : region.sites) {
+        if (site.used) {
+            context.dataCentre = site.dataCentre;
+            context.rackUsed[site.rack] = true;
+        } else if (largestRun(site.freeMask) >= unit.accelerators) {
+            ++context.eligibleInDataCentre[site.dataCentre];
+            ++context.eligibleInRack[site.rack];
+        }
+    }
+    return context;
+}
+
+bool isEligible(const Context &context, const Site &site)
+{
+    if (site.used || (context.dataCentre && *context.dataCentre != site.dataCentre))
+        return false;
+    return context.eligibleInDataCentre[site.dataCentre] >= context.needed;
+}
+
+// Ranks a rack: those already used by the unit, then those that hold the rest of it, the tightest
+// run first, then those that hold most of it.
+std::array<std::uint32_t, 4> rankOf(const Context &context, const Site &site, std::uint32_t left)
+{
+    const auto eligible = context.eligibleInRack[site.rack];
+    if (context.rackUsed[site.rack])
+        return {0, left, 0, 0};
+    if (eligible >= context.needed)
+        return {1, left, eligible, 0};
+    return {2, context.needed - eligible, left, 0};
+}
+
+// The best placement whose key is greater than `after`.
+std::optional<Key> nextPlacement(const Region &region, const Context &context,
+                                 const std::optional<Key> &after)
+{
+    std::optional<Key> best;
+    for (std::uint32_t index = 0; index < region.sites.size(); ++index) {
+        const auto &site = region.sites[index];
+        if (!isEligible(context, site))
+            continue;
+        for (auto run = nextRun(site.freeMask, 0); run.length > 0;
+             run = nextRun(site.freeMask, run.first + run.length)) {
+            if (run.length < context.accelerators)
+                continue;
+            Key key{rankOf(context, site, run.length - context.accelerators), index, run.first};
+            if ((!after || *after < key) && (!best || key < *best))
+                best = key;
+        }
+    }
+    return best;
+}
+
+void place(Region &region, const Unit &unit, const Placement &placement)
+{
+    auto &site = region.sites[placement.site];
+    site.freeMask &= ~(lowBits(unit.accelerators) << placement.first);
+    site.used = true;
+}
+
+void undo(Region &region, const Unit &unit, const Placement &placement)
+{
+    auto &site = region.sites[placement.site];
+    site.freeMask |= lowBits(unit.accelerators) << placement.first;
+    site.used = false;
+}
+
+void markUsed(Region &region, absl::Span<const std::uint32_t> sites, bool used)
+{
+    for (const auto site : sites)
+        region.sites[site].used = used;
+}
+
+void markPlaced(Region &region, absl::Span<const Placement> placements, bool used)
+{
+    for (const auto &placement : placements)
+        region.sites[placement.site].used = used;
+}
+
+// ---- Best fit ----
+
+// Places all missing members of `unit` or none.
+std::vector<Placement> placeUnit(Region &region, const Unit &unit)
+{
+    std::vector<Placement> placements;
+    markUsed(region, unit.keptSites, true);
+    auto needed = static_cast<std::uint32_t>(unit.members.size());
+    for (; needed > 0; --needed) {
+        const auto key = nextPlacement(region, contextOf(region, unit, needed), std::nullopt);
+        if (!key)
+            break;
+        placements.push_back({key->site, key->first});
+        place(region, unit, placements.back());
+    }
+    if (needed > 0) {
+        for (const auto &placement : placements)
+            undo(region, unit, placement);
+        placements.clear();
+    }
+    markPlaced(region, placements, false);
+    markUsed(region, unit.keptSites, false);
+    return placements;
+}
+
+// ---- Search ----
+
+std::uint64_t mixed(std::uint64_t value)
+{
+    // Finaliser of splitmix64.
+    value += 0x9e3779b97f4a7c15;
+    value = (value ^ (value >> 30)) * 0xbf58476d1ce4e5b9;
+    value = (value ^ (value >> 27)) * 0x94d049bb133111eb;
+    return value ^ (value >> 31);
+}
+
+// Equal for states that differ only by an exchange of workers within a data centre.
+std::uint64_t stateHash(const Region &region, std::size_t level)
+{
+    std::uint64_t hash = mixed(level);
+    for (const auto &site : region.sites)
+        hash += mixed(site.freeMask ^ mixed(2 * std::uint64_t{site.dataCentre} + site.used));
+    return hash;
+}
+
+// One member of one unit in the order of the search.
+struct Level
+{
+    std::size_t unit = 0;
+    std::uint32_t needed = 0;
+    std::optional<Key> last;
+    std::uint64_t hash = 0;
+};
+
+std::vector<Level> levelsOf(const Region &region)
+{
+    std::vector<Level> levels;
+    for (std::size_t unit = 0; unit < region.units.size(); ++unit) {
+        for (auto needed = region.units[unit].members.size(); needed > 0; --needed)
+            levels.push_back({unit, static_cast<std::uint32_t>(needed), std::nullopt, 0});
+    }
+    return levels;
+}
+
+// Marks the workers used by the unit of `level`, given all placements above it.
+void setUsed(Region &region, absl::Span<const Level> levels, std::size_t level)
+{
+    for (auto &site : region.sites)
+        site.used = false;
+    const auto unit = levels[level].unit;
+    markUsed(region, region.units[unit].keptSites, true);
+    for (auto above = level; above > 0 && levels[above - 1].unit == unit; --above)
+        region.sites[levels[above - 1].last->site].used = true;
+}
+
+// Looks for an arrangement of all units. The placements of the units follow each other.
+std::optional<std::vector<Placement>> search(Region &region)
+{
+    auto levels = levelsOf(region);
+    std::unordered_set<std::uint64_t> failed;
+    std::size_t level = 0;
+    for (std::size_t steps = 0; level < levels.size(); ++steps) {
+        auto &current = levels[level];
+        const auto &unit = region.units[current.unit];
+        setUsed(region, levels, level);
+        if (!current.last)
+            current.hash = stateHash(region, level);
+        std::optional<Key> key;
+        if (steps < maxPackingSteps && failed.count(current.hash) == 0)
+            key = nextPlacement(region, contextOf(region, unit, current.needed), current.last);
+        current.last = key;
+        if (key) {
+            place(region, unit, {key->site, key->first});
+            ++level;
+            continue;
+        }
+        if (level == 0 || steps >= maxPackingSteps)
+            break;
+        failed.insert(current.hash);
+        --level;
+        const auto &above = levels[level];
+        undo(region, region.units[above.unit], {above.last->site, above.last->first});
+    }
+    std::vector<Placement> placements;
+    const bool found = level == levels.size();
+    for (std::size_t above = 0; above < level; ++above) {
+        const auto &placed = levels[above];
+        placements.push_back({placed.last->site, placed.last->first});
+        if (!found)
+            undo(region, region.units[placed.unit], placements.back());
+    }
+    markUsed(region, {}, false);
+    for (auto &site : region.sites)
+        site.used = false;
+    if (!found)
+        return std::nullopt;
+    return placements;
+}
+
+// ---- Regions and kept anchors ----
+
+// Numbers names in the order of their first use.
+std::uint32_t numberOf(std::map<std::string_view, std::uint32_t> &numbers, std::string_view name)
+{
+    return numbers.emplace(name, static_cast<std::uint32_t>(numbers.size())).first->second;
+}
+
+using Regions = std::map<std::string_view, Region>;
+
+Regions regionsOf(absl::Span<const WorkerSite> workers)
+{
+    std::vector<const WorkerSite *> ordered;
+    for (const auto &worker : workers)
+        ordered.push_back(&worker);
+    std::sort(ordered.begin(), ordered.end(), [](const auto *left, const auto *right) {
+        return std::tie(left->worker, left->region, left->dataCentre, left->rack,
+                        left->accelerators)
+            < std::tie(right->worker, right->region, right->dataCentre, right->rack,
+                       right->accelerators);
+    });
+    Regions regions;
+    std::map<std::string_view, std::map<std::string_view, std::uint32_t>> dataCentres;
+    std::map<std::string_view,
+             std::map<std::pair<std::string_view, std::string_view>, std::uint32_t>>
+        racks;
+    std::string_view last;
+    for (const auto *worker : ordered) {
+        if (worker->worker == last)
+            continue;
+        last = worker->worker;
+        auto &region = regions[worker->region];
+        auto &regionRacks = racks[worker->region];
+        const auto rack = regionRacks
+                              .emplace(std::pair(std::string_view(worker->dataCentre),
+                                                 std::string_view(worker->rack)),
+                                       static_cast<std::uint32_t>(regionRacks.size()))
+                              .first->second;
+        const auto accelerators = std::min(worker->accelerators, maxAcceleratorsPerWorker);
+        region.sites.push_back({worker->worker,
+                                numberOf(dataCentres[worker->region], worker->dataCentre), rack,
+                                accelerators, lowBits(accelerators), false});
+        region.dataCentres = static_cast<std::uint32_t>(dataCentres[worker->region].size());
+        region.racks = static_cast<std::uint32_t>(regionRacks.size());
+    }
+    return regions;
+}
+
+struct Kept
+{
+    std::uint32_t site = 0;
+    const Anchor *anchor = nullptr;
+};
+
+auto memberOrder(const Anchor &anchor)
+{
+    return std::tie(anchor.organisation, anchor.shape, anchor.copy, anchor.member, anchor.worker,
+                    anchor.first, anchor.count);
+}
+
+std::optional<std::uint32_t> findSite(const Region &region, std::string_view worker)
+{
+    const auto before = [](const Site &site, std::string_view name) { return site.worker < name; };
+    const auto site = std::lower_bound(region.sites.begin(), region.sites.end(), worker, before);
+    if (site == region.sites.end() || site->worker != worker)
+        return std::nullopt;
+    return static_cast<std::uint32_t>(site - region.sites.begin());
+}
+
+// The anchors among `anchors` (one copy, ordered by member) that can stay.
+std::vector<Kept> keepable(const Region &region, const GuaranteedShape &shape,
+                           absl::Span<const Anchor *const> anchors)
+{
+    std::vector<Kept> kept;
+    std::vector<std::uint32_t> perDataCentre(region.dataCentres);
+    std::set<std::uint32_t> sites;
+    std::set<std::uint32_t> members;
+    for (const auto *anchor : anchors) {
+        if (anchor->count != shape.accelerators || anchor->member >= shape.members)
+            continue;
+        const auto site = findSite(region, anchor->worker);
+        if (!site || anchor->first >= maxAcceleratorsPerWorker || members.count(anchor->member) > 0)
+            continue;
+        const auto mask = lowBits(anchor->count) << anchor->first;
+        const auto &found = region.sites[*site];
+        if (anchor->first + anchor->count > found.accelerators || (found.freeMask & mask) != mask)
+            continue;
+        if (!sites.insert(*site).second)
+            continue;
+        members.insert(anchor->member);
+        ++perDataCentre[found.dataCentre];
+        kept.push_back({*site, anchor});
+    }
+    const auto best = std::max_element(perDataCentre.begin(), perDataCentre.end());
+    const auto dataCentre = static_cast<std::uint32_t>(best - perDataCentre.begin());
+    kept.erase(std::remove_if(kept.begin(), kept.end(),
+                              [&](const Kept &item) {
+                                  return region.sites[item.site].dataCentre != dataCentre;
+                              }),
+               kept.end());
+    return kept;
+}
+
+// ---- Packing ----
+
+struct Packer
+{
+    const Rows *rows = nullptr;
+    Regions regions;
+    std::vector<const Anchor *> current; // ordered by copy and member
+    Packing result;
+};
+
+absl::Span<const Anchor *const> currentOf(const Packer &packer, std::string_view organisation,
+                                          std::uint32_t shape, std::uint32_t copy)
+{
+    const auto key = std::tuple(organisation, shape, copy);
+    const auto keyOf = [](const Anchor *anchor) {
+        return std::tuple(std::string_view(anchor->organisation), anchor->shape, anchor->copy);
+    };
+    const auto begin = std::lower_bound(
+        packer.current.begin(), packer.current.end(), key,
+        [&](const Anchor *left, const auto &right) { return keyOf(left) < right; });
+    auto end = begin;
+    while (end != packer.current.end() && keyOf(*end) == key)
+        ++end;
+    return absl::MakeConstSpan(packer.current)
+        .subspan(static_cast<std::size_t>(begin - packer.current.begin()),
+                 static_cast<std::size_t>(end - begin));
+}
+
+void addAnchor(Packer &packer, const Unit &unit, std::uint32_t member, std::string_view worker,
+               std::uint32_t first)
+{
+    packer.result.anchors.push_back({unit.organisation->name, unit.shape, unit.copy, member,
+                                     std::string(worker), first, unit.accelerators});
+}
+
+// Takes the blocks of the anchors of one copy that stay and notes the members that are missing.
+void keepCopy(Packer &packer, Region &region, const GuaranteedShape &shape, Unit unit)
+{
+    const auto anchors = currentOf(packer, unit.organisation->name, unit.shape, unit.copy);
+    std::set<std::uint32_t> present;
+    for (const auto &kept : keepable(region, shape, anchors)) {
+        present.insert(kept.anchor->member);
+        unit.keptSites.push_back(kept.site);
+        region.sites[kept.site].freeMask &= ~(lowBits(shape.accelerators) << kept.anchor->first);
+        addAnchor(packer, unit, kept.anchor->member, kept.anchor->worker, kept.anchor->first);
+    }
+    for (std::uint32_t member = 0; member < shape.members; ++member) {
+        if (present.count(member) == 0)
+            unit.members.push_back(member);
+    }
+    if (!unit.members.empty())
+        region.units.push_back(std::move(unit));
+}
+
+void keepAnchors(Packer &packer)
+{
+    for (const auto &[name, row] : *packer.rows) {
+        std::uint32_t index = 0;
+        for (const auto &shape : row.guarantees) {
+            auto &region = packer.regions[shape.region];
+            for (std::uint32_t copy = 0; copy < shape.copies; ++copy)
+                keepCopy(packer, region, shape, {&row, index, copy, shape.accelerators, {}, {}});
+            ++index;
+        }
+    }
+}
+
+// Gives the kept members of `unit` back, so that the whole copy is packed anew.
+void release(Packer &packer, Region &region, Unit &unit)
+{
+    if (unit.keptSites.empty())
+        return;
+    auto &anchors = packer.result.anchors;
+    const auto own = [&](const Anchor &anchor) {
+        return anchor.organisation == unit.organisation->name && anchor.shape == unit.shape
+            && anchor.copy == unit.copy;
+    };
+    for (const auto &anchor : anchors) {
+        if (!own(anchor))
+            continue;
+        region.sites[*findSite(region, anchor.worker)].freeMask |= lowBits(anchor.count)
+            << anchor.first;
+        unit.members.push_back(anchor.member);
+    }
+    anchors.erase(std::remove_if(anchors.begin(), anchors.end(), own), anchors.end());
+    std::sort(unit.members.begin(), unit.members.end());
+    unit.keptSites.clear();
+}
+
+bool largerFirst(const Unit &left, const Unit &right)
+{
+    const auto order = [](const Unit &unit) {
+        return std::tuple(-std::int64_t{unit.accelerators},
+                          -static_cast<std::int64_t>(unit.members.size()),
+                          std::string_view(unit.organisation->name), unit.shape, unit.copy);
+    };
+    return order(left) < order(right);
+}
+
+std::string shortageCause(const Region &region, std::string_view name, const Unit &unit)
+{
+    std::vector<std::uint32_t> eligible(region.dataCentres);
+    std::uint32_t largest = 0;
+    for (const auto &site : region.sites) {
+        const auto run = largestRun(site.freeMask);
+        largest = std::max(largest, run);
+        if (run >= unit.accelerators)
+            ++eligible[site.dataCentre];
+    }
+    const auto best = eligible.empty() ? 0 : *std::max_element(eligible.begin(), eligible.end());
+    return "region \"" + std::string(name) + "\" has no room for "
+        + std::to_string(unit.members.size()) + " blocks of " + std::to_string(unit.accelerators)
+        + " adjacent accelerators on different workers of one data centre; it has "
+        + std::to_string(best) + ", and the largest free block is " + std::to_string(largest);
+}
+
+void addPlaced(Packer &packer, const Region &region, const Unit &unit,
+               absl::Span<const Placement> placements)
+{
+    std::size_t index = 0;
+    for (const auto &placement : placements)
+        addAnchor(packer, unit, unit.members[index++], region.sites[placement.site].worker,
+                  placement.first);
+}
+
+void packRegion(Packer &packer, std::string_view name, Region &region)
+{
+    // Copies whose rest does not fit beside the kept members are packed anew.
+    std::sort(region.units.begin(), region.units.end(), largerFirst);
+    std::vector<std::vector<Placement>> placed;
+    bool complete = true;
+    for (auto &unit : region.units) {
+        placed.push_back(placeUnit(region, unit));
+        if (placed.back().empty()) {
+            release(packer, region, unit);
+            placed.back() = placeUnit(region, unit);
+        }
+        complete = complete && !placed.back().empty();
+    }
+    if (!complete) {
+        auto trial = region;
+        for (std::size_t index = 0; index < trial.units.size(); ++index) {
+            for (const auto &placement : placed[index])
+                undo(trial, trial.units[index], placement);
+        }
+        const auto found = search(trial);
+        std::size_t next = 0;
+        for (std::size_t index = 0; found && index < region.units.size(); ++index) {
+            const auto count = region.units[index].members.size();
+            placed[index].assign(found->begin() + static_cast<std::ptrdiff_t>(next),
+                                 found->begin() + static_cast<std::ptrdiff_t>(next + count));
+            next += count;
+        }
+    }
+    for (std::size_t index = 0; index < region.units.size(); ++index) {
+        const auto &unit = region.units[index];
+        if (!placed[index].empty())
+            addPlaced(packer, region, unit, placed[index]);
+        else
+            packer.result.shortages.push_back({unit.organisation->name, unit.shape, unit.copy,
+                                               shortageCause(region, name, unit)});
+    }
+}
+
+} // namespace
+
+Packing packAnchors(const std::map<std::string, Organisation, std::less<>> &organisations,
+                    absl::Span<const Anchor> current, absl::Span<const WorkerSite> workers)
+{
+    Packer packer;
+    packer.rows = &organisations;
+    packer.regions = regionsOf(workers);
+    for (const auto &anchor : current)
+        packer.current.push_back(&anchor);
+    std::sort(packer.current.begin(), packer.current.end(),
+              [](const auto *left, const auto *right) {
+                  return memberOrder(*left) < memberOrder(*right);
+              });
+    keepAnchors(packer);
+    for (auto &[name, region] : packer.regions)
+        packRegion(packer, name, region);
+    auto &anchors = packer.result.anchors;
+    std::sort(anchors.begin(), anchors.end(), [](const Anchor &left, const Anchor &right) {
+        return memberOrder(left) < memberOrder(right);
+    });
+    auto &shortages = packer.result.shortages;
+    std::sort(shortages.begin(), shortages.end(), [](const Shortage &left, const Shortage &right) {
+        return std::tie(left.organisation, left.shape, left.copy)
+            < std::tie(right.organisation, right.shape, right.copy);
+    });
+    return std::move(packer.result);
+}
+
+} // namespace flamingo
--- a/flamingo/anchors.h
+++ b/flamingo/anchors.h
@@ -2,6 +2,15 @@
 #define FLAMINGO_ANCHORS_H
 
 // Packs guaranteed shapes onto concrete adjacent blocks of workers.
+//
+// The members of a copy lie in one data centre of the shape's region, each on another worker, and
+// in one rack where that is possible. The result depends on the set of workers and anchors, not on
+// their order.
+//
+// Anchors that still match stay; when some members of a copy are lost, the others stay if the rest
+// fits into the same data centre, or else the whole copy is packed anew. What is missing is packed
+// largest block first with best fit. When that leaves a copy out, a bounded search looks for
+// another arrangement before the copy is called short.
 
 #include "flamingo/table.h"
 
@@ -17,6 +26,10 @@
     std::uint32_t accelerators = 0;
 };
 
+// Placements that the search of one region may try. It bounds the time of a refusal; see
+// bench/table_bench.cc.
+constexpr std::size_t maxPackingSteps = 20000;
+
 struct Packing
 {
     std::vector<Anchor> anchors;
--- /dev/null
+++ b/flamingo/table.cc
@@ -0,0 +1,1060 @@
+#include "flamingo/table.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <initializer_list>
+#include <limits>
+#include <set>
+#include <tuple>
+
+// Records and operators' documents are JSON. One set of readers checks both: it walks the document,
+// notes every mistake with the path of its field, and fills the plain structs.
+//
+// Anchors in records are grouped by organisation, one array per copy:
+//
+//   "anchors": {"ORGANISATION": [[shape, copy, count, "WORKER", first, "WORKER", first, ...], ...]}
+//
+// with one worker and first accelerator per member, in order. 37,000 anchors of one accelerator
+// then fit into one frame.
+//
+// Folding an edit first works out the new rows, anchors and shortages beside the table, checks
+// them, and moves them in only when there was no mistake. By induction the copies that an edit does
+// not touch are whole and disjoint, so only touched workers and organisations are checked. The
+// anchor list is kept ordered by worker and first accelerator, which makes the lookups of one
+// worker a binary search.
+
+namespace flamingo {
+namespace {
+
+using Json = nlohmann::json;
+using OrderedJson = nlohmann::ordered_json;
+
+// Lists of at most this many anchors are scanned: that costs no more than a search, and such a
+// list may be in any order.
+constexpr std::size_t scannedAnchors = 64;
+
+struct Range
+{
+    std::uint64_t min = 0;
+    std::uint64_t max = 0;
+};
+
+constexpr Range anyNumber{0, std::numeric_limits<std::uint64_t>::max()};
+constexpr Range shapeIndexRange{0, maxGuarantees - 1};
+constexpr Range copyIndexRange{0, maxCopies - 1};
+constexpr Range acceleratorsRange{1, maxAcceleratorsPerWorker};
+
+enum class Presence { Required, Optional };
+
+// ---- Mistakes ----
+
+struct Problems
+{
+    std::vector<std::string> texts;
+    std::size_t count = 0;
+};
+
+std::string concat(std::initializer_list<std::string_view> parts)
+{
+    std::string text;
+    for (const auto part : parts)
+        text.append(part);
+    return text;
+}
+
+void note(Problems &problems, std::string_view path, std::string_view text)
+{
+    ++problems.count;
+    if (problems.texts.size() < maxProblems)
+        problems.texts.push_back(path.empty() ? std::string(text) : concat({path, ": ", text}));
+}
+
+Reason toReason(const Problems &problems)
+{
+    Reason reason{ReasonCode::InvalidInput, {}};
+    for (const auto &text : problems.texts)
+        reason.text += (reason.text.empty() ? "" : "\n") + text;
+    const auto hidden = problems.count - problems.texts.size();
+    if (hidden > 0)
+        reason.text += "\nand " + std::to_string(hidden) + " more mistakes";
+    return reason;
+}
+
+std::string inQuotes(std::string_view text)
+{
+    return concat({"\"", text, "\""});
+}
+
+std::string fieldPath(std::string_view path, std::string_view key)
+{
+    const bool joined = path.empty() || path.back() == ' ';
+    return concat({path, joined ? "" : ".", key});
+}
+
+std::string itemPath(std::string_view path, std::size_t index)
+{
+    return concat({path, "[", std::to_string(index), "]"});
+}
+
+// ---- Readers ----
+
+std::string rangeText(Range range)
+{
+    if (range.max == anyNumber.max)
+        return "an integer of at least " + std::to_string(range.min);
+    return concat(
+        {"an integer from ", std::to_string(range.min), " to ", std::to_string(range.max)});
+}
+
+template <typename Number>
+bool readNumber(const Json &value, std::string_view path, Range range, Number &number,
+                Problems &problems)
+{
+    if (value.is_number_unsigned()) {
+        const auto read = value.get<std::uint64_t>();
+        if (read >= range.min && read <= range.max) {
+            number = static_cast<Number>(read);
+            return true;
+        }
+    }
+    const auto shown = value.is_number() ? value.dump() : std::string(value.type_name());
+    note(problems, path, concat({"is ", shown, ", must be ", rangeText(range)}));
+    return false;
+}
+
+bool isControl(char character)
+{
+    return static_cast<unsigned char>(character) < 0x20 || character == 0x7f;
+}
+
+bool readText(const Json &value, std::string_view path, Range bytes, std::string &text,
+              Problems &problems)
+{
+    if (!value.is_string()) {
+        note(problems, path, concat({"is ", value.type_name(), ", must be a string"}));
+        return false;
+    }
+    const auto &read = value.get_ref<const std::string &>();
+    if (read.size() < bytes.min || read.size() > bytes.max) {
+        note(problems, path,
+             concat({"has ", std::to_string(read.size()), " bytes, must have ",
+                     std::to_string(bytes.min), " to ", std::to_string(bytes.max)}));
+        return false;
+    }
+    if (std::any_of(read.begin(), read.end(), isControl)) {
+        note(problems, path, "must not contain control characters");
+        return false;
+    }
+    text = read;
+    return true;
+}
+
+bool readName(const Json &value, std::string_view path, std::string &name, Problems &problems)
+{
+    if (!readText(value, path, {1, maxNameBytes}, name, problems))
+        return false;
+    if (name.front() != ' ' && name.back() != ' ')
+        return true;
+    note(problems, path, "must not begin or end with a space");
+    return false;
+}
+
+const Json *find(const Json &object, std::string_view path, const char *key, Presence presence,
+                 Problems &problems)
+{
+    const auto found = object.find(key);
+    if (found != object.end())
+        return &*found;
+    if (presence == Presence::Required)
+        note(problems, fieldPath(path, key), "is missing");
+    return nullptr;
+}
+
+template <typename Number>
+void numberField(const Json &object, std::string_view path, const char *key, Range range,
+                 Presence presence, Number &number, Problems &problems)
+{
+    const auto *value = find(object, path, key, presence, problems);
+    if (value != nullptr)
+        readNumber(*value, fieldPath(path, key), range, number, problems);
+}
+
+void textField(const Json &object, std::string_view path, const char *key, Range bytes,
+               Presence presence, std::string &text, Problems &problems)
+{
+    const auto *value = find(object, path, key, presence, problems);
+    if (value != nullptr)
+        readText(*value, fieldPath(path, key), bytes, text, problems);
+}
+
+void nameField(const Json &object, std::string_view path, const char *key, std::string &name,
+               Problems &problems)
+{
+    const auto *value = find(object, path, key, Presence::Required, problems);
+    if (value != nullptr)
+        readName(*value, fieldPath(path, key), name, problems);
+}
+
+bool readObject(const Json &value, std::string_view path,
+                std::initializer_list<std::string_view> keys, Problems &problems)
+{
+    if (!value.is_object()) {
+        note(problems, path, concat({"is ", value.type_name(), ", must be an object"}));
+        return false;
+    }
+    for (const auto &[key, unused] : value.items()) {
+        if (std::find(keys.begin(), keys.end(), key) != keys.end())
+            continue;
+        std::string known;
+        for (const auto name : keys)
+            known += concat({known.empty() ? "" : ", ", name});
+        note(problems, fieldPath(path, key), concat({"is unknown, allowed are ", known}));
+    }
+    return true;
+}
+
+// The array under `key`, or an empty one.
+const Json &arrayField(const Json &object, std::string_view path, const char *key,
+                       std::size_t maxItems, Problems &problems)
+{
+    static const Json empty; // null iterates as empty
+    const auto found = object.find(key);
+    if (found == object.end())
+        return empty;
+    if (!found->is_array()) {
+        note(problems, fieldPath(path, key),
+             concat({"is ", found->type_name(), ", must be an array"}));
+        return empty;
+    }
+    if (found->size() > maxItems) {
+        note(problems, fieldPath(path, key),
+             concat({"has ", std::to_string(found->size()), " items, must have at most ",
+                     std::to_string(maxItems)}));
+        return empty;
+    }
+    return *found;
+}
+
+// ---- Rows ----
+
+void readShape(const Json &value, std::string_view path, GuaranteedShape &shape, Problems &problems)
+{
+    if (!readObject(value, path, {"region", "copies", "members", "accelerators"}, problems))
+        return;
+    nameField(value, path, "region", shape.region, problems);
+    numberField(value, path, "copies", {1, maxCopies}, Presence::Optional, shape.copies, problems);
+    numberField(value, path, "members", {1, maxGangMembers}, Presence::Optional, shape.members,
+                problems);
+    numberField(value, path, "accelerators", acceleratorsRange, Presence::Required,
+                shape.accelerators, problems);
+}
+
+std::uint64_t guaranteedAccelerators(const Organisation &organisation)
+{
+    std::uint64_t total = 0;
+    for (const auto &shape : organisation.guarantees)
+        total += std::uint64_t{shape.copies} * shape.members * shape.accelerators;
+    return total;
+}
+
+// A guarantee above the organisation's own limit could never be reclaimed in full.
+void checkLimit(const Organisation &organisation, std::string_view path, Problems &problems)
+{
+    const auto total = guaranteedAccelerators(organisation);
+    if (organisation.limitAccelerators == 0 || organisation.limitAccelerators >= total)
+        return;
+    note(problems, fieldPath(path, "limitAccelerators"),
+         concat({"is ", std::to_string(organisation.limitAccelerators), ", must be 0 or from ",
+                 std::to_string(total), " (guaranteed accelerators) to ",
+                 std::to_string(maxLimit)}));
+}
+
+void readOrganisation(const Json &value, std::string_view path, Organisation &organisation,
+                      Problems &problems)
+{
+    if (!readObject(
+            value, path,
+            {"name", "homeRegion", "weight", "limitAccelerators", "limitSlots", "guarantees"},
+            problems))
+        return;
+    const auto before = problems.count;
+    nameField(value, path, "name", organisation.name, problems);
+    textField(value, path, "homeRegion", {0, maxNameBytes}, Presence::Optional,
+              organisation.homeRegion, problems);
+    numberField(value, path, "weight", {1, maxWeight}, Presence::Optional, organisation.weight,
+                problems);
+    numberField(value, path, "limitAccelerators", {0, maxLimit}, Presence::Optional,
+                organisation.limitAccelerators, problems);
+    numberField(value, path, "limitSlots", {0, maxLimit}, Presence::Optional,
+                organisation.limitSlots, problems);
+    const auto list = fieldPath(path, "guarantees");
+    for (const auto &item : arrayField(value, path, "guarantees", maxGuarantees, problems)) {
+        const auto index = organisation.guarantees.size();
+        readShape(item, itemPath(list, index), organisation.guarantees.emplace_back(), problems);
+    }
+    if (problems.count == before)
+        checkLimit(organisation, path, problems);
+}
+
+void readOrganisations(const Json &object, const char *key, std::vector<Organisation> &rows,
+                       Problems &problems)
+{
+    std::set<std::string, std::less<>> names;
+    for (const auto &item : arrayField(object, "", key, maxOrganisations, problems)) {
+        const auto path = itemPath(key, rows.size());
+        auto &row = rows.emplace_back();
+        readOrganisation(item, path, row, problems);
+        if (!row.name.empty() && !names.insert(row.name).second)
+            note(problems, fieldPath(path, "name"), concat({inQuotes(row.name), " appears twice"}));
+    }
+}
+
+void readNames(const Json &object, const char *key, std::vector<std::string> &names,
+               Problems &problems)
+{
+    for (const auto &item : arrayField(object, "", key, maxOrganisations, problems)) {
+        const auto path = itemPath(key, names.size());
+        readName(item, path, names.emplace_back(), problems);
+    }
+}
+
+// ---- Anchors and shortages ----
+
+auto placeOf(const Anchor &anchor)
+{
+    return std::tie(anchor.worker, anchor.first);
+}
+
+template <typename Item>
+auto copyOf(const Item &item)
+{
+    return std::tie(item.organisation, item.shape, item.copy);
+}
+
+using CopyKey = std::tuple<std::string, std::uint32_t, std::uint32_t>;
+using CopySet = std::set<CopyKey, std::less<>>;
+
+bool beforeByPlace(const Anchor &left, const Anchor &right)
+{
+    return placeOf(left) < placeOf(right);
+}
+
+bool beforeByMember(const Anchor &left, const Anchor &right)
+{
+    return std::tuple_cat(copyOf(left), std::tie(left.count, left.member))
+        < std::tuple_cat(copyOf(right), std::tie(right.count, right.member));
+}
+
+bool beforeByCopy(const Shortage &left, const Shortage &right)
+{
+    return copyOf(left) < copyOf(right);
+}
+
+std::uint64_t blockMask(std::uint32_t first, std::uint32_t count)
+{
+    if (count >= maxAcceleratorsPerWorker)
+        return ~std::uint64_t{0};
+    return ((std::uint64_t{1} << count) - 1) << first;
+}
+
+void readCopy(const Json &value, std::string_view path, std::string_view organisation,
+              std::vector<Anchor> &anchors, Problems &problems)
+{
+    if (!value.is_array() || value.size() < 5 || value.size() % 2 == 0
+        || value.size() > 3 + 2 * std::size_t{maxGangMembers}) {
+        note(problems, path, "must be [shape, copy, count, worker, first, ...]");
+        return;
+    }
+    Anchor anchor;
+    anchor.organisation = organisation;
+    const auto before = problems.count;
+    readNumber(value[0], itemPath(path, 0), shapeIndexRange, anchor.shape, problems);
+    readNumber(value[1], itemPath(path, 1), copyIndexRange, anchor.copy, problems);
+    readNumber(value[2], itemPath(path, 2), acceleratorsRange, anchor.count, problems);
+    if (problems.count != before)
+        return;
+    const Range firstRange{0, maxAcceleratorsPerWorker - anchor.count};
+    for (std::size_t index = 3; index < value.size(); index += 2) {
+        readName(value[index], itemPath(path, index), anchor.worker, problems);
+        readNumber(value[index + 1], itemPath(path, index + 1), firstRange, anchor.first, problems);
+        anchors.push_back(anchor);
+        ++anchor.member;
+    }
+}
+
+void readAnchors(const Json &object, std::vector<Anchor> &anchors, Problems &problems)
+{
+    const auto found = object.find("anchors");
+    if (found == object.end())
+        return;
+    if (!found->is_object()) {
+        note(problems, "anchors", "must be an object");
+        return;
+    }
+    for (const auto &[organisation, copies] : found->items()) {
+        const auto path = concat({"anchors[", inQuotes(organisation), "]"});
+        if (!copies.is_array()) {
+            note(problems, path, "must be an array");
+            continue;
+        }
+        std::size_t index = 0;
+        for (const auto &copy : copies)
+            readCopy(copy, itemPath(path, index++), organisation, anchors, problems);
+    }
+    if (anchors.size() > maxAnchors)
+        note(problems, "anchors", concat({"more than ", std::to_string(maxAnchors), " anchors"}));
+}
+
+void readShortages(const Json &object, std::vector<Shortage> &shortages, Problems &problems)
+{
+    for (const auto &item : arrayField(object, "", "shortages", maxAnchors, problems)) {
+        const auto path = itemPath("shortages", shortages.size());
+        auto &shortage = shortages.emplace_back();
+        if (!readObject(item, path, {"organisation", "shape", "copy", "cause"}, problems))
+            continue;
+        nameField(item, path, "organisation", shortage.organisation, problems);
+        numberField(item, path, "shape", shapeIndexRange, Presence::Required, shortage.shape,
+                    problems);
+        numberField(item, path, "copy", copyIndexRange, Presence::Required, shortage.copy,
+                    problems);
+        textField(item, path, "cause", {1, maxCauseBytes}, Presence::Required, shortage.cause,
+                  problems);
+    }
+}
+
+// ---- Writers ----
+
+OrderedJson toJson(const GuaranteedShape &shape)
+{
+    return {{"region", shape.region},
+            {"copies", shape.copies},
+            {"members", shape.members},
+            {"accelerators", shape.accelerators}};
+}
+
+OrderedJson toJson(const Organisation &organisation)
+{
+    auto guarantees = OrderedJson::array();
+    for (const auto &shape : organisation.guarantees)
+        guarantees.push_back(toJson(shape));
+    return {{"name", organisation.name},
+            {"homeRegion", organisation.homeRegion},
+            {"weight", organisation.weight},
+            {"limitAccelerators", organisation.limitAccelerators},
+            {"limitSlots", organisation.limitSlots},
+            {"guarantees", std::move(guarantees)}};
+}
+
+OrderedJson toJson(const std::vector<Shortage> &shortages)
+{
+    auto list = OrderedJson::array();
+    for (const auto &shortage : shortages)
+        list.push_back({{"organisation", shortage.organisation},
+                        {"shape", shortage.shape},
+                        {"copy", shortage.copy},
+                        {"cause", shortage.cause}});
+    return list;
+}
+
+OrderedJson toJson(const std::vector<HistoryEntry> &history)
+{
+    auto list = OrderedJson::array();
+    for (const auto &entry : history)
+        list.push_back({{"version", entry.version},
+                        {"author", entry.author},
+                        {"summary", entry.summary},
+                        {"writtenUnixMs", entry.writtenUnixMs}});
+    return list;
+}
+
+OrderedJson toJson(const std::vector<Anchor> &anchors)
+{
+    std::vector<const Anchor *> ordered;
+    ordered.reserve(anchors.size());
+    for (const auto &anchor : anchors)
+        ordered.push_back(&anchor);
+    std::sort(ordered.begin(), ordered.end(),
+              [](const auto *left, const auto *right) { return beforeByMember(*left, *right); });
+    auto object = OrderedJson::object();
+    const Anchor *last = nullptr;
+    OrderedJson *copies = nullptr;
+    for (const auto *anchor : ordered) {
+        if (last == nullptr || last->organisation != anchor->organisation)
+            copies = &(object[anchor->organisation] = OrderedJson::array());
+        const bool sameGroup =
+            last != nullptr && copyOf(*last) == copyOf(*anchor) && last->count == anchor->count;
+        if (!sameGroup)
+            copies->push_back({anchor->shape, anchor->copy, anchor->count});
+        copies->back().push_back(anchor->worker);
+        copies->back().push_back(anchor->first);
+        last = anchor;
+    }
+    return object;
+}
+
+template <typename Rows>
+OrderedJson rowsJson(const Rows &rows)
+{
+    auto list = OrderedJson::array();
+    for (const auto &row : rows) {
+        if constexpr (std::is_same_v<Rows, std::vector<Organisation>>)
+            list.push_back(toJson(row));
+        else
+            list.push_back(toJson(row.second));
+    }
+    return list;
+}
+
+std::string dump(const OrderedJson &json, int indent = -1)
+{
+    return json.dump(indent, ' ', false, OrderedJson::error_handler_t::replace);
+}
+
+// ---- Fold ----
+
+using Rows = std::map<std::string, Organisation, std::less<>>;
+
+const GuaranteedShape *findShape(const Rows &rows, std::string_view organisation,
+                                 std::uint32_t shape)
+{
+    const auto row = rows.find(organisation);
+    if (row == rows.end() || shape >= row->second.guarantees.size())
+        return nullptr;
+    return &row->second.guarantees[shape];
+}
+
+// The next state of the parts of a table that an edit changes.
+struct Change
+{
+    Rows rows;
+    CopySet mentioned; // copies whose anchors and shortages the record carries
+    std::vector<Anchor> anchors; // of the record, ordered by copy and member
+    std::vector<Shortage> shortages;
+};
+
+std::string copyPath(std::string_view organisation, std::uint32_t shape, std::uint32_t copy)
+{
+    return concat({"organisation ", inQuotes(organisation), ", guarantee ", std::to_string(shape),
+                   ", copy ", std::to_string(copy)});
+}
+
+// Checks the anchors of one copy, [begin, end), which are ordered by member.
+void checkCopy(const Rows &rows, const Anchor *begin, const Anchor *end, Problems &problems)
+{
+    const auto path = copyPath(begin->organisation, begin->shape, begin->copy);
+    const auto *shape = findShape(rows, begin->organisation, begin->shape);
+    if (shape == nullptr || begin->copy >= shape->copies) {
+        note(problems, path, "has anchors, but the organisation has no such guarantee");
+        return;
+    }
+    const auto members = static_cast<std::size_t>(end - begin);
+    if (members != shape->members)
+        note(problems, path,
+             concat({"has ", std::to_string(members), " anchors, must have ",
+                     std::to_string(shape->members)}));
+    std::set<std::string_view> workers;
+    for (const auto &anchor : absl::MakeConstSpan(begin, members)) {
+        if (anchor.count != shape->accelerators)
+            note(problems, path,
+                 concat({"has an anchor of ", std::to_string(anchor.count),
+                         " accelerators, must have ", std::to_string(shape->accelerators)}));
+        if (!workers.insert(anchor.worker).second)
+            note(problems, path, concat({"has two members on worker ", inQuotes(anchor.worker)}));
+    }
+}
+
+void checkCopies(Change &change, Problems &problems)
+{
+    const auto *begin = change.anchors.data();
+    const auto *const end = begin + change.anchors.size();
+    while (begin != end) {
+        const auto *next = begin;
+        while (next != end && copyOf(*next) == copyOf(*begin))
+            ++next;
+        checkCopy(change.rows, begin, next, problems);
+        change.mentioned.insert(CopyKey(copyOf(*begin)));
+        begin = next;
+    }
+    for (const auto &shortage : change.shortages) {
+        const auto path = copyPath(shortage.organisation, shortage.shape, shortage.copy);
+        const auto *shape = findShape(change.rows, shortage.organisation, shortage.shape);
+        if (shape == nullptr || shortage.copy >= shape->copies)
+            note(problems, path, "has a shortage, but the organisation has no such guarantee");
+        else if (!change.mentioned.insert(CopyKey(copyOf(shortage))).second)
+            note(problems, path, "has a shortage besides anchors or another shortage");
+    }
+}
+
+// True when a former anchor or shortage of this copy stays.
+template <typename Item>
+bool stays(const Table &table, const Edit &edit, const Change &change, const Item &item)
+{
+    if (!edit.changedAnchorsOnly)
+        return false;
+    const auto *after = findShape(change.rows, item.organisation, item.shape);
+    if (after == nullptr || item.copy >= after->copies)
+        return false;
+    const auto *before = findShape(table.organisations, item.organisation, item.shape);
+    return before != nullptr && before->region == after->region && before->members == after->members
+        && before->accelerators == after->accelerators && change.mentioned.count(copyOf(item)) == 0;
+}
+
+// Organisations whose copies have to be counted anew.
+std::set<std::string, std::less<>> touchedOrganisations(const Edit &edit, const Change &change)
+{
+    std::set<std::string, std::less<>> touched;
+    for (const auto &row : edit.upserts)
+        touched.insert(row.name);
+    if (edit.changedAnchorsOnly)
+        return touched;
+    for (const auto &[name, row] : change.rows)
+        touched.insert(name);
+    return touched;
+}
+
+void checkComplete(const Change &change, const std::set<std::string, std::less<>> &touched,
+                   const CopySet &kept, Problems &problems)
+{
+    for (const auto &name : touched) {
+        const auto row = change.rows.find(name);
+        if (row == change.rows.end())
+            continue;
+        std::uint32_t index = 0;
+        for (const auto &shape : row->second.guarantees) {
+            for (std::uint32_t copy = 0; copy < shape.copies; ++copy) {
+                const CopyKey key(name, index, copy);
+                if (change.mentioned.count(key) + kept.count(key) == 0)
+                    note(problems, copyPath(name, index, copy),
+                         "has neither anchors nor a shortage");
+            }
+            ++index;
+        }
+    }
+}
+
+// Checks that the anchors in `list`, ordered by place, are disjoint.
+void checkDisjoint(const std::vector<Anchor> &list, Problems &problems)
+{
+    const Anchor *last = nullptr;
+    for (const auto &anchor : list) {
+        if (last != nullptr && last->worker == anchor.worker
+            && last->first + last->count > anchor.first)
+            note(problems, copyPath(anchor.organisation, anchor.shape, anchor.copy),
+                 concat({"overlaps another anchor on worker ", inQuotes(anchor.worker),
+                         " at accelerator ", std::to_string(anchor.first)}));
+        last = &anchor;
+    }
+}
+
+Rows nextRows(const Table &table, const Edit &edit, Problems &problems)
+{
+    auto rows = table.organisations;
+    for (const auto &name : edit.removals) {
+        if (rows.erase(name) == 0)
+            note(problems, "removals", concat({inQuotes(name), " does not exist"}));
+    }
+    for (const auto &row : edit.upserts)
+        rows.insert_or_assign(row.name, row);
+    if (rows.size() > maxOrganisations)
+        note(problems, "upserts",
+             concat({"more than ", std::to_string(maxOrganisations), " organisations"}));
+    std::uint64_t anchors = 0;
+    for (const auto &[name, row] : rows) {
+        for (const auto &shape : row.guarantees)
+            anchors += std::uint64_t{shape.copies} * shape.members;
+    }
+    if (anchors > maxAnchors)
+        note(problems, "upserts",
+             concat({"the guarantees need ", std::to_string(anchors), " anchors, allowed are ",
+                     std::to_string(maxAnchors)}));
+    return rows;
+}
+
+void rememberWriter(Table &table, const Edit &edit)
+{
+    table.writerSequences[edit.writer] = edit.sequence;
+    table.writerVersions[edit.writer] = table.version;
+    if (table.writerSequences.size() <= maxWriters)
+        return;
+    auto oldest = table.writerVersions.begin();
+    for (auto entry = table.writerVersions.begin(); entry != table.writerVersions.end(); ++entry) {
+        if (entry->second < oldest->second)
+            oldest = entry;
+    }
+    table.writerSequences.erase(oldest->first);
+    table.writerVersions.erase(oldest);
+}
+
+// Applies the anchors and shortages of `edit` to `table`; returns false, with the table unchanged,
+// when they contain a mistake.
+bool applyEdit(Table &table, Edit &edit, Problems &problems)
+{
+    Change change;
+    change.rows = nextRows(table, edit, problems);
+    change.anchors = std::move(edit.anchors);
+    change.shortages = std::move(edit.shortages);
+    std::sort(change.anchors.begin(), change.anchors.end(), beforeByMember);
+    std::sort(change.shortages.begin(), change.shortages.end(), beforeByCopy);
+    if (problems.count > 0)
+        return false;
+    checkCopies(change, problems);
+
+    const auto touched = touchedOrganisations(edit, change);
+    CopySet kept;
+    std::vector<Anchor> anchors;
+    for (const auto &anchor : table.anchors) {
+        if (!stays(table, edit, change, anchor))
+            continue;
+        if (touched.count(anchor.organisation) > 0)
+            kept.insert(CopyKey(copyOf(anchor)));
+        anchors.push_back(anchor);
+    }
+    std::vector<Shortage> shortages;
+    for (const auto &shortage : table.shortages) {
+        if (!stays(table, edit, change, shortage))
+            continue;
+        kept.insert(CopyKey(copyOf(shortage)));
+        shortages.push_back(shortage);
+    }
+    checkComplete(change, touched, kept, problems);
+    const auto middle = static_cast<std::ptrdiff_t>(anchors.size());
+    std::move(change.anchors.begin(), change.anchors.end(), std::back_inserter(anchors));
+    std::sort(anchors.begin() + middle, anchors.end(), beforeByPlace);
+    std::inplace_merge(anchors.begin(), anchors.begin() + middle, anchors.end(), beforeByPlace);
+    checkDisjoint(anchors, problems);
+    std::move(change.shortages.begin(), change.shortages.end(), std::back_inserter(shortages));
+    std::sort(shortages.begin(), shortages.end(), beforeByCopy);
+    if (problems.count > 0)
+        return false;
+    table.organisations = std::move(change.rows);
+    table.anchors = std::move(anchors);
+    table.shortages = std::move(shortages);
+    return true;
+}
+
+Edit readEdit(const Json &record, Problems &problems)
+{
+    Edit edit;
+    readObject(record, "",
+               {"kind", "baseVersion", "writer", "sequence", "author", "summary", "writtenUnixMs",
+                "upserts", "removals", "changedAnchorsOnly", "anchors", "shortages"},
+               problems);
+    numberField(record, "", "baseVersion", anyNumber, Presence::Required, edit.baseVersion,
+                problems);
+    nameField(record, "", "writer", edit.writer, problems);
+    numberField(record, "", "sequence", anyNumber, Presence::Required, edit.sequence, problems);
+    textField(record, "", "author", {0, maxNameBytes}, Presence::Optional, edit.author, problems);
+    textField(record, "", "summary", {0, maxSummaryBytes}, Presence::Optional, edit.summary,
+              problems);
+    numberField(record, "", "writtenUnixMs", anyNumber, Presence::Optional, edit.writtenUnixMs,
+                problems);
+    readOrganisations(record, "upserts", edit.upserts, problems);
+    readNames(record, "removals", edit.removals, problems);
+    const auto *changed = find(record, "", "changedAnchorsOnly", Presence::Optional, problems);
+    if (changed != nullptr && !changed->is_boolean())
+        note(problems, "changedAnchorsOnly", "must be true or false");
+    else if (changed != nullptr)
+        edit.changedAnchorsOnly = changed->get<bool>();
+    readAnchors(record, edit.anchors, problems);
+    readShortages(record, edit.shortages, problems);
+    return edit;
+}
+
+FoldResult malformed(const Problems &problems, Reason &reason)
+{
+    reason = toReason(problems);
+    return FoldResult::Malformed;
+}
+
+bool isFresh(const Table &table)
+{
+    return table.version == 0 && table.nextOffset == 0;
+}
+
+FoldResult gap(const Table &table, std::uint64_t offset, Reason &reason)
+{
+    reason = {ReasonCode::Internal,
+              concat({"line ", std::to_string(offset), " of the table stream follows lines that ",
+                      "were missed, from ", std::to_string(table.nextOffset)})};
+    return FoldResult::Gap;
+}
+
+FoldResult foldEdit(Table &table, const Json &record, std::uint64_t offset, Reason &reason)
+{
+    Problems problems;
+    auto edit = readEdit(record, problems);
+    if (isFresh(table) && offset > 0 && edit.baseVersion > 0)
+        return gap(table, offset, reason);
+    table.nextOffset = offset + 1;
+    if (problems.count > 0)
+        return malformed(problems, reason);
+    const auto known = table.writerSequences.find(edit.writer);
+    if (known != table.writerSequences.end() && edit.sequence <= known->second)
+        return FoldResult::Repeated;
+    if (edit.baseVersion != table.version) {
+        reason = {ReasonCode::VersionConflict,
+                  concat({"the edit was made against version ", std::to_string(edit.baseVersion),
+                          ", the table has version ", std::to_string(table.version)})};
+        return FoldResult::Conflict;
+    }
+    if (!applyEdit(table, edit, problems))
+        return malformed(problems, reason);
+    ++table.version;
+    if (table.history.size() >= maxHistoryEntries)
+        table.history.erase(table.history.begin());
+    table.history.push_back({table.version, edit.author, edit.summary, edit.writtenUnixMs});
+    rememberWriter(table, edit);
+    return FoldResult::Applied;
+}
+
+void readHistory(const Json &record, std::vector<HistoryEntry> &history, Problems &problems)
+{
+    for (const auto &item : arrayField(record, "", "history", maxHistoryEntries, problems)) {
+        const auto path = itemPath("history", history.size());
+        auto &entry = history.emplace_back();
+        if (!readObject(item, path, {"version", "author", "summary", "writtenUnixMs"}, problems))
+            continue;
+        numberField(item, path, "version", anyNumber, Presence::Required, entry.version, problems);
+        textField(item, path, "author", {0, maxNameBytes}, Presence::Required, entry.author,
+                  problems);
+        textField(item, path, "summary", {0, maxSummaryBytes}, Presence::Required, entry.summary,
+                  problems);
+        numberField(item, path, "writtenUnixMs", anyNumber, Presence::Required, entry.writtenUnixMs,
+                    problems);
+    }
+}
+
+void readWriters(const Json &record, Table &table, Problems &problems)
+{
+    for (const auto &item : arrayField(record, "", "writers", maxWriters, problems)) {
+        const auto path = itemPath("writers", table.writerSequences.size());
+        if (!readObject(item, path, {"writer", "sequence", "version"}, problems))
+            continue;
+        std::string writer;
+        nameField(item, path, "writer", writer, problems);
+        numberField(item, path, "sequence", anyNumber, Presence::Required,
+                    table.writerSequences[writer], problems);
+        numberField(item, path, "version", anyNumber, Presence::Required,
+                    table.writerVersions[writer], problems);
+    }
+}
+
+// Reads a whole table. Its parts pass the same checks as an edit of an empty table.
+Table readSnapshot(const Json &record, Problems &problems)
+{
+    Table table;
+    Edit edit;
+    readObject(record, "",
+               {"kind", "version", "nextOffset", "organisations", "anchors", "shortages", "history",
+                "writers"},
+               problems);
+    numberField(record, "", "nextOffset", anyNumber, Presence::Required, table.nextOffset,
+                problems);
+    readOrganisations(record, "organisations", edit.upserts, problems);
+    readAnchors(record, edit.anchors, problems);
+    readShortages(record, edit.shortages, problems);
+    readHistory(record, table.history, problems);
+    readWriters(record, table, problems);
+    if (problems.count == 0)
+        applyEdit(table, edit, problems);
+    return table;
+}
+
+FoldResult foldSnapshot(Table &table, const Json &record, std::uint64_t offset, Reason &reason)
+{
+    Problems problems;
+    std::uint64_t version = 0;
+    numberField(record, "", "version", anyNumber, Presence::Required, version, problems);
+    const bool follows = offset == table.nextOffset || isFresh(table);
+    if (problems.count == 0 && version <= table.version) {
+        if (follows)
+            table.nextOffset = offset + 1;
+        return FoldResult::Repeated;
+    }
+    auto next = readSnapshot(record, problems);
+    if (problems.count > 0) {
+        if (follows)
+            table.nextOffset = offset + 1;
+        return malformed(problems, reason);
+    }
+    next.version = version;
+    if (next.nextOffset == offset)
+        next.nextOffset = offset + 1;
+    table = std::move(next);
+    return FoldResult::Applied;
+}
+
+} // namespace
+
+FoldResult foldTable(Table &table, std::string_view line, std::uint64_t offset, Reason &reason)
+{
+    reason = {};
+    const bool past = offset < table.nextOffset;
+    const bool follows = offset == table.nextOffset || isFresh(table);
+    Json record;
+    if (line.size() <= maxRecordBytes)
+        record = Json::parse(line, nullptr, false);
+    const auto kind = record.is_object() ? record.value("kind", Json()) : Json();
+    if (kind == "Snapshot")
+        return foldSnapshot(table, record, offset, reason);
+    if (past)
+        return FoldResult::Repeated;
+    if (!follows || table.awaitsSnapshot)
+        return gap(table, offset, reason);
+    if (kind == "Edit")
+        return foldEdit(table, record, offset, reason);
+    table.nextOffset = offset + 1;
+    reason = {ReasonCode::InvalidInput,
+              concat({"line ", std::to_string(offset), " of the table stream is neither an Edit ",
+                      "nor a Snapshot of at most ", std::to_string(maxRecordBytes), " bytes"})};
+    return FoldResult::Malformed;
+}
+
+std::string editLine(const Edit &edit)
+{
+    OrderedJson record = {{"kind", "Edit"},
+                          {"baseVersion", edit.baseVersion},
+                          {"writer", edit.writer},
+                          {"sequence", edit.sequence},
+                          {"author", edit.author},
+                          {"summary", edit.summary},
+                          {"writtenUnixMs", edit.writtenUnixMs},
+                          {"upserts", rowsJson(edit.upserts)},
+                          {"removals", edit.removals},
+                          {"changedAnchorsOnly", edit.changedAnchorsOnly},
+                          {"anchors", toJson(edit.anchors)},
+                          {"shortages", toJson(edit.shortages)}};
+    return dump(record);
+}
+
+std::string snapshotLine(const Table &table)
+{
+    auto writers = OrderedJson::array();
+    for (const auto &[writer, sequence] : table.writerSequences) {
+        const auto version = table.writerVersions.find(writer);
+        writers.push_back(
+            {{"writer", writer},
+             {"sequence", sequence},
+             {"version", version == table.writerVersions.end() ? 0 : version->second}});
+    }
+    OrderedJson record = {{"kind", "Snapshot"},
+                          {"version", table.version},
+                          {"nextOffset", table.nextOffset},
+                          {"organisations", rowsJson(table.organisations)},
+                          {"anchors", toJson(table.anchors)},
+                          {"shortages", toJson(table.shortages)},
+                          {"history", toJson(table.history)},
+                          {"writers", std::move(writers)}};
+    return dump(record);
+}
+
+std::string tableJson(const Table &table)
+{
+    OrderedJson document = {{"version", table.version},
+                            {"organisations", rowsJson(table.organisations)},
+                            {"anchors", toJson(table.anchors)},
+                            {"shortages", toJson(table.shortages)},
+                            {"history", toJson(table.history)}};
+    return dump(document, 2);
+}
+
+std::optional<TableChange> parseTableChange(std::string_view json, Reason &reason)
+{
+    Problems problems;
+    const auto document = Json::parse(json, nullptr, false);
+    if (document.is_discarded()) {
+        reason = {ReasonCode::InvalidInput, "the document is not JSON"};
+        return std::nullopt;
+    }
+    TableChange change;
+    if (readObject(document, "", {"organisations", "remove"}, problems)) {
+        readOrganisations(document, "organisations", change.upserts, problems);
+        readNames(document, "remove", change.removals, problems);
+    }
+    if (problems.count == 0)
+        return change;
+    reason = toReason(problems);
+    return std::nullopt;
+}
+
+void setAnchors(Edit &edit, const Table &table, absl::Span<const Anchor> anchors,
+                absl::Span<const Shortage> shortages)
+{
+    using Member = std::tuple<std::string_view, std::uint32_t, std::uint32_t, std::uint32_t,
+                              std::string_view, std::uint32_t, std::uint32_t>;
+    const auto memberOf = [](const Anchor &anchor) {
+        return Member(anchor.organisation, anchor.shape, anchor.copy, anchor.member, anchor.worker,
+                      anchor.first, anchor.count);
+    };
+    std::set<std::string_view> upserted;
+    for (const auto &row : edit.upserts)
+        upserted.insert(row.name);
+    std::vector<Member> former;
+    for (const auto &anchor : table.anchors)
+        former.push_back(memberOf(anchor));
+    std::sort(former.begin(), former.end());
+    CopySet changed;
+    for (const auto &anchor : anchors) {
+        if (upserted.count(anchor.organisation) > 0
+            || !std::binary_search(former.begin(), former.end(), memberOf(anchor)))
+            changed.insert(CopyKey(copyOf(anchor)));
+    }
+    edit.changedAnchorsOnly = true;
+    edit.anchors.clear();
+    edit.shortages.clear();
+    for (const auto &anchor : anchors) {
+        if (changed.count(copyOf(anchor)) > 0)
+            edit.anchors.push_back(anchor);
+    }
+    for (const auto &shortage : shortages) {
+        const auto same = [&](const Shortage &other) {
+            return copyOf(other) == copyOf(shortage) && other.cause == shortage.cause;
+        };
+        if (upserted.count(shortage.organisation) > 0
+            || std::none_of(table.shortages.begin(), table.shortages.end(), same))
+            edit.shortages.push_back(shortage);
+    }
+}
+
+namespace {
+
+// Mask of the anchors of `worker` that `wanted` accepts.
+template <typename Wanted>
+std::uint64_t maskOf(const Table &table, std::string_view worker, Wanted wanted)
+{
+    auto anchor = table.anchors.begin();
+    auto end = table.anchors.end();
+    if (table.anchors.size() > scannedAnchors) {
+        const auto before = [](const Anchor &left, std::string_view right) {
+            return left.worker < right;
+        };
+        anchor = std::lower_bound(anchor, end, worker, before);
+        end =
+            std::find_if(anchor, end, [&](const Anchor &other) { return other.worker != worker; });
+    }
+    std::uint64_t mask = 0;
+    for (; anchor != end; ++anchor) {
+        if (anchor->worker == worker && wanted(*anchor))
+            mask |= blockMask(anchor->first, anchor->count);
+    }
+    return mask;
+}
+
+} // namespace
+
+std::uint64_t anchoredFor(const Table &table, std::string_view worker,
+                          std::string_view organisation)
+{
+    return maskOf(table, worker,
+                  [&](const Anchor &anchor) { return anchor.organisation == organisation; });
+}
+
+std::uint64_t anchoredForOthers(const Table &table, std::string_view worker,
+                                std::string_view organisation)
+{
+    return maskOf(table, worker,
+                  [&](const Anchor &anchor) { return anchor.organisation != organisation; });
+}
+
+} // namespace flamingo
--- a/flamingo/table.h
+++ b/flamingo/table.h
@@ -8,6 +8,18 @@
 // ones are rejected. Versions only grow. A record that was appended twice (same writer and
 // sequence) has no second effect. A Snapshot record carries a whole table, so that the stream
 // survives the log's retention.
+//
+// The fold trusts no line: names, limits, shapes and anchors of every record are checked against
+// the constants below, and a record with a mistake has no effect.
+//
+// Missed lines. Offsets of a stream are consecutive. A line beyond Table::nextOffset means that
+// lines were missed; folding on would let an edit win here that lost elsewhere. Such a line is
+// FoldResult::Gap and leaves even nextOffset as it was: read again from nextOffset, or obtain a
+// Snapshot. A Snapshot of a higher version replaces the table at any offset and sets nextOffset to
+// the first line that it does not cover, which lies before the Snapshot's own line when its writer
+// lagged. After each batch, therefore, read on from table.nextOffset. A table that has folded
+// nothing yet takes the first line it is given as the start of the stream; a reader whose log
+// service no longer has the start sets awaitsSnapshot first.
 
 #include "flamingo/types.h"
 
@@ -24,6 +36,20 @@
 
 constexpr std::string_view tableStream = "table";
 
+// Limits of the table. They bound memory and the size of records.
+constexpr std::uint32_t maxWeight = 1000000;
+constexpr std::uint32_t maxLimit = 1000000; // accelerators or slots of one organisation
+constexpr std::uint32_t maxCopies = 40000;
+constexpr std::size_t maxOrganisations = 1000;
+constexpr std::size_t maxGuarantees = 32; // per organisation
+constexpr std::size_t maxAnchors = 40000; // the two-year target has 37,000 accelerators
+constexpr std::size_t maxSummaryBytes = 512;
+constexpr std::size_t maxCauseBytes = 512;
+constexpr std::size_t maxWriters = 256; // writers whose last sequence is remembered
+constexpr std::size_t maxHistoryEntries = 100;
+constexpr std::size_t maxProblems = 100; // mistakes listed in one error text
+constexpr std::size_t maxRecordBytes = maxFrameBytes - 4096; // a line fits into a LogLines frame
+
 // `copies` independent gangs of `members` workers with `accelerators` adjacent accelerators each,
 // all members of a copy in one data centre of `region`.
 struct GuaranteedShape
@@ -57,7 +83,7 @@
     std::uint32_t count = 0;
 };
 
-// A guaranteed shape that has no anchors at present, and why.
+// A copy of a guaranteed shape that has no anchors at present, and why.
 struct Shortage
 {
     std::string organisation;
@@ -77,18 +103,26 @@
 struct Table
 {
     std::uint64_t version = 0;
-    std::uint64_t nextOffset = 0; // offset after the last folded line
+    std::uint64_t nextOffset = 0; // offset to read the stream from
+    bool awaitsSnapshot = false; // the start of the stream is lost: edits are Gap until a Snapshot
     std::map<std::string, Organisation, std::less<>> organisations;
-    std::vector<Anchor> anchors;
-    std::vector<Shortage> shortages;
+    std::vector<Anchor> anchors; // ordered by worker and first: the index behind anchoredFor
+    std::vector<Shortage> shortages; // ordered by organisation, shape and copy
     std::vector<HistoryEntry> history; // newest last, at most maxHistoryEntries
     std::map<std::string, std::uint64_t, std::less<>> writerSequences;
+    std::map<std::string, std::uint64_t, std::less<>> writerVersions; // of the last applied edit
 };
 
-constexpr std::size_t maxHistoryEntries = 100;
-
-// One change of the table. Rows in `upserts` replace those of the same name. `anchors` and
-// `shortages` replace the whole former lists.
+// One change of the table. Rows in `upserts` replace those of the same name.
+//
+// With `changedAnchorsOnly` false, `anchors` and `shortages` replace the whole former lists. With
+// true they replace the former ones of the copies they mention and leave the others; the anchors
+// and shortages of removed organisations, and of copies that the upserts change or end, go without
+// being mentioned. Either way the result must give every guaranteed copy all of its anchors or one
+// Shortage. setAnchors fills an edit with the changes alone.
+//
+// A writer's sequences grow, also across its restarts: put the incarnation in the writer's name or
+// in the upper bits of the sequence.
 struct Edit
 {
     std::uint64_t baseVersion = 0;
@@ -99,14 +133,21 @@
     std::uint64_t writtenUnixMs = 0;
     std::vector<Organisation> upserts;
     std::vector<std::string> removals;
+    bool changedAnchorsOnly = false;
     std::vector<Anchor> anchors;
     std::vector<Shortage> shortages;
 };
 
-enum class FoldResult { Applied, Repeated, Conflict, Malformed };
+// Makes `edit`, whose upserts and removals are set, lead from `table` to the given anchors and
+// shortages, and carry only those that differ.
+void setAnchors(Edit &edit, const Table &table, absl::Span<const Anchor> anchors,
+                absl::Span<const Shortage> shortages);
+
+enum class FoldResult { Applied, Repeated, Conflict, Malformed, Gap };
 
-// Folds one line of the stream. A line at an offset below table.nextOffset is Repeated. Every
-// result but Applied leaves the table as it was, except for nextOffset.
+// Folds one line of the stream. A line at an offset below table.nextOffset is Repeated, unless it
+// is a Snapshot of a higher version. Every result but Applied leaves the table as it was, except
+// for nextOffset. Repeated says that the line has no effect now, not that it had one before.
 FoldResult foldTable(Table &table, std::string_view line, std::uint64_t offset, Reason &reason);
 
 std::string editLine(const Edit &edit);
