Add the platform's stand-in: log service, workers and faults over HTTP

Cause: the daemons and the end-to-end tests need a log service and workers to talk to. Ruled out: keeping ended tasks in the same map as running ones; every request would walk all ended tasks. Ended task ids are kept apart, to recognize repeated starts. After: a session with curl (append, read, run, busy accelerator, checkpoint, events, log down, SIGTERM) answers as standin/platform.h states; exit code 0.

--- /dev/null
+++ b/standin/platform.cc
@@ -0,0 +1,475 @@
+#include "standin/platform.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace flamingo::standin {
+namespace {
+
+using Json = nlohmann::json;
+using adapters::HttpRequest;
+using adapters::HttpRequestId;
+using adapters::HttpResponse;
+using adapters::Loop;
+
+constexpr int statusOk = 200;
+constexpr int statusBadRequest = 400;
+constexpr int statusNotFound = 404;
+constexpr int statusConflict = 409;
+constexpr int statusGone = 410;
+constexpr int statusTooMany = 429;
+constexpr int statusFailed = 500;
+constexpr int statusUnavailable = 503;
+
+constexpr TimeMs maxWaitMs = 60000;
+constexpr std::size_t defaultMaxLines = 1000;
+constexpr std::uint32_t maxPercent = 100;
+// A long poll holds one request and one connection; a test may run a few hundred processes.
+constexpr std::size_t maxPendingRequests = 65536;
+constexpr std::size_t maxConnections = 65536;
+constexpr std::size_t maxBodyBytes = 16777216;
+
+const std::string okBody = R"({"ok":true})";
+
+std::string errorBody(std::string_view text)
+{
+    return Json{{"error", text}}.dump();
+}
+
+std::vector<std::string> splitPath(std::string_view path)
+{
+    std::vector<std::string> parts;
+    while (!path.empty()) {
+        path.remove_prefix(1);
+        const auto end = std::min(path.find('/'), path.size());
+        parts.emplace_back(path.substr(0, end));
+        path.remove_prefix(end);
+    }
+    return parts;
+}
+
+std::uint64_t queryNumber(const HttpRequest &request, std::string_view name, std::uint64_t absent)
+{
+    const auto found = request.query.find(name);
+    return found == request.query.end() ? absent
+                                        : std::strtoull(found->second.c_str(), nullptr, 10);
+}
+
+HttpResponse sliceResponse(const LogSlice &slice)
+{
+    if (slice.trimmed)
+        return {statusGone, Json{{"error", "trimmed"}, {"oldest", slice.oldest}}.dump()};
+    Json lines = Json::array();
+    std::uint64_t next = slice.first;
+    for (const std::string &text : slice.lines)
+        lines.push_back({{"offset", next++}, {"text", text}});
+    return {statusOk, Json{{"lines", lines}, {"next", next}}.dump()};
+}
+
+Json eventJson(const WorkerEvent &event)
+{
+    return {{"seq", event.seq},     {"type", event.type},     {"task", event.task},
+            {"ok", event.ok},       {"answer", event.answer}, {"detail", event.detail},
+            {"cores", event.cores}, {"ranMs", event.ranMs},   {"memoryMib", event.memoryMib}};
+}
+
+TaskRequest taskRequest(const Json &body)
+{
+    TaskRequest request;
+    request.task = body.at("task").get<std::string>();
+    request.job = body.at("job").get<std::string>();
+    request.payload = body.value("payload", "");
+    request.checkpoint = body.value("checkpoint", "");
+    request.mask = body.value("mask", request.mask);
+    request.cores = body.value("cores", request.cores);
+    request.memoryMib = body.value("memoryMib", request.memoryMib);
+    request.leaseMs = body.at("leaseMs").get<TimeMs>();
+    return request;
+}
+
+void refuseUnknownKeys(const Json &body, absl::Span<const std::string_view> known)
+{
+    for (const auto &[key, value] : body.items()) {
+        if (std::find(known.begin(), known.end(), key) == known.end())
+            throw Json::other_error::create(599, "unknown key \"" + key + "\"", &body);
+    }
+}
+
+} // namespace
+
+Platform::Platform(Loop &loop, const PlatformOptions &options)
+    : loop(loop)
+    , options(options)
+{
+    this->log.options = options.log;
+}
+
+std::unique_ptr<Platform> Platform::listen(Loop &loop, const PlatformOptions &options,
+                                           Reason &reason)
+{
+    std::unique_ptr<Platform> platform(new Platform(loop, options));
+    adapters::HttpServerOptions serverOptions;
+    serverOptions.address = options.address;
+    serverOptions.maxBodyBytes = maxBodyBytes;
+    serverOptions.maxPending = maxPendingRequests;
+    serverOptions.maxConnections = maxConnections;
+    platform->server = adapters::HttpServer::listen(
+        loop, serverOptions,
+        [self = platform.get()](const HttpRequest &request) { self->handle(request); }, nullptr,
+        reason);
+    if (platform->server == nullptr)
+        return nullptr;
+    return platform;
+}
+
+void Platform::shutDown()
+{
+    this->server->shutDown();
+}
+
+void Platform::handle(const HttpRequest &request)
+{
+    try {
+        this->route(request, splitPath(request.path));
+    } catch (const Json::exception &error) {
+        this->respond(request.id, statusBadRequest, errorBody(error.what()));
+    }
+}
+
+void Platform::route(const HttpRequest &request, const Parts &parts)
+{
+    const bool get = request.method == "GET";
+    if (parts.size() == 2 && parts[0] == "log")
+        this->handleLog(request, parts[1]);
+    else if (parts.size() >= 3 && parts[0] == "workers")
+        this->handleWorker(request, parts);
+    else if (request.path == "/faults" && get)
+        this->respond(request.id, statusOk, this->faultsJson());
+    else if (request.path == "/faults")
+        this->setFaults(request);
+    else if (request.path == "/runs" && get)
+        this->respond(request.id, statusOk, Json(this->runs).dump());
+    else if (request.path == "/health" && get)
+        this->respond(request.id, statusOk, okBody);
+    else
+        this->respond(request.id, statusNotFound, errorBody("no such path"));
+}
+
+// ---- Log ----
+
+void Platform::handleLog(const HttpRequest &request, const std::string &stream)
+{
+    if (this->logFault == LogFault::Down)
+        this->respond(request.id, statusUnavailable, errorBody("log is down"));
+    else if (request.method == "POST")
+        this->append(request, stream);
+    else
+        this->read(request, stream);
+}
+
+void Platform::append(const HttpRequest &request, const std::string &stream)
+{
+    const auto lines = Json::parse(request.body).at("lines").get<std::vector<std::string>>();
+    const auto offset = appendLines(this->log, stream, lines, Loop::now());
+    if (!offset) {
+        this->respondLog(request.id, {statusTooMany, errorBody("too many appends a second")});
+        return;
+    }
+    this->wake(request.path);
+    if (this->loseAnswers > 0) {
+        --this->loseAnswers;
+        this->respondLog(request.id, {statusFailed, errorBody("answer lost")});
+        return;
+    }
+    this->respondLog(request.id, {statusOk, Json{{"offset", *offset}}.dump()});
+}
+
+void Platform::read(const HttpRequest &request, const std::string &stream)
+{
+    const std::uint64_t from = queryNumber(request, "from", 0);
+    const std::size_t max = queryNumber(request, "max", defaultMaxLines);
+    this->answerOrWait(request,
+                       [this, stream, from, max](bool mayWait) -> std::optional<HttpResponse> {
+                           const LogSlice slice = readLines(this->log, stream, from, max);
+                           if (mayWait && !slice.trimmed && slice.lines.empty())
+                               return std::nullopt;
+                           return sliceResponse(slice);
+                       });
+}
+
+void Platform::respondLog(HttpRequestId request, const HttpResponse &response)
+{
+    if (this->logFault != LogFault::Slow) {
+        this->server->respond(request, response);
+        return;
+    }
+    this->loop.after(this->slowMs,
+                     [this, request, response] { this->server->respond(request, response); });
+}
+
+void Platform::refuseLogReaders()
+{
+    for (auto &[source, waiting] : this->waiters) {
+        if (source.rfind("/log/", 0) != 0)
+            continue;
+        for (const Waiter &waiter : waiting) {
+            this->loop.cancel(waiter.timer);
+            this->respond(waiter.request.id, statusUnavailable, errorBody("log is down"));
+        }
+        waiting.clear();
+    }
+}
+
+// ---- Reads that wait ----
+
+void Platform::answerOrWait(const HttpRequest &request, const Answer &answer)
+{
+    const auto waitMs =
+        std::min(static_cast<TimeMs>(queryNumber(request, "wait_ms", 0)), maxWaitMs);
+    if (const auto response = answer(waitMs > 0)) {
+        const bool log = request.path.rfind("/log/", 0) == 0;
+        log ? this->respondLog(request.id, *response)
+            : this->server->respond(request.id, *response);
+        return;
+    }
+    const auto timer = this->loop.after(waitMs, [this, source = request.path, id = request.id] {
+        this->giveUpWaiting(source, id);
+    });
+    this->waiters[request.path].push_back({request, answer, timer});
+}
+
+void Platform::giveUpWaiting(const std::string &source, HttpRequestId request)
+{
+    std::list<Waiter> &waiting = this->waiters[source];
+    const auto found = std::find_if(waiting.begin(), waiting.end(), [&](const Waiter &waiter) {
+        return waiter.request.id == request;
+    });
+    if (found == waiting.end())
+        return;
+    this->server->respond(request, *found->answer(false));
+    waiting.erase(found);
+}
+
+void Platform::wake(const std::string &source)
+{
+    const auto found = this->waiters.find(source);
+    if (found == this->waiters.end())
+        return;
+    const bool log = source.rfind("/log/", 0) == 0;
+    for (auto waiter = found->second.begin(); waiter != found->second.end();) {
+        const auto response = waiter->answer(true);
+        if (!response) {
+            ++waiter;
+            continue;
+        }
+        this->loop.cancel(waiter->timer);
+        log ? this->respondLog(waiter->request.id, *response)
+            : this->server->respond(waiter->request.id, *response);
+        waiter = found->second.erase(waiter);
+    }
+}
+
+// ---- Workers ----
+
+Platform::Host &Platform::hostOf(const std::string &name)
+{
+    const auto [host, created] = this->hosts.try_emplace(name);
+    if (created)
+        host->second.worker.usageLagMs = this->options.usageLagMs;
+    return host->second;
+}
+
+// Brings a worker up to date, answers its event readers and sets its timer.
+void Platform::settle(const std::string &name)
+{
+    Host &host = this->hostOf(name);
+    const TimeMs now = Loop::now();
+    advance(host.worker, now);
+    this->wake("/workers/" + name + "/events");
+    this->loop.cancel(host.timer);
+    host.timer = 0;
+    if (const auto due = nextDue(host.worker))
+        host.timer =
+            this->loop.after(std::max<TimeMs>(*due - now, 0), [this, name] { this->settle(name); });
+}
+
+void Platform::handleWorker(const HttpRequest &request, const Parts &parts)
+{
+    const std::string &name = parts[1];
+    Host &host = this->hostOf(name);
+    if (host.worker.frozen) {
+        host.held.push_back(request);
+        return;
+    }
+    advance(host.worker, Loop::now());
+    const std::string &what = parts[2];
+    if (what == "tasks" && parts.size() == 3)
+        this->start(request, host);
+    else if (what == "tasks" && parts.size() == 5)
+        this->handleTask(request, host, parts);
+    else if (what == "events")
+        this->readEvents(request, host);
+    else if (what == "lease") {
+        renewLeases(host.worker, Json::parse(request.body).at("leaseMs").get<TimeMs>(),
+                    Loop::now());
+        this->respond(request.id, statusOk, okBody);
+    } else
+        this->respond(request.id, statusNotFound, errorBody("no such path"));
+    this->settle(name);
+}
+
+void Platform::start(const HttpRequest &request, Host &host)
+{
+    const TaskRequest task = taskRequest(Json::parse(request.body));
+    std::string detail;
+    bool fresh = false;
+    if (!startTask(host.worker, task, Loop::now(), detail, fresh)) {
+        this->respond(request.id, statusConflict, Json{{"ok", false}, {"detail", detail}}.dump());
+        return;
+    }
+    if (fresh)
+        ++this->runs[task.job];
+    this->respond(request.id, statusOk, okBody);
+}
+
+void Platform::handleTask(const HttpRequest &request, Host &host, const Parts &parts)
+{
+    const std::string &task = parts[3];
+    const std::string &action = parts[4];
+    if (action == "stop") {
+        stopTask(host.worker, task, Loop::now());
+        this->respond(request.id, statusOk, okBody);
+    } else if (action == "checkpoint")
+        this->checkpoint(request, host, task);
+    else if (action == "throttle") {
+        const auto percent = Json::parse(request.body).at("percent").get<std::uint32_t>();
+        const bool done =
+            percent <= maxPercent && throttleTask(host.worker, task, percent, Loop::now());
+        this->respond(request.id, done ? statusOk : statusNotFound,
+                      done ? okBody : errorBody("task does not run, or percent is above 100"));
+    } else
+        this->respond(request.id, statusNotFound, errorBody("no such path"));
+}
+
+void Platform::checkpoint(const HttpRequest &request, Host &host, const std::string &task)
+{
+    const Task *running = runningTask(host.worker, task);
+    if (running == nullptr) {
+        this->respond(request.id, statusNotFound, errorBody("task does not run"));
+        return;
+    }
+    const auto answer = [this, request, name = splitPath(request.path)[1], task] {
+        Host &host = this->hostOf(name);
+        if (host.worker.frozen) {
+            host.held.push_back(request);
+            return;
+        }
+        advance(host.worker, Loop::now());
+        const std::string text = checkpointOf(host.worker, task);
+        this->respond(request.id, text.empty() ? statusNotFound : statusOk,
+                      text.empty() ? errorBody("task ended before its checkpoint")
+                                   : Json{{"checkpoint", text}}.dump());
+        this->settle(name);
+    };
+    this->loop.after(running->plan.checkpointMs, answer);
+}
+
+void Platform::readEvents(const HttpRequest &request, Host &host)
+{
+    Worker &worker = host.worker;
+    if (request.query.count("from") == 0) {
+        this->respond(request.id, statusOk,
+                      Json{{"events", Json::array()}, {"next", worker.nextSeq}}.dump());
+        return;
+    }
+    const std::uint64_t from = queryNumber(request, "from", 0);
+    this->answerOrWait(request, [&worker, from](bool mayWait) -> std::optional<HttpResponse> {
+        Json events = Json::array();
+        for (const WorkerEvent &event : worker.events) {
+            if (event.seq >= from)
+                events.push_back(eventJson(event));
+        }
+        if (mayWait && events.empty())
+            return std::nullopt;
+        const std::uint64_t next = std::max(from, worker.nextSeq);
+        return HttpResponse{statusOk, Json{{"events", events}, {"next", next}}.dump()};
+    });
+}
+
+// ---- Faults ----
+
+void Platform::setFaults(const HttpRequest &request)
+{
+    const Json body = Json::parse(request.body);
+    refuseUnknownKeys(body, {"log", "slowMs", "loseAnswers", "worker"});
+    const std::string log = body.value("log", "");
+    if (!log.empty() && log != "up" && log != "down" && log != "slow") {
+        this->respond(request.id, statusBadRequest, errorBody("log is one of up, down, slow"));
+        return;
+    }
+    this->slowMs = body.value("slowMs", this->slowMs);
+    this->loseAnswers = body.value("loseAnswers", this->loseAnswers);
+    if (body.contains("worker")) {
+        const Json &worker = body.at("worker");
+        refuseUnknownKeys(worker, {"name", "failAll", "frozen"});
+        this->setWorkerFault(worker.at("name").get<std::string>(), worker.dump());
+    }
+    if (!log.empty())
+        this->logFault = log == "up" ? LogFault::Up
+            : log == "down"          ? LogFault::Down
+                                     : LogFault::Slow;
+    if (this->logFault == LogFault::Down)
+        this->refuseLogReaders();
+    this->respond(request.id, statusOk, this->faultsJson());
+}
+
+void Platform::setWorkerFault(const std::string &name, const std::string &body)
+{
+    const Json fault = Json::parse(body);
+    Host &host = this->hostOf(name);
+    advance(host.worker, Loop::now());
+    host.worker.failAll = fault.value("failAll", host.worker.failAll);
+    setFrozen(host.worker, fault.value("frozen", host.worker.frozen), Loop::now());
+    this->settle(name);
+    if (host.worker.frozen) {
+        this->holdEventReaders(name);
+        return;
+    }
+    for (const HttpRequest &request : std::exchange(host.held, {}))
+        this->handle(request);
+}
+
+void Platform::holdEventReaders(const std::string &name)
+{
+    for (const Waiter &waiter : std::exchange(this->waiters["/workers/" + name + "/events"], {})) {
+        this->loop.cancel(waiter.timer);
+        this->hosts[name].held.push_back(waiter.request);
+    }
+}
+
+std::string Platform::faultsJson() const
+{
+    Json workers = Json::array();
+    for (const auto &[name, host] : this->hosts) {
+        if (host.worker.failAll || host.worker.frozen)
+            workers.push_back(
+                {{"name", name}, {"failAll", host.worker.failAll}, {"frozen", host.worker.frozen}});
+    }
+    const char *log = this->logFault == LogFault::Up ? "up"
+        : this->logFault == LogFault::Down           ? "down"
+                                                     : "slow";
+    return Json{{"log", log},
+                {"slowMs", this->slowMs},
+                {"loseAnswers", this->loseAnswers},
+                {"workers", workers}}
+        .dump();
+}
+
+void Platform::respond(HttpRequestId request, int status, const std::string &body)
+{
+    this->server->respond(request, {status, body});
+}
+
+} // namespace flamingo::standin
--- /dev/null
+++ b/standin/worker.cc
@@ -0,0 +1,282 @@
+// Work is counted in milliseconds at full speed. progress() moves a task's work from the time it
+// was last moved to the present, so a change of speed never affects the past. A task ends at the
+// first of: no work left, its failure time, the end of its lease.
+
+#include "standin/worker.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <cmath>
+
+namespace flamingo::standin {
+namespace {
+
+constexpr TimeMs usageIntervalMs = 500;
+constexpr double failAllAfterMs = 5;
+constexpr double workEpsilonMs = 1e-6; // rounding of work done at reduced speed
+constexpr std::size_t maxEvents = 20000;
+constexpr std::size_t maxEndedTasks = 20000; // ids kept to recognize repeated starts
+
+using Json = nlohmann::json;
+
+TaskPlan planOf(const TaskRequest &request)
+{
+    TaskPlan plan;
+    plan.answer = request.payload;
+    plan.usedCores = request.cores;
+    plan.usedMemoryMib = request.memoryMib;
+    const Json json = Json::parse(request.payload, nullptr, false);
+    if (!json.is_object())
+        return plan;
+    plan.runMs = json.value("runMs", plan.runMs);
+    plan.checkpointMs = json.value("checkpointMs", plan.checkpointMs);
+    plan.fail = json.value("fail", false);
+    plan.answer = json.value("answer", plan.answer);
+    plan.usedCores = json.value("usedCores", plan.usedCores);
+    plan.usedMemoryMib = json.value("usedMemoryMib", plan.usedMemoryMib);
+    if (json.contains("failAfterMs"))
+        plan.failAfterMs = json.at("failAfterMs").get<double>();
+    return plan;
+}
+
+double remainingAtStart(const TaskRequest &request, const TaskPlan &plan)
+{
+    const Json json = Json::parse(request.checkpoint, nullptr, false);
+    if (!json.is_object())
+        return plan.runMs;
+    return json.value("remainingMs", plan.runMs);
+}
+
+void emit(Worker &worker, WorkerEvent event)
+{
+    event.seq = worker.nextSeq++;
+    worker.events.push_back(std::move(event));
+    if (worker.events.size() > maxEvents)
+        worker.events.pop_front();
+}
+
+void progress(Task &task, TimeMs now)
+{
+    const double work = static_cast<double>(now - task.progressedTo) * task.percent / 100;
+    task.progressedTo = now;
+    task.remainingMs -= std::min(work, task.remainingMs);
+    task.ranMs += work;
+}
+
+void sampleUsage(Worker &worker, const std::string &name, const Task &task, TimeMs now)
+{
+    WorkerEvent event;
+    event.type = "usage";
+    event.task = name;
+    event.cores = task.plan.usedCores;
+    event.memoryMib = task.plan.usedMemoryMib;
+    event.ranMs = static_cast<TimeMs>(task.ranMs);
+    worker.laggingUsage.emplace_back(now + worker.usageLagMs, std::move(event));
+}
+
+void rememberEnded(Worker &worker, std::string_view name, bool started)
+{
+    if (!worker.ended.emplace(name, started).second)
+        return;
+    worker.endedOrder.emplace_back(name);
+    if (worker.endedOrder.size() <= maxEndedTasks)
+        return;
+    worker.ended.erase(worker.endedOrder.front());
+    worker.endedOrder.pop_front();
+}
+
+// Reports the end of a task; the caller removes it from the running ones.
+void endTask(Worker &worker, const std::string &name, const Task &task, WorkerEvent event,
+             TimeMs now)
+{
+    event.task = name;
+    event.ranMs = static_cast<TimeMs>(task.ranMs);
+    sampleUsage(worker, name, task, now);
+    emit(worker, std::move(event));
+    rememberEnded(worker, name, true);
+}
+
+WorkerEvent stoppedEvent(std::string_view detail)
+{
+    WorkerEvent event;
+    event.type = "stopped";
+    event.detail = detail;
+    return event;
+}
+
+WorkerEvent finishedEvent(bool ok, std::string_view answer, std::string_view detail)
+{
+    WorkerEvent event;
+    event.type = "finished";
+    event.ok = ok;
+    event.answer = answer;
+    event.detail = detail;
+    return event;
+}
+
+double workToFailure(const Task &task)
+{
+    if (!task.plan.failAfterMs)
+        return task.remainingMs;
+    return std::max(0.0, *task.plan.failAfterMs - task.ranMs);
+}
+
+// The event that ends the task at `now`, if one does.
+std::optional<WorkerEvent> endingOf(const Task &task, TimeMs now)
+{
+    if (task.leaseUntil <= now)
+        return stoppedEvent("lease lapsed");
+    if (task.plan.failAfterMs && workToFailure(task) <= workEpsilonMs)
+        return finishedEvent(false, "", "task failed early");
+    if (task.remainingMs > workEpsilonMs)
+        return std::nullopt;
+    if (task.plan.fail)
+        return finishedEvent(false, "", "task failed");
+    return finishedEvent(true, task.plan.answer, "");
+}
+
+// True when the task ended.
+bool advanceTask(Worker &worker, const std::string &name, Task &task, TimeMs now)
+{
+    progress(task, now);
+    if (auto ending = endingOf(task, now)) {
+        endTask(worker, name, task, *std::move(ending), now);
+        return true;
+    }
+    if (task.nextUsage <= now) {
+        sampleUsage(worker, name, task, now);
+        task.nextUsage = now + usageIntervalMs;
+    }
+    return false;
+}
+
+TimeMs dueOf(const Task &task)
+{
+    TimeMs due = std::min(task.leaseUntil, task.nextUsage);
+    if (task.percent == 0)
+        return due;
+    const double work = std::min(task.remainingMs, workToFailure(task));
+    const auto wait = static_cast<TimeMs>(std::ceil(work * 100 / task.percent));
+    return std::min(due, task.progressedTo + wait);
+}
+
+} // namespace
+
+bool startTask(Worker &worker, const TaskRequest &request, TimeMs now, std::string &detail,
+               bool &fresh)
+{
+    fresh = false;
+    if (worker.tasks.count(request.task) > 0)
+        return true;
+    const auto known = worker.ended.find(request.task);
+    if (known != worker.ended.end()) {
+        detail = known->second ? "" : "task was stopped before it started";
+        return known->second;
+    }
+    for (const auto &[name, task] : worker.tasks) {
+        if ((task.mask & request.mask) == 0)
+            continue;
+        detail = "accelerators are in use by task " + name;
+        return false;
+    }
+    Task task;
+    task.job = request.job;
+    task.plan = planOf(request);
+    if (worker.failAll)
+        task.plan.failAfterMs = failAllAfterMs;
+    task.mask = request.mask;
+    task.leaseUntil = now + request.leaseMs;
+    task.remainingMs = remainingAtStart(request, task.plan);
+    task.progressedTo = now;
+    task.nextUsage = now + usageIntervalMs;
+    worker.tasks.emplace(request.task, std::move(task));
+    WorkerEvent event;
+    event.type = "started";
+    event.task = request.task;
+    emit(worker, std::move(event));
+    fresh = request.checkpoint.empty();
+    return true;
+}
+
+void renewLeases(Worker &worker, TimeMs leaseMs, TimeMs now)
+{
+    for (auto &[name, task] : worker.tasks)
+        task.leaseUntil = now + leaseMs;
+}
+
+void stopTask(Worker &worker, std::string_view name, TimeMs now)
+{
+    const auto found = worker.tasks.find(name);
+    if (found == worker.tasks.end()) {
+        rememberEnded(worker, name, false);
+        return;
+    }
+    progress(found->second, now);
+    endTask(worker, found->first, found->second, stoppedEvent("stopped"), now);
+    worker.tasks.erase(found);
+}
+
+bool throttleTask(Worker &worker, std::string_view name, std::uint32_t percent, TimeMs now)
+{
+    const auto found = worker.tasks.find(name);
+    if (found == worker.tasks.end())
+        return false;
+    progress(found->second, now);
+    found->second.percent = percent;
+    return true;
+}
+
+const Task *runningTask(const Worker &worker, std::string_view name)
+{
+    const auto found = worker.tasks.find(name);
+    return found == worker.tasks.end() ? nullptr : &found->second;
+}
+
+std::string checkpointOf(const Worker &worker, std::string_view name)
+{
+    const Task *task = runningTask(worker, name);
+    if (task == nullptr)
+        return {};
+    return Json{{"remainingMs", task->remainingMs}}.dump();
+}
+
+void setFrozen(Worker &worker, bool frozen, TimeMs now)
+{
+    if (worker.frozen == frozen)
+        return;
+    worker.frozen = frozen;
+    for (auto &[name, task] : worker.tasks) {
+        if (frozen)
+            progress(task, now);
+        task.progressedTo = now;
+    }
+}
+
+void advance(Worker &worker, TimeMs now)
+{
+    if (worker.frozen)
+        return;
+    for (auto task = worker.tasks.begin(); task != worker.tasks.end();) {
+        const bool ended = advanceTask(worker, task->first, task->second, now);
+        task = ended ? worker.tasks.erase(task) : std::next(task);
+    }
+    while (!worker.laggingUsage.empty() && worker.laggingUsage.front().first <= now) {
+        emit(worker, std::move(worker.laggingUsage.front().second));
+        worker.laggingUsage.pop_front();
+    }
+}
+
+std::optional<TimeMs> nextDue(const Worker &worker)
+{
+    if (worker.frozen)
+        return std::nullopt;
+    std::optional<TimeMs> due;
+    if (!worker.laggingUsage.empty())
+        due = worker.laggingUsage.front().first;
+    for (const auto &[name, task] : worker.tasks)
+        due = std::min(due.value_or(dueOf(task)), dueOf(task));
+    return due;
+}
+
+} // namespace flamingo::standin
