Test the platform's stand-in

Cause: a stand-in that runs a repeated start twice or ignores a lapsed lease would hide faults of the daemons. While writing, three checks failed because usage events without lag stood between the events of interest; these tests now set a lag beyond their end, and one test covers the lag itself.

--- /dev/null
+++ b/tests/standin_test.cc
@@ -0,0 +1,251 @@
+// Guards against a stand-in that hides faults of the daemons: a second run of a repeated start, a
+// task that outlives its lease, lost or renumbered log lines, faults without effect.
+
+#include "flamingo/adapters/http_client.h"
+#include "standin/platform.h"
+
+#include <nlohmann/json.hpp>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace flamingo;
+using namespace flamingo::adapters;
+using namespace flamingo::standin;
+using Json = nlohmann::json;
+
+namespace {
+
+constexpr const char *testAddress = "127.0.0.1:18501";
+constexpr TimeMs testBoundMs = 5000;
+
+TaskRequest request(const std::string &task, const std::string &payload)
+{
+    TaskRequest result;
+    result.task = task;
+    result.job = "job-" + task;
+    result.payload = payload;
+    result.mask = 1;
+    result.leaseMs = 1000;
+    return result;
+}
+
+struct Fixture
+{
+    Loop loop;
+    std::unique_ptr<Platform> platform;
+    HttpClient client{this->loop};
+
+    Fixture()
+    {
+        PlatformOptions options;
+        options.address = testAddress;
+        options.log.appendsPerSecond = 5;
+        options.log.retentionLines = 4;
+        Reason reason;
+        this->platform = Platform::listen(this->loop, options, reason);
+        CHECK(this->platform != nullptr);
+    }
+
+    // Status 0: no answer within timeoutMs.
+    HttpResult call(const std::string &method, const std::string &target, const std::string &body,
+                    TimeMs timeoutMs = testBoundMs)
+    {
+        HttpResult result;
+        this->client.call({testAddress, method, target, body, timeoutMs}, [&](HttpResult answer) {
+            result = std::move(answer);
+            this->loop.stop();
+        });
+        this->loop.run();
+        this->loop.resume();
+        return result;
+    }
+
+    HttpResult post(const std::string &target, const std::string &body,
+                    TimeMs timeoutMs = testBoundMs)
+    {
+        return this->call("POST", target, body, timeoutMs);
+    }
+
+    HttpResult get(const std::string &target, TimeMs timeoutMs = testBoundMs)
+    {
+        return this->call("GET", target, "", timeoutMs);
+    }
+};
+
+} // namespace
+
+TEST_GROUP(Worker)
+{
+    Worker worker;
+    std::string detail;
+    bool fresh = false;
+
+    void setup() override
+    {
+        worker.usageLagMs = 100000; // beyond every test but the one about usage
+    }
+
+    bool start(const TaskRequest &request, TimeMs now)
+    {
+        return startTask(worker, request, now, detail, fresh);
+    }
+};
+
+TEST(Worker, repeatedStartRunsOnceAlsoAfterTheEnd)
+{
+    CHECK(start(request("a", R"({"runMs":100,"answer":"x"})"), 0));
+    CHECK(fresh);
+    CHECK(start(request("a", ""), 50));
+    CHECK_FALSE(fresh);
+    advance(worker, 100);
+    CHECK(start(request("a", ""), 150));
+    CHECK_FALSE(fresh);
+    advance(worker, 1000);
+    CHECK_EQUAL(2U, worker.events.size());
+    CHECK_EQUAL(std::string("x"), worker.events[1].answer);
+}
+
+TEST(Worker, startAfterItsStopIsRefused)
+{
+    stopTask(worker, "a", 0);
+    CHECK_FALSE(start(request("a", ""), 1));
+    CHECK(worker.events.empty());
+}
+
+TEST(Worker, busyAcceleratorsAreRefusedUntilTheTaskEnds)
+{
+    CHECK(start(request("a", R"({"runMs":100})"), 0));
+    CHECK_FALSE(start(request("b", ""), 50));
+    CHECK(detail.find("task a") != std::string::npos);
+    advance(worker, 100);
+    CHECK(start(request("b", ""), 100));
+}
+
+TEST(Worker, lapsedLeaseStopsTheTaskAndRenewalKeepsIt)
+{
+    CHECK(start(request("a", R"({"runMs":5000})"), 0));
+    renewLeases(worker, 1000, 900);
+    advance(worker, 1899);
+    CHECK(runningTask(worker, "a") != nullptr);
+    advance(worker, 1900);
+    CHECK_EQUAL(std::string("stopped"), worker.events.back().type);
+    CHECK_EQUAL(std::string("lease lapsed"), worker.events.back().detail);
+}
+
+TEST(Worker, resumedAndThrottledTaskRunsTheRemainingTime)
+{
+    CHECK(start(request("a", R"({"runMs":100})"), 0));
+    advance(worker, 60);
+    TaskRequest resumed = request("b", R"({"runMs":100})");
+    resumed.checkpoint = checkpointOf(worker, "a");
+    resumed.mask = 2;
+    CHECK(start(resumed, 60));
+    CHECK_FALSE(fresh);
+    CHECK(throttleTask(worker, "b", 50, 60));
+    advance(worker, 139);
+    CHECK(runningTask(worker, "b") != nullptr);
+    CHECK_EQUAL(140, *nextDue(worker));
+    advance(worker, 140);
+    CHECK(runningTask(worker, "b") == nullptr);
+}
+
+TEST(Worker, frozenWorkerMakesNoProgressAndDropsLapsedTasksWhenItThaws)
+{
+    CHECK(start(request("a", R"({"runMs":100})"), 0));
+    TaskRequest other = request("b", R"({"runMs":100})");
+    other.mask = 2;
+    other.leaseMs = 5000;
+    CHECK(start(other, 0));
+    setFrozen(worker, true, 50);
+    advance(worker, 2000);
+    CHECK_EQUAL(2U, worker.events.size());
+    setFrozen(worker, false, 2000);
+    advance(worker, 2000);
+    CHECK_EQUAL(std::string("stopped"), worker.events.back().type);
+    CHECK(runningTask(worker, "b") != nullptr);
+    advance(worker, 2050);
+    CHECK_EQUAL(std::string("finished"), worker.events.back().type);
+}
+
+TEST(Worker, failuresAreReportedAndUsageComesLate)
+{
+    worker.usageLagMs = 300;
+    TaskRequest failing = request("a", R"({"runMs":100,"failAfterMs":30,"usedCores":7})");
+    CHECK(start(failing, 0));
+    advance(worker, 30);
+    CHECK_FALSE(worker.events.back().ok);
+    worker.failAll = true;
+    CHECK(start(request("b", ""), 40));
+    advance(worker, 45);
+    CHECK_FALSE(worker.events.back().ok);
+    advance(worker, 329);
+    CHECK_EQUAL(4U, worker.events.size());
+    advance(worker, 330);
+    CHECK_EQUAL(std::string("usage"), worker.events.back().type);
+    CHECK_EQUAL(7U, worker.events.back().cores);
+}
+
+TEST_GROUP(Platform)
+{
+    Fixture fixture;
+};
+
+TEST(Platform, logKeepsOneOrderTrimsAndLimitsTheRate)
+{
+    CHECK_EQUAL(404, fixture.get("/log").status);
+    CHECK_EQUAL(400, fixture.post("/log/s", "{}").status);
+    for (int i = 0; i < 5; ++i) {
+        const auto body = Json::parse(fixture.post("/log/s", R"({"lines":["a","b"]})").body);
+        CHECK_EQUAL(2 * i, body["offset"].get<int>());
+    }
+    CHECK_EQUAL(429, fixture.post("/log/s", R"({"lines":["c"]})").status);
+    const HttpResult trimmed = fixture.get("/log/s?from=5");
+    CHECK_EQUAL(410, trimmed.status);
+    CHECK_EQUAL(6, Json::parse(trimmed.body)["oldest"].get<int>());
+    const auto slice = Json::parse(fixture.get("/log/s?from=7&max=2").body);
+    CHECK_EQUAL(2U, slice["lines"].size());
+    CHECK_EQUAL(7, slice["lines"][0]["offset"].get<int>());
+    CHECK_EQUAL(9, slice["next"].get<int>());
+}
+
+TEST(Platform, waitingReadIsAnsweredByTheAppendOrByTheTimeout)
+{
+    CHECK_EQUAL(0U, Json::parse(fixture.get("/log/s?from=0&wait_ms=50").body)["lines"].size());
+    HttpResult appended;
+    fixture.loop.after(20, [&] {
+        fixture.client.call({testAddress, "POST", "/log/s", R"({"lines":["a"]})", testBoundMs},
+                            [&](HttpResult result) { appended = std::move(result); });
+    });
+    const auto body = Json::parse(fixture.get("/log/s?from=0&wait_ms=4000").body);
+    CHECK_EQUAL(std::string("a"), body["lines"][0]["text"].get<std::string>());
+}
+
+TEST(Platform, logFaultsTakeEffect)
+{
+    fixture.post("/faults", R"({"loseAnswers":1})");
+    CHECK_EQUAL(500, fixture.post("/log/s", R"({"lines":["a"]})").status);
+    CHECK_EQUAL(1, Json::parse(fixture.get("/log/s?from=0").body)["next"].get<int>());
+    fixture.post("/faults", R"({"log":"slow","slowMs":300})");
+    CHECK_EQUAL(0, fixture.post("/log/s", R"({"lines":["b"]})", 100).status);
+    fixture.post("/faults", R"({"log":"down"})");
+    CHECK_EQUAL(503, fixture.get("/log/s?from=0").status);
+    fixture.post("/faults", R"({"log":"up"})");
+    CHECK_EQUAL(2, Json::parse(fixture.get("/log/s?from=0").body)["next"].get<int>());
+    CHECK_EQUAL(400, fixture.post("/faults", R"({"logs":"up"})").status);
+}
+
+TEST(Platform, tasksRunOnceAndFrozenWorkersAnswerNothing)
+{
+    const std::string task = R"({"task":"t","job":"j","payload":"p","mask":1,"leaseMs":1000})";
+    CHECK_EQUAL(200, fixture.post("/workers/w/tasks", task).status);
+    CHECK_EQUAL(200, fixture.post("/workers/w/tasks", task).status);
+    const auto started = Json::parse(fixture.get("/workers/w/events?from=0").body);
+    CHECK_EQUAL(1, started["next"].get<int>());
+    const auto ended = Json::parse(fixture.get("/workers/w/events?from=1&wait_ms=2000").body);
+    CHECK_EQUAL(std::string("p"), ended["events"][0]["answer"].get<std::string>());
+    CHECK_EQUAL(std::string(R"({"j":1})"), fixture.get("/runs").body);
+    fixture.post("/faults", R"({"worker":{"name":"w","frozen":true}})");
+    CHECK_EQUAL(0, fixture.get("/workers/w/events?from=0", 100).status);
+    fixture.post("/faults", R"({"worker":{"name":"w","frozen":false}})");
+    CHECK_EQUAL(200, fixture.get("/workers/w/events?from=0").status);
+}
