--- a/flamingo/agent_node.cc
+++ b/flamingo/agent_node.cc
@@ -1,12 +1,12 @@
 // Hands each event to those parts that take it. The table is folded first, so that the agent decides
-// with the newest one. A table line whose offset is past the next expected one means that lines were
-// missed; the node then asks an entry, which answers with a snapshot.
+// with the newest one. When the fold reports a gap, lines were missed; the node then asks an entry,
+// which answers with a snapshot.
 
 #include "flamingo/agent_node.h"
 
 #include <nlohmann/json.hpp>
 
-#include <algorithm>
+#include <iterator>
 #include <type_traits>
 
 namespace flamingo {
@@ -38,22 +38,15 @@
 {
     if (lines.stream != tableStream)
         return;
-    const bool snapshotFirst = lines.lines.size() == 1 && lines.next == lines.lines[0].offset + 1
-        && node.table.version == 0;
     for (const wire::LogLineT &line : lines.lines) {
-        const bool gap = line.offset > node.table.nextOffset;
         Reason reason;
-        Table copy = node.table;
-        const FoldResult result = foldTable(copy, line.text, line.offset, reason);
-        // Across a gap only a snapshot may be applied; an edit made against an unknown version is a
-        // conflict here although it may have been applied elsewhere.
-        if (gap && !snapshotFirst && result != FoldResult::Applied) {
-            requestTable(node, now, random, out);
-            return;
-        }
+        const FoldResult result = foldTable(node.table, line.text, line.offset, reason);
         if (result == FoldResult::Malformed)
             ++node.malformedTableLines;
-        node.table = std::move(copy);
+        if (result != FoldResult::Gap)
+            continue;
+        requestTable(node, now, random, out);
+        return;
     }
 }
 
