Add the agent: single jobs, lending, claims, reports and drain

Ruled out: accepting a guaranteed idempotent Start only after its guests have left. The entry waits 1 s for a StartReply, a reclaim may take 2.5 s. The reply is therefore sent when the room is reserved.

Before: headers only.

--- /dev/null
+++ b/flamingo/room.cc
@@ -0,0 +1,381 @@
+#include "flamingo/room.h"
+
+#include <algorithm>
+#include <limits>
+#include <tuple>
+
+// Placement without guarantee: every block of adjacent free accelerators is scored, the lowest
+// score wins. The score prefers, in this order, blocks outside other organisations' anchors, short
+// free runs (best fit), blocks outside the own anchors, and an end of the run.
+//
+// Placement with guarantee: candidates are the blocks inside one own anchor. Tasks that may be
+// evicted, or that leave already, do not rule a block out. The score prefers anchors of exactly the
+// wanted size, then no loss of work that cannot be repeated, then few evictions, then little lost
+// work. Further tasks are evicted when slots, connections or the block's share of cores and memory
+// would not suffice.
+//
+// So that guests can never fill the slots that a guaranteed start needs, tasks that cannot be
+// evicted leave one slot and one connection free for every anchor of this worker.
+
+namespace flamingo {
+
+namespace {
+
+std::uint64_t blockMask(std::uint32_t first, std::uint32_t count)
+{
+    if (count == 0)
+        return 0;
+    const auto ones = count >= 64 ? ~std::uint64_t{0} : (std::uint64_t{1} << count) - 1;
+    return ones << first;
+}
+
+std::uint32_t bits(std::uint64_t mask)
+{
+    return static_cast<std::uint32_t>(__builtin_popcountll(mask));
+}
+
+bool usableAnchor(const Agent &agent, const Anchor &anchor)
+{
+    return anchor.worker == agent.options.name && anchor.count > 0
+        && anchor.first < agent.options.accelerators
+        && anchor.count <= agent.options.accelerators - anchor.first;
+}
+
+struct AnchorMasks
+{
+    std::uint64_t own = 0;
+    std::uint64_t others = 0;
+    std::uint32_t count = 0;
+};
+
+// Reads the anchors directly because admission also needs their number and their borders.
+AnchorMasks anchorMasks(const Agent &agent, const Table &table, std::string_view organisation)
+{
+    AnchorMasks masks;
+    for (const auto &anchor : table.anchors) {
+        if (!usableAnchor(agent, anchor))
+            continue;
+        masks.count += 1;
+        auto &mask = anchor.organisation == organisation ? masks.own : masks.others;
+        mask |= blockMask(anchor.first, anchor.count);
+    }
+    return masks;
+}
+
+std::uint64_t takenMask(const Agent &agent)
+{
+    std::uint64_t mask = 0;
+    for (const auto &[id, task] : agent.tasks)
+        mask |= task.mask;
+    return mask;
+}
+
+// First free accelerator and length of the free run around `index`.
+std::pair<std::uint32_t, std::uint32_t> runAround(std::uint64_t free, std::uint32_t index,
+                                                  std::uint32_t accelerators)
+{
+    auto first = index;
+    while (first > 0 && ((free >> (first - 1)) & 1) != 0)
+        --first;
+    auto end = index;
+    while (end < accelerators && ((free >> end) & 1) != 0)
+        ++end;
+    return {first, end - first};
+}
+
+std::optional<std::uint64_t> bestFreeBlock(const Agent &agent, const AnchorMasks &anchors,
+                                           const RoomRequest &request)
+{
+    if (request.accelerators == 0)
+        return 0;
+    const auto total = agent.options.accelerators;
+    auto free = blockMask(0, total) & ~takenMask(agent);
+    if (!request.evictable)
+        free &= ~anchors.others;
+    using Score = std::tuple<std::uint32_t, std::uint32_t, std::uint32_t, bool, std::uint32_t>;
+    std::optional<std::pair<Score, std::uint64_t>> best;
+    for (std::uint32_t first = 0; first + request.accelerators <= total; ++first) {
+        const auto block = blockMask(first, request.accelerators);
+        if ((block & free) != block)
+            continue;
+        const auto [runFirst, runLength] = runAround(free, first, total);
+        const bool inside =
+            first != runFirst && first + request.accelerators != runFirst + runLength;
+        const Score score{bits(block & anchors.others), runLength, bits(block & anchors.own),
+                          inside, first};
+        if (!best || score < best->first)
+            best = {score, block};
+    }
+    if (!best)
+        return std::nullopt;
+    return best->second;
+}
+
+// Work that is lost when the task is evicted: work that cannot be repeated, then accelerator time.
+struct EvictionCost
+{
+    std::uint32_t unrepeatable = 0;
+    std::uint32_t tasks = 0;
+    TimeMs lostMs = 0;
+
+    bool operator<(const EvictionCost &other) const
+    {
+        return std::tie(this->unrepeatable, this->tasks, this->lostMs)
+            < std::tie(other.unrepeatable, other.tasks, other.lostMs);
+    }
+};
+
+EvictionCost evictionCost(const LocalTask &task, TimeMs now)
+{
+    EvictionCost cost;
+    if (taskLeaving(task))
+        return cost;
+    cost.tasks = 1;
+    cost.unrepeatable = task.idempotent ? 0 : 1;
+    if (task.issued && !task.checkpointable)
+        cost.lostMs = (now - task.issuedAt) * std::max(1U, bits(task.mask)) * task.gangSize;
+    return cost;
+}
+
+// Tasks inside `block`, if all of them may leave for a guaranteed start.
+std::optional<std::vector<const LocalTask *>> removable(const Agent &agent, std::uint64_t block)
+{
+    std::vector<const LocalTask *> found;
+    for (const auto &[id, task] : agent.tasks) {
+        if ((task.mask & block) == 0)
+            continue;
+        if (!taskEvictable(task) && !taskLeaving(task))
+            return std::nullopt;
+        found.push_back(&task);
+    }
+    return found;
+}
+
+struct GuaranteedBlock
+{
+    std::uint64_t mask = 0;
+    std::vector<const LocalTask *> evict;
+};
+
+std::optional<GuaranteedBlock> bestAnchoredBlock(const Agent &agent, const Table &table,
+                                                 const RoomRequest &request, TimeMs now)
+{
+    using Score = std::pair<std::uint32_t, EvictionCost>;
+    std::optional<Score> bestScore;
+    std::optional<GuaranteedBlock> best;
+    for (const auto &anchor : table.anchors) {
+        if (anchor.organisation != request.organisation || !usableAnchor(agent, anchor)
+            || anchor.count < request.accelerators)
+            continue;
+        const auto spare = anchor.count - request.accelerators;
+        for (std::uint32_t shift = 0; shift <= spare; ++shift) {
+            const auto block = blockMask(anchor.first + shift, request.accelerators);
+            auto guests = removable(agent, block);
+            if (!guests)
+                continue;
+            Score score{spare, {}};
+            for (const auto *guest : *guests) {
+                const auto cost = evictionCost(*guest, now);
+                score.second.unrepeatable += cost.unrepeatable;
+                score.second.tasks += cost.tasks;
+                score.second.lostMs += cost.lostMs;
+            }
+            if (bestScore && !(score < *bestScore))
+                continue;
+            bestScore = score;
+            best = GuaranteedBlock{block, std::move(*guests)};
+        }
+    }
+    return best;
+}
+
+struct Usage
+{
+    std::uint64_t tasks = 0;
+    std::uint64_t cores = 0;
+    std::uint64_t memoryMib = 0;
+};
+
+void add(Usage &usage, const LocalTask &task)
+{
+    usage.tasks += 1;
+    usage.cores += task.cores;
+    usage.memoryMib += task.memoryMib;
+}
+
+Usage usageOf(const Agent &agent)
+{
+    Usage usage;
+    for (const auto &[id, task] : agent.tasks)
+        add(usage, task);
+    return usage;
+}
+
+std::uint64_t taskLimit(const Agent &agent)
+{
+    return std::min(agent.options.slots, agent.options.connections);
+}
+
+// Adds tasks to `evict`, cheapest first, until slots, cores and memory suffice. Cores and memory
+// may stay short, because a guaranteed shape consists of accelerators and the worker can throttle.
+bool evictForSize(const Agent &agent, const RoomRequest &request, TimeMs now,
+                  std::vector<const LocalTask *> &evict)
+{
+    const auto usage = usageOf(agent);
+    const auto share = [&](std::uint32_t capacity) {
+        return std::uint64_t{capacity} * request.accelerators / agent.options.accelerators;
+    };
+    const auto cores = std::min<std::uint64_t>(request.cores, share(agent.options.cores));
+    const auto memory = std::min<std::uint64_t>(request.memoryMib, share(agent.options.memoryMib));
+    Usage freed;
+    for (const auto *task : evict)
+        add(freed, *task);
+    std::vector<const LocalTask *> others;
+    for (const auto &[id, task] : agent.tasks) {
+        const bool counted = std::find(evict.begin(), evict.end(), &task) != evict.end();
+        if (!counted && (taskEvictable(task) || taskLeaving(task)))
+            others.push_back(&task);
+    }
+    std::stable_sort(others.begin(), others.end(), [&](const auto *left, const auto *right) {
+        return evictionCost(*left, now) < evictionCost(*right, now);
+    });
+    const auto slotsSuffice = [&] { return usage.tasks + 1 - freed.tasks <= taskLimit(agent); };
+    for (const auto *task : others) {
+        const bool sizeSuffices = usage.cores + cores <= agent.options.cores + freed.cores
+            && usage.memoryMib + memory <= agent.options.memoryMib + freed.memoryMib;
+        if (slotsSuffice() && sizeSuffices)
+            break;
+        add(freed, *task);
+        evict.push_back(task);
+    }
+    return slotsSuffice();
+}
+
+std::optional<Room> noRoom(ReasonCode code, std::string_view text, Reason &reason)
+{
+    reason = {code, std::string(text)};
+    return std::nullopt;
+}
+
+// Limits of the organisation on this agent; tasks in `evict` have left before the new task runs.
+bool withinLimits(const Agent &agent, const Table &table, const RoomRequest &request,
+                  absl::Span<const std::string> evict)
+{
+    const auto row = table.organisations.find(request.organisation);
+    if (row == table.organisations.end())
+        return true;
+    std::uint64_t accelerators = request.accelerators;
+    std::uint64_t slots = 1;
+    for (const auto &[id, task] : agent.tasks) {
+        if (task.organisation != request.organisation
+            || std::find(evict.begin(), evict.end(), id) != evict.end())
+            continue;
+        accelerators += bits(task.mask);
+        slots += 1;
+    }
+    const auto &limits = row->second;
+    return (limits.limitAccelerators == 0 || accelerators <= limits.limitAccelerators)
+        && (limits.limitSlots == 0 || slots <= limits.limitSlots);
+}
+
+std::optional<Room> findAnchoredRoom(const Agent &agent, const Table &table,
+                                     const RoomRequest &request, TimeMs now, Reason &reason)
+{
+    if (request.accelerators == 0)
+        return noRoom(ReasonCode::NoRoom, "a guaranteed start needs accelerators", reason);
+    auto block = bestAnchoredBlock(agent, table, request, now);
+    if (!block)
+        return noRoom(ReasonCode::NoRoom, "no anchored block of that size can be reclaimed here",
+                      reason);
+    if (!evictForSize(agent, request, now, block->evict))
+        return noRoom(ReasonCode::NoRoom, "no slot can be reclaimed", reason);
+    Room room{block->mask, request.cores, request.memoryMib, {}};
+    for (const auto *task : block->evict)
+        room.evict.push_back(task->id);
+    return room;
+}
+
+// True when a further task that cannot be evicted leaves a slot for every anchor.
+bool anchorsKeepSlots(const Agent &agent, const AnchorMasks &anchors)
+{
+    std::uint64_t fixed = 1;
+    for (const auto &[id, task] : agent.tasks) {
+        if (!task.guaranteed && !taskEvictable(task))
+            fixed += 1;
+    }
+    return fixed + anchors.count <= taskLimit(agent);
+}
+
+std::optional<Room> findLentRoom(const Agent &agent, const Table &table, const RoomRequest &request,
+                                 Reason &reason)
+{
+    const auto anchors = anchorMasks(agent, table, request.organisation);
+    const auto usage = usageOf(agent);
+    if (usage.tasks + 1 > taskLimit(agent))
+        return noRoom(ReasonCode::NoRoom, "all slots or connections are taken", reason);
+    if (!request.evictable && !anchorsKeepSlots(agent, anchors))
+        return noRoom(ReasonCode::NoRoom, "the free slots are kept for guaranteed shapes", reason);
+    if (usage.cores + request.cores > agent.options.cores)
+        return noRoom(ReasonCode::NoRoom, "too few cores are free", reason);
+    if (usage.memoryMib + request.memoryMib > agent.options.memoryMib)
+        return noRoom(ReasonCode::NoRoom, "too little memory is free", reason);
+    const auto mask = bestFreeBlock(agent, anchors, request);
+    if (!mask)
+        return noRoom(ReasonCode::NoRoom, "no adjacent accelerators of that number are free",
+                      reason);
+    return Room{*mask, request.cores, request.memoryMib, {}};
+}
+
+} // namespace
+
+bool taskEvictable(const LocalTask &task)
+{
+    return !task.guaranteed && (task.idempotent || task.checkpointable);
+}
+
+bool taskLeaving(const LocalTask &task)
+{
+    return task.phase == TaskPhase::Checkpointing || task.phase == TaskPhase::Stopping;
+}
+
+std::optional<Room> findRoom(const Agent &agent, const Table &table, const RoomRequest &request,
+                             TimeMs now, Reason &reason)
+{
+    const auto &options = agent.options;
+    auto sized = request;
+    // A declared size of 0 means that the caller does not know it.
+    if (sized.cores == 0)
+        sized.cores = 1;
+    if (sized.memoryMib == 0)
+        sized.memoryMib = options.memoryMib / std::max(1U, options.slots);
+    if (sized.accelerators > options.accelerators || sized.cores > options.cores
+        || sized.memoryMib > options.memoryMib)
+        return noRoom(ReasonCode::ImpossibleShape, "the worker is smaller than the request",
+                      reason);
+    auto room = sized.guaranteed ? findAnchoredRoom(agent, table, sized, now, reason)
+                                 : findLentRoom(agent, table, sized, reason);
+    if (room && !withinLimits(agent, table, sized, room->evict))
+        return noRoom(ReasonCode::LimitReached, "the organisation's limit is reached here", reason);
+    return room;
+}
+
+FreeRoom freeRoom(const Agent &agent)
+{
+    const auto &options = agent.options;
+    const auto usage = usageOf(agent);
+    const auto rest = [](std::uint64_t capacity, std::uint64_t used) {
+        return static_cast<std::uint32_t>(capacity > used ? capacity - used : 0);
+    };
+    FreeRoom room;
+    room.mask = blockMask(0, options.accelerators) & ~takenMask(agent);
+    for (const auto &[id, task] : agent.tasks) {
+        if (taskEvictable(task))
+            room.evictableMask |= task.mask;
+    }
+    room.slots = rest(taskLimit(agent), usage.tasks);
+    room.cores = rest(options.cores, usage.cores);
+    room.memoryMib = rest(options.memoryMib, usage.memoryMib);
+    return room;
+}
+
+} // namespace flamingo
--- /dev/null
+++ b/flamingo/tasks.cc
@@ -0,0 +1,417 @@
+#include "flamingo/agent_step.h"
+
+#include <algorithm>
+
+// A task goes Waiting -> Running -> (Checkpointing ->) Stopping -> erased. It stays in the map, and
+// so keeps its accelerators, until the worker confirms that it ended. The only other way out is a
+// pause of this process that was longer than the worker's lease and stop bound: no renewal was sent
+// in that time, so the worker has surely stopped the task. A renewal without answer may have
+// reached the worker and counts as an extension.
+
+namespace flamingo {
+
+namespace {
+
+constexpr std::uint32_t usageHeadroomPercent = 25; // usage is reported with a lag
+
+// A worker that is set aside is taken back only by its probe: jobs that started before say nothing
+// about new ones.
+void noteSuccess(const AgentStep &step, const LocalTask &task)
+{
+    auto &health = step.agent.health;
+    if (!health.setAside) {
+        health.failedJobs.clear();
+        return;
+    }
+    if (health.probe != task.id)
+        return;
+    health = {};
+    step.agent.change += 1;
+}
+
+void noteFailure(const AgentStep &step, const LocalTask &task)
+{
+    const auto &options = step.agent.options;
+    auto &health = step.agent.health;
+    health.failedJobs.insert(task.job);
+    const bool probeFailed = health.setAside && health.probe == task.id;
+    const bool tooMany = !health.setAside && health.failedJobs.size() >= options.setAsideAfter;
+    if (!probeFailed && !tooMany)
+        return;
+    health.probeWait =
+        probeFailed ? std::min(health.probeWait * 2, options.probeMaxMs) : options.probeMs;
+    health.probeAt = step.now + health.probeWait;
+    health.probe.clear();
+    health.setAside = true;
+    health.failedJobs.clear();
+    step.agent.change += 1;
+}
+
+void report(const AgentStep &step, bool member, std::string_view id, const Ending &ending)
+{
+    if (member)
+        memberEnded(step, id, ending);
+    else
+        concludeAttempt(step, id, ending);
+}
+
+// Takes the task off the books and wakes those that waited for its room.
+LocalTask eraseTask(const AgentStep &step, std::string_view id)
+{
+    auto &agent = step.agent;
+    const auto found = agent.tasks.find(id);
+    auto task = std::move(found->second);
+    agent.tasks.erase(found);
+    agent.change += 1;
+    if (agent.health.probe == task.id)
+        agent.health.probe.clear();
+    std::vector<std::pair<std::string, bool>> ready;
+    for (auto &[otherId, other] : agent.tasks) {
+        if (other.blockers.erase(task.id) > 0 && other.blockers.empty())
+            ready.emplace_back(otherId, other.member);
+    }
+    for (const auto &[otherId, member] : ready) {
+        if (member)
+            memberReady(step, otherId);
+        else
+            attemptReady(step, otherId);
+    }
+    return task;
+}
+
+void endTask(const AgentStep &step, std::string_view id, const Ending &ending)
+{
+    const auto task = eraseTask(step, id);
+    if (!task.ended)
+        report(step, task.member, task.id, ending);
+}
+
+// The end of a task that was stopped before it finished; see agent.h on NotRun.
+Ending stoppedEnding(const LocalTask &task, bool confirmed)
+{
+    Ending ending;
+    ending.reason = task.leaving;
+    const bool repeatable =
+        task.idempotent && confirmed && task.leaving.code != ReasonCode::Cancelled;
+    ending.verdict = !task.issued || repeatable ? Verdict::NotRun : Verdict::MayHaveRun;
+    if (task.leaving.code == ReasonCode::Evicted)
+        ending.answer = task.checkpoint;
+    return ending;
+}
+
+void beginStop(const AgentStep &step, LocalTask &task)
+{
+    const auto &options = step.agent.options;
+    task.phase = TaskPhase::Stopping;
+    task.phaseUntil = step.now + options.workerLeaseMs + options.stopBoundMs;
+    task.stop = {true, step.now + options.stopBoundMs, options.stopBoundMs};
+    step.out.commands.emplace_back(StopTask{task.id});
+    step.agent.change += 1;
+}
+
+void evictTask(const AgentStep &step, std::string_view id)
+{
+    auto *task = findTask(step.agent, id);
+    if (task == nullptr || taskLeaving(*task))
+        return;
+    const Reason reason{ReasonCode::Evicted, "the accelerators were reclaimed"};
+    if (!task->started || !task->checkpointable) {
+        stopTask(step, id, reason);
+        return;
+    }
+    task->leaving = reason;
+    task->phase = TaskPhase::Checkpointing;
+    task->phaseUntil = step.now + step.agent.options.checkpointBoundMs;
+    step.out.commands.emplace_back(CheckpointTask{task->id});
+    step.agent.change += 1;
+}
+
+void lapse(const AgentStep &step, LocalTask &task)
+{
+    if (!task.issued || task.phase == TaskPhase::Stopping)
+        return;
+    task.leaving = {ReasonCode::LeaseLapsed, "the worker's lease lapsed"};
+    beginStop(step, task);
+}
+
+void stepStopping(const AgentStep &step, LocalTask &task)
+{
+    if (resendDue(step, task.stop))
+        step.out.commands.emplace_back(StopTask{task.id});
+    if (task.ended || step.now < task.phaseUntil)
+        return;
+    // The caller learns that the end is uncertain; the room stays taken.
+    task.ended = true;
+    const auto ending = stoppedEnding(task, false);
+    const auto id = task.id;
+    report(step, task.member, id, ending);
+}
+
+void stepRunning(const AgentStep &step, LocalTask &task)
+{
+    const auto &options = step.agent.options;
+    if (!task.started && step.now - task.issuedAt >= options.taskStartBoundMs) {
+        noteFailure(step, task);
+        stopTask(step, std::string(task.id),
+                 {ReasonCode::WorkerFailed, "the worker did not confirm the start"});
+        return;
+    }
+    if (!task.started || task.proven || step.now - task.startedAt <= options.quickFailureMs)
+        return;
+    task.proven = true;
+    noteSuccess(step, task);
+}
+
+void stepWaiting(const AgentStep &step, const LocalTask &task)
+{
+    const auto id = task.id;
+    if (task.blockers.empty()) {
+        if (task.member)
+            memberReady(step, id);
+        else
+            attemptReady(step, id);
+        return;
+    }
+    if (!task.member && step.now - task.reservedAt >= step.agent.options.reclaimGiveUpMs)
+        stopTask(step, id, {ReasonCode::NoRoom, "the worker did not stop a guest in time"});
+}
+
+void stepTask(const AgentStep &step, LocalTask &task)
+{
+    if (task.phase == TaskPhase::Checkpointing && step.now >= task.phaseUntil)
+        beginStop(step, task);
+    switch (task.phase) {
+    case TaskPhase::Waiting:
+        return stepWaiting(step, task);
+    case TaskPhase::Running:
+        return stepRunning(step, task);
+    case TaskPhase::Checkpointing:
+        return;
+    case TaskPhase::Stopping:
+        return stepStopping(step, task);
+    }
+}
+
+} // namespace
+
+RoomRequest roomRequest(const JobSpec &spec, bool guaranteed)
+{
+    return {spec.organisation,
+            spec.accelerators,
+            spec.cores,
+            spec.memoryMib,
+            spec.idempotent || spec.checkpointable,
+            guaranteed};
+}
+
+void reserveTask(const AgentStep &step, const TaskRequest &request, const Room &room)
+{
+    const auto &spec = *request.spec;
+    LocalTask task;
+    task.id = request.id;
+    task.job = spec.job;
+    task.organisation = spec.organisation;
+    task.payload = request.payload;
+    task.idempotent = spec.idempotent;
+    task.checkpointable = spec.checkpointable;
+    task.guaranteed = request.guaranteed;
+    task.member = request.member;
+    task.gangSize = spec.members;
+    task.mask = room.mask;
+    task.cores = room.cores;
+    task.memoryMib = room.memoryMib;
+    task.blockers.insert(room.evict.begin(), room.evict.end());
+    task.reservedAt = step.now;
+    step.agent.tasks.emplace(task.id, std::move(task));
+    step.agent.change += 1;
+    for (const auto &guest : room.evict)
+        evictTask(step, guest);
+}
+
+bool runTask(const AgentStep &step, std::string_view id)
+{
+    auto *task = findTask(step.agent, id);
+    if (task == nullptr || task->phase != TaskPhase::Waiting || !task->blockers.empty()
+        || !leaseCurrent(step))
+        return false;
+    task->phase = TaskPhase::Running;
+    task->issued = true;
+    task->issuedAt = step.now;
+    step.out.commands.emplace_back(RunTask{task->id,
+                                           task->job,
+                                           std::move(task->payload),
+                                           {},
+                                           task->mask,
+                                           task->cores,
+                                           task->memoryMib});
+    task->payload.clear();
+    step.agent.change += 1;
+    return true;
+}
+
+void stopTask(const AgentStep &step, std::string_view id, const Reason &reason)
+{
+    auto *task = findTask(step.agent, id);
+    if (task == nullptr || task->phase == TaskPhase::Stopping)
+        return;
+    task->leaving = reason;
+    if (task->issued) {
+        beginStop(step, *task);
+        return;
+    }
+    endTask(step, std::string(id), {Verdict::NotRun, reason, {}});
+}
+
+void dropTask(const AgentStep &step, std::string_view id)
+{
+    const auto *task = findTask(step.agent, id);
+    if (task != nullptr && !task->issued)
+        eraseTask(step, std::string(id));
+}
+
+bool leaseCurrent(const AgentStep &step)
+{
+    return step.now <= step.agent.leaseUntil;
+}
+
+void checkLease(const AgentStep &step)
+{
+    auto &agent = step.agent;
+    const auto &options = agent.options;
+    if (leaseCurrent(step))
+        return;
+    const bool surelyStopped =
+        step.now - agent.lastEventAt >= options.workerLeaseMs + options.stopBoundMs;
+    for (const auto &id : idsOf(agent.tasks)) {
+        auto *task = findTask(agent, id);
+        if (task == nullptr)
+            continue;
+        lapse(step, *task);
+        if (surelyStopped && task->issued)
+            endTask(step, id, stoppedEnding(*task, false));
+    }
+}
+
+void stepTasks(const AgentStep &step)
+{
+    for (const auto &id : idsOf(step.agent.tasks)) {
+        auto *task = findTask(step.agent, id);
+        if (task != nullptr)
+            stepTask(step, *task);
+    }
+}
+
+void handleTaskStarted(const AgentStep &step, const TaskStarted &event)
+{
+    auto *task = findTask(step.agent, event.task);
+    if (task == nullptr || !task->issued) {
+        if (event.ok)
+            step.out.commands.emplace_back(StopTask{event.task});
+        return;
+    }
+    if (task->started)
+        return;
+    if (event.ok) {
+        task->started = true;
+        task->startedAt = step.now;
+        if (task->phase == TaskPhase::Stopping)
+            step.out.commands.emplace_back(StopTask{event.task});
+        return;
+    }
+    Ending ending{Verdict::NotRun, task->leaving, {}};
+    if (!taskLeaving(*task)) {
+        ending.reason = {ReasonCode::WorkerFailed, event.detail};
+        noteFailure(step, *task);
+    }
+    endTask(step, event.task, ending);
+}
+
+void handleTaskFinished(const AgentStep &step, const TaskFinished &event)
+{
+    const auto *task = findTask(step.agent, event.task);
+    if (task == nullptr || !task->issued)
+        return;
+    if (event.ok) {
+        if (!task->proven)
+            noteSuccess(step, *task);
+        endTask(step, event.task, {Verdict::Ran, {}, event.answer});
+        return;
+    }
+    // A worker may report a task that it stopped on demand as failed.
+    if (taskLeaving(*task)) {
+        endTask(step, event.task, stoppedEnding(*task, true));
+        return;
+    }
+    const auto since = task->started ? task->startedAt : task->issuedAt;
+    if (step.now - since <= step.agent.options.quickFailureMs)
+        noteFailure(step, *task);
+    endTask(step, event.task, {Verdict::Ran, {ReasonCode::TaskFailed, event.detail}, event.answer});
+}
+
+void handleTaskCheckpointed(const AgentStep &step, const TaskCheckpointed &event)
+{
+    auto *task = findTask(step.agent, event.task);
+    if (task == nullptr || task->phase != TaskPhase::Checkpointing)
+        return;
+    if (event.ok)
+        task->checkpoint = event.checkpoint;
+    beginStop(step, *task);
+}
+
+void handleTaskStopped(const AgentStep &step, const TaskStopped &event)
+{
+    auto *task = findTask(step.agent, event.task);
+    if (task == nullptr || !task->issued)
+        return;
+    if (!taskLeaving(*task))
+        task->leaving = {ReasonCode::LeaseLapsed, "the worker stopped the task by itself"};
+    endTask(step, event.task, stoppedEnding(*task, true));
+}
+
+void handleTaskUsage(const AgentStep &step, const TaskUsage &event)
+{
+    auto *task = findTask(step.agent, event.task);
+    if (task == nullptr || !task->issued)
+        return;
+    const bool trusted = event.ranMs >= step.agent.options.usageTrustMs;
+    const auto corrected = [&](std::uint32_t accounted, std::uint32_t used) {
+        const auto padded = std::uint64_t{used} * (100 + usageHeadroomPercent) / 100;
+        const auto wanted = static_cast<std::uint32_t>(
+            std::clamp<std::uint64_t>(padded, 1, std::uint32_t{0xffffffff}));
+        return trusted ? wanted : std::max(accounted, used);
+    };
+    const auto cores = corrected(task->cores, event.cores);
+    const auto memoryMib = corrected(task->memoryMib, event.memoryMib);
+    if (cores != task->cores || memoryMib != task->memoryMib)
+        step.agent.change += 1;
+    task->cores = cores;
+    task->memoryMib = memoryMib;
+}
+
+bool setAsideNow(const Agent &agent, TimeMs now)
+{
+    const auto &health = agent.health;
+    return health.setAside && (now < health.probeAt || !health.probe.empty());
+}
+
+bool admitByHealth(const AgentStep &step, const JobSpec &spec, Reason &reason)
+{
+    const auto &health = step.agent.health;
+    if (!health.setAside)
+        return true;
+    // A probe may fail after it took effect, so only work that can be repeated serves as a probe.
+    if (!setAsideNow(step.agent, step.now) && spec.idempotent && spec.members <= 1)
+        return true;
+    reason = {ReasonCode::WorkerFailed, "the worker failed several jobs in a row"};
+    return false;
+}
+
+void noteProbe(const AgentStep &step, std::string_view id)
+{
+    if (!step.agent.health.setAside)
+        return;
+    step.agent.health.probe = std::string(id);
+    step.agent.change += 1;
+}
+
+} // namespace flamingo
