Fence workers by the agent's incarnation

Cause: a replaced or paused agent could renew the leases of, or start, tasks of an earlier life. Every call to the worker now carries the incarnation; the worker stops an older holder's tasks and refuses its calls.

--- a/flamingo/adapters/agent_service.cc
+++ b/flamingo/adapters/agent_service.cc
@@ -80,6 +80,7 @@
     WorkerClientOptions workerOptions;
     workerOptions.address = settings.workerAddress;
     workerOptions.worker = settings.options.name;
+    workerOptions.holder = settings.options.incarnation;
     workerOptions.leaseMs = settings.options.workerLeaseMs;
     service->worker = std::make_unique<WorkerClient>(
         loop, service->httpClient, workerOptions, [service](const WorkerEvent &event) {
--- a/flamingo/adapters/worker_client.cc
+++ b/flamingo/adapters/worker_client.cc
@@ -69,7 +69,8 @@
     HttpCall call;
     call.address = this->options.address;
     call.method = "POST";
-    call.target = "/workers/" + this->options.worker + path;
+    call.target = "/workers/" + this->options.worker + path
+        + "?holder=" + std::to_string(this->options.holder);
     call.body = body;
     call.timeoutMs = this->options.callTimeoutMs;
     this->http.call(call, std::move(answer));
--- a/flamingo/adapters/worker_client.h
+++ b/flamingo/adapters/worker_client.h
@@ -9,6 +9,9 @@
 //   POST /workers/W/tasks/T/checkpoint     saves the task's state
 //   POST /workers/W/tasks/T/stop           stops the task
 //   GET  /workers/W/events?from=N&wait_ms=M
+//
+// Every call carries ?holder=INCARNATION. The worker stops the tasks of an older holder when a newer one
+// calls, and from then on refuses the older one, so an agent that was paused and replaced starts nothing.
 
 #include "flamingo/adapters/http_client.h"
 #include "flamingo/messages.h"
@@ -27,6 +30,7 @@
 {
     std::string address;
     std::string worker;
+    std::uint64_t holder = 0; // incarnation of the agent
     TimeMs leaseMs = 3000;
     TimeMs renewMs = 1000;
     TimeMs callTimeoutMs = 1000;
--- a/standin/platform.cc
+++ b/standin/platform.cc
@@ -16,6 +16,7 @@
 
 constexpr int statusOk = 200;
 constexpr int statusBadRequest = 400;
+constexpr int statusForbidden = 403;
 constexpr int statusNotFound = 404;
 constexpr int statusConflict = 409;
 constexpr int statusGone = 410;
@@ -304,6 +305,11 @@
         return;
     }
     advance(host.worker, Loop::now());
+    const std::uint64_t holder = queryNumber(request, "holder", host.worker.holder);
+    if (!takeHolder(host.worker, holder, Loop::now())) {
+        this->respond(request.id, statusForbidden, errorBody("a newer holder has the worker"));
+        return;
+    }
     const std::string &what = parts[2];
     if (what == "tasks" && parts.size() == 3)
         this->start(request, host);
--- a/standin/worker.cc
+++ b/standin/worker.cc
@@ -199,6 +199,18 @@
     return true;
 }
 
+bool takeHolder(Worker &worker, std::uint64_t holder, TimeMs now)
+{
+    if (holder <= worker.holder)
+        return holder == worker.holder;
+    worker.holder = holder;
+    while (!worker.tasks.empty()) {
+        const std::string oldest = worker.tasks.begin()->first;
+        stopTask(worker, oldest, now);
+    }
+    return true;
+}
+
 void renewLeases(Worker &worker, TimeMs leaseMs, TimeMs now)
 {
     for (auto &[name, task] : worker.tasks)
--- a/standin/worker.h
+++ b/standin/worker.h
@@ -83,6 +83,7 @@
     TimeMs usageLagMs = 0;
     bool failAll = false; // every task fails right after its start
     bool frozen = false;
+    std::uint64_t holder = 0; // the newest incarnation of the agent that used this worker
     std::map<std::string, Task, std::less<>> tasks; // running
     std::map<std::string, bool, std::less<>> ended; // true: started once, false: stopped before
     std::deque<std::string> endedOrder; // oldest first
@@ -96,6 +97,10 @@
 bool startTask(Worker &worker, const TaskRequest &request, TimeMs now, std::string &detail,
                bool &fresh);
 
+// A request of a newer holder stops the tasks of the older one. False: the request is of an older
+// holder and must be refused.
+bool takeHolder(Worker &worker, std::uint64_t holder, TimeMs now);
+
 void renewLeases(Worker &worker, TimeMs leaseMs, TimeMs now);
 
 // Stops a task. An unknown task id is remembered, so that a start that arrives later is refused.
--- a/tests/standin_test.cc
+++ b/tests/standin_test.cc
@@ -112,6 +112,16 @@
     CHECK(worker.events.empty());
 }
 
+TEST(Worker, newerHolderStopsTheOlderOnesTasksAndFencesIt)
+{
+    CHECK(takeHolder(worker, 1, 0));
+    CHECK(start(request("t", R"({"runMs":1000})"), 0));
+    CHECK(takeHolder(worker, 2, 10));
+    CHECK(runningTask(worker, "t") == nullptr);
+    CHECK_FALSE(takeHolder(worker, 1, 20));
+    CHECK(takeHolder(worker, 2, 30));
+}
+
 TEST(Worker, busyAcceleratorsAreRefusedUntilTheTaskEnds)
 {
     CHECK(start(request("a", R"({"runMs":100})"), 0));
--- /dev/null
+++ b/tools/cluster.sh
@@ -0,0 +1,158 @@
+# Functions that start the programs of one small installation on this machine, for the demo, the process
+# tests and the measurements. Source this file; then call clusterInit and the start functions.
+#
+# Only processes that these functions started are ever signalled, by their process id.
+
+clusterInit() { # BUILD_DIR BASE_PORT
+    build=$1
+    basePort=$2
+    work=$(mktemp -d)
+    key="key-of-this-run-$RANDOM$RANDOM$RANDOM"
+    standinAddress="127.0.0.1:$basePort"
+    entryCount=0
+    agentCount=0
+    declare -gA pidOf httpOf regionOf
+    seeds=""
+    trap clusterEnd EXIT
+}
+
+clusterEnd() {
+    local status=$? name
+    for name in "${!pidOf[@]}"; do
+        kill -CONT "${pidOf[$name]}" 2>/dev/null || true
+        kill -KILL "${pidOf[$name]}" 2>/dev/null || true
+    done
+    wait 2>/dev/null || true
+    if [ "$status" -ne 0 ]; then
+        echo "failed with status $status; last log lines of each process:" >&2
+        tail -n 15 "$work"/*.log >&2 || true
+    fi
+    rm -rf "$work"
+    exit "$status"
+}
+
+fail() {
+    echo "FAIL: $*" >&2
+    exit 1
+}
+
+# Calls a command until it succeeds, at most SECONDS long.
+waitFor() { # SECONDS COMMAND...
+    local end=$((SECONDS + $1))
+    shift
+    until "$@" > /dev/null 2>&1; do
+        [ "$SECONDS" -lt "$end" ] || fail "not reached in time: $*"
+        sleep 0.1
+    done
+}
+
+startStandin() {
+    "$build/platform-standin" --listen "$standinAddress" "$@" 2> "$work/standin.log" &
+    pidOf[standin]=$!
+    waitFor 10 curl -fsS "http://$standinAddress/health"
+}
+
+# Fixed ports: entry I has peers on base+10+2I and HTTP on base+11+2I; agent I starts at base+100.
+startEntry() { # NAME REGION DATA_CENTRE [EXTRA_SETTINGS]
+    local name=$1 peer http
+    if [ -z "${httpOf[$name]:-}" ]; then
+        peer=$((basePort + 10 + 2 * entryCount))
+        http=$((peer + 1))
+        entryCount=$((entryCount + 1))
+        httpOf[$name]="127.0.0.1:$http"
+        regionOf[$name]=$2
+        cat > "$work/$name.json" <<JSON
+{
+    // Written by tools/cluster.sh.
+    "name": "$name", "region": "$2", "dataCentre": "$3",
+    "peerAddress": "127.0.0.1:$peer", "httpAddress": "127.0.0.1:$http",
+    "logAddress": "${logAddress:-$standinAddress}", "seeds": [${seeds}], "peerKey": "$key"${4:+, $4}
+}
+JSON
+        seeds="${seeds:+$seeds, }\"127.0.0.1:$peer\""
+    fi
+    "$build/flamingo-entryd" --settings "$work/$name.json" 2>> "$work/$name.log" &
+    pidOf[$name]=$!
+    waitFor 10 curl -fsS "http://${httpOf[$name]}/ready"
+}
+
+startAgent() { # NAME REGION DATA_CENTRE RACK [EXTRA_SETTINGS]
+    local name=$1 peer http
+    if [ -z "${httpOf[$name]:-}" ]; then
+        peer=$((basePort + 100 + 2 * agentCount))
+        http=$((peer + 1))
+        agentCount=$((agentCount + 1))
+        httpOf[$name]="127.0.0.1:$http"
+        regionOf[$name]=$2
+        cat > "$work/$name.json" <<JSON
+{
+    "name": "$name", "region": "$2", "dataCentre": "$3", "rack": "$4",
+    "peerAddress": "127.0.0.1:$peer", "httpAddress": "127.0.0.1:$http",
+    "logAddress": "${logAddress:-$standinAddress}", "workerAddress": "$standinAddress",
+    "seeds": [${seeds}], "peerKey": "$key"${5:+, $5}
+}
+JSON
+    fi
+    "$build/flamingo-agentd" --settings "$work/$name.json" 2>> "$work/$name.log" &
+    pidOf[$name]=$!
+}
+
+# Two regions as of today: entry-v and entry-t, two agents beside each.
+startSmallInstallation() {
+    startStandin
+    startEntry entry-v vestland bergen-1
+    startEntry entry-t trondelag trondheim-1
+    startAgent worker-v1 vestland bergen-1 rack-1
+    startAgent worker-v2 vestland bergen-1 rack-1
+    startAgent worker-t1 trondelag trondheim-1 rack-2
+    startAgent worker-t2 trondelag trondheim-1 rack-2
+    waitFor 15 targetsKnown entry-v 2 vestland
+    waitFor 15 targetsKnown entry-t 2 trondelag
+}
+
+# True when the entry has reports of at least COUNT agents of its region.
+targetsKnown() { # ENTRY COUNT REGION
+    [ "$(curl -fsS "http://${httpOf[$1]}/v1/targets" \
+        | jq "[.targets[] | select(.region == \"$3\" and .live)] | length")" -ge "$2" ]
+}
+
+signalProcess() { # NAME SIGNAL
+    kill "-$2" "${pidOf[$1]}"
+}
+
+# Sends SIGTERM and requires exit status 0 within SECONDS.
+stopGracefully() { # NAME [SECONDS]
+    local name=$1 pid=${pidOf[$1]} end=$((SECONDS + ${2:-15})) status=0
+    kill -TERM "$pid"
+    while kill -0 "$pid" 2>/dev/null; do
+        [ "$SECONDS" -lt "$end" ] || fail "$name did not stop after SIGTERM"
+        sleep 0.05
+    done
+    wait "$pid" || status=$?
+    unset "pidOf[$name]"
+    [ "$status" -eq 0 ] || fail "$name ended with status $status after SIGTERM"
+}
+
+killHard() { # NAME
+    kill -KILL "${pidOf[$1]}"
+    wait "${pidOf[$1]}" 2>/dev/null || true
+    unset "pidOf[$1]"
+}
+
+submit() { # ENTRY JSON
+    curl -sS --max-time 60 -X POST "http://${httpOf[$1]}/v1/jobs" -d "$2"
+}
+
+fault() { # JSON
+    curl -fsS -X POST "http://$standinAddress/faults" -d "$1" > /dev/null
+}
+
+runsOf() { # JOB_PATTERN: how many runs the workers counted over all matching jobs
+    curl -fsS "http://$standinAddress/runs" \
+        | jq "[to_entries[] | select(.key | test(\"$1\")) | .value] | add // 0"
+}
+
+expect() { # WHAT ACTUAL EXPECTED
+    [ "$2" = "$3" ] || fail "$1: expected '$3', got '$2'"
+    echo "ok: $1"
+}
