--- /dev/null
+++ b/flamingo/owner.cc
@@ -0,0 +1,719 @@
+// The owner of key ranges: grants, answers and queries.
+//
+// Life of a key: Begin queues a Claim record; the grant is sent when the record was read back from
+// the log as valid. Settle moves the key to Finished or Released; SettleAck is sent when the
+// Settled record was read back, so that the target keeps the answer until the log has it. A target
+// that is lost before it settled leaves the key in MayHaveRun; only a late Settle with the answer
+// changes that.
+//
+// Memory mode: when nothing that waits was read back for memoryModeAfterMs, a key is granted before
+// its record is in the log, if the target
+//   - is another process than the owner, so that one death does not take both records of the grant,
+//   - is announced in the log in the owner's region and not lost, so that a takeover asks it, and
+// if a Clean record of this epoch was read back, so that the next owner sees in the log that grants
+// from memory are possible, and the takeover is complete.
+//
+// A paused owner. A pause can hide that the range was taken over.
+//   - With the log up, a grant needs a record that is valid at its position in the log. After a
+//     takeover the record is void, however long the pause was and whatever reads were buffered.
+//   - Without the log, the conditions of the memory mode hold against a frozen owner too: each
+//     announced target has either answered the new owner's Witness and refuses older epochs, or
+//     it has not, then the takeover is incomplete and nobody grants unknown keys; or it was
+//     lost and a Clean record says that this owner had read so, then this owner does not grant it
+//     anything.
+// Waiting after a pause is therefore not needed for safety. But the time spent paused says nothing
+// about the log, so the wait for memory mode begins again: a woken owner first gives the log
+// memoryModeAfterMs to answer, and mostly learns of its successor in that time. The one answer that
+// rests on being the present owner is KeyReply with verdict NotRun. It is given only when the
+// release was read back, and after a pause only when a record queued after the pause was read back;
+// a takeover needs 10 s of silence, more than pauseBoundMs, so it cannot hide in a shorter gap.
+//
+// An answer above maxAnswerBytes is kept in memory but not in the log. After a takeover the key is
+// Finished with verdict Ran, an empty answer and a text that gives the size; the target may
+// still have the answer.
+
+#include "flamingo/owner_parts.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+
+namespace flamingo {
+
+using namespace ownerparts;
+
+namespace {
+
+bool isLive(const RangeMap &map, std::string_view agent, std::uint64_t incarnation)
+{
+    const auto found = map.agents.find(agent);
+    return found != map.agents.end() && found->second.incarnation == incarnation
+        && !found->second.lost;
+}
+
+bool sameAttempt(const OwnedKey &state, std::string_view agent, std::uint64_t incarnation,
+                 std::string_view attempt)
+{
+    return state.attempt == attempt && state.agent == agent && state.incarnation == incarnation;
+}
+
+// ---- Begin ----
+
+struct Denial
+{
+    KeyState state = KeyState::Unknown;
+    Reason reason;
+};
+
+void deny(Owner &owner, const PeerMessage &message, const Begin &begin, const Denial &denial,
+          Outbox &out)
+{
+    BeginReply reply;
+    reply.key = begin.key;
+    reply.attempt = begin.attempt;
+    reply.range = begin.range;
+    const auto range = owner.map.owners.find({owner.options.region, begin.range});
+    reply.epoch = range == owner.map.owners.end() ? 0 : range->second.epoch;
+    reply.state = denial.state;
+    reply.reason = denial.reason.code;
+    reply.detail = denial.reason.text;
+    ++owner.counters.denials;
+    out.sends.push_back({message.from, std::move(reply)});
+}
+
+const Denial incompleteDenial = {
+    KeyState::MayHaveRun,
+    {ReasonCode::TakeoverIncomplete, "the range changed its owner and not all targets answered"}};
+
+// Reasons that do not depend on the key's state.
+std::optional<Denial> refuseBegin(const Owner &owner, const Begin &begin)
+{
+    const auto owned = owner.ranges.find(begin.range);
+    if (owned == owner.ranges.end())
+        return Denial{KeyState::WrongOwner,
+                      {ReasonCode::WrongOwner, owner.options.self + " does not own the range"}};
+    if (begin.epoch > owned->second.epoch)
+        return Denial{KeyState::NotReady,
+                      {ReasonCode::StaleEpoch, "the owner has not read the newest epoch yet"}};
+    if (rangeOf(begin.key) != begin.range || begin.key.empty() || begin.key.size() > maxNameBytes)
+        return Denial{KeyState::Unknown, {ReasonCode::InvalidInput, "bad key or range"}};
+    if (!isLive(owner.map, begin.agent, begin.incarnation))
+        return Denial{KeyState::NotReady,
+                      {ReasonCode::StaleEpoch,
+                       "the agent's incarnation is not announced in the log, or lost"}};
+    return std::nullopt;
+}
+
+// Refusal of another attempt than the one that holds the key.
+std::optional<Denial> refuseOtherAttempt(const OwnedKey &state, bool complete)
+{
+    switch (state.phase) {
+    case KeyPhase::Claiming:
+    case KeyPhase::Granted:
+        return Denial{KeyState::Running, {ReasonCode::AlreadyClaimed, "another attempt runs"}};
+    case KeyPhase::Finished:
+        return Denial{KeyState::Finished, {ReasonCode::AlreadyClaimed, "the key has finished"}};
+    case KeyPhase::MayHaveRun:
+        return Denial{KeyState::MayHaveRun,
+                      {ReasonCode::AlreadyClaimed, "the target was lost while it held the key"}};
+    case KeyPhase::Released:
+        break;
+    }
+    if (!complete)
+        return incompleteDenial;
+    return std::nullopt;
+}
+
+// The holder asks again.
+void repeatBegin(Owner &owner, const PeerMessage &message, const Begin &begin, OwnedKey &state,
+                 Outbox &out)
+{
+    const auto &owned = owner.ranges[begin.range];
+    switch (state.phase) {
+    case KeyPhase::Claiming:
+        if (!mayGrantFromMemory(owner, owned, state))
+            return; // the grant follows when the claim was read back
+        state.phase = KeyPhase::Granted;
+        ++owner.counters.memoryGrants;
+        sendGrant(owner, begin.key, state, out);
+        return;
+    case KeyPhase::Granted:
+        sendGrant(owner, begin.key, state, out);
+        return;
+    case KeyPhase::Released:
+        deny(owner, message, begin,
+             {KeyState::Unknown, {ReasonCode::Expired, "the attempt was settled as not run"}}, out);
+        return;
+    case KeyPhase::Finished:
+    case KeyPhase::MayHaveRun:
+        deny(owner, message, begin, *refuseOtherAttempt(state, owned.complete), out);
+        return;
+    }
+}
+
+// False when the names do not survive the way through the log, for example invalid UTF-8.
+bool survivesLog(const Begin &begin)
+{
+    ClaimsRecord record;
+    record.kind = RecordKind::Claim;
+    record.region = "r";
+    record.owner = "o";
+    record.sequence = 1;
+    record.key = begin.key;
+    record.agent = begin.agent;
+    record.attempt = begin.attempt;
+    const auto parsed = parseClaimsRecord(claimsLine(record));
+    return parsed && parsed->key == begin.key && parsed->agent == begin.agent
+        && parsed->attempt == begin.attempt;
+}
+
+void claimKey(Owner &owner, const Begin &begin, TimeMs now, Outbox &out)
+{
+    auto &state = owner.keys[begin.key];
+    state = OwnedKey();
+    state.range = begin.range;
+    state.agent = begin.agent;
+    state.incarnation = begin.incarnation;
+    state.attempt = begin.attempt;
+    state.changedAt = now;
+    queueClaim(owner, begin.key, state, now);
+    if (!mayGrantFromMemory(owner, owner.ranges[begin.range], state))
+        return;
+    state.phase = KeyPhase::Granted;
+    ++owner.counters.memoryGrants;
+    sendGrant(owner, begin.key, state, out);
+}
+
+void onBegin(Owner &owner, const PeerMessage &message, const Begin &begin, TimeMs now, Outbox &out)
+{
+    if (const auto denial = refuseBegin(owner, begin)) {
+        deny(owner, message, begin, *denial, out);
+        return;
+    }
+    const bool complete = owner.ranges[begin.range].complete;
+    const auto found = owner.keys.find(begin.key);
+    if (found != owner.keys.end()) {
+        if (sameAttempt(found->second, begin.agent, begin.incarnation, begin.attempt)) {
+            repeatBegin(owner, message, begin, found->second, out);
+            return;
+        }
+        if (const auto denial = refuseOtherAttempt(found->second, complete)) {
+            deny(owner, message, begin, *denial, out);
+            return;
+        }
+    } else if (!complete) {
+        deny(owner, message, begin, incompleteDenial, out);
+        return;
+    } else if (owner.keys.size() >= owner.options.maxKeys) {
+        deny(owner, message, begin,
+             {KeyState::Unknown, {ReasonCode::LimitReached, "the owner holds too many keys"}}, out);
+        return;
+    }
+    if (!survivesLog(begin)) {
+        deny(owner, message, begin,
+             {KeyState::Unknown, {ReasonCode::InvalidInput, "key or names are not valid UTF-8"}},
+             out);
+        return;
+    }
+    claimKey(owner, begin, now, out);
+}
+
+// ---- Settle ----
+
+void ackSettle(std::string_view to, const std::string &key, const std::string &attempt, Outbox &out)
+{
+    SettleAck ack;
+    ack.key = key;
+    ack.attempt = attempt;
+    out.sends.push_back({std::string(to), std::move(ack)});
+}
+
+void waitForLog(Owner &owner, const std::string &key, std::string_view agent,
+                const std::string &attempt)
+{
+    auto &waiters = owner.settleWaiters[key];
+    for (const auto &waiter : waiters) {
+        if (waiter.agent == agent && waiter.attempt == attempt)
+            return;
+    }
+    waiters.push_back({std::string(agent), attempt});
+}
+
+KeyPhase phaseOf(Verdict verdict)
+{
+    if (verdict == Verdict::NotRun)
+        return KeyPhase::Released;
+    return verdict == Verdict::Ran ? KeyPhase::Finished : KeyPhase::MayHaveRun;
+}
+
+void settleHolder(Owner &owner, const Settle &settle, OwnedKey &state, TimeMs now, Outbox &out)
+{
+    const auto phase = phaseOf(settle.verdict);
+    const bool open = state.phase == KeyPhase::Claiming || state.phase == KeyPhase::Granted;
+    const bool late = state.phase == KeyPhase::MayHaveRun && phase == KeyPhase::Finished;
+    if (!open && !late)
+        return;
+    setAnswer(state, settle.verdict, {settle.reason, settle.detail}, settle.answer);
+    settleKey(owner, settle.key, state, phase, now);
+    if (phase != KeyPhase::Released || owner.memoryMode)
+        tellWatchers(owner, settle.key, false, out);
+}
+
+void onSettle(Owner &owner, const PeerMessage &message, const Settle &settle, TimeMs now,
+              Outbox &out)
+{
+    const auto owned = owner.ranges.find(settle.range);
+    if (owned == owner.ranges.end() || rangeOf(settle.key) != settle.range)
+        return; // the target repeats it to the new owner
+    auto found = owner.keys.find(settle.key);
+    const bool holder = found != owner.keys.end()
+        && sameAttempt(found->second, settle.agent, settle.incarnation, settle.attempt);
+    if (holder) {
+        settleHolder(owner, settle, found->second, now, out);
+    } else if (!owned->second.complete || found == owner.keys.end()) {
+        // A grant of a former owner that this one has not heard of yet.
+        takeEvidence(owner, settle.key, settle.range,
+                     {settle.agent,
+                      settle.incarnation,
+                      settle.attempt,
+                      true,
+                      settle.verdict,
+                      {settle.reason, settle.detail},
+                      settle.answer},
+                     now, out);
+        found = owner.keys.find(settle.key);
+    }
+    if (found != owner.keys.end() && found->second.settledSequence != 0
+        && sameAttempt(found->second, settle.agent, settle.incarnation, settle.attempt))
+        waitForLog(owner, settle.key, message.from, settle.attempt);
+    else
+        ackSettle(message.from, settle.key, settle.attempt, out);
+}
+
+// ---- KeyQuery ----
+
+KeyReply describeKey(const Owner &owner, const std::string &key, std::uint32_t range,
+                     bool releaseLogged)
+{
+    KeyReply reply;
+    reply.key = key;
+    reply.range = range;
+    reply.verdict = Verdict::MayHaveRun;
+    const auto owned = owner.ranges.find(range);
+    if (owned == owner.ranges.end()) {
+        reply.state = KeyState::WrongOwner;
+        reply.reason = ReasonCode::WrongOwner;
+        return reply;
+    }
+    reply.epoch = owned->second.epoch;
+    const auto found = owner.keys.find(key);
+    const auto phase = found == owner.keys.end() ? KeyPhase::Released : found->second.phase;
+    if (phase == KeyPhase::Released && !owned->second.complete) {
+        reply.state = KeyState::MayHaveRun;
+        reply.reason = incompleteDenial.reason.code;
+        reply.detail = incompleteDenial.reason.text;
+        return reply;
+    }
+    if (phase == KeyPhase::Released) {
+        reply.state = KeyState::Unknown;
+        if (releaseLogged)
+            reply.verdict = Verdict::NotRun;
+        if (found != owner.keys.end()) {
+            reply.reason = found->second.reason.code;
+            reply.detail = found->second.reason.text;
+        }
+        return reply;
+    }
+    const auto &state = found->second;
+    if (phase == KeyPhase::Claiming || phase == KeyPhase::Granted) {
+        reply.state = KeyState::Running;
+        return reply;
+    }
+    reply.state = phase == KeyPhase::Finished ? KeyState::Finished : KeyState::MayHaveRun;
+    reply.verdict = state.verdict;
+    reply.reason = state.reason.code;
+    reply.detail = state.reason.text;
+    reply.answer = state.answer;
+    if (state.answerBytes > 0 && state.answer.empty())
+        reply.detail = "the answer of " + std::to_string(state.answerBytes)
+            + " bytes was too large to be kept; target " + state.agent + " may still have it";
+    return reply;
+}
+
+void onKeyQuery(Owner &owner, const PeerMessage &message, const KeyQuery &query, Outbox &out)
+{
+    auto reply = describeKey(owner, query.key, query.range, false);
+    const bool open = reply.state == KeyState::Running;
+    out.sends.push_back({message.from, std::move(reply)});
+    if (!query.watch || !open || owner.watcherCount >= owner.options.maxWatchers)
+        return;
+    if (owner.watchers[query.key].insert(message.from).second)
+        ++owner.watcherCount;
+}
+
+void dropWatchersOf(Owner &owner, const std::string &process)
+{
+    for (auto entry = owner.watchers.begin(); entry != owner.watchers.end();) {
+        owner.watcherCount -= entry->second.erase(process);
+        entry = entry->second.empty() ? owner.watchers.erase(entry) : std::next(entry);
+    }
+}
+
+// ---- Time ----
+
+void onPause(Owner &owner, TimeMs now)
+{
+    ++owner.counters.pauses;
+    owner.memoryMode = false;
+    if (owner.waitingSince >= 0)
+        owner.waitingSince = now;
+    for (auto &[range, owned] : owner.ranges) {
+        owned.trustedSequence = owned.nextSequence;
+        if (owned.complete)
+            queueClean(owner, range, owned, now);
+    }
+}
+
+void enterMemoryMode(Owner &owner, Outbox &out)
+{
+    owner.memoryMode = true;
+    for (auto &[key, state] : owner.keys) {
+        const auto owned = owner.ranges.find(state.range);
+        if (owned == owner.ranges.end())
+            continue;
+        if (state.phase == KeyPhase::Released && state.settledSequence != 0)
+            tellWatchers(owner, key, false, out);
+        if (state.phase != KeyPhase::Claiming || !mayGrantFromMemory(owner, owned->second, state))
+            continue;
+        state.phase = KeyPhase::Granted;
+        ++owner.counters.memoryGrants;
+        sendGrant(owner, key, state, out);
+    }
+}
+
+bool needsClean(const Owner &owner, const OwnedRange &owned, TimeMs now)
+{
+    if (!owned.complete || owned.cleanWaits)
+        return false;
+    if (owned.cleanAt == 0)
+        return true;
+    if (now - owned.cleanAt < owner.options.cleanIntervalMs)
+        return false;
+    for (auto lost = owner.map.lost.rbegin(); lost != owner.map.lost.rend(); ++lost) {
+        if (lost->lostAt < owned.cleanSeen)
+            break;
+        if (lost->region == owner.options.region)
+            return true;
+    }
+    return now - owned.cleanAt >= owner.options.refreshMs;
+}
+
+// Drops what is past its retention and appends again what the log would soon forget.
+void sweep(Owner &owner, TimeMs now)
+{
+    const auto &options = owner.options;
+    owner.sweptAt = now;
+    for (auto entry = owner.keys.begin(); entry != owner.keys.end();) {
+        auto &[key, state] = *entry;
+        const TimeMs age = now - state.changedAt;
+        const bool expired = state.queuedSequence == 0
+            && ((state.phase == KeyPhase::Released && age > options.releasedRetentionMs)
+                || ((state.phase == KeyPhase::Finished || state.phase == KeyPhase::MayHaveRun)
+                    && age > options.finishedRetentionMs));
+        if (expired) {
+            entry = owner.keys.erase(entry);
+            continue;
+        }
+        ++entry;
+        if (now - state.loggedAt < options.refreshMs || state.phase == KeyPhase::Released
+            || state.queuedSequence != 0)
+            continue;
+        queueClaim(owner, key, state, now);
+        if (state.phase == KeyPhase::Finished || state.phase == KeyPhase::MayHaveRun)
+            queueSettled(owner, key, state, now);
+    }
+}
+
+void keepAnnounced(Owner &owner, TimeMs now)
+{
+    const auto &options = owner.options;
+    if (owner.mustRestart)
+        return;
+    const bool announced = isLive(owner.map, options.self, options.incarnation);
+    const TimeMs repeat = announced ? options.refreshMs : options.appendTimeoutMs;
+    if (owner.announcedAt >= 0 && now - owner.announcedAt < repeat)
+        return;
+    for (const auto &line : owner.queue) {
+        if (line.epoch == 0)
+            return;
+    }
+    queueAnnounce(owner, now);
+}
+
+void onTick(Owner &owner, TimeMs now, Outbox &out)
+{
+    const auto &options = owner.options;
+    if (!owner.memoryMode && owner.waitingSince >= 0
+        && now - owner.waitingSince > options.memoryModeAfterMs)
+        enterMemoryMode(owner, out);
+    keepAnnounced(owner, now);
+    for (auto &[range, owned] : owner.ranges) {
+        completeIfReady(owner, range, owned, now);
+        if (needsClean(owner, owned, now))
+            queueClean(owner, range, owned, now);
+    }
+    sendWitnesses(owner, now, out);
+    if (now - owner.sweptAt >= options.sweepIntervalMs)
+        sweep(owner, now);
+}
+
+void onPeerMessage(Owner &owner, const PeerMessage &message, TimeMs now, Outbox &out)
+{
+    if (const auto *const begin = std::get_if<Begin>(&message.message))
+        onBegin(owner, message, *begin, now, out);
+    else if (const auto *const settle = std::get_if<Settle>(&message.message))
+        onSettle(owner, message, *settle, now, out);
+    else if (const auto *const query = std::get_if<KeyQuery>(&message.message))
+        onKeyQuery(owner, message, *query, out);
+    else if (const auto *const witness = std::get_if<WitnessReply>(&message.message))
+        onWitnessReply(owner, *witness, now, out);
+}
+
+std::string_view phaseName(KeyPhase phase)
+{
+    switch (phase) {
+    case KeyPhase::Claiming:
+        return "claiming";
+    case KeyPhase::Granted:
+        return "granted";
+    case KeyPhase::Released:
+        return "released";
+    case KeyPhase::Finished:
+        return "finished";
+    case KeyPhase::MayHaveRun:
+        return "may_have_run";
+    }
+    return "invalid";
+}
+
+using Json = nlohmann::json;
+
+Json describeMap(const RangeMap &map)
+{
+    Json json = {{"nextOffset", map.nextOffset},       {"trimmed", map.trimmed},
+                 {"malformed", map.malformed},         {"voided", map.voided},
+                 {"lostForgotten", map.lostForgotten}, {"owners", Json::array()},
+                 {"agents", Json::object()},           {"lost", Json::array()}};
+    for (const auto &[name, owner] : map.owners)
+        json["owners"].push_back({{"region", name.first},
+                                  {"range", name.second},
+                                  {"agent", owner.agent},
+                                  {"incarnation", owner.incarnation},
+                                  {"epoch", owner.epoch},
+                                  {"offset", owner.offset},
+                                  {"sequence", owner.sequence},
+                                  {"firm", owner.firm},
+                                  {"cleanEpoch", owner.cleanEpoch},
+                                  {"cleanOwner", owner.cleanOwner},
+                                  {"cleanIncarnation", owner.cleanIncarnation},
+                                  {"cleanSeen", owner.cleanSeen}});
+    for (const auto &[name, agent] : map.agents)
+        json["agents"][name] = {{"region", agent.region},
+                                {"incarnation", agent.incarnation},
+                                {"announcedAt", agent.announcedAt},
+                                {"lost", agent.lost},
+                                {"lostAt", agent.lostAt}};
+    for (const auto &lost : map.lost)
+        json["lost"].push_back({{"agent", lost.agent},
+                                {"incarnation", lost.incarnation},
+                                {"region", lost.region},
+                                {"lostAt", lost.lostAt}});
+    return json;
+}
+
+Json describeRange(std::uint32_t range, const OwnedRange &owned, TimeMs now)
+{
+    Json json = {{"range", range},
+                 {"epoch", owned.epoch},
+                 {"offset", owned.offset},
+                 {"complete", owned.complete},
+                 {"cleanRead", owned.cleanRead},
+                 {"cleanWaits", owned.cleanWaits},
+                 {"cleanSeen", owned.cleanSeen},
+                 {"nextSequence", owned.nextSequence},
+                 {"trustedSequence", owned.trustedSequence},
+                 {"ownedForMs", now - owned.ownedSince},
+                 {"unanswered", Json::array()},
+                 {"blocking", Json::array()}};
+    for (const auto &[name, due] : owned.unanswered)
+        json["unanswered"].push_back(
+            {{"agent", name.first}, {"incarnation", name.second}, {"dueInMs", due - now}});
+    for (const auto &[agent, incarnation] : owned.blocking)
+        json["blocking"].push_back({{"agent", agent}, {"incarnation", incarnation}});
+    return json;
+}
+
+Json describeKeys(const Owner &owner, TimeMs now)
+{
+    Json json = Json::object();
+    for (const auto &[key, state] : owner.keys)
+        json[key] = {{"range", state.range},
+                     {"phase", phaseName(state.phase)},
+                     {"agent", state.agent},
+                     {"incarnation", state.incarnation},
+                     {"attempt", state.attempt},
+                     {"verdict", verdictName(state.verdict)},
+                     {"reason", reasonName(state.reason.code)},
+                     {"detail", state.reason.text},
+                     {"answer", state.answer},
+                     {"answerBytes", state.answerBytes},
+                     {"grantEpoch", state.grantEpoch},
+                     {"settledSequence", state.settledSequence},
+                     {"queuedSequence", state.queuedSequence},
+                     {"unsure", state.unsure},
+                     {"ageMs", now - state.changedAt}};
+    return json;
+}
+
+} // namespace
+
+namespace ownerparts {
+
+bool mayGrantFromMemory(const Owner &owner, const OwnedRange &owned, const OwnedKey &state)
+{
+    if (!owner.memoryMode || !owned.complete || !owned.cleanRead
+        || state.agent == owner.options.self || !isLive(owner.map, state.agent, state.incarnation))
+        return false;
+    return owner.map.agents.find(state.agent)->second.region == owner.options.region;
+}
+
+void sendGrant(Owner &owner, const std::string &key, OwnedKey &state, Outbox &out)
+{
+    const auto owned = owner.ranges.find(state.range);
+    if (owned == owner.ranges.end())
+        return;
+    state.grantEpoch = owned->second.epoch;
+    BeginReply reply;
+    reply.key = key;
+    reply.attempt = state.attempt;
+    reply.range = state.range;
+    reply.epoch = owned->second.epoch;
+    reply.granted = true;
+    reply.state = KeyState::Granted;
+    out.sends.push_back({state.agent, std::move(reply)});
+}
+
+void settleKey(Owner &owner, const std::string &key, OwnedKey &state, KeyPhase phase, TimeMs now)
+{
+    state.phase = phase;
+    state.changedAt = now;
+    queueSettled(owner, key, state, now);
+}
+
+void setAnswer(OwnedKey &state, Verdict verdict, const Reason &reason, std::string_view answer)
+{
+    state.verdict = verdict;
+    state.reason = reason;
+    state.answer = answer;
+    state.answerBytes = 0;
+}
+
+void tellWatchers(Owner &owner, const std::string &key, bool releaseLogged, Outbox &out)
+{
+    const auto found = owner.watchers.find(key);
+    if (found == owner.watchers.end())
+        return;
+    const auto range = rangeOf(key);
+    const auto owned = owner.ranges.find(range);
+    const auto log = owner.map.owners.find({owner.options.region, range});
+    const bool trusted = owned != owner.ranges.end() && log != owner.map.owners.end()
+        && log->second.sequence >= owned->second.trustedSequence;
+    const auto reply = describeKey(owner, key, range, releaseLogged && trusted);
+    for (const auto &process : found->second)
+        out.sends.push_back({process, reply});
+    owner.watcherCount -= found->second.size();
+    owner.watchers.erase(found);
+}
+
+void tellWatchersWrongOwner(Owner &owner, std::uint32_t range, Outbox &out)
+{
+    for (auto entry = owner.watchers.begin(); entry != owner.watchers.end();) {
+        const auto next = std::next(entry);
+        if (rangeOf(entry->first) == range)
+            tellWatchers(owner, std::string(entry->first), false, out);
+        entry = next;
+    }
+}
+
+void ackSettles(Owner &owner, const std::string &key, Outbox &out)
+{
+    const auto found = owner.settleWaiters.find(key);
+    if (found == owner.settleWaiters.end())
+        return;
+    for (const auto &waiter : found->second)
+        ackSettle(waiter.agent, key, waiter.attempt, out);
+    owner.settleWaiters.erase(found);
+}
+
+} // namespace ownerparts
+
+Owner makeOwner(const OwnerOptions &options)
+{
+    Owner owner;
+    owner.options = options;
+    return owner;
+}
+
+void handleOwner(Owner &owner, const OwnerEvent &event, TimeMs now, Random & /*random*/,
+                 Outbox &out)
+{
+    if (owner.lastEventAt >= 0 && now - owner.lastEventAt > owner.options.pauseBoundMs)
+        onPause(owner, now);
+    owner.lastEventAt = now;
+    if (const auto *const message = std::get_if<PeerMessage>(&event))
+        onPeerMessage(owner, *message, now, out);
+    else if (const auto *const read = std::get_if<LogRead>(&event))
+        onLogRead(owner, *read, now, out);
+    else if (const auto *const appended = std::get_if<LogAppended>(&event))
+        onAppended(owner, *appended, now);
+    else if (const auto *const down = std::get_if<PeerDown>(&event))
+        dropWatchersOf(owner, down->process);
+    else if (std::holds_alternative<Tick>(event))
+        onTick(owner, now, out);
+    flushQueue(owner, now, out);
+}
+
+bool ownerMustRestart(const Owner &owner)
+{
+    return owner.mustRestart;
+}
+
+std::string dumpOwner(const Owner &owner, TimeMs now)
+{
+    Json json = {{"self", owner.options.self},
+                 {"region", owner.options.region},
+                 {"incarnation", owner.options.incarnation},
+                 {"memoryMode", owner.memoryMode},
+                 {"mustRestart", owner.mustRestart},
+                 {"queuedLines", owner.queue.size()},
+                 {"acknowledgedLines", owner.acknowledged},
+                 {"linesInFlight", owner.inFlight},
+                 {"appendOpen", owner.appendOpen},
+                 {"waitingForMs", owner.waitingSince < 0 ? 0 : now - owner.waitingSince},
+                 {"watchers", owner.watcherCount},
+                 {"settlesWaiting", owner.settleWaiters.size()},
+                 {"foldIncomplete", owner.foldIncomplete},
+                 {"map", describeMap(owner.map)},
+                 {"ranges", Json::array()},
+                 {"keys", describeKeys(owner, now)}};
+    for (const auto &[range, owned] : owner.ranges)
+        json["ranges"].push_back(describeRange(range, owned, now));
+    const auto &counters = owner.counters;
+    json["counters"] = {{"grants", counters.grants},       {"memoryGrants", counters.memoryGrants},
+                        {"denials", counters.denials},     {"appends", counters.appends},
+                        {"takeovers", counters.takeovers}, {"completed", counters.completed},
+                        {"fenced", counters.fenced},       {"pauses", counters.pauses}};
+    return json.dump(-1, ' ', false, Json::error_handler_t::replace);
+}
+
+} // namespace flamingo
--- /dev/null
+++ b/flamingo/owner_log.cc
@@ -0,0 +1,410 @@
+// The owner's side of the stream `claims`: the queue of records, appends, and the fold of keys.
+//
+// Choice: the owner folds the keys of all ranges of its region, not only of its own, so that a
+// takeover needs no second pass over the stream. A key costs a few hundred bytes; a region has some
+// thousand keys a day. At maxKeys, keys of ranges that are not owned are dropped and the range is
+// marked; a takeover of it then stays incomplete until the dropped keys would have expired.
+//
+// For an owned range the state in memory is ahead of the log, so a record read back only confirms.
+// For other ranges the state follows the records. A record of the valid owner may replace a state
+// that this process held in memory when it lost the range (`unsure`).
+//
+// Appends: one at a time, at least appendIntervalMs apart, with everything that waits. After an
+// unknown result everything from the first unacknowledged line on is appended again; the sequence
+// in each record makes that harmless in the fold, and keeps a late first append without effect.
+
+#include "flamingo/owner_parts.h"
+
+#include <algorithm>
+
+namespace flamingo::ownerparts {
+
+namespace {
+
+ClaimsRecord keyRecord(const Owner &owner, RecordKind kind, const std::string &key,
+                       const OwnedKey &state)
+{
+    ClaimsRecord record;
+    record.kind = kind;
+    record.region = owner.options.region;
+    record.range = state.range;
+    record.owner = owner.options.self;
+    record.ownerIncarnation = owner.options.incarnation;
+    record.key = key;
+    record.agent = state.agent;
+    record.incarnation = state.incarnation;
+    record.attempt = state.attempt;
+    return record;
+}
+
+void enqueue(Owner &owner, OwnedRange &owned, ClaimsRecord &record, TimeMs now)
+{
+    record.epoch = owned.epoch;
+    record.sequence = owned.nextSequence++;
+    if (owner.queue.empty())
+        owner.waitingSince = now;
+    owner.queue.push_back({record.range, record.epoch, record.sequence, claimsLine(record)});
+}
+
+// True when the line was read back or can no longer count.
+bool isDone(const Owner &owner, const QueuedLine &line)
+{
+    if (line.epoch == 0) {
+        const auto found = owner.map.agents.find(owner.options.self);
+        return found != owner.map.agents.end()
+            && found->second.incarnation >= owner.options.incarnation && !found->second.lost;
+    }
+    const auto owned = owner.ranges.find(line.range);
+    if (owned == owner.ranges.end() || owned->second.epoch != line.epoch)
+        return true;
+    const auto range = owner.map.owners.find({owner.options.region, line.range});
+    return range != owner.map.owners.end() && range->second.sequence >= line.sequence;
+}
+
+void dropDoneLines(Owner &owner, TimeMs now)
+{
+    bool progress = false;
+    while (!owner.queue.empty() && isDone(owner, owner.queue.front())) {
+        owner.queue.pop_front();
+        if (owner.acknowledged > 0)
+            --owner.acknowledged;
+        else if (owner.inFlight > 0)
+            --owner.inFlight;
+        progress = true;
+    }
+    if (!progress)
+        return;
+    owner.memoryMode = false;
+    owner.waitingSince = owner.queue.empty() ? -1 : now;
+}
+
+// ---- Records of ranges that this process does not own ----
+
+bool mayReplace(const OwnedKey &state)
+{
+    return state.unsure || state.phase == KeyPhase::Released;
+}
+
+OwnedKey *findOrAddKey(Owner &owner, const ClaimsRecord &record)
+{
+    const auto found = owner.keys.find(record.key);
+    if (found != owner.keys.end())
+        return &found->second;
+    if (owner.keys.size() >= owner.options.maxKeys) {
+        owner.foldIncomplete.insert(record.range);
+        return nullptr;
+    }
+    auto &state = owner.keys[record.key];
+    state.range = record.range;
+    state.phase = KeyPhase::Released;
+    return &state;
+}
+
+void hold(OwnedKey &state, const ClaimsRecord &record, KeyPhase phase, TimeMs now)
+{
+    state.phase = phase;
+    state.agent = record.agent;
+    state.incarnation = record.incarnation;
+    state.attempt = record.attempt;
+    state.grantEpoch = 0;
+    state.unsure = false;
+    state.changedAt = now;
+    state.loggedAt = now;
+}
+
+void foldClaim(Owner &owner, const ClaimsRecord &record, TimeMs now)
+{
+    auto *const state = findOrAddKey(owner, record);
+    if (state == nullptr)
+        return;
+    const bool same = state->attempt == record.attempt && state->agent == record.agent
+        && state->incarnation == record.incarnation;
+    if (same && !state->unsure && state->phase != KeyPhase::Released) {
+        state->loggedAt = now;
+        return;
+    }
+    if (mayReplace(*state))
+        hold(*state, record, KeyPhase::Granted, now);
+    else
+        ++owner.map.voided;
+}
+
+void foldSettled(Owner &owner, const ClaimsRecord &record, TimeMs now)
+{
+    auto *const state = findOrAddKey(owner, record);
+    if (state == nullptr)
+        return;
+    if (state->attempt != record.attempt && !mayReplace(*state)) {
+        ++owner.map.voided;
+        return;
+    }
+    KeyPhase phase = KeyPhase::Finished;
+    if (record.verdict == Verdict::NotRun)
+        phase = KeyPhase::Released;
+    else if (record.verdict == Verdict::MayHaveRun)
+        phase = KeyPhase::MayHaveRun;
+    hold(*state, record, phase, now - record.ageMs);
+    state->loggedAt = now;
+    state->verdict = record.verdict;
+    state->reason = record.reason;
+    state->answer = record.answer;
+    state->answerBytes = record.answerBytes;
+}
+
+// ---- Records of owned ranges, read back ----
+
+void confirmClaim(Owner &owner, const ClaimsRecord &record, TimeMs now, Outbox &out)
+{
+    const auto found = owner.keys.find(record.key);
+    if (found == owner.keys.end())
+        return;
+    auto &state = found->second;
+    if (state.queuedSequence == record.sequence)
+        state.queuedSequence = 0;
+    if (state.attempt != record.attempt || state.agent != record.agent
+        || state.incarnation != record.incarnation)
+        return;
+    state.loggedAt = now;
+    if (state.phase != KeyPhase::Claiming)
+        return;
+    state.phase = KeyPhase::Granted;
+    state.changedAt = now;
+    ++owner.counters.grants;
+    sendGrant(owner, record.key, state, out);
+}
+
+void confirmSettled(Owner &owner, const ClaimsRecord &record, TimeMs now, Outbox &out)
+{
+    const auto found = owner.keys.find(record.key);
+    if (found == owner.keys.end())
+        return;
+    auto &state = found->second;
+    if (state.queuedSequence == record.sequence)
+        state.queuedSequence = 0;
+    if (state.settledSequence != record.sequence)
+        return;
+    state.settledSequence = 0;
+    state.loggedAt = now;
+    ackSettles(owner, record.key, out);
+    if (state.phase == KeyPhase::Released)
+        tellWatchers(owner, record.key, true, out);
+}
+
+void confirmClean(OwnedRange &owned, const ClaimsRecord &record)
+{
+    owned.cleanRead = true;
+    if (record.seen >= owned.cleanSeen)
+        owned.cleanWaits = false;
+}
+
+void confirm(Owner &owner, OwnedRange &owned, const ClaimsRecord &record, TimeMs now, Outbox &out)
+{
+    if (record.kind == RecordKind::Claim)
+        confirmClaim(owner, record, now, out);
+    else if (record.kind == RecordKind::Settled)
+        confirmSettled(owner, record, now, out);
+    else
+        confirmClean(owned, record);
+}
+
+// ---- Lines in order ----
+
+void onEpoch(Owner &owner, const ClaimsRecord &record, TimeMs now, Outbox &out)
+{
+    if (record.region != owner.options.region)
+        return;
+    if (owner.ranges.find(record.range) != owner.ranges.end())
+        stopOwning(owner, record.range, out);
+    const auto range = owner.map.owners.find({record.region, record.range});
+    const bool mine = range->second.agent == owner.options.self
+        && range->second.incarnation == owner.options.incarnation;
+    if (mine && !owner.mustRestart)
+        becomeOwner(owner, record.range, now);
+}
+
+void onMembership(Owner &owner, const ClaimsRecord &record, const Incarnation &before, TimeMs now,
+                  Outbox &out)
+{
+    const auto &after = owner.map.agents[record.agent];
+    const bool ended = before.incarnation != 0 && !before.lost
+        && (after.lost || after.incarnation != before.incarnation);
+    if (ended)
+        onIncarnationEnded(owner, {record.agent, before.incarnation}, now, out);
+    const bool back = before.lost && !after.lost && after.incarnation == before.incarnation;
+    if (back && after.region == owner.options.region)
+        onIncarnationBack(owner, {record.agent, after.incarnation}, now);
+    if (record.agent == owner.options.self && after.incarnation > owner.options.incarnation)
+        owner.mustRestart = true;
+}
+
+void onOwnerRecord(Owner &owner, const ClaimsRecord &record, TimeMs now, Outbox &out)
+{
+    if (record.region != owner.options.region)
+        return;
+    const auto owned = owner.ranges.find(record.range);
+    if (owned != owner.ranges.end() && owned->second.epoch == record.epoch) {
+        confirm(owner, owned->second, record, now, out);
+        return;
+    }
+    if (owned != owner.ranges.end()) // a trimmed fold was corrected by a newer owner
+        stopOwning(owner, record.range, out);
+    if (record.kind == RecordKind::Claim)
+        foldClaim(owner, record, now);
+    else if (record.kind == RecordKind::Settled)
+        foldSettled(owner, record, now);
+}
+
+void onRecord(Owner &owner, const ClaimsRecord &record, std::uint64_t offset, TimeMs now,
+              Outbox &out)
+{
+    Incarnation before;
+    const auto found = owner.map.agents.find(record.agent);
+    if (found != owner.map.agents.end())
+        before = found->second;
+    if (!foldRecord(owner.map, record, offset)) {
+        ++owner.map.voided;
+        return;
+    }
+    switch (record.kind) {
+    case RecordKind::Epoch:
+        onEpoch(owner, record, now, out);
+        return;
+    case RecordKind::Announce:
+    case RecordKind::Lost:
+        onMembership(owner, record, before, now, out);
+        return;
+    case RecordKind::Claim:
+    case RecordKind::Settled:
+    case RecordKind::Clean:
+        onOwnerRecord(owner, record, now, out);
+        return;
+    }
+}
+
+} // namespace
+
+void queueClaim(Owner &owner, const std::string &key, OwnedKey &state, TimeMs now)
+{
+    const auto owned = owner.ranges.find(state.range);
+    if (owned == owner.ranges.end())
+        return;
+    auto record = keyRecord(owner, RecordKind::Claim, key, state);
+    enqueue(owner, owned->second, record, now);
+    state.queuedSequence = record.sequence;
+    state.loggedAt = now;
+}
+
+void queueSettled(Owner &owner, const std::string &key, OwnedKey &state, TimeMs now)
+{
+    const auto owned = owner.ranges.find(state.range);
+    if (owned == owner.ranges.end())
+        return;
+    auto record = keyRecord(owner, RecordKind::Settled, key, state);
+    record.verdict = state.verdict;
+    record.reason = state.reason;
+    record.answerBytes = state.answerBytes;
+    if (state.answer.size() <= owner.options.maxAnswerBytes)
+        record.answer = state.answer;
+    else
+        record.answerBytes = state.answer.size();
+    record.ageMs = std::max<TimeMs>(0, now - state.changedAt);
+    enqueue(owner, owned->second, record, now);
+    state.settledSequence = record.sequence;
+    state.queuedSequence = record.sequence;
+    state.loggedAt = now;
+}
+
+void queueClean(Owner &owner, std::uint32_t range, OwnedRange &owned, TimeMs now)
+{
+    ClaimsRecord record;
+    record.kind = RecordKind::Clean;
+    record.region = owner.options.region;
+    record.range = range;
+    record.owner = owner.options.self;
+    record.ownerIncarnation = owner.options.incarnation;
+    record.seen = owner.map.nextOffset;
+    enqueue(owner, owned, record, now);
+    owned.cleanWaits = true;
+    owned.cleanSeen = record.seen;
+    owned.cleanAt = now;
+}
+
+void queueAnnounce(Owner &owner, TimeMs now)
+{
+    const auto &options = owner.options;
+    owner.announcedAt = now;
+    if (owner.queue.empty())
+        owner.waitingSince = now;
+    owner.queue.push_back(
+        {0, 0, 0, announceLine(options.self, options.region, options.incarnation)});
+}
+
+void flushQueue(Owner &owner, TimeMs now, Outbox &out)
+{
+    if (owner.appendOpen && now - owner.appendedAt >= owner.options.appendTimeoutMs) {
+        owner.appendOpen = false;
+        owner.inFlight = 0;
+    }
+    if (owner.appendOpen || owner.queue.size() <= owner.acknowledged
+        || now - owner.appendedAt < owner.options.appendIntervalMs)
+        return;
+    Append append;
+    append.id = owner.nextAppend++;
+    append.stream = claimsStream;
+    std::size_t bytes = 0;
+    for (std::size_t at = owner.acknowledged; at < owner.queue.size(); ++at) {
+        bytes += owner.queue[at].text.size();
+        if (bytes > owner.options.maxAppendBytes && !append.lines.empty())
+            break;
+        append.lines.push_back(owner.queue[at].text);
+    }
+    owner.inFlight = append.lines.size();
+    owner.appendOpen = true;
+    owner.appendedAt = now;
+    ++owner.counters.appends;
+    out.appends.push_back(std::move(append));
+}
+
+void onAppended(Owner &owner, const LogAppended &appended, TimeMs now)
+{
+    if (!owner.appendOpen || appended.id + 1 != owner.nextAppend)
+        return;
+    owner.appendOpen = false;
+    if (appended.acknowledged) {
+        owner.acknowledged += owner.inFlight;
+        owner.inFlight = 0;
+        return;
+    }
+    owner.inFlight = 0;
+    owner.appendedAt = std::max(owner.appendedAt, now - owner.options.appendIntervalMs);
+}
+
+void onLogRead(Owner &owner, const LogRead &read, TimeMs now, Outbox &out)
+{
+    if (read.stream != claimsStream)
+        return;
+    if (read.trimmed && owner.map.nextOffset > 0) {
+        owner.mustRestart = true;
+        while (!owner.ranges.empty())
+            stopOwning(owner, owner.ranges.begin()->first, out);
+    }
+    owner.map.trimmed = owner.map.trimmed || read.trimmed;
+    for (const auto &line : read.lines) {
+        if (line.offset < owner.map.nextOffset)
+            continue;
+        owner.map.nextOffset = line.offset + 1;
+        const auto record = parseClaimsRecord(line.text);
+        if (!record)
+            ++owner.map.malformed;
+        else
+            onRecord(owner, *record, line.offset, now, out);
+    }
+    owner.map.nextOffset = std::max(owner.map.nextOffset, read.next);
+    if (owner.mustRestart) {
+        while (!owner.ranges.empty())
+            stopOwning(owner, owner.ranges.begin()->first, out);
+    }
+    dropDoneLines(owner, now);
+}
+
+} // namespace flamingo::ownerparts
--- /dev/null
+++ b/flamingo/owner_parts.h
@@ -0,0 +1,67 @@
+#ifndef FLAMINGO_OWNER_PARTS_H
+#define FLAMINGO_OWNER_PARTS_H
+
+// Shared by owner.cc and owner_log.cc; not part of the library's interface.
+
+#include "flamingo/owner.h"
+
+namespace flamingo::ownerparts {
+
+using IncarnationName = std::pair<std::string, std::uint64_t>; // agent, incarnation
+
+// ---- owner_log.cc: records to append, and records read ----
+
+// Queue a record of the key's present state. They return without effect when the range is not
+// owned.
+void queueClaim(Owner &owner, const std::string &key, OwnedKey &state, TimeMs now);
+void queueSettled(Owner &owner, const std::string &key, OwnedKey &state, TimeMs now);
+void queueClean(Owner &owner, std::uint32_t range, OwnedRange &owned, TimeMs now);
+void queueAnnounce(Owner &owner, TimeMs now);
+
+// Starts an append when one is due.
+void flushQueue(Owner &owner, TimeMs now, Outbox &out);
+void onAppended(Owner &owner, const LogAppended &appended, TimeMs now);
+void onLogRead(Owner &owner, const LogRead &read, TimeMs now, Outbox &out);
+
+// ---- owner.cc ----
+
+bool mayGrantFromMemory(const Owner &owner, const OwnedRange &owned, const OwnedKey &state);
+void sendGrant(Owner &owner, const std::string &key, OwnedKey &state, Outbox &out);
+
+// Moves a key of an owned range to its next state and queues the record.
+void settleKey(Owner &owner, const std::string &key, OwnedKey &state, KeyPhase phase, TimeMs now);
+void setAnswer(OwnedKey &state, Verdict verdict, const Reason &reason, std::string_view answer);
+
+// Last reply to everybody who watches the key. `releaseLogged`: the Settled NotRun was read back.
+void tellWatchers(Owner &owner, const std::string &key, bool releaseLogged, Outbox &out);
+void tellWatchersWrongOwner(Owner &owner, std::uint32_t range, Outbox &out);
+void ackSettles(Owner &owner, const std::string &key, Outbox &out);
+
+// ---- owner_takeover.cc ----
+
+void becomeOwner(Owner &owner, std::uint32_t range, TimeMs now);
+void stopOwning(Owner &owner, std::uint32_t range, Outbox &out);
+void onIncarnationEnded(Owner &owner, const IncarnationName &ended, TimeMs now, Outbox &out);
+// An incarnation recorded as lost announced itself again; it may not know the present owner.
+void onIncarnationBack(Owner &owner, const IncarnationName &back, TimeMs now);
+void onWitnessReply(Owner &owner, const WitnessReply &reply, TimeMs now, Outbox &out);
+void sendWitnesses(Owner &owner, TimeMs now, Outbox &out);
+void completeIfReady(Owner &owner, std::uint32_t range, OwnedRange &owned, TimeMs now);
+
+// What a target says that it began: the same in WitnessReply and in a Settle for an unknown key.
+struct Evidence
+{
+    std::string agent;
+    std::uint64_t incarnation = 0;
+    std::string attempt;
+    bool finished = false;
+    Verdict verdict = Verdict::MayHaveRun;
+    Reason reason;
+    std::string answer;
+};
+void takeEvidence(Owner &owner, const std::string &key, std::uint32_t range,
+                  const Evidence &evidence, TimeMs now, Outbox &out);
+
+} // namespace flamingo::ownerparts
+
+#endif
--- /dev/null
+++ b/flamingo/owner_takeover.cc
@@ -0,0 +1,324 @@
+// Changes of a range's owner.
+//
+// When this process reads an Epoch record that names it, it has folded every valid claim before
+// that record; later claims of older epochs are void. What it cannot know from the log is what a
+// former owner granted from memory. Only an owner whose Clean record is in the log may do that, and
+// a Clean record is written only after that owner's own takeover was complete and with everything
+// it knew in the log before it. So only the last such owner matters (RangeOwner::cleanOwner), and
+// the takeover is complete when each incarnation that it could have granted to
+//   - answered the Witness, or
+//   - ended, and a Clean record says that the owner knew (`lostAt` below cleanSeen): its grants are
+//     in the log and it granted nothing afterwards, or
+//   - is that owner itself, which never grants to itself from memory.
+// The position of the Clean record alone would not do: an owner whose reads lag behind its appends
+// could write it after the Lost record without having read that, and grant to the lost agent later.
+//
+// An incarnation that ended without being covered may have run keys that nobody knows. The takeover
+// then stays incomplete until finishedRetentionMs have passed, after which such keys would be
+// forgotten in any case.
+//
+// An attempt that the log shows as granted, whose target answered the Witness without it, never
+// reached the target, and cannot any more, because the target refuses older epochs: it is released.
+
+#include "flamingo/owner_parts.h"
+
+#include <algorithm>
+
+namespace flamingo::ownerparts {
+
+namespace {
+
+constexpr TimeMs lostWitnessFactor = 10; // lost incarnations mostly do not exist any more
+
+bool isOpen(const OwnedKey &state)
+{
+    return state.phase == KeyPhase::Claiming || state.phase == KeyPhase::Granted;
+}
+
+bool hasEnded(const RangeMap &map, const OwnedKey &state)
+{
+    const auto found = map.agents.find(state.agent);
+    return found == map.agents.end() || found->second.incarnation != state.incarnation
+        || found->second.lost;
+}
+
+void release(Owner &owner, const std::string &key, OwnedKey &state, TimeMs now)
+{
+    setAnswer(state, Verdict::NotRun, {ReasonCode::Expired, "the target never began"}, "");
+    settleKey(owner, key, state, KeyPhase::Released, now);
+}
+
+// The target ended. A claim that was never granted is released, any other may have run.
+void loseHolder(Owner &owner, const std::string &key, OwnedKey &state, TimeMs now, Outbox &out)
+{
+    if (state.phase == KeyPhase::Claiming) {
+        release(owner, key, state, now);
+        return;
+    }
+    setAnswer(state, Verdict::MayHaveRun,
+              {ReasonCode::TargetUnreachable, "target " + state.agent + " was lost"}, "");
+    settleKey(owner, key, state, KeyPhase::MayHaveRun, now);
+    tellWatchers(owner, key, false, out);
+}
+
+// The holder may be outside the region; it hears of the new owner through the Witness too.
+void inherit(OwnedRange &owned, const std::string &key, const OwnedKey &state, TimeMs now)
+{
+    const IncarnationName name(state.agent, state.incarnation);
+    owned.inherited[name].push_back(key);
+    owned.unanswered.emplace(name, now);
+}
+
+void collectInherited(Owner &owner, std::uint32_t range, OwnedRange &owned, TimeMs now)
+{
+    Outbox noWatchers;
+    for (auto &[key, state] : owner.keys) {
+        if (state.range != range || !isOpen(state))
+            continue;
+        if (hasEnded(owner.map, state))
+            loseHolder(owner, key, state, now, noWatchers);
+        else
+            inherit(owned, key, state, now);
+    }
+}
+
+// Incarnations without which the takeover is not complete.
+void collectBlocking(const Owner &owner, const RangeOwner &range, OwnedRange &owned)
+{
+    if (range.cleanEpoch == 0)
+        return;
+    for (const auto &entry : owned.unanswered)
+        owned.blocking.insert(entry.first);
+    const IncarnationName cleanOwner(range.cleanOwner, range.cleanIncarnation);
+    for (const auto &lost : owner.map.lost) {
+        const IncarnationName name(lost.agent, lost.incarnation);
+        if (lost.region == owner.options.region && lost.lostAt >= range.cleanSeen
+            && name != cleanOwner)
+            owned.blocking.insert(name);
+    }
+    if (owner.map.lostForgotten > range.cleanSeen)
+        owned.blocking.insert({std::string(), 0});
+}
+
+// A key whose present holder is superseded by evidence of a later grant.
+void supersede(Owner &owner, const std::string &key, OwnedKey &state, TimeMs now)
+{
+    if (isOpen(state) || state.phase == KeyPhase::MayHaveRun)
+        release(owner, key, state, now);
+}
+
+bool sameAttempt(const OwnedKey &state, const Evidence &evidence)
+{
+    return state.attempt == evidence.attempt && state.agent == evidence.agent
+        && state.incarnation == evidence.incarnation;
+}
+
+void finishByEvidence(Owner &owner, const std::string &key, OwnedKey &state,
+                      const Evidence &evidence, TimeMs now, Outbox &out)
+{
+    setAnswer(state, evidence.verdict, evidence.reason, evidence.answer);
+    KeyPhase phase = KeyPhase::Finished;
+    if (evidence.verdict == Verdict::NotRun)
+        phase = KeyPhase::Released;
+    else if (evidence.verdict == Verdict::MayHaveRun)
+        phase = KeyPhase::MayHaveRun;
+    settleKey(owner, key, state, phase, now);
+    if (phase != KeyPhase::Released)
+        tellWatchers(owner, key, false, out);
+}
+
+// Releases inherited attempts of an incarnation that answered without listing them.
+void releaseUnlisted(Owner &owner, OwnedRange &owned, const IncarnationName &name,
+                     const std::set<std::string> &listed, TimeMs now)
+{
+    const auto inherited = owned.inherited.find(name);
+    if (inherited == owned.inherited.end())
+        return;
+    for (const auto &key : inherited->second) {
+        const auto found = owner.keys.find(key);
+        if (found == owner.keys.end() || listed.count(key) > 0)
+            continue;
+        auto &state = found->second;
+        if (!isOpen(state) || IncarnationName(state.agent, state.incarnation) != name
+            || state.grantEpoch == owned.epoch)
+            continue;
+        release(owner, key, state, now);
+    }
+    owned.inherited.erase(inherited);
+}
+
+} // namespace
+
+void becomeOwner(Owner &owner, std::uint32_t range, TimeMs now)
+{
+    const auto &record = owner.map.owners[{owner.options.region, range}];
+    auto &owned = owner.ranges[range];
+    owned = OwnedRange();
+    owned.epoch = record.epoch;
+    owned.offset = record.offset;
+    owned.ownedSince = now;
+    for (const auto &[agent, known] : owner.map.agents) {
+        if (known.region == owner.options.region && !known.lost)
+            owned.unanswered[{agent, known.incarnation}] = now;
+    }
+    collectBlocking(owner, record, owned);
+    if (owner.foldIncomplete.count(range) > 0)
+        owned.blocking.insert({std::string(), 0});
+    collectInherited(owner, range, owned, now);
+    ++owner.counters.takeovers;
+    completeIfReady(owner, range, owned, now);
+}
+
+void stopOwning(Owner &owner, std::uint32_t range, Outbox &out)
+{
+    owner.ranges.erase(range);
+    ++owner.counters.fenced;
+    tellWatchersWrongOwner(owner, range, out);
+    for (auto &[key, state] : owner.keys) {
+        if (state.range != range)
+            continue;
+        owner.settleWaiters.erase(key);
+        if (state.queuedSequence != 0) {
+            state.unsure = true;
+            state.phase = KeyPhase::MayHaveRun;
+            state.verdict = Verdict::MayHaveRun;
+        }
+        state.queuedSequence = 0;
+        state.settledSequence = 0;
+    }
+}
+
+void onIncarnationEnded(Owner &owner, const IncarnationName &ended, TimeMs now, Outbox &out)
+{
+    for (auto &[key, state] : owner.keys) {
+        if (isOpen(state) && state.agent == ended.first && state.incarnation == ended.second)
+            loseHolder(owner, key, state, now, out);
+    }
+    for (auto &[range, owned] : owner.ranges) {
+        const auto &record = owner.map.owners[{owner.options.region, range}];
+        if (record.cleanOwner == ended.first && record.cleanIncarnation == ended.second)
+            owned.blocking.erase(ended);
+        const auto &newest = owner.map.agents[ended.first];
+        if (newest.incarnation != ended.second)
+            owned.unanswered.erase(ended);
+    }
+}
+
+void onIncarnationBack(Owner &owner, const IncarnationName &back, TimeMs now)
+{
+    for (auto &entry : owner.ranges)
+        entry.second.unanswered.emplace(back, now);
+}
+
+void takeEvidence(Owner &owner, const std::string &key, std::uint32_t range,
+                  const Evidence &evidence, TimeMs now, Outbox &out)
+{
+    auto found = owner.keys.find(key);
+    const bool notRun = evidence.finished && evidence.verdict == Verdict::NotRun;
+    if (found != owner.keys.end() && sameAttempt(found->second, evidence)
+        && !found->second.unsure) {
+        auto &state = found->second;
+        const bool open = isOpen(state) || state.phase == KeyPhase::MayHaveRun;
+        if (open && evidence.finished && !(notRun && state.phase == KeyPhase::MayHaveRun))
+            finishByEvidence(owner, key, state, evidence, now, out);
+        return;
+    }
+    if (notRun)
+        return;
+    if (found == owner.keys.end()) {
+        found = owner.keys.emplace(key, OwnedKey()).first;
+        found->second.range = range;
+        found->second.phase = KeyPhase::Released;
+    }
+    auto &state = found->second;
+    if (state.phase == KeyPhase::Finished && !state.unsure)
+        return;
+    supersede(owner, key, state, now);
+    state.unsure = false;
+    state.phase = KeyPhase::Granted;
+    state.agent = evidence.agent;
+    state.incarnation = evidence.incarnation;
+    state.attempt = evidence.attempt;
+    state.grantEpoch = 0;
+    state.changedAt = now;
+    setAnswer(state, Verdict::MayHaveRun, {}, "");
+    queueClaim(owner, key, state, now);
+    if (evidence.finished)
+        finishByEvidence(owner, key, state, evidence, now, out);
+    else if (hasEnded(owner.map, state))
+        loseHolder(owner, key, state, now, out);
+}
+
+void onWitnessReply(Owner &owner, const WitnessReply &reply, TimeMs now, Outbox &out)
+{
+    const auto found = owner.ranges.find(reply.range);
+    if (found == owner.ranges.end() || reply.region != owner.options.region
+        || reply.epoch != found->second.epoch)
+        return;
+    auto &owned = found->second;
+    const IncarnationName name(reply.agent, reply.incarnation);
+    const bool awaited = owned.blocking.erase(name) > 0;
+    if (owned.unanswered.erase(name) == 0 && !awaited)
+        return;
+    std::set<std::string> listed;
+    for (const auto &key : reply.keys) {
+        if (rangeOf(key.key) != reply.range)
+            continue;
+        listed.insert(key.key);
+        takeEvidence(owner, key.key, reply.range,
+                     {reply.agent,
+                      reply.incarnation,
+                      key.attempt,
+                      key.finished,
+                      key.verdict,
+                      {},
+                      key.answer},
+                     now, out);
+    }
+    releaseUnlisted(owner, owned, name, listed, now);
+    completeIfReady(owner, reply.range, owned, now);
+}
+
+void sendWitnesses(Owner &owner, TimeMs now, Outbox &out)
+{
+    std::size_t left = owner.options.maxWitnessPerTick;
+    for (auto &[range, owned] : owner.ranges) {
+        for (auto &[name, due] : owned.unanswered) {
+            if (due > now)
+                continue;
+            if (left-- == 0)
+                return;
+            const auto known = owner.map.agents.find(name.first);
+            const bool lost = known != owner.map.agents.end() && known->second.lost;
+            due = now + owner.options.witnessRepeatMs * (lost ? lostWitnessFactor : 1);
+            Witness witness;
+            witness.region = owner.options.region;
+            witness.range = range;
+            witness.epoch = owned.epoch;
+            witness.owner = owner.options.self;
+            out.sends.push_back({name.first, std::move(witness)});
+        }
+    }
+}
+
+void completeIfReady(Owner &owner, std::uint32_t range, OwnedRange &owned, TimeMs now)
+{
+    if (owned.complete)
+        return;
+    if (!owned.blocking.empty() && now - owned.ownedSince < owner.options.finishedRetentionMs)
+        return;
+    owned.complete = true;
+    ++owner.counters.completed;
+    owner.foldIncomplete.erase(range);
+    for (auto &[key, state] : owner.keys) {
+        if (state.range != range || !state.unsure)
+            continue;
+        state.unsure = false;
+        setAnswer(state, Verdict::MayHaveRun,
+                  {ReasonCode::StaleEpoch, "granted under an older epoch"}, "");
+        queueClaim(owner, key, state, now);
+        queueSettled(owner, key, state, now);
+    }
+}
+
+} // namespace flamingo::ownerparts
--- /dev/null
+++ b/flamingo/range_map.cc
@@ -0,0 +1,521 @@
+// The fold of the stream `claims`, and the takeovers that entries propose.
+//
+// Every process folds the stream in offset order. An Epoch record counts only if its epoch is the
+// current one + 1 at its position, so of several entries that append at once the first wins. A
+// record of an owner counts only if owner, incarnation and epoch are the current ones at its
+// position and its sequence is above the last one; so a repeated append has no second effect.
+//
+// A fold that starts after the first record (`trimmed`) cannot count from epoch 0. It takes over
+// any higher epoch that it meets, and an owner's record corrects an Epoch record of the same epoch
+// that names somebody else. Owners write a Clean record at least every refreshMs, so such a fold is
+// right after that time at the latest. A process that missed records in the middle of the stream
+// never owns ranges again (ownerMustRestart).
+
+#include "flamingo/owner.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <array>
+
+namespace flamingo {
+
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr std::array<std::string_view, 6> kindNames = {"Epoch", "Claim",    "Settled",
+                                                       "Clean", "Announce", "Lost"};
+
+// FNV-1a with the final mix of MurmurHash3; the result is part of the protocol.
+std::uint64_t stableHash(std::string_view text, std::uint64_t seed = 0)
+{
+    std::uint64_t hash = 14695981039346656037ULL ^ seed;
+    for (const char c : text) {
+        hash ^= static_cast<unsigned char>(c);
+        hash *= 1099511628211ULL;
+    }
+    hash ^= hash >> 33U;
+    hash *= 0xff51afd7ed558ccdULL;
+    hash ^= hash >> 33U;
+    hash *= 0xc4ceb9fe1a85ec53ULL;
+    return hash ^ (hash >> 33U);
+}
+
+std::string dumpLine(const Json &json)
+{
+    return json.dump(-1, ' ', false, Json::error_handler_t::replace);
+}
+
+// Reads members of a JSON object; `ok` turns false at the first one that has the wrong type.
+struct Members
+{
+    const Json &json;
+    bool ok = true;
+
+    std::string text(const char *name)
+    {
+        const auto found = this->json.find(name);
+        if (found == this->json.end())
+            return {};
+        if (!found->is_string()) {
+            this->ok = false;
+            return {};
+        }
+        return found->get<std::string>();
+    }
+
+    std::uint64_t number(const char *name)
+    {
+        const auto found = this->json.find(name);
+        if (found == this->json.end())
+            return 0;
+        if (!found->is_number_unsigned()) {
+            this->ok = false;
+            return 0;
+        }
+        return found->get<std::uint64_t>();
+    }
+};
+
+bool needsRange(RecordKind kind)
+{
+    return kind != RecordKind::Announce && kind != RecordKind::Lost;
+}
+
+bool complete(const ClaimsRecord &record)
+{
+    if (needsRange(record.kind) && (record.region.empty() || record.range >= rangesPerRegion))
+        return false;
+    switch (record.kind) {
+    case RecordKind::Epoch:
+        return record.epoch > 0;
+    case RecordKind::Claim:
+    case RecordKind::Settled:
+        return record.sequence > 0 && !record.owner.empty() && !record.agent.empty();
+    case RecordKind::Clean:
+        return record.sequence > 0 && !record.owner.empty();
+    case RecordKind::Announce:
+        return !record.agent.empty() && !record.region.empty();
+    case RecordKind::Lost:
+        return !record.agent.empty();
+    }
+    return false;
+}
+
+void pruneLost(RangeMap &map, std::string_view region)
+{
+    std::uint64_t covered = map.nextOffset;
+    for (const auto &[name, owner] : map.owners) {
+        if (name.first != region || owner.cleanEpoch == 0)
+            continue;
+        covered = std::min(covered, owner.cleanSeen);
+    }
+    const auto gone = std::remove_if(map.lost.begin(), map.lost.end(), [&](const auto &lost) {
+        return lost.region == region && lost.lostAt < covered;
+    });
+    map.lost.erase(gone, map.lost.end());
+}
+
+void addLost(RangeMap &map, std::string_view agent, const Incarnation &ended, std::uint64_t offset)
+{
+    map.lost.push_back({ended.region, std::string(agent), ended.incarnation, offset});
+    if (map.lost.size() <= maxLostIncarnations)
+        return;
+    map.lostForgotten = std::max(map.lostForgotten, map.lost.front().lostAt + 1);
+    map.lost.pop_front();
+}
+
+bool foldAnnounce(RangeMap &map, const ClaimsRecord &record, std::uint64_t offset)
+{
+    const auto found = map.agents.find(record.agent);
+    if (found == map.agents.end()) {
+        map.agents[record.agent] = {record.region, record.incarnation, offset, false, 0};
+        return true;
+    }
+    auto &known = found->second;
+    if (record.incarnation < known.incarnation)
+        return false;
+    if (record.incarnation == known.incarnation) {
+        if (!known.lost)
+            return true;
+        const auto back = std::remove_if(map.lost.begin(), map.lost.end(), [&](const auto &lost) {
+            return lost.agent == record.agent && lost.incarnation == record.incarnation;
+        });
+        map.lost.erase(back, map.lost.end());
+    } else if (!known.lost) {
+        addLost(map, record.agent, known, offset);
+    }
+    known = {record.region, record.incarnation, offset, false, 0};
+    return true;
+}
+
+bool foldLost(RangeMap &map, const ClaimsRecord &record, std::uint64_t offset)
+{
+    const auto found = map.agents.find(record.agent);
+    if (found == map.agents.end() || found->second.incarnation != record.incarnation
+        || found->second.lost)
+        return false;
+    found->second.lost = true;
+    found->second.lostAt = offset;
+    addLost(map, record.agent, found->second, offset);
+    return true;
+}
+
+// Sets a new epoch; for a fold that cannot know the epochs before, everything before it counts as
+// granted from memory.
+void startEpoch(RangeMap &map, RangeOwner &range, const ClaimsRecord &record, std::uint64_t offset)
+{
+    const bool skipped = record.epoch != range.epoch + 1;
+    range.agent = record.owner;
+    range.epoch = record.epoch;
+    range.offset = offset;
+    range.sequence = 0;
+    range.incarnation = record.ownerIncarnation;
+    if (range.incarnation == 0) {
+        const auto found = map.agents.find(record.owner);
+        range.incarnation = found == map.agents.end() ? 0 : found->second.incarnation;
+    }
+    if (!skipped)
+        return;
+    range.firm = false;
+    range.cleanEpoch = record.epoch - 1;
+    range.cleanOwner.clear();
+    range.cleanIncarnation = 0;
+    range.cleanSeen = 0;
+}
+
+bool foldEpoch(RangeMap &map, const ClaimsRecord &record, std::uint64_t offset)
+{
+    const auto name = std::make_pair(record.region, record.range);
+    const auto found = map.owners.find(name);
+    const std::uint64_t current = found == map.owners.end() ? 0 : found->second.epoch;
+    const bool next = record.epoch == current + 1;
+    if (!next && !(map.trimmed && record.epoch > current))
+        return false;
+    startEpoch(map, map.owners[name], record, offset);
+    return true;
+}
+
+bool foldOwnerRecord(RangeMap &map, const ClaimsRecord &record, std::uint64_t offset)
+{
+    const auto name = std::make_pair(record.region, record.range);
+    if (map.owners.find(name) == map.owners.end() && !map.trimmed)
+        return false;
+    auto &range = map.owners[name];
+    const bool same = record.epoch == range.epoch && record.owner == range.agent
+        && record.ownerIncarnation == range.incarnation;
+    if (!same) {
+        const bool corrects =
+            record.epoch > range.epoch || (record.epoch == range.epoch && !range.firm);
+        if (!map.trimmed || !corrects)
+            return false;
+        range.epoch = 0;
+        startEpoch(map, range, record, offset);
+        range.cleanEpoch = record.epoch;
+    }
+    if (record.sequence <= range.sequence)
+        return false;
+    range.firm = true;
+    range.sequence = record.sequence;
+    if (record.kind != RecordKind::Clean)
+        return true;
+    range.cleanEpoch = record.epoch;
+    range.cleanOwner = record.owner;
+    range.cleanIncarnation = record.ownerIncarnation;
+    range.cleanSeen = record.seen;
+    pruneLost(map, record.region);
+    return true;
+}
+
+// ---- Proposals ----
+
+struct OwnedCount
+{
+    std::map<std::string, std::uint32_t, std::less<>> ranges; // of each live agent
+    std::uint32_t share = rangesPerRegion; // no agent takes over more
+
+    std::uint32_t of(std::string_view agent) const
+    {
+        const auto found = this->ranges.find(agent);
+        return found == this->ranges.end() ? 0 : found->second;
+    }
+};
+
+TimeMs heardAt(const std::map<std::string, TimeMs, std::less<>> &lastHeard, std::string_view agent,
+               TimeMs startedAt)
+{
+    const auto found = lastHeard.find(agent);
+    return found == lastHeard.end() ? startedAt : std::max(found->second, startedAt);
+}
+
+// The live agent with the highest hash of range and name that owns less than its share.
+std::string chooseOwner(const OwnedCount &owned, std::string_view region, std::uint32_t range,
+                        std::string_view except)
+{
+    std::string best;
+    std::uint64_t bestHash = 0;
+    for (const auto &[agent, count] : owned.ranges) {
+        if (count >= owned.share || agent == except)
+            continue;
+        const auto hash = stableHash(agent, stableHash(region, range + 1));
+        if (!best.empty() && hash <= bestHash)
+            continue;
+        best = agent;
+        bestHash = hash;
+    }
+    return best;
+}
+
+TimeMs jitter(const TakeoverOptions &options, Random &random)
+{
+    return std::uniform_int_distribution<TimeMs>(0, std::max<TimeMs>(0, options.jitterMs))(random);
+}
+
+// True when the proposal is due; a new need becomes due after a random delay.
+template <typename Timers, typename Name>
+bool isDue(Timers &timers, const Name &name, const TakeoverOptions &options, TimeMs now,
+           Random &random)
+{
+    const auto found = timers.find(name);
+    if (found == timers.end()) {
+        timers[name] = now + jitter(options, random);
+        return options.jitterMs == 0;
+    }
+    if (now < found->second)
+        return false;
+    found->second = now + options.repeatMs + jitter(options, random);
+    return true;
+}
+
+} // namespace
+
+std::uint32_t rangeOf(std::string_view key)
+{
+    return static_cast<std::uint32_t>(stableHash(key) % rangesPerRegion);
+}
+
+std::optional<ClaimsRecord> parseClaimsRecord(std::string_view line)
+{
+    const auto json = Json::parse(line, nullptr, false);
+    if (!json.is_object())
+        return std::nullopt;
+    Members members{json};
+    const auto *const kind = std::find(kindNames.begin(), kindNames.end(), members.text("type"));
+    if (kind == kindNames.end())
+        return std::nullopt;
+    ClaimsRecord record;
+    record.kind = static_cast<RecordKind>(kind - kindNames.begin());
+    record.region = members.text("region");
+    const auto range = members.number("range");
+    record.epoch = members.number("epoch");
+    record.owner = members.text("owner");
+    record.ownerIncarnation = members.number("ownerIncarnation");
+    record.sequence = members.number("sequence");
+    record.key = members.text("key");
+    record.agent = members.text("agent");
+    record.incarnation = members.number("incarnation");
+    record.attempt = members.text("attempt");
+    const auto verdict = members.number("verdict");
+    const auto reason = members.number("reason");
+    record.reason.text = members.text("detail");
+    record.answer = members.text("answer");
+    record.answerBytes = members.number("answerBytes");
+    record.seen = members.number("seen");
+    record.ageMs = static_cast<TimeMs>(members.number("ageMs"));
+    if (!members.ok || range >= rangesPerRegion || verdict > static_cast<int>(Verdict::MAX)
+        || reason > static_cast<int>(ReasonCode::MAX))
+        return std::nullopt;
+    record.range = static_cast<std::uint32_t>(range);
+    record.verdict = static_cast<Verdict>(verdict);
+    record.reason.code = static_cast<ReasonCode>(reason);
+    if (!complete(record))
+        return std::nullopt;
+    return record;
+}
+
+std::string claimsLine(const ClaimsRecord &record)
+{
+    Json json = {{"type", kindNames[static_cast<std::size_t>(record.kind)]}};
+    if (!record.region.empty())
+        json["region"] = record.region;
+    if (needsRange(record.kind)) {
+        json["range"] = record.range;
+        json["epoch"] = record.epoch;
+        json["owner"] = record.owner;
+        json["ownerIncarnation"] = record.ownerIncarnation;
+    }
+    if (needsRange(record.kind) && record.kind != RecordKind::Epoch)
+        json["sequence"] = record.sequence;
+    if (record.kind == RecordKind::Clean)
+        json["seen"] = record.seen;
+    if (!record.agent.empty()) {
+        json["agent"] = record.agent;
+        json["incarnation"] = record.incarnation;
+    }
+    if (record.kind == RecordKind::Claim || record.kind == RecordKind::Settled) {
+        json["key"] = record.key;
+        json["attempt"] = record.attempt;
+    }
+    if (record.kind != RecordKind::Settled)
+        return dumpLine(json);
+    json["verdict"] = static_cast<unsigned>(record.verdict);
+    json["reason"] = static_cast<unsigned>(record.reason.code);
+    json["detail"] = record.reason.text;
+    json["answer"] = record.answer;
+    if (record.answerBytes > 0)
+        json["answerBytes"] = record.answerBytes;
+    if (record.ageMs > 0)
+        json["ageMs"] = record.ageMs;
+    return dumpLine(json);
+}
+
+bool foldRecord(RangeMap &map, const ClaimsRecord &record, std::uint64_t offset)
+{
+    switch (record.kind) {
+    case RecordKind::Epoch:
+        return foldEpoch(map, record, offset);
+    case RecordKind::Announce:
+        return foldAnnounce(map, record, offset);
+    case RecordKind::Lost:
+        return foldLost(map, record, offset);
+    case RecordKind::Claim:
+    case RecordKind::Settled:
+    case RecordKind::Clean:
+        return foldOwnerRecord(map, record, offset);
+    }
+    return false;
+}
+
+void foldRanges(RangeMap &map, const LogRead &read)
+{
+    if (read.stream != claimsStream)
+        return;
+    map.trimmed = map.trimmed || read.trimmed;
+    for (const auto &line : read.lines) {
+        if (line.offset < map.nextOffset)
+            continue;
+        map.nextOffset = line.offset + 1;
+        const auto record = parseClaimsRecord(line.text);
+        if (!record)
+            ++map.malformed;
+        else if (!foldRecord(map, *record, line.offset))
+            ++map.voided;
+    }
+    map.nextOffset = std::max(map.nextOffset, read.next);
+}
+
+RangeOwner ownerOf(const RangeMap &map, std::string_view region, std::uint32_t range)
+{
+    const auto found = map.owners.find({std::string(region), range});
+    if (found == map.owners.end())
+        return {};
+    auto owner = found->second;
+    const auto agent = map.agents.find(owner.agent);
+    if (agent != map.agents.end() && agent->second.incarnation > owner.incarnation)
+        owner.agent.clear();
+    return owner;
+}
+
+std::string announceLine(std::string_view agent, std::string_view region, std::uint64_t incarnation)
+{
+    ClaimsRecord record;
+    record.kind = RecordKind::Announce;
+    record.region = region;
+    record.agent = agent;
+    record.incarnation = incarnation;
+    return claimsLine(record);
+}
+
+std::string lostLine(std::string_view agent, std::uint64_t incarnation)
+{
+    ClaimsRecord record;
+    record.kind = RecordKind::Lost;
+    record.agent = agent;
+    record.incarnation = incarnation;
+    return claimsLine(record);
+}
+
+std::string epochLine(std::string_view region, std::uint32_t range, std::uint64_t epoch,
+                      std::string_view owner, std::uint64_t incarnation)
+{
+    ClaimsRecord record;
+    record.kind = RecordKind::Epoch;
+    record.region = region;
+    record.range = range;
+    record.epoch = epoch;
+    record.owner = owner;
+    record.ownerIncarnation = incarnation;
+    return claimsLine(record);
+}
+
+std::vector<std::string>
+proposeTakeovers(const RangeMap &map, std::string_view region,
+                 const std::map<std::string, TimeMs, std::less<>> &lastHeard,
+                 const TakeoverOptions &options, TimeMs now, TakeoverTimers &timers, Random &random)
+{
+    if (timers.startedAt < 0) {
+        timers.startedAt = now;
+        timers.rebalanceDue = now + options.rebalanceMs;
+    }
+    std::vector<std::string> lines;
+    OwnedCount owned;
+    for (const auto &[name, agent] : map.agents) {
+        if (agent.region != region)
+            continue;
+        const bool silent =
+            now - heardAt(lastHeard, name, timers.startedAt) > options.silentAfterMs;
+        if (!silent && !agent.lost && lastHeard.find(name) != lastHeard.end())
+            owned.ranges[name] = 0;
+        if (!silent || agent.lost) {
+            timers.lostDue.erase(name);
+            continue;
+        }
+        if (isDue(timers.lostDue, name, options, now, random))
+            lines.push_back(lostLine(name, agent.incarnation));
+    }
+    if (owned.ranges.empty())
+        return lines;
+    const auto live = static_cast<std::uint32_t>(owned.ranges.size());
+    owned.share = (rangesPerRegion + live - 1) / live;
+    std::array<RangeOwner, rangesPerRegion> owners;
+    for (std::uint32_t range = 0; range < rangesPerRegion; ++range) {
+        owners[range] = ownerOf(map, region, range);
+        const auto found = owned.ranges.find(owners[range].agent);
+        if (found != owned.ranges.end())
+            ++found->second;
+    }
+    const auto propose = [&](std::uint32_t range, std::string_view except) {
+        const auto agent = chooseOwner(owned, region, range, except);
+        if (agent.empty())
+            return false;
+        ++owned.ranges[agent];
+        lines.push_back(epochLine(region, range, owners[range].epoch + 1, agent,
+                                  map.agents.find(agent)->second.incarnation));
+        return true;
+    };
+    for (std::uint32_t range = 0; range < rangesPerRegion; ++range) {
+        const auto &agent = owners[range].agent;
+        const auto known = map.agents.find(agent);
+        const bool missing = agent.empty() || known == map.agents.end() || known->second.lost
+            || now - heardAt(lastHeard, agent, timers.startedAt) > options.silentAfterMs;
+        if (!missing) {
+            timers.rangeDue.erase(range);
+            continue;
+        }
+        if (isDue(timers.rangeDue, range, options, now, random))
+            propose(range, agent);
+    }
+    if (now < timers.rebalanceDue)
+        return lines;
+    timers.rebalanceDue = now + options.rebalanceMs + 4 * jitter(options, random);
+    for (std::uint32_t range = 0; range < rangesPerRegion; ++range) {
+        const auto &agent = owners[range].agent;
+        if (owned.of(agent) <= owned.share + 1 || !propose(range, agent))
+            continue;
+        break;
+    }
+    return lines;
+}
+
+} // namespace flamingo
