--- /dev/null
+++ b/flamingo/edits.cc
@@ -0,0 +1,818 @@
+// An edit is appended until it is read back, always with the same line, because an append whose
+// answer is lost may have reached the log. The fold ignores the repetition.
+//
+// Anchors of lost workers are moved by whichever entry is first: every entry waits a random time,
+// then proposes against the version it knows, and all but the first proposal end in a conflict.
+
+#include "flamingo/edits.h"
+
+#include "flamingo/entry.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace flamingo {
+namespace {
+
+constexpr TimeMs appendRetryMs = 500;
+constexpr TimeMs appendAnswerMs = 2000; // an append without an answer is repeated
+constexpr TimeMs logProbeMs = 5000; // after a failed append, edits are refused for so long
+constexpr TimeMs jitterMs = 3000;
+constexpr TimeMs summaryIntervalMs = 1000;
+constexpr TimeMs repackCheckMs = 5000;
+constexpr TimeMs askTableMs = 2000;
+constexpr std::size_t maxPendingEdits = 64;
+constexpr std::size_t sitesPerMessage = 1000;
+constexpr std::size_t pushBytes = maxFrameBytes / 2;
+constexpr std::size_t maxNamedLaggards = 20;
+constexpr std::uint64_t noVersion = std::numeric_limits<std::uint64_t>::max();
+
+void replyTo(EntryContext context, std::string_view request, Reply reply)
+{
+    if (request.empty())
+        return;
+    reply.request = request;
+    context.out.replies.push_back(std::move(reply));
+}
+
+void refuse(EntryContext context, std::string_view request, ReasonCode code, std::string text,
+            Verdict verdict = Verdict::NotRun)
+{
+    Reply reply;
+    reply.verdict = verdict;
+    reply.reason = {code, std::move(text)};
+    replyTo(context, request, std::move(reply));
+}
+
+std::string writerOf(const Entry &entry)
+{
+    return entry.options.name + "." + std::to_string(entry.options.incarnation);
+}
+
+// ---- Sites ----
+
+bool isKnownSite(const std::vector<WorkerSite> &sites, std::string_view worker)
+{
+    return std::any_of(sites.begin(), sites.end(),
+                       [worker](const auto &site) { return site.worker == worker; });
+}
+
+std::string regionOf(const Table &table, const Anchor &anchor)
+{
+    const auto row = table.organisations.find(anchor.organisation);
+    if (row == table.organisations.end() || anchor.shape >= row->second.guarantees.size())
+        return {};
+    return row->second.guarantees[anchor.shape].region;
+}
+
+// Anchors in regions that this entry never heard of stay where they are: their workers are
+// assumed to exist, with no more accelerators than are anchored.
+void addAssumedSites(const Entry &entry, std::vector<WorkerSite> &sites)
+{
+    const auto known = sites.size();
+    for (const auto &anchor : entry.table.anchors) {
+        const auto region = regionOf(entry.table, anchor);
+        if (region == entry.options.region || entry.edits.remoteSites.count(anchor.worker) != 0)
+            continue;
+        const auto end = anchor.first + anchor.count;
+        auto site =
+            std::find_if(sites.begin() + static_cast<std::ptrdiff_t>(known), sites.end(),
+                         [&anchor](const auto &other) { return other.worker == anchor.worker; });
+        if (site == sites.end())
+            sites.push_back({anchor.worker, region, "unknown", {}, end});
+        else
+            site->accelerators = std::max(site->accelerators, end);
+    }
+}
+
+std::vector<WorkerSite> packingSites(const Entry &entry)
+{
+    auto sites = sitesOf(entry.view);
+    for (const auto &[worker, site] : entry.edits.remoteSites) {
+        if (site.accelerators != 0 && !isKnownSite(sites, worker))
+            sites.push_back(site);
+    }
+    addAssumedSites(entry, sites);
+    return sites;
+}
+
+wire::SiteInfoT toInfo(const WorkerSite &site)
+{
+    wire::SiteInfoT info;
+    info.worker = site.worker;
+    info.region = site.region;
+    info.dataCentre = site.dataCentre;
+    info.rack = site.rack;
+    info.accelerators = site.accelerators;
+    return info;
+}
+
+bool sameSite(const wire::SiteInfoT &a, const wire::SiteInfoT &b)
+{
+    return a.worker == b.worker && a.region == b.region && a.dataCentre == b.dataCentre
+        && a.rack == b.rack && a.accelerators == b.accelerators && a.lost == b.lost;
+}
+
+// Own workers that differ from what was sent last.
+std::vector<wire::SiteInfoT> changedSites(Entry &entry)
+{
+    std::vector<wire::SiteInfoT> changed;
+    for (const auto &agent : entry.view.agents) {
+        if (agent.report.agent.empty())
+            continue;
+        auto info = toInfo({agent.report.agent, agent.report.region, agent.report.dataCentre,
+                            agent.report.rack, agent.report.accelerators});
+        info.lost = agent.lostAt != 0;
+        auto &sent = entry.edits.sentSites[info.worker];
+        if (sameSite(sent, info))
+            continue;
+        sent = info;
+        changed.push_back(std::move(info));
+    }
+    return changed;
+}
+
+// ---- Making an edit ----
+
+bool applyChange(const Table &table, const TableChange &change,
+                 std::map<std::string, Organisation, std::less<>> &organisations, Reason &reason)
+{
+    organisations = table.organisations;
+    for (const auto &name : change.removals) {
+        if (organisations.erase(name) != 0)
+            continue;
+        reason = {ReasonCode::InvalidInput,
+                  "remove: organisation \"" + name + "\" is not in the table"};
+        return false;
+    }
+    for (const auto &row : change.upserts)
+        organisations[row.name] = row;
+    return true;
+}
+
+bool isShort(const std::vector<Shortage> &shortages, const Shortage &wanted)
+{
+    return std::any_of(shortages.begin(), shortages.end(), [&wanted](const auto &shortage) {
+        return shortage.organisation == wanted.organisation && shortage.shape == wanted.shape
+            && shortage.copy == wanted.copy;
+    });
+}
+
+// The first shape that is short and was not short before, or belongs to a changed row.
+const Shortage *newShortage(const Table &table, const TableChange &change, const Packing &packing)
+{
+    for (const auto &shortage : packing.shortages) {
+        const bool changed =
+            std::any_of(change.upserts.begin(), change.upserts.end(),
+                        [&shortage](const auto &row) { return row.name == shortage.organisation; });
+        if (changed || !isShort(table.shortages, shortage))
+            return &shortage;
+    }
+    return nullptr;
+}
+
+// Anchored workers of this region that have not reported since this entry started.
+bool hearsOfAnchors(EntryContext context)
+{
+    const auto &entry = context.entry;
+    if (context.now - entry.startedAt >= entry.options.moveAnchorsAfterMs)
+        return true;
+    return std::all_of(entry.table.anchors.begin(), entry.table.anchors.end(),
+                       [&entry](const auto &anchor) {
+                           return regionOf(entry.table, anchor) != entry.options.region
+                               || findAgent(entry.view, anchor.worker) != noAgent;
+                       });
+}
+
+std::string summaryOf(const TableChange &change)
+{
+    std::string text;
+    for (const auto &row : change.upserts)
+        text += (text.empty() ? "set " : ", set ") + row.name;
+    for (const auto &name : change.removals)
+        text += (text.empty() ? "remove " : ", remove ") + name;
+    return text;
+}
+
+void appendEdit(EntryContext context, PendingEdit &pending)
+{
+    pending.append = appendLines(context, tableStream, {pending.line});
+    pending.retryAt = context.now + appendAnswerMs;
+}
+
+// Replies to the request when its record would be too long.
+void startEdit(EntryContext context, Edit edit, PendingEdit pending)
+{
+    auto &entry = context.entry;
+    edit.baseVersion = entry.table.version;
+    edit.writer = writerOf(entry);
+    edit.sequence = ++entry.edits.lastSequence;
+    pending.sequence = edit.sequence;
+    pending.line = editLine(edit);
+    if (pending.line.size() > maxRecordBytes) {
+        refuse(context, pending.request, ReasonCode::InvalidInput,
+               "the record would have " + std::to_string(pending.line.size())
+                   + " bytes and may have " + std::to_string(maxRecordBytes));
+        return;
+    }
+    pending.startedAt = context.now;
+    appendEdit(context, pending);
+    entry.edits.pending.push_back(std::move(pending));
+}
+
+// Conditions that have nothing to do with the content of the edit.
+bool mayEdit(EntryContext context, const EditTable &edit)
+{
+    const auto &entry = context.entry;
+    const auto &edits = entry.edits;
+    if (!entry.accepting) {
+        refuse(context, edit.request, ReasonCode::Draining, "this entry is shutting down");
+        return false;
+    }
+    if (edits.pending.size() >= maxPendingEdits) {
+        refuse(context, edit.request, ReasonCode::QueueFull, "too many edits are under way");
+        return false;
+    }
+    if (edits.logFailedAt != 0 && context.now - edits.logFailedAt < logProbeMs) {
+        refuse(context, edit.request, ReasonCode::LogUnavailable,
+               "the log does not acknowledge; the edit was not sent to it");
+        return false;
+    }
+    if (!hearsOfAnchors(context)) {
+        refuse(context, edit.request, ReasonCode::TargetUnreachable,
+               "this entry started and has not heard of all anchored workers yet; try again");
+        return false;
+    }
+    return true;
+}
+
+// ---- Replies ----
+
+std::string stateJson(std::uint64_t version, std::string_view state)
+{
+    return "{\"version\":" + std::to_string(version) + ",\"state\":\"" + std::string(state) + "\"}";
+}
+
+std::string joined(const std::vector<std::string> &names)
+{
+    std::string text;
+    for (std::size_t i = 0; i < std::min(names.size(), maxNamedLaggards); ++i)
+        text += (i == 0 ? "" : ", ") + names[i];
+    if (names.size() > maxNamedLaggards)
+        text += " and " + std::to_string(names.size() - maxNamedLaggards) + " more";
+    return text;
+}
+
+void replyRecorded(EntryContext context, const PendingEdit &edit)
+{
+    Reply reply;
+    reply.verdict = Verdict::MayHaveRun;
+    reply.accepted = true;
+    reply.reason.text = "recorded as version " + std::to_string(edit.version);
+    reply.answer = stateJson(edit.version, "recorded");
+    replyTo(context, edit.request, std::move(reply));
+}
+
+void replyAccepted(EntryContext context, const PendingEdit &edit)
+{
+    Reply reply;
+    reply.verdict = Verdict::Ran;
+    reply.accepted = true;
+    reply.answer = stateJson(edit.version, "accepted");
+    replyTo(context, edit.request, std::move(reply));
+}
+
+void replyPending(EntryContext context, const PendingEdit &edit,
+                  const std::vector<std::string> &names)
+{
+    Reply reply;
+    reply.verdict = Verdict::MayHaveRun;
+    reply.accepted = true;
+    reply.reason = {ReasonCode::RegionUnreachable,
+                    "recorded as version " + std::to_string(edit.version)
+                        + "; pending at: " + joined(names)};
+    reply.answer = stateJson(edit.version, "pending");
+    replyTo(context, edit.request, std::move(reply));
+}
+
+// ---- Reading the stream ----
+
+void onRecorded(EntryContext context, PendingEdit &edit, std::uint64_t version)
+{
+    edit.state = EditState::Recorded;
+    edit.version = version;
+    if (edit.wait)
+        return;
+    replyRecorded(context, edit);
+    edit.request.clear();
+}
+
+// The record of a pending edit was read; true when the edit is dealt with.
+bool settleEdit(EntryContext context, PendingEdit &edit, FoldResult result, const Reason &reason)
+{
+    const auto &table = context.entry.table;
+    if (edit.state == EditState::Recorded || result == FoldResult::Gap)
+        return false;
+    const auto written = table.writerSequences.find(writerOf(context.entry));
+    const bool seen = written != table.writerSequences.end() && written->second == edit.sequence;
+    if (result == FoldResult::Applied || (result == FoldResult::Repeated && seen)) {
+        onRecorded(context, edit, table.writerVersions.at(written->first));
+        return edit.request.empty();
+    }
+    if (result == FoldResult::Malformed)
+        refuse(context, edit.request, reason.code, reason.text);
+    else
+        refuse(context, edit.request, ReasonCode::VersionConflict,
+               "baseVersion: another edit came first; the table has version "
+                   + std::to_string(table.version));
+    return true;
+}
+
+void settleEdits(EntryContext context, std::string_view line, FoldResult result,
+                 const Reason &reason)
+{
+    auto &pending = context.entry.edits.pending;
+    for (auto at = pending.begin(); at != pending.end();) {
+        if (at->line == line && settleEdit(context, *at, result, reason))
+            at = pending.erase(at);
+        else
+            ++at;
+    }
+}
+
+bool isSnapshot(std::string_view line)
+{
+    constexpr std::string_view head = "{\"kind\":\"Snapshot\"";
+    return line.substr(0, head.size()) == head;
+}
+
+void noteLine(EntryContext context, std::string_view line, FoldResult result, const Reason &reason)
+{
+    auto &edits = context.entry.edits;
+    if (isSnapshot(line)) {
+        edits.editsSinceSnapshot = 0;
+        edits.snapshotSeenAt = context.now;
+        edits.snapshotAt = 0;
+        return;
+    }
+    edits.editsSinceSnapshot += result == FoldResult::Applied ? 1 : 0;
+    settleEdits(context, line, result, reason);
+}
+
+void pushLines(EntryContext context, const std::vector<wire::LogLineT> &lines)
+{
+    LogLines message;
+    message.stream = tableStream;
+    std::size_t bytes = 0;
+    const auto flush = [&context, &message] {
+        for (const auto &[name, peer] : context.entry.peers) {
+            if (peer.connected && peer.info.kind == ProcessKind::Agent)
+                context.out.sends.push_back({name, message});
+        }
+        message.lines.clear();
+    };
+    for (const auto &line : lines) {
+        if (bytes + line.text.size() > pushBytes && !message.lines.empty()) {
+            flush();
+            bytes = 0;
+        }
+        bytes += line.text.size();
+        message.lines.push_back(line);
+        message.next = line.offset + 1;
+    }
+    if (!message.lines.empty())
+        flush();
+}
+
+void askForTable(EntryContext context, std::string_view from)
+{
+    auto &edits = context.entry.edits;
+    if (from.empty() || (edits.tableAskedAt != 0 && context.now - edits.tableAskedAt < askTableMs))
+        return;
+    edits.tableAskedAt = context.now;
+    LogLinesRequest request;
+    request.stream = tableStream;
+    request.from = context.entry.table.nextOffset;
+    context.out.sends.push_back({std::string(from), std::move(request)});
+}
+
+std::string anyEntry(const Entry &entry)
+{
+    for (const auto &[name, peer] : entry.peers) {
+        if (peer.connected && peer.info.kind == ProcessKind::Entry)
+            return name;
+    }
+    return {};
+}
+
+void foldLines(EntryContext context, const std::vector<wire::LogLineT> &lines)
+{
+    auto &entry = context.entry;
+    const auto before = entry.table.version;
+    std::vector<wire::LogLineT> fresh;
+    bool gap = false;
+    for (const auto &line : lines) {
+        Reason reason;
+        const bool isNew = line.offset >= entry.table.nextOffset;
+        const auto result = foldTable(entry.table, line.text, line.offset, reason);
+        gap = gap || result == FoldResult::Gap;
+        if (result == FoldResult::Applied || (isNew && result != FoldResult::Gap))
+            fresh.push_back(line);
+        noteLine(context, line.text, result, reason);
+    }
+    if (gap)
+        askForTable(context, anyEntry(entry));
+    pushLines(context, fresh);
+    if (entry.table.version == before)
+        return;
+    setAnchors(entry.view, entry.table);
+    entry.roomChanged = true;
+}
+
+// ---- Versions in force ----
+
+wire::VersionInForceT versionRow(const Entry &entry, std::string process, std::uint64_t version)
+{
+    wire::VersionInForceT row;
+    row.region = entry.options.region;
+    row.process = std::move(process);
+    row.version = version;
+    return row;
+}
+
+VersionSummary makeSummary(const Entry &entry)
+{
+    VersionSummary summary;
+    summary.entry = entry.options.name;
+    summary.versions.push_back(versionRow(entry, entry.options.name, entry.table.version));
+    const AgentView *lowest = nullptr;
+    for (const auto &agent : entry.view.agents) {
+        if (agent.lostAt != 0 || agent.report.agent.empty()
+            || (lowest != nullptr && lowest->report.tableVersion <= agent.report.tableVersion))
+            continue;
+        lowest = &agent;
+    }
+    if (lowest == nullptr)
+        return summary;
+    const auto version = lowest->report.tableVersion;
+    summary.versions.push_back(versionRow(entry, "*", version));
+    if (version < entry.table.version)
+        summary.versions.push_back(versionRow(entry, lowest->report.agent, version));
+    return summary;
+}
+
+void sendSummaries(EntryContext context)
+{
+    auto &entry = context.entry;
+    if (context.now - entry.edits.summarySentAt < summaryIntervalMs)
+        return;
+    entry.edits.summarySentAt = context.now;
+    const auto summary = makeSummary(entry);
+    auto withSites = summary;
+    withSites.sites = changedSites(entry);
+    for (const auto &[name, peer] : entry.peers) {
+        if (!peer.connected || peer.info.kind != ProcessKind::Entry)
+            continue;
+        const bool near = peer.info.region == entry.options.region;
+        context.out.sends.push_back({name, near ? summary : withSites});
+    }
+}
+
+void addLaggingEntries(const Entry &entry, std::uint64_t version, TimeMs now,
+                       std::vector<std::string> &names)
+{
+    for (const auto &[name, peer] : entry.peers) {
+        if (peer.info.kind != ProcessKind::Entry)
+            continue;
+        if (!peer.connected) {
+            if (peer.info.region == entry.options.region
+                && now - peer.downAt < entry.options.ownerSilentAfterMs)
+                names.push_back(name);
+            continue;
+        }
+        const auto known = entry.edits.versions.find(name);
+        if (known == entry.edits.versions.end() || known->second.own < version)
+            names.push_back(name);
+        else if (known->second.lowest < version)
+            names.push_back(known->second.lowestProcess.empty() ? name + " (its agents)"
+                                                                : known->second.lowestProcess);
+    }
+}
+
+// ---- Automatic edits ----
+
+bool anchorLost(EntryContext context, const Anchor &anchor)
+{
+    const auto &entry = context.entry;
+    if (regionOf(entry.table, anchor) != entry.options.region)
+        return false;
+    const auto agent = findAgent(entry.view, anchor.worker);
+    const auto bound = entry.options.moveAnchorsAfterMs;
+    if (agent == noAgent)
+        return context.now - entry.startedAt >= 3 * bound;
+    return entry.view.agents[agent].lostAt != 0
+        && context.now - entry.view.agents[agent].heardAt >= bound;
+}
+
+// An entry that lost most agents is itself cut off and must not move their anchors.
+bool hearsOfMostAgents(const Entry &entry)
+{
+    const auto lost = std::count_if(entry.view.agents.begin(), entry.view.agents.end(),
+                                    [](const auto &agent) { return agent.lostAt != 0; });
+    return static_cast<std::size_t>(lost) * 2 <= entry.view.agents.size();
+}
+
+bool hasShortage(const Entry &entry)
+{
+    return std::any_of(entry.table.shortages.begin(), entry.table.shortages.end(),
+                       [&entry](const auto &shortage) {
+                           Anchor anchor;
+                           anchor.organisation = shortage.organisation;
+                           anchor.shape = shortage.shape;
+                           return regionOf(entry.table, anchor) == entry.options.region;
+                       });
+}
+
+bool needsRepack(EntryContext context)
+{
+    const auto &entry = context.entry;
+    const bool lost =
+        std::any_of(entry.table.anchors.begin(), entry.table.anchors.end(),
+                    [context](const auto &anchor) { return anchorLost(context, anchor); });
+    return lost || hasShortage(entry);
+}
+
+void proposeAnchors(EntryContext context)
+{
+    const auto &entry = context.entry;
+    const auto packing =
+        packAnchors(entry.table.organisations, entry.table.anchors, packingSites(entry));
+    Edit edit;
+    edit.author = entry.options.name;
+    edit.summary = "move anchors off lost workers";
+    setAnchors(edit, entry.table, packing.anchors, packing.shortages);
+    if (edit.anchors.empty() && edit.shortages.empty())
+        return;
+    PendingEdit pending;
+    pending.automatic = true;
+    pending.wait = false;
+    startEdit(context, std::move(edit), std::move(pending));
+}
+
+bool automaticUnderWay(const Edits &edits)
+{
+    return std::any_of(edits.pending.begin(), edits.pending.end(),
+                       [](const auto &edit) { return edit.automatic; });
+}
+
+void tickRepack(EntryContext context)
+{
+    auto &edits = context.entry.edits;
+    if (edits.repackAt != 0 && context.now < edits.repackAt)
+        return;
+    const bool due = edits.repackAt != 0;
+    edits.repackAt = 0;
+    if (context.now < edits.repackCheckAt && !due)
+        return;
+    if (automaticUnderWay(edits) || !hearsOfMostAgents(context.entry) || !hearsOfAnchors(context)
+        || !needsRepack(context))
+        return;
+    if (due) {
+        proposeAnchors(context);
+        edits.repackCheckAt = context.now + repackCheckMs;
+        return;
+    }
+    edits.repackAt = context.now + 1
+        + static_cast<TimeMs>(context.random() % static_cast<std::uint64_t>(jitterMs));
+}
+
+void tickSnapshot(EntryContext context)
+{
+    auto &entry = context.entry;
+    auto &edits = entry.edits;
+    const bool due = edits.editsSinceSnapshot >= entry.options.snapshotEveryEdits
+        || (edits.editsSinceSnapshot > 0
+            && context.now - std::max(edits.snapshotSeenAt, entry.startedAt)
+                >= entry.options.snapshotEveryMs);
+    if (!due || edits.snapshotAppend != 0)
+        return;
+    if (edits.snapshotAt == 0) {
+        edits.snapshotAt = context.now
+            + static_cast<TimeMs>(context.random() % static_cast<std::uint64_t>(jitterMs));
+        return;
+    }
+    if (context.now < edits.snapshotAt)
+        return;
+    edits.snapshotAt = 0;
+    edits.snapshotAppend = appendLines(context, tableStream, {snapshotLine(entry.table)});
+}
+
+// ---- Progress of pending edits ----
+
+bool tickAppending(EntryContext context, PendingEdit &edit)
+{
+    if (context.now - edit.startedAt >= context.entry.options.logTimeoutMs) {
+        refuse(context, edit.request, ReasonCode::LogUnavailable,
+               "the log did not confirm the edit; it may be in the log", Verdict::MayHaveRun);
+        return true;
+    }
+    if (context.now >= edit.retryAt)
+        appendEdit(context, edit);
+    return false;
+}
+
+bool tickRecorded(EntryContext context, PendingEdit &edit)
+{
+    const auto names = lagging(context.entry, edit.version, context.now);
+    if (names.empty()) {
+        replyAccepted(context, edit);
+        return true;
+    }
+    if (context.now - edit.startedAt < context.entry.options.acceptTimeoutMs)
+        return false;
+    replyPending(context, edit, names);
+    return true;
+}
+
+void tickPending(EntryContext context)
+{
+    auto &pending = context.entry.edits.pending;
+    for (auto at = pending.begin(); at != pending.end();) {
+        const bool done = at->state == EditState::Appending ? tickAppending(context, *at)
+                                                            : tickRecorded(context, *at);
+        at = done ? pending.erase(at) : at + 1;
+    }
+}
+
+} // namespace
+
+std::uint64_t appendLines(EntryContext context, std::string_view stream,
+                          std::vector<std::string> lines)
+{
+    Append append;
+    append.id = ++context.entry.edits.lastAppend;
+    append.stream = stream;
+    append.lines = std::move(lines);
+    context.out.appends.push_back(std::move(append));
+    return context.entry.edits.lastAppend;
+}
+
+void onEditTable(EntryContext context, const EditTable &request)
+{
+    const auto &entry = context.entry;
+    if (!mayEdit(context, request))
+        return;
+    Reason reason;
+    auto change = parseTableChange(request.change, reason);
+    std::map<std::string, Organisation, std::less<>> organisations;
+    if (!change || !applyChange(entry.table, *change, organisations, reason)) {
+        refuse(context, request.request, reason.code, reason.text);
+        return;
+    }
+    if (request.baseVersion != entry.table.version) {
+        refuse(context, request.request, ReasonCode::VersionConflict,
+               "baseVersion: " + std::to_string(request.baseVersion)
+                   + " is not the table's version " + std::to_string(entry.table.version));
+        return;
+    }
+    const auto packing = packAnchors(organisations, entry.table.anchors, packingSites(entry));
+    if (const auto *shortage = newShortage(entry.table, *change, packing)) {
+        refuse(context, request.request, ReasonCode::Unpackable,
+               "guarantees: shape " + std::to_string(shortage->shape) + " copy "
+                   + std::to_string(shortage->copy) + " of " + shortage->organisation + ": "
+                   + shortage->cause);
+        return;
+    }
+    Edit edit;
+    edit.author = request.author;
+    edit.summary = summaryOf(*change);
+    edit.writtenUnixMs = request.nowUnixMs;
+    edit.upserts = std::move(change->upserts);
+    edit.removals = std::move(change->removals);
+    setAnchors(edit, entry.table, packing.anchors, packing.shortages);
+    PendingEdit pending;
+    pending.request = request.request;
+    pending.wait = request.wait;
+    startEdit(context, std::move(edit), std::move(pending));
+}
+
+void onTableRead(EntryContext context, const LogRead &read)
+{
+    auto &table = context.entry.table;
+    if (read.trimmed && table.version == 0)
+        table.awaitsSnapshot = true;
+    foldLines(context, read.lines);
+}
+
+void onTableLines(EntryContext context, const LogLines &lines)
+{
+    if (lines.stream == tableStream)
+        foldLines(context, lines.lines);
+}
+
+void onLogLinesRequest(EntryContext context, std::string_view from, const LogLinesRequest &request)
+{
+    const auto &table = context.entry.table;
+    if (request.stream != tableStream || table.nextOffset == 0)
+        return;
+    LogLines reply;
+    reply.stream = tableStream;
+    reply.next = table.nextOffset;
+    if (table.version != 0 && request.from < table.nextOffset) {
+        wire::LogLineT line;
+        line.offset = table.nextOffset - 1;
+        line.text = snapshotLine(table);
+        reply.lines.push_back(std::move(line));
+    }
+    context.out.sends.push_back({std::string(from), std::move(reply)});
+}
+
+void onAppended(EntryContext context, const LogAppended &appended)
+{
+    auto &edits = context.entry.edits;
+    edits.logFailedAt = appended.acknowledged ? 0 : context.now;
+    if (edits.snapshotAppend == appended.id)
+        edits.snapshotAppend = 0;
+    for (auto &edit : edits.pending) {
+        if (edit.append != appended.id)
+            continue;
+        edit.append = 0;
+        edit.retryAt = context.now + (appended.acknowledged ? appendAnswerMs : appendRetryMs);
+    }
+}
+
+void onVersionSummary(EntryContext context, std::string_view from, const VersionSummary &summary)
+{
+    auto &entry = context.entry;
+    auto &known = entry.edits.versions[std::string(from)];
+    known = {};
+    known.heardAt = context.now;
+    known.lowest = noVersion;
+    for (const auto &row : summary.versions) {
+        if (row.process == from)
+            known.own = row.version;
+        else if (row.process == "*")
+            known.lowest = row.version;
+        else
+            known.lowestProcess = row.process;
+    }
+    for (const auto &site : summary.sites) {
+        if (site.region == entry.options.region)
+            continue;
+        entry.edits.remoteSites[site.worker] = {site.worker, site.region, site.dataCentre,
+                                                site.rack, site.lost ? 0 : site.accelerators};
+    }
+    if (known.own > entry.table.version)
+        askForTable(context, from);
+}
+
+void sendAllSites(EntryContext context, std::string_view to)
+{
+    const auto sites = sitesOf(context.entry.view);
+    for (std::size_t first = 0; first < sites.size(); first += sitesPerMessage) {
+        auto summary = makeSummary(context.entry);
+        for (std::size_t i = first; i < std::min(sites.size(), first + sitesPerMessage); ++i)
+            summary.sites.push_back(toInfo(sites[i]));
+        context.out.sends.push_back({std::string(to), std::move(summary)});
+    }
+}
+
+void tickEdits(EntryContext context)
+{
+    tickPending(context);
+    sendSummaries(context);
+    tickRepack(context);
+    tickSnapshot(context);
+}
+
+std::vector<std::string> lagging(const Entry &entry, std::uint64_t version, TimeMs now)
+{
+    std::vector<std::string> names;
+    std::set<std::string> regions;
+    for (const auto &agent : entry.view.agents) {
+        if (agent.lostAt == 0 && !agent.report.agent.empty() && agent.report.tableVersion < version)
+            names.push_back(agent.report.agent);
+    }
+    addLaggingEntries(entry, version, now, names);
+    for (const auto &[name, peer] : entry.peers)
+        regions.insert(peer.info.region);
+    for (const auto &[worker, site] : entry.edits.remoteSites)
+        regions.insert(site.region);
+    for (const auto &[name, organisation] : entry.table.organisations) {
+        for (const auto &shape : organisation.guarantees)
+            regions.insert(shape.region);
+    }
+    for (const auto &region : regions) {
+        const bool reached = region.empty() || region == entry.options.region
+            || std::any_of(entry.peers.begin(), entry.peers.end(), [&region](const auto &row) {
+                                 return row.second.connected
+                                     && row.second.info.kind == ProcessKind::Entry
+                                     && row.second.info.region == region;
+                             });
+        if (!reached)
+            names.push_back("region " + region);
+    }
+    return names;
+}
+
+} // namespace flamingo
--- /dev/null
+++ b/flamingo/entry.cc
@@ -0,0 +1,396 @@
+// Each event is handled by the file that owns its subject; a scheduling pass follows when the event
+// changed the room or the queue.
+
+#include "flamingo/entry.h"
+
+#include "flamingo/jobs.h"
+#include "flamingo/lookup.h"
+
+#include <algorithm>
+
+namespace flamingo {
+namespace {
+
+constexpr TimeMs slowTickMs = 1000;
+constexpr TimeMs pauseMs = 1000; // ticks so far apart mean that this process was paused
+constexpr TimeMs drainTimeoutMs = 3000;
+constexpr TimeMs deductionMs = 8000; // longest wait for a StartReply, with room to spare
+
+void send(EntryContext context, std::string_view to, Message message)
+{
+    context.out.sends.push_back({std::string(to), std::move(message)});
+}
+
+// ---- Agents ----
+
+void acknowledge(EntryContext context, std::string_view from, const Report &report)
+{
+    ReportAck ack;
+    ack.sequence = report.sequence;
+    ack.intervalMs = static_cast<std::uint32_t>(reportIntervalMs(context.entry.view));
+    ack.tableVersion = context.entry.table.version;
+    send(context, from, ack);
+}
+
+void finishDrains(EntryContext context, const Report &report)
+{
+    auto &drains = context.entry.drains;
+    for (auto at = drains.begin(); at != drains.end();) {
+        if (at->agent != report.agent || at->drain != report.draining) {
+            ++at;
+            continue;
+        }
+        Reply reply;
+        reply.request = at->request;
+        reply.verdict = Verdict::Ran;
+        reply.accepted = true;
+        context.out.replies.push_back(std::move(reply));
+        at = drains.erase(at);
+    }
+}
+
+void onReport(EntryContext context, std::string_view from, const Report &report)
+{
+    auto &entry = context.entry;
+    acknowledge(context, from, report);
+    if (report.region != entry.options.region || report.agent != from)
+        return;
+    const auto result = applyReport(entry.view, report, context.now);
+    if (result == ReportResult::Stale)
+        return;
+    const auto peer = entry.peers.find(from);
+    if (peer != entry.peers.end() && !peer->second.connected)
+        setConnected(entry.view, from, false);
+    const auto agent = findAgent(entry.view, from);
+    restoreOld(entry.view, agent, context.now - deductionMs);
+    if (result == ReportResult::Restarted)
+        onAgentLost(context, agent, Loss::Restarted);
+    for (const auto &task : report.tasks)
+        onAttemptListed(context, task.attempt);
+    finishDrains(context, report);
+    entry.roomChanged = true;
+}
+
+// An interval above 1 s, set to keep to the control budget, allows for longer silence.
+TimeMs silentAfter(const Entry &entry)
+{
+    return entry.options.agentSilentAfterMs * reportIntervalMs(entry.view) / 1000;
+}
+
+void findSilentAgents(EntryContext context)
+{
+    auto &entry = context.entry;
+    if (context.now < entry.graceUntil)
+        return;
+    const auto bound = silentAfter(entry);
+    for (AgentId id = 0; id < entry.view.agents.size(); ++id) {
+        const auto &agent = entry.view.agents[id];
+        if (agent.lostAt != 0 || context.now - agent.heardAt <= bound)
+            continue;
+        setLost(entry.view, id, context.now);
+        onAgentLost(context, id, Loss::Silent);
+    }
+}
+
+void noteHeard(EntryContext context, std::string_view from)
+{
+    auto &view = context.entry.view;
+    const auto agent = findAgent(view, from);
+    if (agent != noAgent)
+        view.agents[agent].heardAt = context.now;
+}
+
+// ---- Peers ----
+
+void onPeerUp(EntryContext context, const PeerUp &up)
+{
+    auto &entry = context.entry;
+    auto &peer = entry.peers[up.peer.process];
+    peer.info = up.peer;
+    peer.connected = true;
+    entry.roomChanged = true;
+    if (up.peer.kind == ProcessKind::Agent) {
+        setConnected(entry.view, up.peer.process, true);
+        return;
+    }
+    entry.edits.versions.erase(up.peer.process);
+    if (up.peer.region != entry.options.region)
+        sendAllSites(context, up.peer.process);
+    if (entry.table.version != 0)
+        return;
+    LogLinesRequest request;
+    request.stream = tableStream;
+    request.from = entry.table.nextOffset;
+    send(context, up.peer.process, std::move(request));
+}
+
+void onPeerDown(EntryContext context, const PeerDown &down)
+{
+    auto &entry = context.entry;
+    const auto peer = entry.peers.find(down.process);
+    if (peer != entry.peers.end()) {
+        peer->second.connected = false;
+        peer->second.downAt = context.now;
+    }
+    setConnected(entry.view, down.process, false);
+    const auto agent = findAgent(entry.view, down.process);
+    if (agent != noAgent)
+        onAgentLost(context, agent, Loss::Disconnected);
+    onEntryDown(context, down.process);
+}
+
+// ---- Messages ----
+
+void onForward(EntryContext context, std::string_view from, const Forward &forward)
+{
+    if (forward.spec != nullptr)
+        submitJob(context, {forward.request, std::string(from)}, *forward.spec, true);
+}
+
+void onCancel(EntryContext context, const Cancel &cancel)
+{
+    if (auto *job = findJob(context.entry, cancel.job))
+        cancelJob(context, *job);
+}
+
+void onMessage(EntryContext context, std::string_view from, const Message &message)
+{
+    if (const auto *report = std::get_if<Report>(&message))
+        onReport(context, from, *report);
+    else if (const auto *started = std::get_if<StartReply>(&message))
+        onStartReply(context, *started);
+    else if (const auto *outcome = std::get_if<Outcome>(&message))
+        onOutcome(context, from, *outcome);
+    else if (const auto *key = std::get_if<KeyReply>(&message))
+        onKeyReply(context, *key);
+    else if (const auto *lines = std::get_if<LogLines>(&message))
+        onTableLines(context, *lines);
+    else if (const auto *wanted = std::get_if<LogLinesRequest>(&message))
+        onLogLinesRequest(context, from, *wanted);
+    else if (const auto *summary = std::get_if<VersionSummary>(&message))
+        onVersionSummary(context, from, *summary);
+    else if (const auto *forward = std::get_if<Forward>(&message))
+        onForward(context, from, *forward);
+    else if (const auto *forwarded = std::get_if<ForwardReply>(&message))
+        onForwardReply(context, *forwarded);
+    else if (const auto *query = std::get_if<JobQuery>(&message))
+        onJobQuery(context, from, *query);
+    else if (const auto *found = std::get_if<JobReply>(&message))
+        onJobReply(context, from, *found);
+    else if (const auto *cancel = std::get_if<Cancel>(&message))
+        onCancel(context, *cancel);
+}
+
+// ---- Requests ----
+
+void onQueryJob(EntryContext context, const QueryJob &query)
+{
+    auto *job = findJob(context.entry, query.job);
+    if (job == nullptr) {
+        startLookup(context, query.request, query.job, query.wait, false);
+        return;
+    }
+    if (job->state == JobState::Finished)
+        answer(context, {query.request, {}}, resultOf(*job));
+    else
+        addWaiter(context, *job, {query.request, {}}, query.wait);
+}
+
+void onCancelJob(EntryContext context, const CancelJob &cancel)
+{
+    auto *job = findJob(context.entry, cancel.job);
+    if (job == nullptr) {
+        startLookup(context, cancel.request, cancel.job, true, true);
+        return;
+    }
+    if (job->state == JobState::Finished) {
+        answer(context, {cancel.request, {}}, resultOf(*job));
+        return;
+    }
+    addWaiter(context, *job, {cancel.request, {}}, true);
+    cancelJob(context, *job);
+}
+
+template <typename Rows>
+void eraseRequest(Rows &rows, std::string_view request)
+{
+    rows.erase(std::remove_if(rows.begin(), rows.end(),
+                              [request](const auto &row) { return row.request == request; }),
+               rows.end());
+}
+
+void onCallerGone(EntryContext context, const CallerGone &gone)
+{
+    auto &entry = context.entry;
+    eraseRequest(entry.lookups, gone.request);
+    eraseRequest(entry.drains, gone.request);
+    for (auto &edit : entry.edits.pending) {
+        if (edit.request == gone.request)
+            edit.request.clear();
+    }
+    const auto found = entry.byRequest.find(gone.request);
+    if (found == entry.byRequest.end())
+        return;
+    eraseRequest(entry.jobs.at(found->second)->waiters, gone.request);
+    entry.byRequest.erase(found);
+}
+
+void onDrainTarget(EntryContext context, const DrainTarget &request)
+{
+    auto &entry = context.entry;
+    const auto agent = findAgent(entry.view, request.agent);
+    if (agent == noAgent || !entry.view.agents[agent].connected) {
+        Reply reply;
+        reply.request = request.request;
+        reply.reason = {ReasonCode::TargetUnreachable,
+                        "agent: \"" + request.agent + "\" is not connected to this entry"};
+        context.out.replies.push_back(std::move(reply));
+        return;
+    }
+    setDrainAsked(entry.view, agent, request.drain);
+    Drain drain;
+    drain.drain = request.drain;
+    send(context, request.agent, drain);
+    entry.drains.push_back({request.request, request.agent, request.drain, context.now});
+}
+
+// ---- Time ----
+
+void tickDrains(EntryContext context)
+{
+    auto &entry = context.entry;
+    for (auto at = entry.drains.begin(); at != entry.drains.end();) {
+        if (context.now - at->askedAt < drainTimeoutMs) {
+            ++at;
+            continue;
+        }
+        setDrainAsked(entry.view, findAgent(entry.view, at->agent), false);
+        Reply reply;
+        reply.request = at->request;
+        reply.verdict = Verdict::MayHaveRun;
+        reply.reason = {ReasonCode::TargetUnreachable, at->agent + " did not confirm"};
+        context.out.replies.push_back(std::move(reply));
+        at = entry.drains.erase(at);
+    }
+}
+
+// Room is held only for jobs that still wait.
+void checkHolds(Entry &entry)
+{
+    for (auto &centre : entry.view.dataCentres) {
+        if (centre.heldFor == 0)
+            continue;
+        const auto job = entry.jobs.find(centre.heldFor);
+        if (job == entry.jobs.end() || !job->second->queued)
+            centre.heldFor = 0;
+    }
+}
+
+void slowTick(EntryContext context)
+{
+    auto &entry = context.entry;
+    entry.slowTickAt = context.now;
+    findSilentAgents(context);
+    forgetFinished(context);
+    growBudgetWithTime(entry.budget, context.now);
+    checkHolds(entry);
+    entry.roomChanged = entry.roomChanged || entry.queue.size != 0;
+}
+
+void onTick(EntryContext context)
+{
+    auto &entry = context.entry;
+    if (entry.tickAt != 0 && context.now - entry.tickAt >= pauseMs)
+        entry.graceUntil = context.now + silentAfter(entry);
+    entry.tickAt = context.now;
+    fireTimers(context);
+    tickLookups(context);
+    tickDrains(context);
+    tickEdits(context);
+    if (context.now - entry.slowTickAt >= slowTickMs)
+        slowTick(context);
+}
+
+void onLogRead(EntryContext context, const LogRead &read)
+{
+    if (read.stream == tableStream)
+        onTableRead(context, read);
+    if (read.stream != claimsStream)
+        return;
+    foldRanges(context.entry.ranges, read);
+    context.entry.roomChanged = true;
+}
+
+void onRequest(EntryContext context, const EntryEvent &event)
+{
+    if (const auto *submit = std::get_if<Submit>(&event))
+        submitJob(context, {submit->request, {}}, submit->spec, submit->wait);
+    else if (const auto *gone = std::get_if<CallerGone>(&event))
+        onCallerGone(context, *gone);
+    else if (const auto *query = std::get_if<QueryJob>(&event))
+        onQueryJob(context, *query);
+    else if (const auto *cancel = std::get_if<CancelJob>(&event))
+        onCancelJob(context, *cancel);
+    else if (const auto *edit = std::get_if<EditTable>(&event))
+        onEditTable(context, *edit);
+    else if (const auto *drain = std::get_if<DrainTarget>(&event))
+        onDrainTarget(context, *drain);
+    else if (std::get_if<StopAccepting>(&event) != nullptr)
+        context.entry.accepting = false;
+}
+
+void onEvent(EntryContext context, const EntryEvent &event)
+{
+    if (const auto *message = std::get_if<PeerMessage>(&event)) {
+        noteHeard(context, message->from);
+        onMessage(context, message->from, message->message);
+    } else if (const auto *up = std::get_if<PeerUp>(&event)) {
+        onPeerUp(context, *up);
+    } else if (const auto *down = std::get_if<PeerDown>(&event)) {
+        onPeerDown(context, *down);
+    } else if (const auto *read = std::get_if<LogRead>(&event)) {
+        onLogRead(context, *read);
+    } else if (const auto *appended = std::get_if<LogAppended>(&event)) {
+        onAppended(context, *appended);
+    } else if (std::get_if<Tick>(&event) != nullptr) {
+        onTick(context);
+    } else {
+        onRequest(context, event);
+    }
+}
+
+} // namespace
+
+Entry makeEntry(const EntryOptions &options)
+{
+    Entry entry;
+    entry.options = options;
+    entry.view.region = options.region;
+    return entry;
+}
+
+void handleEntry(Entry &entry, const EntryEvent &event, TimeMs now, Random &random, Outbox &out)
+{
+    if (entry.startedAt < 0) {
+        entry.startedAt = now;
+        entry.edits.snapshotSeenAt = now;
+    }
+    const EntryContext context{entry, now, random, out};
+    onEvent(context, event);
+    schedule(context);
+}
+
+bool entryIdle(const Entry &entry)
+{
+    const bool edits = std::any_of(entry.edits.pending.begin(), entry.edits.pending.end(),
+                                   [](const auto &edit) { return !edit.request.empty(); });
+    // A running job without a waiting caller stays with its agent, which keeps the answer.
+    return !edits && entry.lookups.empty() && entry.drains.empty()
+        && std::all_of(entry.jobs.begin(), entry.jobs.end(), [](const auto &row) {
+               const auto &job = *row.second;
+               return job.state == JobState::Finished
+                   || (job.state == JobState::Running && job.waiters.empty());
+           });
+}
+
+} // namespace flamingo
--- a/flamingo/entry.h
+++ b/flamingo/entry.h
@@ -3,11 +3,31 @@
 
 // The entry: takes requests of callers and operators, queues and places jobs on agents, retries
 // where that is safe, and gives every caller one truthful reply.
-
+//
+// The verdict of a reply concerns the submission it answers: NotRun says that nothing was started
+// for it and nothing will be. What an earlier submission of the same key did is known to the key's
+// owner only; when the owner cannot be asked and the caller did not vouch for a first attempt, the
+// verdict is MayHaveRun.
+//
+//   flamingo/view.h    agents and placement
+//   flamingo/queue.h   admission, fair sharing, deadlines
+//   flamingo/edits.h   table edits and versions in force
+//   flamingo/jobs.h    one job from its submission to its reply
+//   flamingo/lookup.h  questions about jobs of other entries
+//
+// After each LogRead of the table stream the log has to be read on from Entry::table.nextOffset,
+// which moves back when lines were missed (flamingo/table.h).
+
+#include "flamingo/edits.h"
 #include "flamingo/messages.h"
 #include "flamingo/owner.h"
+#include "flamingo/queue.h"
 #include "flamingo/table.h"
+#include "flamingo/view.h"
 
+#include <memory>
+#include <set>
+#include <unordered_map>
 #include <variant>
 
 namespace flamingo {
@@ -28,6 +48,14 @@
     TimeMs acceptTimeoutMs = 6000; // an edit not in force everywhere by then is pending
     TimeMs finishedRetentionMs = 600000;
     double fragmentationWeight = 0.5; // 0: only completion time counts, 1: only fragmentation
+    TimeMs settleMs = 3000; // after the start, before a shape is called impossible
+    TimeMs moveAnchorsAfterMs = 10000; // a worker silent for so long loses its anchors
+    std::uint64_t snapshotEveryEdits = 500;
+    TimeMs snapshotEveryMs = 3600000;
+    TimeMs logTimeoutMs = 5000; // an edit not recorded by then is answered as unknown
+    TimeMs cancelTimeoutMs = 10000; // a cancelled job whose agent is silent may have run
+    TimeMs spillAfterMs = 2000; // without room, then a job may go to another region
+    std::size_t maxLookups = 1000;
 };
 
 // ---- Requests of callers and operators; each gets exactly one Reply with the same id ----
@@ -86,7 +114,85 @@
     std::variant<PeerMessage, PeerUp, PeerDown, LogRead, LogAppended, Submit, CallerGone, QueryJob,
                  CancelJob, EditTable, DrainTarget, StopAccepting, Tick>;
 
-struct Entry;
+// A process that is or was connected.
+struct Peer
+{
+    PeerInfo info;
+    bool connected = false;
+    TimeMs downAt = 0;
+};
+
+// A question about a job that this entry does not have.
+struct Lookup
+{
+    std::string id; // request id of the JobQuery messages
+    std::string request; // of the caller
+    std::string job;
+    bool wait = false;
+    bool cancel = false;
+    bool askedEntries = false;
+    std::set<std::string> waitingFor;
+    std::string holder; // process that has the job
+    TimeMs askedAt = 0;
+    TimeMs heardAt = 0;
+};
+
+struct PendingDrain
+{
+    std::string request;
+    std::string agent;
+    bool drain = true;
+    TimeMs askedAt = 0;
+};
+
+struct EntryCounters
+{
+    std::uint64_t submitted = 0;
+    std::uint64_t replied = 0;
+    std::uint64_t starts = 0;
+    std::uint64_t guaranteedStarts = 0;
+    std::uint64_t refusals = 0;
+    std::uint64_t timeouts = 0;
+    std::uint64_t evictions = 0;
+    std::uint64_t lostAttempts = 0;
+    std::uint64_t forwards = 0;
+    std::uint64_t notRun = 0;
+    std::uint64_t mayHaveRun = 0;
+    std::uint64_t ran = 0;
+};
+
+struct Entry
+{
+    EntryOptions options;
+    Table table;
+    RangeMap ranges;
+    View view;
+    std::unordered_map<std::uint64_t, std::unique_ptr<Job>> jobs; // by serial
+    std::unordered_map<std::string, std::uint64_t> byId;
+    std::unordered_map<std::string, std::uint64_t> byKey;
+    std::unordered_map<std::string, std::uint64_t> byAttempt;
+    std::unordered_map<std::string, std::uint64_t> byRequest; // callers that wait
+    std::unordered_map<std::string, std::uint64_t> byForward;
+    Queue queue;
+    std::set<std::pair<TimeMs, std::uint64_t>> timers;
+    std::set<std::pair<TimeMs, std::uint64_t>> finished; // oldest first
+    Estimates estimates;
+    RetryBudget budget;
+    Edits edits;
+    std::map<std::string, Peer, std::less<>> peers;
+    std::vector<Lookup> lookups;
+    std::vector<PendingDrain> drains;
+    EntryCounters counters;
+    std::uint64_t lastSerial = 0;
+    std::uint64_t lastAttempt = 0;
+    std::uint64_t lastLookup = 0;
+    TimeMs startedAt = -1; // first event
+    TimeMs slowTickAt = 0;
+    TimeMs tickAt = 0;
+    TimeMs graceUntil = 0; // after a pause of this process nobody counts as silent
+    bool accepting = true;
+    bool roomChanged = false; // the queue has to be looked at
+};
 
 Entry makeEntry(const EntryOptions &options);
 void handleEntry(Entry &entry, const EntryEvent &event, TimeMs now, Random &random, Outbox &out);
--- /dev/null
+++ b/flamingo/entry_json.cc
@@ -0,0 +1,336 @@
+// JSON documents of the entry for operators.
+
+#include "flamingo/entry.h"
+#include "flamingo/jobs.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+
+namespace flamingo {
+namespace {
+
+using Json = nlohmann::ordered_json;
+
+constexpr std::size_t maxRows = 1000; // of jobs in a dump
+
+std::string text(const Json &json)
+{
+    return json.dump(2, ' ', false, Json::error_handler_t::replace);
+}
+
+Json reasonJson(const Reason &reason)
+{
+    if (reason.code == ReasonCode::None && reason.text.empty())
+        return nullptr;
+    return {{"code", reasonName(reason.code)}, {"text", reason.text}};
+}
+
+Json attemptsJson(const Entry &entry, const Job &job)
+{
+    auto rows = Json::array();
+    for (const auto &attempt : job.attempts) {
+        auto agents = Json::array();
+        for (const auto agent : attempt.agents)
+            agents.push_back(entry.view.agents[agent].report.agent);
+        rows.push_back({{"attempt", attempt.id},
+                        {"accepted", attempt.accepted},
+                        {"agents", std::move(agents)}});
+    }
+    return rows;
+}
+
+Json jobJson(const Entry &entry, const Job &job, TimeMs now)
+{
+    Json json = {{"job", job.spec.job},
+                 {"state", jobStateName(job.state)},
+                 {"organisation", job.spec.organisation},
+                 {"class", wire::EnumNameJobClass(job.spec.jobClass)},
+                 {"members", job.spec.members},
+                 {"accelerators", job.spec.accelerators},
+                 {"ageMs", now - job.submittedAt},
+                 {"tries", job.tries},
+                 {"overtaken", job.overtaken},
+                 {"waiters", job.waiters.size()},
+                 {"attempts", attemptsJson(entry, job)}};
+    if (job.deadlineAt != 0)
+        json["deadlineInMs"] = job.deadlineAt - now;
+    if (job.state == JobState::Finished) {
+        json["verdict"] = verdictName(job.verdict);
+        json["reason"] = reasonJson(job.reason);
+    } else {
+        json["waitsFor"] = reasonJson(job.blocked);
+    }
+    if (job.state == JobState::Forwarded)
+        json["forwardedTo"] = job.forwardedTo;
+    return json;
+}
+
+Json targetJson(const View &view, AgentId id, TimeMs now)
+{
+    const auto &agent = view.agents[id];
+    const auto &room = view.rooms[id];
+    const auto &report = agent.report;
+    return {{"agent", report.agent},
+            {"region", report.region},
+            {"dataCentre", report.dataCentre},
+            {"rack", report.rack},
+            {"incarnation", report.incarnation},
+            {"connected", agent.connected},
+            {"lost", agent.lostAt != 0},
+            {"draining", report.draining || agent.drainAsked},
+            {"setAside", report.setAside},
+            {"heardMsAgo", now - agent.heardAt},
+            {"accelerators", report.accelerators},
+            {"freeMask", room.freeMask},
+            {"evictableMask", room.evictableMask},
+            {"anchoredMask", room.anchoredMask},
+            {"freeCores", room.cores},
+            {"freeMemoryMib", room.memoryMib},
+            {"freeSlots", room.slots},
+            {"tasks", report.tasks.size()},
+            {"starting", agent.deductions.size()},
+            {"tableVersion", report.tableVersion}};
+}
+
+Json targets(const Entry &entry, TimeMs now)
+{
+    auto rows = Json::array();
+    for (AgentId id = 0; id < entry.view.agents.size(); ++id) {
+        if (!entry.view.agents[id].report.agent.empty())
+            rows.push_back(targetJson(entry.view, id, now));
+    }
+    return rows;
+}
+
+Json peersJson(const Entry &entry, TimeMs now)
+{
+    auto rows = Json::array();
+    for (const auto &[name, peer] : entry.peers) {
+        if (peer.info.kind != ProcessKind::Entry)
+            continue;
+        Json row = {{"entry", name}, {"region", peer.info.region}, {"connected", peer.connected}};
+        if (!peer.connected)
+            row["downForMs"] = now - peer.downAt;
+        const auto known = entry.edits.versions.find(name);
+        if (known != entry.edits.versions.end()) {
+            row["tableVersion"] = known->second.own;
+            if (known->second.lowest != ~0ULL)
+                row["lowestAgentVersion"] = known->second.lowest;
+            row["heardMsAgo"] = now - known->second.heardAt;
+        }
+        rows.push_back(std::move(row));
+    }
+    return rows;
+}
+
+Json shortagesJson(const Table &table)
+{
+    auto rows = Json::array();
+    for (const auto &shortage : table.shortages)
+        rows.push_back({{"organisation", shortage.organisation},
+                        {"shape", shortage.shape},
+                        {"copy", shortage.copy},
+                        {"cause", shortage.cause}});
+    return rows;
+}
+
+// Anchors on workers that do not answer, until they are moved.
+Json brokenAnchorsJson(const Entry &entry)
+{
+    auto rows = Json::array();
+    for (const auto &anchor : entry.table.anchors) {
+        const auto agent = findAgent(entry.view, anchor.worker);
+        if (agent == noAgent || entry.view.agents[agent].lostAt == 0)
+            continue;
+        rows.push_back({{"organisation", anchor.organisation},
+                        {"shape", anchor.shape},
+                        {"copy", anchor.copy},
+                        {"worker", anchor.worker},
+                        {"cause", "the worker is silent"}});
+    }
+    return rows;
+}
+
+Json editsJson(const Entry &entry, TimeMs now)
+{
+    auto rows = Json::array();
+    for (const auto &edit : entry.edits.pending) {
+        const bool recorded = edit.state == EditState::Recorded;
+        rows.push_back({{"sequence", edit.sequence},
+                        {"state", recorded ? "recorded" : "appending"},
+                        {"version", edit.version},
+                        {"automatic", edit.automatic},
+                        {"ageMs", now - edit.startedAt}});
+    }
+    return rows;
+}
+
+Json status(const Entry &entry, TimeMs now)
+{
+    auto versions = Json::array();
+    for (const auto &agent : entry.view.agents) {
+        if (agent.report.agent.empty())
+            continue;
+        versions.push_back({{"agent", agent.report.agent},
+                            {"lost", agent.lostAt != 0},
+                            {"tableVersion", agent.report.tableVersion}});
+    }
+    return {{"entry", entry.options.name},
+            {"region", entry.options.region},
+            {"accepting", entry.accepting},
+            {"tableVersion", entry.table.version},
+            {"nextOffset", entry.table.nextOffset},
+            {"notInForceAt", lagging(entry, entry.table.version, now)},
+            {"logAvailable", entry.edits.logFailedAt == 0},
+            {"edits", editsJson(entry, now)},
+            {"shortages", shortagesJson(entry.table)},
+            {"anchorsOnLostWorkers", brokenAnchorsJson(entry)},
+            {"entries", peersJson(entry, now)},
+            {"agents", std::move(versions)}};
+}
+
+Json ownersJson(const Entry &entry)
+{
+    auto rows = Json::array();
+    for (const auto &[range, owner] : entry.ranges.owners)
+        rows.push_back({{"region", range.first},
+                        {"range", range.second},
+                        {"owner", owner.agent},
+                        {"epoch", owner.epoch}});
+    return rows;
+}
+
+Json countersJson(const EntryCounters &counters)
+{
+    return {{"submitted", counters.submitted},   {"replied", counters.replied},
+            {"starts", counters.starts},         {"guaranteedStarts", counters.guaranteedStarts},
+            {"refusals", counters.refusals},     {"timeouts", counters.timeouts},
+            {"evictions", counters.evictions},   {"lostAttempts", counters.lostAttempts},
+            {"forwards", counters.forwards},     {"notRun", counters.notRun},
+            {"mayHaveRun", counters.mayHaveRun}, {"ran", counters.ran}};
+}
+
+Json usageJson(const Entry &entry)
+{
+    auto json = Json::object();
+    for (const auto &[name, organisation] : entry.table.organisations) {
+        const auto usage = usageOf(entry.view, name);
+        json[name] = {{"accelerators", usage.accelerators},
+                      {"limitAccelerators", organisation.limitAccelerators},
+                      {"tasks", usage.tasks},
+                      {"limitSlots", organisation.limitSlots},
+                      {"weight", organisation.weight}};
+    }
+    return json;
+}
+
+Json holdsJson(const Entry &entry)
+{
+    auto rows = Json::array();
+    for (const auto &centre : entry.view.dataCentres) {
+        const auto job = entry.jobs.find(centre.heldFor);
+        if (job != entry.jobs.end())
+            rows.push_back({{"dataCentre", centre.name}, {"job", job->second->spec.job}});
+    }
+    return rows;
+}
+
+Json jobsJson(const Entry &entry, TimeMs now)
+{
+    std::vector<const Job *> jobs;
+    for (const auto &[serial, job] : entry.jobs)
+        jobs.push_back(job.get());
+    std::sort(jobs.begin(), jobs.end(),
+              [](const Job *a, const Job *b) { return a->serial > b->serial; });
+    auto rows = Json::array();
+    for (std::size_t i = 0; i < std::min(jobs.size(), maxRows); ++i)
+        rows.push_back(jobJson(entry, *jobs[i], now));
+    return rows;
+}
+
+// ---- Why a job waits ----
+
+std::string freedBy(const Entry &entry, const Job &job)
+{
+    switch (job.blocked.code) {
+    case ReasonCode::LimitReached:
+        return "the end of a task of " + job.spec.organisation + ", or a higher limit";
+    case ReasonCode::OwnerUnreachable:
+    case ReasonCode::TakeoverIncomplete:
+        return "an owner of the key's range that answers";
+    case ReasonCode::RetryBudgetSpent:
+        return "time: the retry budget grows by one per second and with every request";
+    default:
+        break;
+    }
+    std::string text = std::to_string(job.spec.members) + " workers of one data centre with "
+        + std::to_string(job.spec.accelerators)
+        + " adjacent free accelerators each, outside the anchors of others";
+    if (job.spec.idempotent || job.spec.checkpointable)
+        text = std::to_string(job.spec.members) + " workers of one data centre with "
+            + std::to_string(job.spec.accelerators) + " adjacent free accelerators each";
+    if (entry.view.copies.count(job.spec.organisation) == 0)
+        text += "; the organisation has no guaranteed shape to reclaim";
+    return text;
+}
+
+// Number of workers in each data centre that could take a member now.
+Json roomJson(const Entry &entry, const Job &job)
+{
+    auto json = Json::object();
+    for (const auto &centre : entry.view.dataCentres) {
+        std::size_t count = 0;
+        for (std::size_t run = job.spec.accelerators; run < blockSizes; ++run)
+            count += centre.any[run].size();
+        json[centre.name] = {
+            {"workersWithRoom", count},
+            {"heldForAnotherJob", centre.heldFor != 0 && centre.heldFor != job.serial}};
+    }
+    return json;
+}
+
+} // namespace
+
+std::string dumpEntry(const Entry &entry, TimeMs now)
+{
+    return text({{"status", status(entry, now)},
+                 {"counters", countersJson(entry.counters)},
+                 {"queued", entry.queue.size},
+                 {"retryTokens", entry.budget.tokens},
+                 {"fragmentation", fragmentationOf(entry.view)},
+                 {"usage", usageJson(entry)},
+                 {"holds", holdsJson(entry)},
+                 {"owners", ownersJson(entry)},
+                 {"targets", targets(entry, now)},
+                 {"jobs", jobsJson(entry, now)}});
+}
+
+std::string targetsJson(const Entry &entry, TimeMs now)
+{
+    return text({{"targets", targets(entry, now)}});
+}
+
+std::string statusJson(const Entry &entry, TimeMs now)
+{
+    return text(status(entry, now));
+}
+
+std::string explainJob(const Entry &entry, std::string_view job, TimeMs now)
+{
+    const auto found = entry.byId.find(std::string(job));
+    if (found == entry.byId.end())
+        return text({{"job", job}, {"state", "unknown to this entry"}});
+    const auto &known = *entry.jobs.at(found->second);
+    auto json = jobJson(entry, known, now);
+    Reason reason;
+    if (!couldEverHold(entry.view, known.spec, reason))
+        json["neverRuns"] = reasonJson(reason);
+    if (known.state == JobState::Queued) {
+        json["freedBy"] = freedBy(entry, known);
+        json["room"] = roomJson(entry, known);
+    }
+    return text(json);
+}
+
+} // namespace flamingo
--- /dev/null
+++ b/flamingo/jobs.cc
@@ -0,0 +1,1308 @@
+// Scheduling pass: for each class, the organisation with the smallest share is asked for its next
+// job again and again until no organisation has a job left that can be placed. Shapes that found no
+// room in this pass are remembered, so that equal or larger jobs behind them cost no search.
+//
+// Retries: a refused attempt has ended. An attempt without a StartReply stays open; it is cancelled
+// when the job is idempotent, and otherwise left to the owner, which grants the key to one attempt
+// only. Verdicts are corrected in one place, finishJob.
+
+#include "flamingo/jobs.h"
+
+#include <absl/types/span.h>
+
+#include <algorithm>
+
+namespace flamingo {
+namespace {
+
+constexpr TimeMs guaranteedExtraMs = 3000; // guests are checkpointed (2 s) and stopped first
+constexpr TimeMs gangExtraMs = 2000; // holds expire by then
+constexpr TimeMs ownerExtraMs = 3000; // the owner waits 2 s for the log before it grants
+constexpr TimeMs backOffMs = 200;
+constexpr TimeMs ownerBackOffMs = 500;
+constexpr TimeMs askIntervalMs = 1000;
+constexpr TimeMs forwardCheckMs = 10000;
+constexpr std::uint32_t maxFailedWorkers = 3;
+constexpr std::size_t maxSearchesPerPass = 64;
+constexpr std::size_t maxSkipsPerPass = 5000;
+constexpr std::size_t maxStartsPerPass = 128;
+constexpr TimeMs queueFullRetryMs = 1000;
+
+Reason reasonOf(ReasonCode code, std::string text)
+{
+    return {code, std::move(text)};
+}
+
+// ---- Timers ----
+
+void setTimer(Entry &entry, Job &job, TimeMs at)
+{
+    if (job.timerAt != 0)
+        entry.timers.erase({job.timerAt, job.serial});
+    job.timerAt = at;
+    if (at != 0)
+        entry.timers.emplace(at, job.serial);
+}
+
+void setQueueTimer(EntryContext context, Job &job)
+{
+    auto at = job.deadlineAt;
+    if (job.notBefore > context.now && (at == 0 || job.notBefore < at))
+        at = job.notBefore;
+    setTimer(context.entry, job, at);
+}
+
+// ---- Attempts ----
+
+void send(EntryContext context, std::string_view to, Message message)
+{
+    context.out.sends.push_back({std::string(to), std::move(message)});
+}
+
+std::string_view nameOf(const Entry &entry, AgentId agent)
+{
+    return entry.view.agents[agent].report.agent;
+}
+
+void sendCancel(EntryContext context, const Job &job, const Attempt &attempt)
+{
+    Cancel cancel;
+    cancel.job = job.spec.job;
+    cancel.attempt = attempt.id;
+    send(context, nameOf(context.entry, attempt.agents.front()), std::move(cancel));
+}
+
+void restoreAttempt(Entry &entry, const Attempt &attempt)
+{
+    for (const auto agent : attempt.agents)
+        restore(entry.view, agent, attempt.id);
+    entry.roomChanged = true;
+}
+
+// Forgets an attempt that has ended.
+void closeAttempt(Entry &entry, Job &job, std::string_view id)
+{
+    const auto found = std::find_if(job.attempts.begin(), job.attempts.end(),
+                                    [id](const auto &attempt) { return attempt.id == id; });
+    if (found == job.attempts.end())
+        return;
+    restoreAttempt(entry, *found);
+    entry.byAttempt.erase(found->id);
+    if (job.current == id)
+        job.current.clear();
+    job.attempts.erase(found);
+}
+
+const Attempt *findAttempt(const Job &job, std::string_view id)
+{
+    for (const auto &attempt : job.attempts) {
+        if (attempt.id == id)
+            return &attempt;
+    }
+    return nullptr;
+}
+
+void releaseHold(Entry &entry, const Job &job)
+{
+    for (auto &centre : entry.view.dataCentres) {
+        if (centre.heldFor != job.serial)
+            continue;
+        centre.heldFor = 0;
+        entry.roomChanged = true;
+    }
+}
+
+bool hasHold(const Entry &entry, const Job &job)
+{
+    return std::any_of(entry.view.dataCentres.begin(), entry.view.dataCentres.end(),
+                       [&job](const auto &centre) { return centre.heldFor == job.serial; });
+}
+
+// ---- The end of a job ----
+
+void countReply(EntryCounters &counters, Verdict verdict)
+{
+    ++counters.replied;
+    ++(verdict == Verdict::NotRun           ? counters.notRun
+           : verdict == Verdict::MayHaveRun ? counters.mayHaveRun
+                                            : counters.ran);
+}
+
+void replyAll(EntryContext context, Job &job)
+{
+    auto waiters = std::move(job.waiters);
+    job.waiters.clear();
+    for (auto &waiter : waiters) {
+        answer(context, waiter, resultOf(job));
+        if (!waiter.entry.empty())
+            job.served.push_back(std::move(waiter));
+    }
+}
+
+void endAttempts(EntryContext context, Job &job, Verdict verdict)
+{
+    // A claimed job that may still run is left alone: a retry with its key finds the result.
+    const bool leave = !job.spec.idempotent && verdict == Verdict::MayHaveRun && !job.cancelled;
+    for (const auto &attempt : job.attempts) {
+        if (!leave)
+            sendCancel(context, job, attempt);
+        restoreAttempt(context.entry, attempt);
+        context.entry.byAttempt.erase(attempt.id);
+    }
+    job.attempts.clear();
+    job.current.clear();
+}
+
+void finishJob(EntryContext context, Job &job, Verdict verdict, Reason reason,
+               std::string text = {}, TimeMs retryAfterMs = 0)
+{
+    auto &entry = context.entry;
+    if (verdict == Verdict::NotRun && (job.mayHaveRun || !job.attempts.empty()))
+        verdict = Verdict::MayHaveRun;
+    dequeue(entry.queue, job);
+    releaseHold(entry, job);
+    endAttempts(context, job, verdict);
+    setTimer(entry, job, 0);
+    if (!job.forwardRequest.empty())
+        entry.byForward.erase(job.forwardRequest);
+    job.state = JobState::Finished;
+    job.verdict = verdict;
+    job.reason = std::move(reason);
+    job.answer = std::move(text);
+    job.retryAfterMs = retryAfterMs;
+    job.finishedAt = context.now;
+    job.spec.payload.clear();
+    job.spec.checkpoint.clear();
+    entry.finished.emplace(context.now, job.serial);
+    replyAll(context, job);
+}
+
+void forgetJob(Entry &entry, std::uint64_t serial)
+{
+    const auto found = entry.jobs.find(serial);
+    const auto &job = *found->second;
+    const auto forget = [serial](auto &index, const std::string &name) {
+        const auto at = index.find(name);
+        if (at != index.end() && at->second == serial)
+            index.erase(at);
+    };
+    forget(entry.byId, job.spec.job);
+    forget(entry.byKey, job.spec.key);
+    entry.finished.erase({job.finishedAt, serial});
+    entry.jobs.erase(found);
+}
+
+// ---- Back into the queue, or giving up ----
+
+void requeue(EntryContext context, Job &job, TimeMs delayMs)
+{
+    job.state = JobState::Queued;
+    job.notBefore = delayMs == 0 ? 0 : context.now + delayMs;
+    enqueue(context.entry.queue, job, true);
+    setQueueTimer(context, job);
+    context.entry.roomChanged = true;
+}
+
+void askOwner(EntryContext context, Job &job, bool watch)
+{
+    const auto range = rangeOf(job.spec.key);
+    const auto owner = ownerOf(context.entry.ranges, job.spec.homeRegion, range);
+    setTimer(context.entry, job, context.now + askIntervalMs);
+    if (owner.agent.empty())
+        return;
+    KeyQuery query;
+    query.key = job.spec.key;
+    query.range = range;
+    query.epoch = owner.epoch;
+    query.watch = watch;
+    send(context, owner.agent, std::move(query));
+}
+
+// Waits for what the owner knows of the key; `untilMs` 0 waits as long as the key is running.
+void startAsking(EntryContext context, Job &job, TimeMs untilMs)
+{
+    dequeue(context.entry.queue, job);
+    job.state = JobState::Asking;
+    job.ownerHeardAt = context.now;
+    job.askUntil = untilMs == 0 ? 0 : context.now + untilMs;
+    askOwner(context, job, true);
+}
+
+void giveUp(EntryContext context, Job &job, Reason reason)
+{
+    const bool certain = job.attempts.empty() && !job.mayHaveRun;
+    if (job.spec.idempotent || certain) {
+        finishJob(context, job, Verdict::NotRun, std::move(reason));
+        return;
+    }
+    job.blocked = std::move(reason);
+    startAsking(context, job, context.entry.options.ownerSilentAfterMs);
+}
+
+// The current attempt did not lead to a result; tries again if that is allowed.
+void retryJob(EntryContext context, Job &job, Reason reason)
+{
+    job.current.clear();
+    job.blocked = reason;
+    if (++job.tries >= context.entry.options.maxAttempts) {
+        giveUp(context, job, std::move(reason));
+        return;
+    }
+    job.needsToken = true;
+    requeue(context, job, 0);
+}
+
+// The job failed on a worker that works for others: tried on other workers a few times.
+void retryFailed(EntryContext context, Job &job, AgentId agent, const Outcome &outcome)
+{
+    if (std::find(job.failedOn.begin(), job.failedOn.end(), agent) == job.failedOn.end())
+        job.failedOn.push_back(agent);
+    auto reason = reasonOf(outcome.reason, outcome.detail);
+    if (job.failedOn.size() < maxFailedWorkers) {
+        retryJob(context, job, std::move(reason));
+        return;
+    }
+    reason.text = "failed on " + std::to_string(job.failedOn.size()) + " workers: " + reason.text;
+    finishJob(context, job, outcome.verdict, std::move(reason), outcome.answer);
+}
+
+// ---- Starting ----
+
+TimeMs replyTimeout(const Entry &entry, const JobSpec &spec, RoomKind kind)
+{
+    return entry.options.replyTimeoutMs + (kind == RoomKind::OwnAnchor ? guaranteedExtraMs : 0)
+        + (spec.members > 1 ? gangExtraMs : 0) + (spec.idempotent ? 0 : ownerExtraMs);
+}
+
+Start makeStart(EntryContext context, const Job &job, const Attempt &attempt, RoomKind kind)
+{
+    const auto &entry = context.entry;
+    Start start;
+    start.spec = std::make_unique<JobSpec>(job.spec);
+    start.spec->deadlineMs = job.deadlineAt == 0
+        ? 0
+        : static_cast<std::uint64_t>(std::max<TimeMs>(1, job.deadlineAt - context.now));
+    start.attempt = attempt.id;
+    start.entry = entry.options.name;
+    start.guaranteed = kind == RoomKind::OwnAnchor;
+    if (job.spec.members > 1) {
+        for (const auto agent : attempt.agents)
+            start.members.emplace_back(nameOf(entry, agent));
+    }
+    if (!job.spec.idempotent) {
+        start.range = rangeOf(job.spec.key);
+        const auto owner = ownerOf(entry.ranges, job.spec.homeRegion, start.range);
+        start.owner = owner.agent;
+        start.epoch = owner.epoch;
+    }
+    return start;
+}
+
+void startJob(EntryContext context, Job &job, const Placement &placement)
+{
+    auto &entry = context.entry;
+    dequeue(entry.queue, job);
+    releaseHold(entry, job);
+    Attempt attempt;
+    attempt.id = entry.options.name + "." + std::to_string(entry.options.incarnation) + "#"
+        + std::to_string(++entry.lastAttempt);
+    attempt.agents = placement.members;
+    attempt.incarnation = entry.view.agents[placement.members.front()].report.incarnation;
+    attempt.sentAt = context.now;
+    deduct(entry.view, placement, job.spec, attempt.id, context.now);
+    entry.byAttempt.emplace(attempt.id, job.serial);
+    job.state = JobState::Starting;
+    job.current = attempt.id;
+    job.blockedSince = 0;
+    job.blocked = {};
+    ++entry.counters.starts;
+    entry.counters.guaranteedStarts += placement.kind == RoomKind::OwnAnchor ? 1 : 0;
+    setTimer(entry, job, context.now + replyTimeout(entry, job.spec, placement.kind));
+    send(context, nameOf(entry, placement.members.front()),
+         makeStart(context, job, attempt, placement.kind));
+    job.attempts.push_back(std::move(attempt));
+}
+
+// ---- Forwarding ----
+
+bool forwardTo(EntryContext context, Job &job, const std::string &peer)
+{
+    if (peer.empty())
+        return false;
+    auto &entry = context.entry;
+    dequeue(entry.queue, job);
+    releaseHold(entry, job);
+    if (job.forwardRequest.empty())
+        job.forwardRequest = entry.options.name + "." + std::to_string(entry.options.incarnation)
+            + "/" + std::to_string(job.serial);
+    entry.byForward[job.forwardRequest] = job.serial;
+    job.state = JobState::Forwarded;
+    job.forwardedTo = peer;
+    Forward forward;
+    forward.request = job.forwardRequest;
+    forward.entry = entry.options.name;
+    forward.spec = std::make_unique<JobSpec>(job.spec);
+    if (job.deadlineAt != 0)
+        forward.spec->deadlineMs =
+            static_cast<std::uint64_t>(std::max<TimeMs>(1, job.deadlineAt - context.now));
+    ++entry.counters.forwards;
+    setTimer(entry, job, context.now + forwardCheckMs);
+    send(context, peer, std::move(forward));
+    return true;
+}
+
+void forwardHome(EntryContext context, Job &job)
+{
+    if (forwardTo(context, job, entryOf(context, job.spec.homeRegion)))
+        return;
+    const bool certain = job.spec.firstAttempt && job.forwardRequest.empty();
+    finishJob(context, job, certain ? Verdict::NotRun : Verdict::MayHaveRun,
+              reasonOf(ReasonCode::RegionUnreachable,
+                       "homeRegion: no entry of region " + job.spec.homeRegion + " is connected"));
+}
+
+bool spill(EntryContext context, Job &job)
+{
+    if (!job.spec.anyRegion || !job.spec.idempotent || job.fromPeer || job.spilled
+        || !job.attempts.empty()
+        || context.now - job.blockedSince < context.entry.options.spillAfterMs)
+        return false;
+    job.spilled = forwardTo(context, job, entryOf(context, {}));
+    return job.spilled;
+}
+
+// ---- The scheduling pass ----
+
+struct Pass
+{
+    std::vector<const JobSpec *> noRoom; // shapes that found none
+    std::vector<std::uint64_t> blocked; // jobs that found none, in order
+    std::size_t searches = 0;
+    std::size_t skips = 0;
+    std::size_t starts = 0;
+};
+
+enum class Tried { Started, NoRoom, Waits, Ended };
+
+bool sameAnchors(const Entry &entry, const JobSpec &a, const JobSpec &b)
+{
+    return a.organisation == b.organisation
+        || (entry.view.copies.count(a.organisation) == 0
+            && entry.view.copies.count(b.organisation) == 0);
+}
+
+bool surelyNoRoom(const Entry &entry, const Pass &pass, const JobSpec &spec)
+{
+    const bool lent = spec.idempotent || spec.checkpointable;
+    return std::any_of(
+        pass.noRoom.begin(), pass.noRoom.end(), [&entry, &spec, lent](const auto *other) {
+            return spec.accelerators >= other->accelerators && spec.members >= other->members
+                && spec.cores >= other->cores && spec.memoryMib >= other->memoryMib
+                && (!lent || other->idempotent || other->checkpointable)
+                && sameAnchors(entry, spec, *other);
+        });
+}
+
+bool otherRegionConnected(const Entry &entry)
+{
+    return std::any_of(entry.peers.begin(), entry.peers.end(), [&entry](const auto &row) {
+        return row.second.connected && row.second.info.kind == ProcessKind::Entry
+            && row.second.info.region != entry.options.region;
+    });
+}
+
+bool settled(EntryContext context)
+{
+    return context.now - context.entry.startedAt >= context.entry.options.settleMs;
+}
+
+bool isImpossible(EntryContext context, const JobSpec &spec, Reason &reason)
+{
+    if (!settled(context) || (spec.anyRegion && otherRegionConnected(context.entry)))
+        return false;
+    return !couldEverHold(context.entry.view, spec, reason);
+}
+
+bool pastDeadline(EntryContext context, const Job &job, Reason &reason)
+{
+    if (job.deadlineAt == 0)
+        return false;
+    const auto least = leastRunMs(context.entry.estimates, job.spec);
+    if (context.now + least <= job.deadlineAt && context.now < job.deadlineAt)
+        return false;
+    reason.code = ReasonCode::DeadlinePassed;
+    reason.text = "deadlineMs: " + std::to_string(std::max<TimeMs>(0, job.deadlineAt - context.now))
+        + " ms are left and the job runs at least " + std::to_string(least) + " ms";
+    return true;
+}
+
+// Conditions other than room; writes the first one that fails to job.blocked.
+bool mayStart(EntryContext context, Job &job)
+{
+    const auto &entry = context.entry;
+    if (job.notBefore > context.now)
+        return false;
+    Reason reason;
+    if (!withinLimits(job.spec, entry.table, entry.view, reason)) {
+        job.blocked = std::move(reason);
+        return false;
+    }
+    if (!job.spec.idempotent
+        && ownerOf(entry.ranges, job.spec.homeRegion, rangeOf(job.spec.key)).agent.empty()) {
+        job.blocked = reasonOf(ReasonCode::OwnerUnreachable,
+                               "key: its range has no owner yet in region " + job.spec.homeRegion);
+        return false;
+    }
+    if (job.needsToken && entry.budget.tokens < 1) {
+        job.blocked = reasonOf(ReasonCode::RetryBudgetSpent, "waits for the retry budget");
+        return false;
+    }
+    return true;
+}
+
+// No room was found; decides whether the job waits.
+Tried onNoRoom(EntryContext context, Job &job)
+{
+    Reason reason;
+    if (isImpossible(context, job.spec, reason)) {
+        finishJob(context, job, Verdict::NotRun, std::move(reason));
+        return Tried::Ended;
+    }
+    job.blocked = reasonOf(ReasonCode::NoRoom, "accelerators: no free block holds the job now");
+    if (job.fromPeer && job.spec.homeRegion != context.entry.options.region) {
+        finishJob(context, job, Verdict::NotRun, job.blocked);
+        return Tried::Ended;
+    }
+    if (job.blockedSince == 0)
+        job.blockedSince = context.now;
+    if (spill(context, job))
+        return Tried::Ended;
+    if (!job.excluded.empty()) {
+        job.excluded.clear();
+        job.bounces = 0;
+        job.notBefore = context.now + backOffMs;
+        setQueueTimer(context, job);
+    }
+    return Tried::NoRoom;
+}
+
+std::optional<Placement> findRoom(EntryContext context, const Job &job)
+{
+    auto excluded = job.excluded;
+    excluded.insert(excluded.end(), job.failedOn.begin(), job.failedOn.end());
+    PlaceOptions options;
+    options.fragmentationWeight = context.entry.options.fragmentationWeight;
+    options.job = job.serial;
+    options.excluded = excluded;
+    return place(context.entry.view, job.spec, options, context.random);
+}
+
+Tried tryJob(EntryContext context, Job &job, Pass &pass)
+{
+    Reason reason;
+    if (pastDeadline(context, job, reason)) {
+        finishJob(context, job, Verdict::NotRun, std::move(reason));
+        return Tried::Ended;
+    }
+    if (!mayStart(context, job)) {
+        releaseHold(context.entry, job);
+        return Tried::Waits;
+    }
+    if (!hasHold(context.entry, job) && surelyNoRoom(context.entry, pass, job.spec)) {
+        ++pass.skips;
+        return Tried::NoRoom;
+    }
+    const auto placement = findRoom(context, job);
+    if (placement) {
+        if (job.needsToken)
+            takeToken(context.entry.budget);
+        job.needsToken = false;
+        startJob(context, job, *placement);
+        ++pass.starts;
+        return Tried::Started;
+    }
+    ++pass.searches;
+    const bool narrowed = !job.excluded.empty() || !job.failedOn.empty();
+    const auto tried = onNoRoom(context, job);
+    if (tried == Tried::NoRoom) {
+        pass.blocked.push_back(job.serial);
+        if (!narrowed && !hasHold(context.entry, job))
+            pass.noRoom.push_back(&job.spec);
+    }
+    return tried;
+}
+
+// Counts that a job was started before others that wait for room.
+void countOvertaking(EntryContext context, const Job &started, const Pass &pass)
+{
+    auto &entry = context.entry;
+    for (const auto serial : pass.blocked) {
+        auto &job = *entry.jobs.at(serial);
+        if (!job.queued || job.submittedAt > started.submittedAt || ++job.overtaken < maxOvertakes
+            || hasHold(entry, job))
+            continue;
+        const int centre = dataCentreFor(entry.view, job.spec);
+        if (centre >= 0)
+            entry.view.dataCentres[static_cast<std::size_t>(centre)].heldFor = job.serial;
+    }
+}
+
+struct Cursor
+{
+    const std::string *organisation = nullptr;
+    Queue::Line *line = nullptr;
+    Queue::Line::iterator at;
+    double share = 0;
+};
+
+double currentShare(EntryContext context, const Cursor &cursor)
+{
+    const auto &entry = context.entry;
+    const auto row = entry.table.organisations.find(*cursor.organisation);
+    const auto &first = *entry.jobs.at(*cursor.at);
+    return shareOf(usageOf(entry.view, *cursor.organisation),
+                   row == entry.table.organisations.end() ? 1 : row->second.weight,
+                   context.now - first.submittedAt);
+}
+
+Cursor *nextCursor(std::vector<Cursor> &cursors)
+{
+    Cursor *next = nullptr;
+    for (auto &cursor : cursors) {
+        if (cursor.at == cursor.line->end() || (next != nullptr && next->share <= cursor.share))
+            continue;
+        next = &cursor;
+    }
+    return next;
+}
+
+bool passSpent(const Pass &pass)
+{
+    return pass.searches >= maxSearchesPerPass || pass.skips >= maxSkipsPerPass
+        || pass.starts >= maxStartsPerPass;
+}
+
+void scheduleClass(EntryContext context, std::size_t jobClass, Pass &pass)
+{
+    auto &entry = context.entry;
+    std::vector<Cursor> cursors;
+    for (auto &[organisation, line] : entry.queue.lines[jobClass]) {
+        if (line.empty())
+            continue;
+        cursors.push_back({&organisation, &line, line.begin(), 0});
+        cursors.back().share = currentShare(context, cursors.back());
+    }
+    for (auto *cursor = nextCursor(cursors); cursor != nullptr && !passSpent(pass);
+         cursor = nextCursor(cursors)) {
+        auto &job = *entry.jobs.at(*cursor->at++);
+        if (tryJob(context, job, pass) != Tried::Started)
+            continue;
+        countOvertaking(context, job, pass);
+        if (cursor->at != cursor->line->end())
+            cursor->share = currentShare(context, *cursor);
+    }
+}
+
+// ---- Submission ----
+
+Reply refusal(ReasonCode code, std::string text, TimeMs retryAfterMs = 0)
+{
+    Reply reply;
+    reply.reason = {code, std::move(text)};
+    reply.retryAfterMs = retryAfterMs;
+    return reply;
+}
+
+Reply acceptance(const Job &job)
+{
+    Reply reply;
+    reply.verdict = Verdict::MayHaveRun;
+    reply.accepted = true;
+    reply.job = job.spec.job;
+    reply.answer = jobStateName(job.state);
+    return reply;
+}
+
+bool wasServed(const Job &job, const Waiter &waiter)
+{
+    return std::any_of(job.served.begin(), job.served.end(), [&waiter](const Waiter &other) {
+        return other.entry == waiter.entry && other.request == waiter.request;
+    });
+}
+
+Job *findSame(Entry &entry, const JobSpec &spec)
+{
+    if (!spec.key.empty()) {
+        const auto found = entry.byKey.find(spec.key);
+        if (found != entry.byKey.end())
+            return entry.jobs.at(found->second).get();
+    }
+    return findJob(entry, spec.job);
+}
+
+// Joins a job with the same id or key; true when the waiter is dealt with.
+bool joinJob(EntryContext context, const Waiter &waiter, const JobSpec &spec, bool wait)
+{
+    auto *same = findSame(context.entry, spec);
+    if (same == nullptr)
+        return false;
+    if (same->specHash != hashSpec(spec)) {
+        auto reply = refusal(ReasonCode::InvalidInput,
+                             std::string(spec.key.empty() ? "job" : "key")
+                                 + ": already used by a different request");
+        reply.job = same->spec.job;
+        answer(context, waiter, std::move(reply));
+        return true;
+    }
+    if (same->state != JobState::Finished) {
+        addWaiter(context, *same, waiter, wait);
+        return true;
+    }
+    if (same->verdict != Verdict::Ran && !wasServed(*same, waiter))
+        return false;
+    answer(context, waiter, resultOf(*same));
+    return true;
+}
+
+bool hasCapacity(EntryContext context)
+{
+    auto &entry = context.entry;
+    while (entry.jobs.size() >= entry.options.maxJobs && !entry.finished.empty())
+        forgetJob(entry, entry.finished.begin()->second);
+    return entry.jobs.size() < entry.options.maxJobs && entry.queue.size < entry.options.maxQueued;
+}
+
+Job &addJob(EntryContext context, JobSpec spec, bool fromPeer)
+{
+    auto &entry = context.entry;
+    auto job = std::make_unique<Job>();
+    job->serial = ++entry.lastSerial;
+    job->specHash = hashSpec(spec);
+    if (spec.job.empty())
+        spec.job = entry.options.name + "." + std::to_string(entry.options.incarnation) + "."
+            + std::to_string(job->serial);
+    job->spec = std::move(spec);
+    job->submittedAt = context.now;
+    job->deadlineAt =
+        job->spec.deadlineMs == 0 ? 0 : context.now + static_cast<TimeMs>(job->spec.deadlineMs);
+    job->fromPeer = fromPeer;
+    entry.byId[job->spec.job] = job->serial;
+    if (!job->spec.key.empty())
+        entry.byKey[job->spec.key] = job->serial;
+    return *entry.jobs.emplace(job->serial, std::move(job)).first->second;
+}
+
+// ---- Replies of agents ----
+
+void refuseFinally(EntryContext context, Job &job, const StartReply &reply)
+{
+    finishJob(context, job, Verdict::NotRun, reasonOf(reply.reason, reply.detail), {},
+              reply.retryAfterMs);
+}
+
+// The owner cannot be asked by the agent. After a while the caller gets its verdict.
+void onOwnerRefusal(EntryContext context, Job &job, const StartReply &reply)
+{
+    if (job.ownerRefusedSince == 0)
+        job.ownerRefusedSince = context.now;
+    if (context.now - job.ownerRefusedSince < 2 * context.entry.options.ownerSilentAfterMs) {
+        job.blocked = reasonOf(reply.reason, reply.detail);
+        requeue(context, job, std::max<TimeMs>(reply.retryAfterMs, ownerBackOffMs));
+        return;
+    }
+    finishJob(context, job, job.spec.firstAttempt ? Verdict::NotRun : Verdict::MayHaveRun,
+              reasonOf(reply.reason, reply.detail), {}, reply.retryAfterMs);
+}
+
+// Tries other agents at once, a few times; then waits in the queue.
+void bounce(EntryContext context, Job &job, AgentId agent, const StartReply &reply)
+{
+    auto &entry = context.entry;
+    job.blocked = reasonOf(reply.reason, reply.detail);
+    job.excluded.push_back(agent);
+    if (++job.bounces < entry.options.maxAttempts && takeToken(entry.budget)) {
+        requeue(context, job, 0);
+        return;
+    }
+    job.excluded.clear();
+    job.bounces = 0;
+    requeue(context, job, std::max<TimeMs>(reply.retryAfterMs, backOffMs));
+}
+
+void onRefused(EntryContext context, Job &job, AgentId agent, const StartReply &reply)
+{
+    ++context.entry.counters.refusals;
+    switch (reply.reason) {
+    case ReasonCode::InvalidInput:
+    case ReasonCode::DeadlinePassed:
+    case ReasonCode::Cancelled:
+        refuseFinally(context, job, reply);
+        return;
+    case ReasonCode::OwnerUnreachable:
+    case ReasonCode::TakeoverIncomplete:
+    case ReasonCode::WrongOwner:
+    case ReasonCode::StaleEpoch:
+        onOwnerRefusal(context, job, reply);
+        return;
+    case ReasonCode::WorkerFailed:
+    case ReasonCode::TaskFailed: {
+        Outcome outcome;
+        outcome.reason = reply.reason;
+        outcome.detail = reply.detail;
+        retryFailed(context, job, agent, outcome);
+        return;
+    }
+    default:
+        bounce(context, job, agent, reply);
+    }
+}
+
+void onAccepted(EntryContext context, Job &job, std::string_view attemptId)
+{
+    for (auto &attempt : job.attempts) {
+        if (attempt.id == attemptId)
+            attempt.accepted = true;
+    }
+    // A non-idempotent job whose reply came late runs after all: only one attempt is granted.
+    const bool late = job.state == JobState::Queued && !job.spec.idempotent;
+    if (!late && (job.state != JobState::Starting || job.current != attemptId))
+        return;
+    dequeue(context.entry.queue, job);
+    releaseHold(context.entry, job);
+    setTimer(context.entry, job, 0);
+    job.state = JobState::Running;
+    job.current = attemptId;
+    job.startedAt = context.now;
+    job.bounces = 0;
+    job.excluded.clear();
+    job.ownerRefusedSince = 0;
+}
+
+// An attempt of a cancelled job ended without running to its end.
+void endCancelling(EntryContext context, Job &job)
+{
+    if (job.attempts.empty())
+        finishJob(context, job, Verdict::NotRun,
+                  reasonOf(ReasonCode::Cancelled, "cancelled by request"));
+}
+
+void onRan(EntryContext context, Job &job, AgentId agent, const Outcome &outcome)
+{
+    const bool failed =
+        outcome.reason == ReasonCode::TaskFailed || outcome.reason == ReasonCode::WorkerFailed;
+    const bool active = job.state == JobState::Running || job.state == JobState::Starting;
+    if (failed && job.spec.idempotent && active) {
+        job.mayHaveRun = true;
+        retryFailed(context, job, agent, outcome);
+        return;
+    }
+    if (!failed && job.startedAt != 0 && job.spec.checkpoint.empty())
+        learnRunTime(context.entry.estimates, job.spec, context.now - job.startedAt);
+    finishJob(context, job, Verdict::Ran, reasonOf(outcome.reason, outcome.detail), outcome.answer);
+}
+
+// The agent stopped the job, for example for a guaranteed one: back to the front of the queue.
+void onStopped(EntryContext context, Job &job, AgentId agent, const Outcome &outcome)
+{
+    if (outcome.reason == ReasonCode::WorkerFailed || outcome.reason == ReasonCode::TaskFailed) {
+        retryFailed(context, job, agent, outcome);
+        return;
+    }
+    ++context.entry.counters.evictions;
+    if (!outcome.answer.empty())
+        job.spec.checkpoint = outcome.answer;
+    job.blocked = reasonOf(outcome.reason, outcome.detail);
+    requeue(context, job, outcome.reason == ReasonCode::Evicted ? 0 : backOffMs);
+}
+
+void onUncertain(EntryContext context, Job &job, const Outcome &outcome)
+{
+    auto reason = reasonOf(outcome.reason, outcome.detail);
+    if (!job.spec.idempotent || job.state == JobState::Cancelling) {
+        finishJob(context, job, Verdict::MayHaveRun, std::move(reason), outcome.answer);
+        return;
+    }
+    job.mayHaveRun = true;
+    retryJob(context, job, std::move(reason));
+}
+
+// ---- Timeouts and losses ----
+
+void onStartTimeout(EntryContext context, Job &job)
+{
+    ++context.entry.counters.timeouts;
+    const auto *attempt = findAttempt(job, job.current);
+    const auto agent = attempt->agents.front();
+    if (job.spec.idempotent)
+        sendCancel(context, job, *attempt);
+    job.excluded.push_back(agent);
+    retryJob(context, job,
+             reasonOf(ReasonCode::TargetUnreachable,
+                      std::string(nameOf(context.entry, agent)) + " did not answer"));
+}
+
+void onAskTimeout(EntryContext context, Job &job)
+{
+    const auto silent = context.now - job.ownerHeardAt;
+    const bool giveUpNow = job.askUntil != 0 && context.now >= job.askUntil;
+    const bool late = job.deadlineAt != 0 && context.now >= job.deadlineAt;
+    if (!giveUpNow && !late && silent < 2 * context.entry.options.ownerSilentAfterMs) {
+        askOwner(context, job, true);
+        return;
+    }
+    const auto code = late ? ReasonCode::DeadlinePassed : ReasonCode::OwnerUnreachable;
+    finishJob(context, job, Verdict::MayHaveRun,
+              reasonOf(code, "key: claimed, and its result is not known: " + job.blocked.text));
+}
+
+void onForwardTimer(EntryContext context, Job &job)
+{
+    JobQuery query;
+    query.request = job.forwardRequest;
+    query.job = job.spec.job;
+    setTimer(context.entry, job, context.now + forwardCheckMs);
+    send(context, job.forwardedTo, std::move(query));
+}
+
+void onTimer(EntryContext context, Job &job)
+{
+    Reason reason;
+    switch (job.state) {
+    case JobState::Queued:
+        if (pastDeadline(context, job, reason)) {
+            finishJob(context, job, Verdict::NotRun, std::move(reason));
+            return;
+        }
+        setQueueTimer(context, job);
+        context.entry.roomChanged = true;
+        return;
+    case JobState::Starting:
+        onStartTimeout(context, job);
+        return;
+    case JobState::Asking:
+        onAskTimeout(context, job);
+        return;
+    case JobState::Forwarded:
+        onForwardTimer(context, job);
+        return;
+    case JobState::Cancelling:
+        finishJob(context, job, Verdict::MayHaveRun,
+                  reasonOf(ReasonCode::Cancelled, "cancelled, but the agent did not confirm"));
+        return;
+    case JobState::Running:
+    case JobState::Finished:
+        return;
+    }
+}
+
+// The leader of the current attempt is gone.
+void loseAttempt(EntryContext context, Job &job, const Attempt &attempt, Loss loss)
+{
+    ++context.entry.counters.lostAttempts;
+    const auto id = attempt.id;
+    const bool current = job.current == id;
+    const auto reason =
+        reasonOf(ReasonCode::TargetUnreachable,
+                 std::string(nameOf(context.entry, attempt.agents.front())) + " was lost");
+    const bool accepted = attempt.accepted;
+    if (loss == Loss::Restarted) {
+        // The new process knows nothing of the attempt, which may have run to its end.
+        job.mayHaveRun = true;
+        closeAttempt(context.entry, job, id);
+    }
+    if (job.state == JobState::Cancelling) {
+        endCancelling(context, job);
+        return;
+    }
+    if (!current)
+        return;
+    if (job.spec.idempotent || !accepted) {
+        retryJob(context, job, reason);
+        return;
+    }
+    job.current.clear();
+    job.blocked = reason;
+    startAsking(context, job, context.entry.options.ownerSilentAfterMs);
+}
+
+// Says that nothing was started for the key.
+void onKeyFree(EntryContext context, Job &job)
+{
+    if (job.tries >= context.entry.options.maxAttempts) {
+        finishJob(context, job, Verdict::NotRun, job.blocked);
+        return;
+    }
+    ++job.tries;
+    job.needsToken = true;
+    requeue(context, job, 0);
+}
+
+} // namespace
+
+Job *findJob(Entry &entry, std::string_view id)
+{
+    const auto found = entry.byId.find(std::string(id));
+    return found == entry.byId.end() ? nullptr : entry.jobs.at(found->second).get();
+}
+
+Reply resultOf(const Job &job)
+{
+    Reply reply;
+    reply.verdict = job.verdict;
+    reply.reason = job.reason;
+    reply.answer = job.answer;
+    reply.job = job.spec.job;
+    reply.retryAfterMs = job.retryAfterMs;
+    return reply;
+}
+
+void answer(EntryContext context, const Waiter &waiter, Reply reply)
+{
+    countReply(context.entry.counters, reply.verdict);
+    if (waiter.entry.empty()) {
+        context.entry.byRequest.erase(waiter.request);
+        reply.request = waiter.request;
+        context.out.replies.push_back(std::move(reply));
+        return;
+    }
+    ForwardReply forwarded;
+    forwarded.request = waiter.request;
+    forwarded.verdict = reply.verdict;
+    forwarded.reason = reply.reason.code;
+    forwarded.detail = std::move(reply.reason.text);
+    forwarded.answer = std::move(reply.answer);
+    forwarded.retryAfterMs = static_cast<std::uint32_t>(reply.retryAfterMs);
+    send(context, waiter.entry, std::move(forwarded));
+}
+
+std::string entryOf(EntryContext context, std::string_view region)
+{
+    const auto &entry = context.entry;
+    std::vector<std::string_view> found;
+    for (const auto &[name, peer] : entry.peers) {
+        if (!peer.connected || peer.info.kind != ProcessKind::Entry)
+            continue;
+        const bool wanted =
+            region.empty() ? peer.info.region != entry.options.region : peer.info.region == region;
+        if (wanted)
+            found.push_back(name);
+    }
+    return found.empty() ? std::string() : std::string(found[context.random() % found.size()]);
+}
+
+void addWaiter(EntryContext context, Job &job, const Waiter &waiter, bool wait)
+{
+    if (!wait) {
+        answer(context, waiter, acceptance(job));
+        return;
+    }
+    const bool known =
+        std::any_of(job.waiters.begin(), job.waiters.end(), [&waiter](const Waiter &other) {
+            return !waiter.entry.empty() && other.entry == waiter.entry
+                && other.request == waiter.request;
+        });
+    if (known)
+        return;
+    job.waiters.push_back(waiter);
+    if (waiter.entry.empty())
+        context.entry.byRequest[waiter.request] = job.serial;
+}
+
+void submitJob(EntryContext context, const Waiter &waiter, const JobSpec &given, bool wait)
+{
+    auto &entry = context.entry;
+    ++entry.counters.submitted;
+    growBudget(entry.budget, entry.options.retryBudgetShare);
+    auto spec = given;
+    if (spec.homeRegion.empty())
+        spec.homeRegion = entry.options.region;
+    Reason reason;
+    if (!validateSpec(spec, entry.table, reason)) {
+        answer(context, waiter, refusal(reason.code, reason.text));
+        return;
+    }
+    if (joinJob(context, waiter, spec, wait))
+        return;
+    if (!entry.accepting) {
+        answer(context, waiter,
+               refusal(ReasonCode::Draining, "this entry is shutting down", queueFullRetryMs));
+        return;
+    }
+    const bool fromPeer = !waiter.entry.empty();
+    const bool home = fromPeer || spec.key.empty() || spec.homeRegion == entry.options.region;
+    if (home && isImpossible(context, spec, reason)) {
+        answer(context, waiter, refusal(reason.code, reason.text));
+        return;
+    }
+    if (!hasCapacity(context)) {
+        answer(context, waiter,
+               refusal(ReasonCode::QueueFull, "the queue of this entry is full", queueFullRetryMs));
+        return;
+    }
+    auto &job = addJob(context, std::move(spec), fromPeer);
+    addWaiter(context, job, waiter, wait);
+    if (!home) {
+        forwardHome(context, job);
+        return;
+    }
+    enqueue(entry.queue, job, false);
+    setQueueTimer(context, job);
+    entry.roomChanged = true;
+}
+
+void schedule(EntryContext context)
+{
+    if (!context.entry.roomChanged)
+        return;
+    context.entry.roomChanged = false;
+    Pass pass;
+    for (std::size_t jobClass = 0; jobClass < jobClasses; ++jobClass)
+        scheduleClass(context, jobClass, pass);
+    context.entry.roomChanged = pass.starts >= maxStartsPerPass;
+}
+
+void onStartReply(EntryContext context, const StartReply &reply)
+{
+    auto &entry = context.entry;
+    const auto found = entry.byAttempt.find(reply.attempt);
+    if (found == entry.byAttempt.end())
+        return;
+    auto &job = *entry.jobs.at(found->second);
+    if (reply.accepted) {
+        onAccepted(context, job, reply.attempt);
+        return;
+    }
+    const auto agent = findAttempt(job, reply.attempt)->agents.front();
+    const bool current = job.current == reply.attempt && job.state == JobState::Starting;
+    if (reply.verdict != Verdict::NotRun)
+        job.mayHaveRun = true;
+    closeAttempt(entry, job, reply.attempt);
+    if (job.state == JobState::Cancelling) {
+        endCancelling(context, job);
+        return;
+    }
+    if (!current)
+        return;
+    if (reply.reason == ReasonCode::AlreadyClaimed && !job.spec.key.empty()) {
+        job.blocked = reasonOf(reply.reason, reply.detail);
+        startAsking(context, job, 0);
+        return;
+    }
+    if (reply.verdict != Verdict::NotRun) {
+        Outcome outcome;
+        outcome.verdict = reply.verdict;
+        outcome.reason = reply.reason;
+        outcome.detail = reply.detail;
+        onUncertain(context, job, outcome);
+        return;
+    }
+    onRefused(context, job, agent, reply);
+}
+
+void onOutcome(EntryContext context, std::string_view from, const Outcome &outcome)
+{
+    auto &entry = context.entry;
+    OutcomeAck ack;
+    ack.job = outcome.job;
+    ack.attempt = outcome.attempt;
+    send(context, from, std::move(ack));
+    const auto found = entry.byAttempt.find(outcome.attempt);
+    if (found == entry.byAttempt.end())
+        return;
+    auto &job = *entry.jobs.at(found->second);
+    if (job.spec.job != outcome.job)
+        return;
+    const auto agent = findAttempt(job, outcome.attempt)->agents.front();
+    const bool current = job.current == outcome.attempt;
+    if (outcome.verdict == Verdict::MayHaveRun)
+        job.mayHaveRun = true;
+    closeAttempt(entry, job, outcome.attempt);
+    if (outcome.verdict == Verdict::Ran) {
+        onRan(context, job, agent, outcome);
+        return;
+    }
+    if (job.state == JobState::Cancelling) {
+        endCancelling(context, job);
+        return;
+    }
+    if (!current)
+        return;
+    if (outcome.verdict == Verdict::NotRun)
+        onStopped(context, job, agent, outcome);
+    else
+        onUncertain(context, job, outcome);
+}
+
+void onKeyReply(EntryContext context, const KeyReply &reply)
+{
+    auto &entry = context.entry;
+    const auto found = entry.byKey.find(reply.key);
+    if (found == entry.byKey.end())
+        return;
+    auto &job = *entry.jobs.at(found->second);
+    if (job.state != JobState::Asking)
+        return;
+    switch (reply.state) {
+    case KeyState::Finished:
+        if (reply.verdict == Verdict::NotRun)
+            onKeyFree(context, job);
+        else
+            finishJob(context, job, reply.verdict, reasonOf(reply.reason, reply.detail),
+                      reply.answer);
+        return;
+    case KeyState::MayHaveRun:
+        finishJob(context, job, Verdict::MayHaveRun, reasonOf(reply.reason, reply.detail),
+                  reply.answer);
+        return;
+    case KeyState::Unknown:
+        onKeyFree(context, job);
+        return;
+    case KeyState::Granted:
+    case KeyState::Running:
+        job.ownerHeardAt = context.now;
+        return;
+    case KeyState::WrongOwner:
+    case KeyState::NotReady:
+        return;
+    }
+}
+
+void onForwardReply(EntryContext context, const ForwardReply &reply)
+{
+    auto &entry = context.entry;
+    const auto found = entry.byForward.find(reply.request);
+    if (found == entry.byForward.end())
+        return;
+    auto &job = *entry.jobs.at(found->second);
+    if (job.state != JobState::Forwarded)
+        return;
+    if (job.spilled && !job.cancelled && reply.verdict == Verdict::NotRun) {
+        job.blocked = reasonOf(reply.reason, reply.detail);
+        job.forwardedTo.clear();
+        requeue(context, job, 0);
+        return;
+    }
+    finishJob(context, job, reply.verdict, reasonOf(reply.reason, reply.detail), reply.answer,
+              reply.retryAfterMs);
+}
+
+void onForwardedJob(EntryContext context, std::string_view from, const JobReply &reply)
+{
+    auto &entry = context.entry;
+    const auto found = entry.byForward.find(reply.request);
+    if (found == entry.byForward.end())
+        return;
+    auto &job = *entry.jobs.at(found->second);
+    if (job.state != JobState::Forwarded || job.forwardedTo != from)
+        return;
+    if (!reply.found) {
+        // The message was lost, or its receiver restarted and may have started the job before.
+        job.mayHaveRun = true;
+        forwardTo(context, job, std::string(from));
+        return;
+    }
+    if (reply.finished)
+        finishJob(context, job, reply.verdict, reasonOf(reply.reason, reply.detail), reply.answer);
+}
+
+void onEntryDown(EntryContext context, std::string_view process)
+{
+    std::vector<std::uint64_t> forwarded;
+    for (const auto &[request, serial] : context.entry.byForward) {
+        const auto &job = *context.entry.jobs.at(serial);
+        if (job.state == JobState::Forwarded && job.forwardedTo == process)
+            forwarded.push_back(serial);
+    }
+    for (const auto serial : forwarded) {
+        auto &job = *context.entry.jobs.at(serial);
+        job.mayHaveRun = true;
+        if (job.spilled)
+            requeue(context, job, 0);
+        else
+            forwardHome(context, job);
+    }
+}
+
+void onAgentLost(EntryContext context, AgentId agent, Loss loss)
+{
+    auto &entry = context.entry;
+    const auto incarnation = entry.view.agents[agent].report.incarnation;
+    std::vector<std::pair<std::uint64_t, std::string>> lost;
+    for (const auto &[id, serial] : entry.byAttempt) {
+        const auto *attempt = findAttempt(*entry.jobs.at(serial), id);
+        if (attempt->agents.front() != agent
+            || (loss == Loss::Restarted && attempt->incarnation >= incarnation)
+            || (loss == Loss::Disconnected && attempt->accepted))
+            continue;
+        lost.emplace_back(serial, id);
+    }
+    std::sort(lost.begin(), lost.end());
+    for (const auto &[serial, id] : lost) {
+        auto &job = *entry.jobs.at(serial);
+        if (const auto *attempt = findAttempt(job, id))
+            loseAttempt(context, job, *attempt, loss);
+    }
+    entry.roomChanged = true;
+}
+
+void onAttemptListed(EntryContext context, std::string_view attempt)
+{
+    auto &entry = context.entry;
+    const auto found = entry.byAttempt.find(std::string(attempt));
+    if (found == entry.byAttempt.end())
+        return;
+    auto &job = *entry.jobs.at(found->second);
+    const auto *listed = findAttempt(job, attempt);
+    if (job.state != JobState::Asking || job.askUntil == 0 || !listed->accepted)
+        return;
+    setTimer(entry, job, 0);
+    job.state = JobState::Running;
+    job.current = attempt;
+}
+
+void cancelJob(EntryContext context, Job &job)
+{
+    const bool mayRun = !job.attempts.empty() || job.state == JobState::Forwarded;
+    if (job.state == JobState::Finished || job.state == JobState::Cancelling)
+        return;
+    job.cancelled = true;
+    if (!mayRun) {
+        const auto verdict = job.state == JobState::Asking ? Verdict::MayHaveRun : Verdict::NotRun;
+        finishJob(context, job, verdict, reasonOf(ReasonCode::Cancelled, "cancelled by request"));
+        return;
+    }
+    if (job.state == JobState::Forwarded) {
+        Cancel cancel;
+        cancel.job = job.spec.job;
+        send(context, job.forwardedTo, std::move(cancel));
+        return;
+    }
+    dequeue(context.entry.queue, job);
+    releaseHold(context.entry, job);
+    for (const auto &attempt : job.attempts)
+        sendCancel(context, job, attempt);
+    job.state = JobState::Cancelling;
+    setTimer(context.entry, job, context.now + context.entry.options.cancelTimeoutMs);
+}
+
+void fireTimers(EntryContext context)
+{
+    auto &entry = context.entry;
+    while (!entry.timers.empty() && entry.timers.begin()->first <= context.now) {
+        const auto serial = entry.timers.begin()->second;
+        entry.timers.erase(entry.timers.begin());
+        auto &job = *entry.jobs.at(serial);
+        job.timerAt = 0;
+        onTimer(context, job);
+    }
+}
+
+void forgetFinished(EntryContext context)
+{
+    auto &entry = context.entry;
+    const auto before = context.now - entry.options.finishedRetentionMs;
+    while (!entry.finished.empty() && entry.finished.begin()->first < before)
+        forgetJob(entry, entry.finished.begin()->second);
+}
+
+} // namespace flamingo
--- /dev/null
+++ b/flamingo/lookup.cc
@@ -0,0 +1,193 @@
+#include "flamingo/lookup.h"
+
+#include "flamingo/jobs.h"
+
+#include <algorithm>
+
+namespace flamingo {
+namespace {
+
+constexpr TimeMs pollIntervalMs = 1000; // of a job that another process runs
+constexpr TimeMs holderSilentMs = 10000;
+
+void ask(EntryContext context, Lookup &lookup, const std::string &process)
+{
+    JobQuery query;
+    query.request = lookup.id;
+    query.job = lookup.job;
+    lookup.askedAt = context.now;
+    context.out.sends.push_back({process, std::move(query)});
+}
+
+std::vector<std::string> agentsListing(const Entry &entry, std::string_view job)
+{
+    std::vector<std::string> agents;
+    for (const auto &agent : entry.view.agents) {
+        const bool lists = std::any_of(agent.report.tasks.begin(), agent.report.tasks.end(),
+                                       [job](const auto &task) { return task.job == job; });
+        if (lists && agent.connected)
+            agents.push_back(agent.report.agent);
+    }
+    return agents;
+}
+
+std::vector<std::string> entriesOfRegion(const Entry &entry)
+{
+    std::vector<std::string> names;
+    for (const auto &[name, peer] : entry.peers) {
+        if (peer.connected && peer.info.kind == ProcessKind::Entry
+            && peer.info.region == entry.options.region)
+            names.push_back(name);
+    }
+    return names;
+}
+
+void askAll(EntryContext context, Lookup &lookup, const std::vector<std::string> &processes)
+{
+    for (const auto &process : processes) {
+        lookup.waitingFor.insert(process);
+        ask(context, lookup, process);
+    }
+}
+
+void replyToLookup(EntryContext context, const Lookup &lookup, Reply reply)
+{
+    reply.request = lookup.request;
+    reply.job = lookup.job;
+    context.out.replies.push_back(std::move(reply));
+}
+
+void replyUnknown(EntryContext context, const Lookup &lookup)
+{
+    Reply reply;
+    reply.verdict = Verdict::MayHaveRun;
+    reply.reason = {ReasonCode::InvalidInput,
+                    "job: not known to this entry, nor to a process that it can reach"};
+    replyToLookup(context, lookup, std::move(reply));
+}
+
+// Nobody asked so far has the job; true when the lookup has ended.
+bool askNext(EntryContext context, Lookup &lookup)
+{
+    lookup.waitingFor.clear();
+    if (!lookup.askedEntries) {
+        lookup.askedEntries = true;
+        askAll(context, lookup, entriesOfRegion(context.entry));
+        if (!lookup.waitingFor.empty())
+            return false;
+    }
+    replyUnknown(context, lookup);
+    return true;
+}
+
+// The job was found; true when the lookup has ended.
+bool onFound(EntryContext context, Lookup &lookup, std::string_view from, const JobReply &reply)
+{
+    Reply result;
+    result.answer = reply.finished ? reply.answer : reply.state;
+    result.verdict = reply.finished ? reply.verdict : Verdict::MayHaveRun;
+    result.reason = {reply.reason, reply.detail};
+    result.accepted = !reply.finished;
+    if (reply.finished || (!lookup.wait && !lookup.cancel)) {
+        replyToLookup(context, lookup, std::move(result));
+        return true;
+    }
+    if (lookup.cancel && lookup.holder.empty()) {
+        Cancel cancel;
+        cancel.job = lookup.job;
+        context.out.sends.push_back({std::string(from), std::move(cancel)});
+    }
+    lookup.holder = from;
+    lookup.heardAt = context.now;
+    return false;
+}
+
+bool tickLookup(EntryContext context, Lookup &lookup)
+{
+    const auto waited = context.now - lookup.askedAt;
+    if (lookup.holder.empty())
+        return waited >= context.entry.options.replyTimeoutMs && askNext(context, lookup);
+    if (context.now - lookup.heardAt >= holderSilentMs) {
+        replyUnknown(context, lookup);
+        return true;
+    }
+    if (waited >= pollIntervalMs)
+        ask(context, lookup, lookup.holder);
+    return false;
+}
+
+} // namespace
+
+void startLookup(EntryContext context, std::string_view request, std::string_view job, bool wait,
+                 bool cancel)
+{
+    auto &entry = context.entry;
+    Lookup lookup;
+    lookup.id = entry.options.name + "." + std::to_string(entry.options.incarnation) + "?"
+        + std::to_string(++entry.lastLookup);
+    lookup.request = request;
+    lookup.job = job;
+    lookup.wait = wait;
+    lookup.cancel = cancel;
+    if (entry.lookups.size() >= entry.options.maxLookups) {
+        Reply reply;
+        reply.verdict = Verdict::MayHaveRun;
+        reply.reason = {ReasonCode::QueueFull, "too many questions about unknown jobs"};
+        replyToLookup(context, lookup, std::move(reply));
+        return;
+    }
+    askAll(context, lookup, agentsListing(entry, job));
+    if (!lookup.waitingFor.empty() || !askNext(context, lookup))
+        entry.lookups.push_back(std::move(lookup));
+}
+
+void onJobReply(EntryContext context, std::string_view from, const JobReply &reply)
+{
+    auto &lookups = context.entry.lookups;
+    const auto found = std::find_if(lookups.begin(), lookups.end(), [&reply](const auto &lookup) {
+        return lookup.id == reply.request && lookup.job == reply.job;
+    });
+    if (found == lookups.end()) {
+        onForwardedJob(context, from, reply);
+        return;
+    }
+    if (reply.found) {
+        if (onFound(context, *found, from, reply))
+            lookups.erase(found);
+        return;
+    }
+    // A holder that no longer has the job is asked no more; it may have forgotten the result.
+    const bool wasHolder = found->holder == from;
+    if (wasHolder)
+        found->holder.clear();
+    if (found->waitingFor.erase(std::string(from)) == 0 && !wasHolder)
+        return;
+    if (found->waitingFor.empty() && found->holder.empty() && askNext(context, *found))
+        lookups.erase(found);
+}
+
+void onJobQuery(EntryContext context, std::string_view from, const JobQuery &query)
+{
+    JobReply reply;
+    reply.request = query.request;
+    reply.job = query.job;
+    if (const auto *job = findJob(context.entry, query.job)) {
+        reply.found = true;
+        reply.finished = job->state == JobState::Finished;
+        reply.state = jobStateName(job->state);
+        reply.verdict = reply.finished ? job->verdict : Verdict::MayHaveRun;
+        reply.reason = reply.finished ? job->reason.code : job->blocked.code;
+        reply.detail = reply.finished ? job->reason.text : job->blocked.text;
+        reply.answer = job->answer;
+    }
+    context.out.sends.push_back({std::string(from), std::move(reply)});
+}
+
+void tickLookups(EntryContext context)
+{
+    auto &lookups = context.entry.lookups;
+    for (auto at = lookups.begin(); at != lookups.end();)
+        at = tickLookup(context, *at) ? lookups.erase(at) : at + 1;
+}
+
+} // namespace flamingo
--- /dev/null
+++ b/flamingo/view.cc
@@ -0,0 +1,758 @@
+// Placement samples a few workers of every bucket that can hold the job and keeps the one with the
+// lowest cost
+//
+//   weight * (length of the block used - accelerators needed) + (1 - weight) * load
+//
+// Equal costs are broken at random, so that several entries with the same view choose different
+// workers. When no sample can hold the job (the buckets know accelerators only, not cores or
+// memory), the buckets are scanned once.
+//
+// Gangs are placed in one rack if some rack can hold them, else in one data centre, taking the
+// racks with most room first so that few racks are touched.
+
+#include "flamingo/view.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace flamingo {
+namespace {
+
+constexpr std::size_t samplesPerBucket = 4;
+constexpr std::uint64_t reportBaseBytes = 140; // encoded report without tasks
+constexpr std::uint64_t taskBytes = 100; // encoded TaskInfo with usual ids
+constexpr std::uint64_t controlBytesPerSecond = 2048; // docs/design.md, 1.5
+constexpr TimeMs minReportIntervalMs = 1000;
+
+std::uint64_t lowBits(std::uint32_t count)
+{
+    return count >= 64 ? ~0ULL : (1ULL << count) - 1;
+}
+
+std::uint64_t encodedBytes(const Report &report)
+{
+    return reportBaseBytes + taskBytes * report.tasks.size();
+}
+
+// ---- Buckets ----
+
+void removeFromBucket(View &view, std::vector<AgentId> &bucket, std::uint32_t Room::*position,
+                      AgentId agent)
+{
+    const auto at = view.rooms[agent].*position;
+    const auto last = bucket.back();
+    bucket[at] = last;
+    view.rooms[last].*position = at;
+    bucket.pop_back();
+}
+
+void addToBucket(View &view, std::vector<AgentId> &bucket, std::uint32_t Room::*position,
+                 AgentId agent)
+{
+    view.rooms[agent].*position = static_cast<std::uint32_t>(bucket.size());
+    bucket.push_back(agent);
+}
+
+bool isUsable(const AgentView &agent)
+{
+    return agent.connected && agent.lostAt == 0 && !agent.report.agent.empty()
+        && !agent.report.draining && !agent.drainAsked && !agent.report.setAside;
+}
+
+// Recomputes the room of an agent and moves it to the right buckets.
+void refreshRoom(View &view, AgentId id)
+{
+    const auto &agent = view.agents[id];
+    auto &room = view.rooms[id];
+    auto &centre = view.dataCentres[agent.dataCentre];
+    if (room.usable) {
+        removeFromBucket(view, centre.plain[room.plainRun], &Room::plainAt, id);
+        removeFromBucket(view, centre.any[room.anyRun], &Room::anyAt, id);
+    }
+    room.freeMask = agent.report.freeMask;
+    room.evictableMask = agent.report.evictableMask;
+    room.cores = static_cast<std::int32_t>(agent.report.freeCores);
+    room.memoryMib = static_cast<std::int32_t>(agent.report.freeMemoryMib);
+    room.slots = static_cast<std::int32_t>(agent.report.freeSlots);
+    for (const auto &deduction : agent.deductions) {
+        room.freeMask &= ~deduction.mask;
+        room.evictableMask &= ~deduction.mask;
+        room.cores -= static_cast<std::int32_t>(deduction.cores);
+        room.memoryMib -= static_cast<std::int32_t>(deduction.memoryMib);
+        room.slots -= 1;
+    }
+    room.anchoredMask = 0;
+    for (const auto &anchor : agent.anchors)
+        room.anchoredMask |= anchor.mask;
+    room.plainRun = static_cast<std::uint8_t>(largestRun(room.freeMask & ~room.anchoredMask));
+    room.anyRun = static_cast<std::uint8_t>(largestRun(room.freeMask));
+    room.usable = isUsable(agent);
+    if (!room.usable)
+        return;
+    addToBucket(view, centre.plain[room.plainRun], &Room::plainAt, id);
+    addToBucket(view, centre.any[room.anyRun], &Room::anyAt, id);
+}
+
+// ---- Agents ----
+
+std::uint32_t findDataCentre(View &view, std::string_view name)
+{
+    for (std::uint32_t i = 0; i < view.dataCentres.size(); ++i) {
+        if (view.dataCentres[i].name == name)
+            return i;
+    }
+    view.dataCentres.emplace_back();
+    view.dataCentres.back().name = name;
+    return static_cast<std::uint32_t>(view.dataCentres.size() - 1);
+}
+
+std::uint32_t findRack(View &view, std::uint32_t dataCentre, std::string_view name)
+{
+    for (const auto rack : view.dataCentres[dataCentre].racks) {
+        if (view.racks[rack].name == name)
+            return rack;
+    }
+    view.racks.push_back({std::string(name), dataCentre, {}});
+    view.dataCentres[dataCentre].racks.push_back(static_cast<std::uint32_t>(view.racks.size() - 1));
+    return view.dataCentres[dataCentre].racks.back();
+}
+
+std::vector<AnchoredCopy>::iterator findCopy(std::vector<AnchoredCopy> &copies, std::uint32_t shape,
+                                             std::uint32_t copy)
+{
+    return std::find_if(copies.begin(), copies.end(), [shape, copy](const auto &known) {
+        return known.shape == shape && known.copy == copy;
+    });
+}
+
+// Connects a worker with the anchors on it.
+void fillAnchors(View &view, std::string_view worker, AgentId id)
+{
+    view.agents[id].anchors.clear();
+    const auto anchors = view.anchorsByWorker.find(worker);
+    if (anchors == view.anchorsByWorker.end())
+        return;
+    view.agents[id].anchors = anchors->second;
+    for (const auto &anchor : anchors->second) {
+        auto &copies = view.copies[anchor.organisation];
+        findCopy(copies, anchor.shape, anchor.copy)->members[anchor.member].agent = id;
+    }
+}
+
+AgentId addAgent(View &view, const std::string &name, std::string_view dataCentre,
+                 std::string_view rack)
+{
+    const auto id = static_cast<AgentId>(view.agents.size());
+    view.agents.emplace_back();
+    view.rooms.emplace_back();
+    view.byName.emplace(name, id);
+    view.agents[id].dataCentre = findDataCentre(view, dataCentre);
+    view.agents[id].rack = findRack(view, view.agents[id].dataCentre, rack);
+    view.racks[view.agents[id].rack].agents.push_back(id);
+    fillAnchors(view, name, id);
+    return id;
+}
+
+// A worker was moved to another rack.
+void moveAgent(View &view, AgentId id, const Report &report)
+{
+    auto &agent = view.agents[id];
+    if (agent.report.dataCentre == report.dataCentre && agent.report.rack == report.rack)
+        return;
+    const bool connected = agent.connected;
+    agent.connected = false;
+    refreshRoom(view, id);
+    agent.connected = connected;
+    auto &before = view.racks[agent.rack].agents;
+    before.erase(std::find(before.begin(), before.end(), id));
+    agent.dataCentre = findDataCentre(view, report.dataCentre);
+    agent.rack = findRack(view, agent.dataCentre, report.rack);
+    view.racks[agent.rack].agents.push_back(id);
+}
+
+void countTasks(View &view, const Report &report, std::int64_t sign)
+{
+    for (const auto &task : report.tasks) {
+        auto &usage = view.usage[task.organisation];
+        usage.accelerators += sign * static_cast<std::int64_t>(task.accelerators);
+        usage.tasks += sign;
+    }
+}
+
+void countDeduction(View &view, const Deduction &deduction, std::int64_t sign)
+{
+    auto &usage = view.usage[deduction.organisation];
+    usage.accelerators += sign * __builtin_popcountll(deduction.mask);
+    usage.tasks += sign;
+}
+
+template <typename Ended>
+bool endDeductions(View &view, AgentId id, Ended ended)
+{
+    auto &deductions = view.agents[id].deductions;
+    const auto before = deductions.size();
+    for (auto at = deductions.begin(); at != deductions.end();) {
+        if (!ended(*at)) {
+            ++at;
+            continue;
+        }
+        countDeduction(view, *at, -1);
+        at = deductions.erase(at);
+    }
+    return deductions.size() != before;
+}
+
+// ---- Choice ----
+
+bool mayUseLent(const JobSpec &spec)
+{
+    return spec.idempotent || spec.checkpointable;
+}
+
+bool holdsRest(const Room &room, const JobSpec &spec)
+{
+    return room.slots > 0 && room.cores >= static_cast<std::int32_t>(spec.cores)
+        && room.memoryMib >= static_cast<std::int32_t>(spec.memoryMib);
+}
+
+bool isExcluded(const PlaceOptions &options, AgentId id)
+{
+    return std::find(options.excluded.begin(), options.excluded.end(), id)
+        != options.excluded.end();
+}
+
+bool heldForOther(const View &view, std::uint32_t centre, const PlaceOptions &options)
+{
+    const auto held = view.dataCentres[centre].heldFor;
+    return held != 0 && held != options.job;
+}
+
+std::uint64_t maskOf(const Room &room, bool plain)
+{
+    return plain ? room.freeMask & ~room.anchoredMask : room.freeMask;
+}
+
+struct Choice
+{
+    AgentId agent = noAgent;
+    double cost = std::numeric_limits<double>::max();
+    std::uint32_t equals = 0;
+};
+
+void offer(Choice &choice, AgentId agent, double cost, Random &random)
+{
+    constexpr double same = 1e-9;
+    if (cost > choice.cost + same)
+        return;
+    choice.equals = cost < choice.cost - same ? 1 : choice.equals + 1;
+    if (choice.equals > 1 && random() % choice.equals != 0)
+        return;
+    choice.agent = agent;
+    choice.cost = cost;
+}
+
+double costOf(const View &view, AgentId id, int run, const JobSpec &spec, double weight)
+{
+    const auto &report = view.agents[id].report;
+    const double capacity = std::max<double>(1, report.accelerators);
+    const double load =
+        1.0 - static_cast<double>(view.rooms[id].cores) / std::max<double>(1, report.cores);
+    return weight * (run - static_cast<int>(spec.accelerators)) / capacity + (1 - weight) * load;
+}
+
+void sampleBucket(const View &view, const JobSpec &spec, const PlaceOptions &options,
+                  const std::vector<AgentId> &bucket, int run, std::size_t samples, Random &random,
+                  Choice &choice)
+{
+    if (bucket.empty())
+        return;
+    const auto start = random() % bucket.size();
+    for (std::size_t i = 0; i < std::min(samples, bucket.size()); ++i) {
+        const auto id = bucket[(start + i) % bucket.size()];
+        if (!holdsRest(view.rooms[id], spec) || isExcluded(options, id))
+            continue;
+        offer(choice, id, costOf(view, id, run, spec, options.fragmentationWeight), random);
+    }
+}
+
+AgentId chooseFree(const View &view, const JobSpec &spec, const PlaceOptions &options, bool plain,
+                   Random &random)
+{
+    for (const auto samples : {samplesPerBucket, std::numeric_limits<std::size_t>::max()}) {
+        Choice choice;
+        for (std::uint32_t centre = 0; centre < view.dataCentres.size(); ++centre) {
+            if (heldForOther(view, centre, options))
+                continue;
+            const auto &buckets =
+                plain ? view.dataCentres[centre].plain : view.dataCentres[centre].any;
+            for (std::size_t run = spec.accelerators; run < blockSizes; ++run)
+                sampleBucket(view, spec, options, buckets[run], static_cast<int>(run), samples,
+                             random, choice);
+        }
+        if (choice.agent != noAgent)
+            return choice.agent;
+    }
+    return noAgent;
+}
+
+// The block of an own anchor to use, 0 when it cannot hold the job. Guests may be evicted.
+std::uint64_t ownBlock(const Room &room, std::uint64_t anchor, const JobSpec &spec)
+{
+    const auto free = bestBlock(room.freeMask & anchor, spec.accelerators);
+    if (free != 0 && holdsRest(room, spec))
+        return free;
+    return bestBlock((room.freeMask | room.evictableMask) & anchor, spec.accelerators);
+}
+
+const std::vector<AnchoredCopy> *copiesOf(const View &view, const JobSpec &spec)
+{
+    const auto found = view.copies.find(spec.organisation);
+    return found == view.copies.end() ? nullptr : &found->second;
+}
+
+bool memberUsable(const View &view, const AnchoredMember &member, const PlaceOptions &options)
+{
+    return member.agent != noAgent && view.rooms[member.agent].usable
+        && !isExcluded(options, member.agent);
+}
+
+// Members of one copy that can hold the job; prefers those that evict nobody.
+std::optional<Placement> placeOnCopy(const View &view, const JobSpec &spec,
+                                     const PlaceOptions &options, const AnchoredCopy &copy,
+                                     int &evicted)
+{
+    Placement placement;
+    placement.kind = RoomKind::OwnAnchor;
+    evicted = 0;
+    std::vector<std::pair<int, std::size_t>> fitting;
+    std::vector<std::uint64_t> blocks(copy.members.size());
+    for (std::size_t i = 0; i < copy.members.size(); ++i) {
+        if (!memberUsable(view, copy.members[i], options))
+            continue;
+        const auto &room = view.rooms[copy.members[i].agent];
+        blocks[i] = ownBlock(room, copy.members[i].mask, spec);
+        if (blocks[i] != 0)
+            fitting.emplace_back(__builtin_popcountll(blocks[i] & ~room.freeMask), i);
+    }
+    if (fitting.size() < spec.members)
+        return std::nullopt;
+    std::stable_sort(fitting.begin(), fitting.end(),
+                     [](const auto &a, const auto &b) { return a.first < b.first; });
+    for (std::size_t i = 0; i < spec.members; ++i) {
+        evicted += fitting[i].first;
+        placement.members.push_back(copy.members[fitting[i].second].agent);
+        placement.masks.push_back(blocks[fitting[i].second]);
+    }
+    return placement;
+}
+
+std::optional<Placement> placeOnOwnAnchors(const View &view, const JobSpec &spec,
+                                           const PlaceOptions &options, Random &random)
+{
+    const auto *copies = copiesOf(view, spec);
+    if (copies == nullptr || spec.accelerators == 0)
+        return std::nullopt;
+    std::optional<Placement> best;
+    Choice choice;
+    for (std::size_t i = 0; i < copies->size(); ++i) {
+        int evicted = 0;
+        auto placement = placeOnCopy(view, spec, options, (*copies)[i], evicted);
+        if (!placement)
+            continue;
+        offer(choice, static_cast<AgentId>(i), evicted, random);
+        if (choice.agent == static_cast<AgentId>(i))
+            best = std::move(placement);
+    }
+    return best;
+}
+
+Placement makePlacement(const View &view, std::vector<AgentId> members, RoomKind kind,
+                        const JobSpec &spec)
+{
+    Placement placement;
+    placement.kind = kind;
+    for (const auto id : members)
+        placement.masks.push_back(
+            bestBlock(maskOf(view.rooms[id], kind == RoomKind::Plain), spec.accelerators));
+    placement.members = std::move(members);
+    return placement;
+}
+
+// ---- Gangs ----
+
+bool holdsMember(const View &view, AgentId id, const JobSpec &spec, const PlaceOptions &options,
+                 bool plain)
+{
+    const auto &room = view.rooms[id];
+    return room.usable && (plain ? room.plainRun : room.anyRun) >= spec.accelerators
+        && holdsRest(room, spec) && !isExcluded(options, id);
+}
+
+std::vector<AgentId> fittingInRack(const View &view, const RackView &rack, const JobSpec &spec,
+                                   const PlaceOptions &options, bool plain)
+{
+    std::vector<AgentId> fitting;
+    for (const auto id : rack.agents) {
+        if (holdsMember(view, id, spec, options, plain))
+            fitting.push_back(id);
+    }
+    return fitting;
+}
+
+std::size_t inBuckets(const Buckets &buckets, std::uint32_t accelerators)
+{
+    std::size_t count = 0;
+    for (std::size_t run = accelerators; run < blockSizes; ++run)
+        count += buckets[run].size();
+    return count;
+}
+
+// Takes the workers of a rack with the smallest blocks first.
+void takeSmallest(const View &view, std::vector<AgentId> &fitting, std::size_t count, bool plain,
+                  std::vector<AgentId> &members)
+{
+    std::stable_sort(fitting.begin(), fitting.end(), [&view, plain](AgentId a, AgentId b) {
+        return plain ? view.rooms[a].plainRun < view.rooms[b].plainRun
+                     : view.rooms[a].anyRun < view.rooms[b].anyRun;
+    });
+    for (std::size_t i = 0; i < std::min(count, fitting.size()); ++i)
+        members.push_back(fitting[i]);
+}
+
+struct RackFit
+{
+    std::vector<AgentId> agents;
+    std::uint64_t order = 0; // random, for racks with equal room
+};
+
+std::vector<AgentId> placeInCentre(const View &view, const DataCentreView &centre,
+                                   const JobSpec &spec, const PlaceOptions &options, bool plain,
+                                   Random &random, bool oneRack)
+{
+    std::vector<RackFit> fits;
+    std::size_t total = 0;
+    for (const auto rack : centre.racks) {
+        auto fitting = fittingInRack(view, view.racks[rack], spec, options, plain);
+        if (fitting.empty() || (oneRack && fitting.size() < spec.members))
+            continue;
+        total += fitting.size();
+        fits.push_back({std::move(fitting), random()});
+    }
+    std::vector<AgentId> members;
+    if (total < spec.members)
+        return members;
+    std::sort(fits.begin(), fits.end(), [oneRack](const RackFit &a, const RackFit &b) {
+        if (a.agents.size() != b.agents.size())
+            return oneRack == (a.agents.size() < b.agents.size());
+        return a.order < b.order;
+    });
+    for (auto &fit : fits) {
+        takeSmallest(view, fit.agents, spec.members - members.size(), plain, members);
+        if (members.size() == spec.members)
+            break;
+    }
+    return members;
+}
+
+std::vector<AgentId> chooseGang(const View &view, const JobSpec &spec, const PlaceOptions &options,
+                                bool plain, Random &random)
+{
+    const auto count = static_cast<std::uint32_t>(view.dataCentres.size());
+    const auto first = count == 0 ? 0 : static_cast<std::uint32_t>(random() % count);
+    for (const bool oneRack : {true, false}) {
+        for (std::uint32_t i = 0; i < count; ++i) {
+            const auto index = (first + i) % count;
+            const auto &centre = view.dataCentres[index];
+            const auto &buckets = plain ? centre.plain : centre.any;
+            if (heldForOther(view, index, options)
+                || inBuckets(buckets, spec.accelerators) < spec.members)
+                continue;
+            auto members = placeInCentre(view, centre, spec, options, plain, random, oneRack);
+            if (!members.empty())
+                return members;
+        }
+    }
+    return {};
+}
+
+std::vector<AgentId> chooseMembers(const View &view, const JobSpec &spec,
+                                   const PlaceOptions &options, bool plain, Random &random)
+{
+    if (spec.members > 1)
+        return chooseGang(view, spec, options, plain, random);
+    const auto agent = chooseFree(view, spec, options, plain, random);
+    return agent == noAgent ? std::vector<AgentId>{} : std::vector<AgentId>{agent};
+}
+
+template <typename Sizes>
+bool couldHoldMember(const Sizes &sizes, const JobSpec &spec)
+{
+    return spec.accelerators <= sizes.accelerators && spec.cores <= sizes.cores
+        && spec.memoryMib <= sizes.memoryMib;
+}
+
+void countCapacity(View &view, std::uint32_t centre, const Report &report, int sign)
+{
+    auto found = std::find_if(
+        view.capacities.begin(), view.capacities.end(), [&report](const auto &capacity) {
+            return capacity.accelerators == report.accelerators && capacity.cores == report.cores
+                && capacity.memoryMib == report.memoryMib;
+        });
+    if (found == view.capacities.end())
+        found = view.capacities.insert(found,
+                                       {report.accelerators, report.cores, report.memoryMib, {}});
+    if (found->perCentre.size() <= centre)
+        found->perCentre.resize(centre + 1);
+    found->perCentre[centre] += sign;
+}
+
+} // namespace
+
+int largestRun(std::uint64_t mask)
+{
+    int length = 0;
+    for (; mask != 0; mask &= mask << 1)
+        ++length;
+    return length;
+}
+
+std::uint64_t bestBlock(std::uint64_t mask, std::uint32_t count)
+{
+    if (count == 0)
+        return 0;
+    std::uint64_t best = 0;
+    int bestLength = std::numeric_limits<int>::max();
+    while (mask != 0) {
+        const int first = __builtin_ctzll(mask);
+        const auto shifted = mask >> first;
+        const int length = ~shifted == 0 ? 64 : __builtin_ctzll(~shifted);
+        if (length >= static_cast<int>(count) && length < bestLength) {
+            bestLength = length;
+            best = lowBits(count) << first;
+        }
+        mask &= ~(lowBits(static_cast<std::uint32_t>(length)) << first);
+    }
+    return best;
+}
+
+ReportResult applyReport(View &view, const Report &report, TimeMs now)
+{
+    auto id = findAgent(view, report.agent);
+    if (id == noAgent)
+        id = addAgent(view, report.agent, report.dataCentre, report.rack);
+    auto &agent = view.agents[id];
+    const bool first = agent.report.agent.empty();
+    const bool restarted = !first && report.incarnation > agent.report.incarnation;
+    const bool stale = !first && !restarted
+        && (report.incarnation < agent.report.incarnation
+            || report.sequence <= agent.report.sequence);
+    if (stale)
+        return ReportResult::Stale;
+    if (!first) {
+        countCapacity(view, agent.dataCentre, agent.report, -1);
+        moveAgent(view, id, report);
+    }
+    countCapacity(view, agent.dataCentre, report, 1);
+    countTasks(view, agent.report, -1);
+    view.reportBytes -= first ? 0 : encodedBytes(agent.report);
+    agent.report = report;
+    agent.heardAt = now;
+    agent.lostAt = 0;
+    agent.connected = true;
+    agent.drainAsked = agent.drainAsked && !report.draining && !restarted;
+    countTasks(view, agent.report, 1);
+    view.reportBytes += encodedBytes(report);
+    endDeductions(view, id, [&report, restarted](const Deduction &deduction) {
+        return restarted
+            || std::any_of(
+                   report.tasks.begin(), report.tasks.end(),
+                   [&deduction](const auto &task) { return task.attempt == deduction.attempt; });
+    });
+    refreshRoom(view, id);
+    if (first)
+        return ReportResult::New;
+    return restarted ? ReportResult::Restarted : ReportResult::Updated;
+}
+
+void setAnchors(View &view, const Table &table)
+{
+    view.copies.clear();
+    view.anchorsByWorker.clear();
+    for (const auto &anchor : table.anchors) {
+        const auto mask = lowBits(anchor.count) << std::min<std::uint32_t>(anchor.first, 63);
+        view.anchorsByWorker[anchor.worker].push_back(
+            {anchor.organisation, anchor.shape, anchor.copy, anchor.member, mask});
+        auto &copies = view.copies[anchor.organisation];
+        auto copy = findCopy(copies, anchor.shape, anchor.copy);
+        if (copy == copies.end())
+            copy = copies.insert(copies.end(), {anchor.shape, anchor.copy, {}});
+        if (copy->members.size() <= anchor.member)
+            copy->members.resize(anchor.member + 1);
+        copy->members[anchor.member].mask = mask;
+    }
+    for (AgentId id = 0; id < view.agents.size(); ++id) {
+        fillAnchors(view, view.agents[id].report.agent, id);
+        refreshRoom(view, id);
+    }
+}
+
+void setConnected(View &view, std::string_view agent, bool connected)
+{
+    const auto id = findAgent(view, agent);
+    if (id == noAgent)
+        return;
+    view.agents[id].connected = connected;
+    refreshRoom(view, id);
+}
+
+void setLost(View &view, AgentId agent, TimeMs lostAt)
+{
+    view.agents[agent].lostAt = lostAt;
+    endDeductions(view, agent, [](const Deduction &) { return true; });
+    refreshRoom(view, agent);
+}
+
+void setDrainAsked(View &view, AgentId agent, bool asked)
+{
+    view.agents[agent].drainAsked = asked;
+    refreshRoom(view, agent);
+}
+
+AgentId findAgent(const View &view, std::string_view name)
+{
+    const auto found = view.byName.find(std::string(name));
+    return found == view.byName.end() ? noAgent : found->second;
+}
+
+Usage usageOf(const View &view, std::string_view organisation)
+{
+    const auto found = view.usage.find(organisation);
+    return found == view.usage.end() ? Usage{} : found->second;
+}
+
+std::optional<Placement> place(const View &view, const JobSpec &spec, const PlaceOptions &options,
+                               Random &random)
+{
+    auto members = chooseMembers(view, spec, options, options.useAnchors, random);
+    if (!members.empty())
+        return makePlacement(view, std::move(members),
+                             options.useAnchors ? RoomKind::Plain : RoomKind::Lent, spec);
+    if (!options.useAnchors)
+        return std::nullopt;
+    if (auto own = placeOnOwnAnchors(view, spec, options, random))
+        return own;
+    if (!mayUseLent(spec))
+        return std::nullopt;
+    members = chooseMembers(view, spec, options, false, random);
+    if (members.empty())
+        return std::nullopt;
+    return makePlacement(view, std::move(members), RoomKind::Lent, spec);
+}
+
+void deduct(View &view, const Placement &placement, const JobSpec &spec, std::string_view attempt,
+            TimeMs now)
+{
+    for (std::size_t i = 0; i < placement.members.size(); ++i) {
+        Deduction deduction;
+        deduction.attempt = attempt;
+        deduction.organisation = spec.organisation;
+        deduction.mask = placement.masks[i];
+        deduction.cores = spec.cores;
+        deduction.memoryMib = spec.memoryMib;
+        deduction.sentAt = now;
+        countDeduction(view, deduction, 1);
+        view.agents[placement.members[i]].deductions.push_back(std::move(deduction));
+        refreshRoom(view, placement.members[i]);
+    }
+}
+
+void restore(View &view, AgentId agent, std::string_view attempt)
+{
+    if (endDeductions(view, agent, [attempt](const Deduction &deduction) {
+            return deduction.attempt == attempt;
+        }))
+        refreshRoom(view, agent);
+}
+
+void restoreOld(View &view, AgentId agent, TimeMs before)
+{
+    if (endDeductions(view, agent,
+                      [before](const Deduction &deduction) { return deduction.sentAt < before; }))
+        refreshRoom(view, agent);
+}
+
+bool couldEverHold(const View &view, const JobSpec &spec, Reason &reason)
+{
+    std::vector<std::size_t> holding(view.dataCentres.size());
+    for (const auto &capacity : view.capacities) {
+        if (!couldHoldMember(capacity, spec))
+            continue;
+        for (std::size_t i = 0; i < capacity.perCentre.size(); ++i)
+            holding[i] += capacity.perCentre[i];
+    }
+    const auto most = holding.empty() ? 0 : *std::max_element(holding.begin(), holding.end());
+    if (most >= spec.members)
+        return true;
+    reason.code = ReasonCode::ImpossibleShape;
+    if (most == 0)
+        reason.text = "accelerators, cores, memoryMib: no worker of region " + view.region + " has "
+            + std::to_string(spec.accelerators) + " accelerators, " + std::to_string(spec.cores)
+            + " cores and " + std::to_string(spec.memoryMib) + " MiB";
+    else
+        reason.text = "members: " + std::to_string(spec.members) + " members need as many workers"
+            + " in one data centre; the largest one has " + std::to_string(most)
+            + " that can hold a member";
+    return false;
+}
+
+int dataCentreFor(const View &view, const JobSpec &spec)
+{
+    std::vector<std::size_t> capable(view.dataCentres.size());
+    for (const auto &agent : view.agents) {
+        if (agent.lostAt == 0 && couldHoldMember(agent.report, spec))
+            ++capable[agent.dataCentre];
+    }
+    int best = -1;
+    std::size_t bestFree = 0;
+    for (std::size_t i = 0; i < view.dataCentres.size(); ++i) {
+        if (capable[i] < spec.members || view.dataCentres[i].heldFor != 0)
+            continue;
+        const auto free = inBuckets(view.dataCentres[i].any, spec.accelerators);
+        if (best >= 0 && free <= bestFree)
+            continue;
+        best = static_cast<int>(i);
+        bestFree = free;
+    }
+    return best;
+}
+
+TimeMs reportIntervalMs(const View &view)
+{
+    const auto atBudget = view.reportBytes * 1000 / controlBytesPerSecond;
+    return std::max(minReportIntervalMs, static_cast<TimeMs>(atBudget));
+}
+
+std::vector<WorkerSite> sitesOf(const View &view)
+{
+    std::vector<WorkerSite> sites;
+    for (const auto &agent : view.agents) {
+        if (agent.lostAt != 0 || agent.report.agent.empty())
+            continue;
+        sites.push_back({agent.report.agent, agent.report.region, agent.report.dataCentre,
+                         agent.report.rack, agent.report.accelerators});
+    }
+    return sites;
+}
+
+double fragmentationOf(const View &view)
+{
+    std::int64_t free = 0;
+    std::int64_t inLargest = 0;
+    for (const auto &room : view.rooms) {
+        free += __builtin_popcountll(room.freeMask);
+        inLargest += room.anyRun;
+    }
+    return free == 0 ? 0 : 1 - static_cast<double>(inLargest) / static_cast<double>(free);
+}
+
+} // namespace flamingo
--- a/flamingo/wire/messages_generated.h
+++ b/flamingo/wire/messages_generated.h
@@ -140,6 +140,10 @@
 struct VersionInForceBuilder;
 struct VersionInForceT;
 
+struct SiteInfo;
+struct SiteInfoBuilder;
+struct SiteInfoT;
+
 struct VersionSummary;
 struct VersionSummaryBuilder;
 struct VersionSummaryT;
@@ -1094,6 +1098,7 @@
   uint64_t declaredMs = 0;
   uint64_t deadlineMs = 0;
   std::string payload{};
+  std::string checkpoint{};
 };
 
 struct JobSpec FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -1116,7 +1121,8 @@
     VT_MEMORYMIB = 28,
     VT_DECLAREDMS = 30,
     VT_DEADLINEMS = 32,
-    VT_PAYLOAD = 34
+    VT_PAYLOAD = 34,
+    VT_CHECKPOINT = 36
   };
   const flatbuffers::String *job() const {
     return GetPointer<const flatbuffers::String *>(VT_JOB);
@@ -1166,6 +1172,9 @@
   const flatbuffers::String *payload() const {
     return GetPointer<const flatbuffers::String *>(VT_PAYLOAD);
   }
+  const flatbuffers::String *checkpoint() const {
+    return GetPointer<const flatbuffers::String *>(VT_CHECKPOINT);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_JOB) &&
@@ -1189,6 +1198,8 @@
            VerifyField<uint64_t>(verifier, VT_DEADLINEMS, 8) &&
            VerifyOffset(verifier, VT_PAYLOAD) &&
            verifier.VerifyString(payload()) &&
+           VerifyOffset(verifier, VT_CHECKPOINT) &&
+           verifier.VerifyString(checkpoint()) &&
            verifier.EndTable();
   }
   JobSpecT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -1248,6 +1259,9 @@
   void add_payload(flatbuffers::Offset<flatbuffers::String> payload) {
     fbb_.AddOffset(JobSpec::VT_PAYLOAD, payload);
   }
+  void add_checkpoint(flatbuffers::Offset<flatbuffers::String> checkpoint) {
+    fbb_.AddOffset(JobSpec::VT_CHECKPOINT, checkpoint);
+  }
   explicit JobSpecBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1276,10 +1290,12 @@
     uint32_t memoryMib = 0,
     uint64_t declaredMs = 0,
     uint64_t deadlineMs = 0,
-    flatbuffers::Offset<flatbuffers::String> payload = 0) {
+    flatbuffers::Offset<flatbuffers::String> payload = 0,
+    flatbuffers::Offset<flatbuffers::String> checkpoint = 0) {
   JobSpecBuilder builder_(_fbb);
   builder_.add_deadlineMs(deadlineMs);
   builder_.add_declaredMs(declaredMs);
+  builder_.add_checkpoint(checkpoint);
   builder_.add_payload(payload);
   builder_.add_memoryMib(memoryMib);
   builder_.add_cores(cores);
@@ -1319,12 +1335,14 @@
     uint32_t memoryMib = 0,
     uint64_t declaredMs = 0,
     uint64_t deadlineMs = 0,
-    const char *payload = nullptr) {
+    const char *payload = nullptr,
+    const char *checkpoint = nullptr) {
   auto job__ = job ? _fbb.CreateString(job) : 0;
   auto key__ = key ? _fbb.CreateString(key) : 0;
   auto organisation__ = organisation ? _fbb.CreateString(organisation) : 0;
   auto homeRegion__ = homeRegion ? _fbb.CreateString(homeRegion) : 0;
   auto payload__ = payload ? _fbb.CreateString(payload) : 0;
+  auto checkpoint__ = checkpoint ? _fbb.CreateString(checkpoint) : 0;
   return flamingo::wire::CreateJobSpec(
       _fbb,
       job__,
@@ -1342,7 +1360,8 @@
       memoryMib,
       declaredMs,
       deadlineMs,
-      payload__);
+      payload__,
+      checkpoint__);
 }
 
 flatbuffers::Offset<JobSpec> CreateJobSpec(flatbuffers::FlatBufferBuilder &_fbb, const JobSpecT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -5108,10 +5127,150 @@
 
 flatbuffers::Offset<VersionInForce> CreateVersionInForce(flatbuffers::FlatBufferBuilder &_fbb, const VersionInForceT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct SiteInfoT : public flatbuffers::NativeTable {
+  typedef SiteInfo TableType;
+  std::string worker{};
+  std::string region{};
+  std::string dataCentre{};
+  std::string rack{};
+  uint32_t accelerators = 0;
+  bool lost = false;
+};
+
+struct SiteInfo FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef SiteInfoT NativeTableType;
+  typedef SiteInfoBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_WORKER = 4,
+    VT_REGION = 6,
+    VT_DATACENTRE = 8,
+    VT_RACK = 10,
+    VT_ACCELERATORS = 12,
+    VT_LOST = 14
+  };
+  const flatbuffers::String *worker() const {
+    return GetPointer<const flatbuffers::String *>(VT_WORKER);
+  }
+  const flatbuffers::String *region() const {
+    return GetPointer<const flatbuffers::String *>(VT_REGION);
+  }
+  const flatbuffers::String *dataCentre() const {
+    return GetPointer<const flatbuffers::String *>(VT_DATACENTRE);
+  }
+  const flatbuffers::String *rack() const {
+    return GetPointer<const flatbuffers::String *>(VT_RACK);
+  }
+  uint32_t accelerators() const {
+    return GetField<uint32_t>(VT_ACCELERATORS, 0);
+  }
+  bool lost() const {
+    return GetField<uint8_t>(VT_LOST, 0) != 0;
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_WORKER) &&
+           verifier.VerifyString(worker()) &&
+           VerifyOffset(verifier, VT_REGION) &&
+           verifier.VerifyString(region()) &&
+           VerifyOffset(verifier, VT_DATACENTRE) &&
+           verifier.VerifyString(dataCentre()) &&
+           VerifyOffset(verifier, VT_RACK) &&
+           verifier.VerifyString(rack()) &&
+           VerifyField<uint32_t>(verifier, VT_ACCELERATORS, 4) &&
+           VerifyField<uint8_t>(verifier, VT_LOST, 1) &&
+           verifier.EndTable();
+  }
+  SiteInfoT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(SiteInfoT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<SiteInfo> Pack(flatbuffers::FlatBufferBuilder &_fbb, const SiteInfoT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct SiteInfoBuilder {
+  typedef SiteInfo Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_worker(flatbuffers::Offset<flatbuffers::String> worker) {
+    fbb_.AddOffset(SiteInfo::VT_WORKER, worker);
+  }
+  void add_region(flatbuffers::Offset<flatbuffers::String> region) {
+    fbb_.AddOffset(SiteInfo::VT_REGION, region);
+  }
+  void add_dataCentre(flatbuffers::Offset<flatbuffers::String> dataCentre) {
+    fbb_.AddOffset(SiteInfo::VT_DATACENTRE, dataCentre);
+  }
+  void add_rack(flatbuffers::Offset<flatbuffers::String> rack) {
+    fbb_.AddOffset(SiteInfo::VT_RACK, rack);
+  }
+  void add_accelerators(uint32_t accelerators) {
+    fbb_.AddElement<uint32_t>(SiteInfo::VT_ACCELERATORS, accelerators, 0);
+  }
+  void add_lost(bool lost) {
+    fbb_.AddElement<uint8_t>(SiteInfo::VT_LOST, static_cast<uint8_t>(lost), 0);
+  }
+  explicit SiteInfoBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<SiteInfo> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<SiteInfo>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<SiteInfo> CreateSiteInfo(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> worker = 0,
+    flatbuffers::Offset<flatbuffers::String> region = 0,
+    flatbuffers::Offset<flatbuffers::String> dataCentre = 0,
+    flatbuffers::Offset<flatbuffers::String> rack = 0,
+    uint32_t accelerators = 0,
+    bool lost = false) {
+  SiteInfoBuilder builder_(_fbb);
+  builder_.add_accelerators(accelerators);
+  builder_.add_rack(rack);
+  builder_.add_dataCentre(dataCentre);
+  builder_.add_region(region);
+  builder_.add_worker(worker);
+  builder_.add_lost(lost);
+  return builder_.Finish();
+}
+
+struct SiteInfo::Traits {
+  using type = SiteInfo;
+  static auto constexpr Create = CreateSiteInfo;
+};
+
+inline flatbuffers::Offset<SiteInfo> CreateSiteInfoDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *worker = nullptr,
+    const char *region = nullptr,
+    const char *dataCentre = nullptr,
+    const char *rack = nullptr,
+    uint32_t accelerators = 0,
+    bool lost = false) {
+  auto worker__ = worker ? _fbb.CreateString(worker) : 0;
+  auto region__ = region ? _fbb.CreateString(region) : 0;
+  auto dataCentre__ = dataCentre ? _fbb.CreateString(dataCentre) : 0;
+  auto rack__ = rack ? _fbb.CreateString(rack) : 0;
+  return flamingo::wire::CreateSiteInfo(
+      _fbb,
+      worker__,
+      region__,
+      dataCentre__,
+      rack__,
+      accelerators,
+      lost);
+}
+
+flatbuffers::Offset<SiteInfo> CreateSiteInfo(flatbuffers::FlatBufferBuilder &_fbb, const SiteInfoT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct VersionSummaryT : public flatbuffers::NativeTable {
   typedef VersionSummary TableType;
   std::string entry{};
   std::vector<flamingo::wire::VersionInForceT> versions{};
+  std::vector<flamingo::wire::SiteInfoT> sites{};
 };
 
 struct VersionSummary FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -5120,7 +5279,8 @@
   struct Traits;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_ENTRY = 4,
-    VT_VERSIONS = 6
+    VT_VERSIONS = 6,
+    VT_SITES = 8
   };
   const flatbuffers::String *entry() const {
     return GetPointer<const flatbuffers::String *>(VT_ENTRY);
@@ -5128,6 +5288,9 @@
   const flatbuffers::Vector<flatbuffers::Offset<flamingo::wire::VersionInForce>> *versions() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<flamingo::wire::VersionInForce>> *>(VT_VERSIONS);
   }
+  const flatbuffers::Vector<flatbuffers::Offset<flamingo::wire::SiteInfo>> *sites() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<flamingo::wire::SiteInfo>> *>(VT_SITES);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_ENTRY) &&
@@ -5135,6 +5298,9 @@
            VerifyOffset(verifier, VT_VERSIONS) &&
            verifier.VerifyVector(versions()) &&
            verifier.VerifyVectorOfTables(versions()) &&
+           VerifyOffset(verifier, VT_SITES) &&
+           verifier.VerifyVector(sites()) &&
+           verifier.VerifyVectorOfTables(sites()) &&
            verifier.EndTable();
   }
   VersionSummaryT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -5152,6 +5318,9 @@
   void add_versions(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flamingo::wire::VersionInForce>>> versions) {
     fbb_.AddOffset(VersionSummary::VT_VERSIONS, versions);
   }
+  void add_sites(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flamingo::wire::SiteInfo>>> sites) {
+    fbb_.AddOffset(VersionSummary::VT_SITES, sites);
+  }
   explicit VersionSummaryBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -5166,8 +5335,10 @@
 inline flatbuffers::Offset<VersionSummary> CreateVersionSummary(
     flatbuffers::FlatBufferBuilder &_fbb,
     flatbuffers::Offset<flatbuffers::String> entry = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flamingo::wire::VersionInForce>>> versions = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flamingo::wire::VersionInForce>>> versions = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flamingo::wire::SiteInfo>>> sites = 0) {
   VersionSummaryBuilder builder_(_fbb);
+  builder_.add_sites(sites);
   builder_.add_versions(versions);
   builder_.add_entry(entry);
   return builder_.Finish();
@@ -5181,13 +5352,16 @@
 inline flatbuffers::Offset<VersionSummary> CreateVersionSummaryDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
     const char *entry = nullptr,
-    const std::vector<flatbuffers::Offset<flamingo::wire::VersionInForce>> *versions = nullptr) {
+    const std::vector<flatbuffers::Offset<flamingo::wire::VersionInForce>> *versions = nullptr,
+    const std::vector<flatbuffers::Offset<flamingo::wire::SiteInfo>> *sites = nullptr) {
   auto entry__ = entry ? _fbb.CreateString(entry) : 0;
   auto versions__ = versions ? _fbb.CreateVector<flatbuffers::Offset<flamingo::wire::VersionInForce>>(*versions) : 0;
+  auto sites__ = sites ? _fbb.CreateVector<flatbuffers::Offset<flamingo::wire::SiteInfo>>(*sites) : 0;
   return flamingo::wire::CreateVersionSummary(
       _fbb,
       entry__,
-      versions__);
+      versions__,
+      sites__);
 }
 
 flatbuffers::Offset<VersionSummary> CreateVersionSummary(flatbuffers::FlatBufferBuilder &_fbb, const VersionSummaryT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -6064,6 +6238,7 @@
   { auto _e = declaredMs(); _o->declaredMs = _e; }
   { auto _e = deadlineMs(); _o->deadlineMs = _e; }
   { auto _e = payload(); if (_e) _o->payload = _e->str(); }
+  { auto _e = checkpoint(); if (_e) _o->checkpoint = _e->str(); }
 }
 
 inline flatbuffers::Offset<JobSpec> JobSpec::Pack(flatbuffers::FlatBufferBuilder &_fbb, const JobSpecT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -6090,6 +6265,7 @@
   auto _declaredMs = _o->declaredMs;
   auto _deadlineMs = _o->deadlineMs;
   auto _payload = _o->payload.empty() ? 0 : _fbb.CreateString(_o->payload);
+  auto _checkpoint = _o->checkpoint.empty() ? 0 : _fbb.CreateString(_o->checkpoint);
   return flamingo::wire::CreateJobSpec(
       _fbb,
       _job,
@@ -6107,7 +6283,8 @@
       _memoryMib,
       _declaredMs,
       _deadlineMs,
-      _payload);
+      _payload,
+      _checkpoint);
 }
 
 inline PeerInfoT *PeerInfo::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
@@ -7305,6 +7482,47 @@
       _version);
 }
 
+inline SiteInfoT *SiteInfo::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<SiteInfoT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void SiteInfo::UnPackTo(SiteInfoT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = worker(); if (_e) _o->worker = _e->str(); }
+  { auto _e = region(); if (_e) _o->region = _e->str(); }
+  { auto _e = dataCentre(); if (_e) _o->dataCentre = _e->str(); }
+  { auto _e = rack(); if (_e) _o->rack = _e->str(); }
+  { auto _e = accelerators(); _o->accelerators = _e; }
+  { auto _e = lost(); _o->lost = _e; }
+}
+
+inline flatbuffers::Offset<SiteInfo> SiteInfo::Pack(flatbuffers::FlatBufferBuilder &_fbb, const SiteInfoT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateSiteInfo(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<SiteInfo> CreateSiteInfo(flatbuffers::FlatBufferBuilder &_fbb, const SiteInfoT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const SiteInfoT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _worker = _o->worker.empty() ? 0 : _fbb.CreateString(_o->worker);
+  auto _region = _o->region.empty() ? 0 : _fbb.CreateString(_o->region);
+  auto _dataCentre = _o->dataCentre.empty() ? 0 : _fbb.CreateString(_o->dataCentre);
+  auto _rack = _o->rack.empty() ? 0 : _fbb.CreateString(_o->rack);
+  auto _accelerators = _o->accelerators;
+  auto _lost = _o->lost;
+  return flamingo::wire::CreateSiteInfo(
+      _fbb,
+      _worker,
+      _region,
+      _dataCentre,
+      _rack,
+      _accelerators,
+      _lost);
+}
+
 inline VersionSummaryT *VersionSummary::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
   auto _o = std::make_unique<VersionSummaryT>();
   UnPackTo(_o.get(), _resolver);
@@ -7316,6 +7534,7 @@
   (void)_resolver;
   { auto _e = entry(); if (_e) _o->entry = _e->str(); }
   { auto _e = versions(); if (_e) { _o->versions.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->versions[_i] = *std::unique_ptr<flamingo::wire::VersionInForceT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = sites(); if (_e) { _o->sites.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->sites[_i] = *std::unique_ptr<flamingo::wire::SiteInfoT>(_e->Get(_i)->UnPack(_resolver)); } } }
 }
 
 inline flatbuffers::Offset<VersionSummary> VersionSummary::Pack(flatbuffers::FlatBufferBuilder &_fbb, const VersionSummaryT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -7328,10 +7547,12 @@
   struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const VersionSummaryT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
   auto _entry = _o->entry.empty() ? 0 : _fbb.CreateString(_o->entry);
   auto _versions = _o->versions.size() ? _fbb.CreateVector<flatbuffers::Offset<flamingo::wire::VersionInForce>> (_o->versions.size(), [](size_t i, _VectorArgs *__va) { return CreateVersionInForce(*__va->__fbb, &(__va->__o->versions[i]), __va->__rehasher); }, &_va ) : 0;
+  auto _sites = _o->sites.size() ? _fbb.CreateVector<flatbuffers::Offset<flamingo::wire::SiteInfo>> (_o->sites.size(), [](size_t i, _VectorArgs *__va) { return CreateSiteInfo(*__va->__fbb, &(__va->__o->sites[i]), __va->__rehasher); }, &_va ) : 0;
   return flamingo::wire::CreateVersionSummary(
       _fbb,
       _entry,
-      _versions);
+      _versions,
+      _sites);
 }
 
 inline ForwardT::ForwardT(const ForwardT &o)
