--- a/flamingo/jobs.cc
+++ b/flamingo/jobs.cc
@@ -64,7 +64,7 @@
     return entry.view.agents[agent].report.agent;
 }
 
-void sendCancel(EntryContext context, const Job &job, const Attempt &attempt)
+void sendCancel(EntryContext context, const Job &job, const JobAttempt &attempt)
 {
     Cancel cancel;
     cancel.job = job.spec.job;
@@ -72,7 +72,7 @@
     send(context, nameOf(context.entry, attempt.agents.front()), std::move(cancel));
 }
 
-void restoreAttempt(Entry &entry, const Attempt &attempt)
+void restoreAttempt(Entry &entry, const JobAttempt &attempt)
 {
     for (const auto agent : attempt.agents)
         restore(entry.view, agent, attempt.id);
@@ -93,7 +93,7 @@
     job.attempts.erase(found);
 }
 
-const Attempt *findAttempt(const Job &job, std::string_view id)
+const JobAttempt *findAttempt(const Job &job, std::string_view id)
 {
     for (const auto &attempt : job.attempts) {
         if (attempt.id == id)
@@ -274,7 +274,7 @@
         + (spec.members > 1 ? gangExtraMs : 0) + (spec.idempotent ? 0 : ownerExtraMs);
 }
 
-Start makeStart(EntryContext context, const Job &job, const Attempt &attempt, RoomKind kind)
+Start makeStart(EntryContext context, const Job &job, const JobAttempt &attempt, RoomKind kind)
 {
     const auto &entry = context.entry;
     Start start;
@@ -303,7 +303,7 @@
     auto &entry = context.entry;
     dequeue(entry.queue, job);
     releaseHold(entry, job);
-    Attempt attempt;
+    JobAttempt attempt;
     attempt.id = entry.options.name + "." + std::to_string(entry.options.incarnation) + "#"
         + std::to_string(++entry.lastAttempt);
     attempt.agents = placement.members;
@@ -896,7 +896,7 @@
 }
 
 // The leader of the current attempt is gone.
-void loseAttempt(EntryContext context, Job &job, const Attempt &attempt, Loss loss)
+void loseAttempt(EntryContext context, Job &job, const JobAttempt &attempt, Loss loss)
 {
     ++context.entry.counters.lostAttempts;
     const auto id = attempt.id;
--- a/flamingo/queue.h
+++ b/flamingo/queue.h
@@ -37,7 +37,7 @@
 std::string_view jobStateName(JobState state);
 
 // A Start that was sent and of which it is not known that it ended.
-struct Attempt
+struct JobAttempt
 {
     std::string id;
     std::vector<AgentId> agents; // leader first
@@ -54,7 +54,7 @@
     JobState state = JobState::Queued;
     std::vector<Waiter> waiters;
     std::vector<Waiter> served; // forwarded requests that were answered, so that copies are known
-    std::vector<Attempt> attempts; // open ones
+    std::vector<JobAttempt> attempts; // open ones
     std::string current; // attempt that the job is starting or running with
     TimeMs submittedAt = 0;
     TimeMs deadlineAt = 0; // 0 = none
