--- a/flamingo/adapters/job_json.cc
+++ b/flamingo/adapters/job_json.cc
@@ -113,10 +113,10 @@
 
 int statusOf(const Reply &reply)
 {
-    if (reply.accepted)
-        return 202;
     if (reply.verdict == Verdict::Ran)
         return 200;
+    if (reply.accepted)
+        return 202;
     if (reply.verdict == Verdict::MayHaveRun)
         return 504;
     switch (reply.reason.code) {
--- a/flamingo/view.cc
+++ b/flamingo/view.cc
@@ -36,7 +36,7 @@
 
 // ---- Buckets ----
 
-void removeFromBucket(View &view, std::vector<AgentId> &bucket, std::uint32_t Room::*position,
+void removeFromBucket(View &view, std::vector<AgentId> &bucket, std::uint32_t AgentRoom::*position,
                       AgentId agent)
 {
     const auto at = view.rooms[agent].*position;
@@ -46,7 +46,7 @@
     bucket.pop_back();
 }
 
-void addToBucket(View &view, std::vector<AgentId> &bucket, std::uint32_t Room::*position,
+void addToBucket(View &view, std::vector<AgentId> &bucket, std::uint32_t AgentRoom::*position,
                  AgentId agent)
 {
     view.rooms[agent].*position = static_cast<std::uint32_t>(bucket.size());
@@ -66,8 +66,8 @@
     auto &room = view.rooms[id];
     auto &centre = view.dataCentres[agent.dataCentre];
     if (room.usable) {
-        removeFromBucket(view, centre.plain[room.plainRun], &Room::plainAt, id);
-        removeFromBucket(view, centre.any[room.anyRun], &Room::anyAt, id);
+        removeFromBucket(view, centre.plain[room.plainRun], &AgentRoom::plainAt, id);
+        removeFromBucket(view, centre.any[room.anyRun], &AgentRoom::anyAt, id);
     }
     room.freeMask = agent.report.freeMask;
     room.evictableMask = agent.report.evictableMask;
@@ -89,8 +89,8 @@
     room.usable = isUsable(agent);
     if (!room.usable)
         return;
-    addToBucket(view, centre.plain[room.plainRun], &Room::plainAt, id);
-    addToBucket(view, centre.any[room.anyRun], &Room::anyAt, id);
+    addToBucket(view, centre.plain[room.plainRun], &AgentRoom::plainAt, id);
+    addToBucket(view, centre.any[room.anyRun], &AgentRoom::anyAt, id);
 }
 
 // ---- Agents ----
@@ -209,7 +209,7 @@
     return spec.idempotent || spec.checkpointable;
 }
 
-bool holdsRest(const Room &room, const JobSpec &spec)
+bool holdsRest(const AgentRoom &room, const JobSpec &spec)
 {
     return room.slots > 0 && room.cores >= static_cast<std::int32_t>(spec.cores)
         && room.memoryMib >= static_cast<std::int32_t>(spec.memoryMib);
@@ -227,7 +227,7 @@
     return held != 0 && held != options.job;
 }
 
-std::uint64_t maskOf(const Room &room, bool plain)
+std::uint64_t maskOf(const AgentRoom &room, bool plain)
 {
     return plain ? room.freeMask & ~room.anchoredMask : room.freeMask;
 }
@@ -296,7 +296,7 @@
 }
 
 // The block of an own anchor to use, 0 when it cannot hold the job. Guests may be evicted.
-std::uint64_t ownBlock(const Room &room, std::uint64_t anchor, const JobSpec &spec)
+std::uint64_t ownBlock(const AgentRoom &room, std::uint64_t anchor, const JobSpec &spec)
 {
     const auto free = bestBlock(room.freeMask & anchor, spec.accelerators);
     if (free != 0 && holdsRest(room, spec))
--- a/flamingo/view.h
+++ b/flamingo/view.h
@@ -66,7 +66,7 @@
 };
 
 // What a placement reads of a worker, kept apart so that scans stay within the processor's caches.
-struct Room
+struct AgentRoom
 {
     std::uint64_t freeMask = 0; // after deductions
     std::uint64_t evictableMask = 0;
@@ -133,7 +133,7 @@
 {
     std::string region;
     std::vector<AgentView> agents;
-    std::vector<Room> rooms; // same index as agents
+    std::vector<AgentRoom> rooms; // same index as agents
     std::unordered_map<std::string, AgentId> byName;
     std::vector<DataCentreView> dataCentres;
     std::vector<RackView> racks;
--- a/tools/cluster.sh
+++ b/tools/cluster.sh
@@ -113,7 +113,7 @@
 # True when the entry has reports of at least COUNT agents of its region.
 targetsKnown() { # ENTRY COUNT REGION
     [ "$(curl -fsS "http://${httpOf[$1]}/v1/targets" \
-        | jq "[.targets[] | select(.region == \"$3\" and .live)] | length")" -ge "$2" ]
+        | jq "[.targets[] | select(.region == \"$3\" and .connected and (.lost | not))] | length")" -ge "$2" ]
 }
 
 signalProcess() { # NAME SIGNAL
