--- a/flamingo/edits.cc
+++ b/flamingo/edits.cc
@@ -233,7 +233,7 @@
         refuse(context, edit.request, ReasonCode::QueueFull, "too many edits are under way");
         return false;
     }
-    if (edits.logFailedAt != 0 && context.now - edits.logFailedAt < logProbeMs) {
+    if (!logSeemsUp(entry, context.now)) {
         refuse(context, edit.request, ReasonCode::LogUnavailable,
                "the log does not acknowledge; the edit was not sent to it");
         return false;
@@ -646,6 +646,11 @@
 
 } // namespace
 
+bool logSeemsUp(const Entry &entry, TimeMs now)
+{
+    return entry.edits.logFailedAt == 0 || now - entry.edits.logFailedAt >= logProbeMs;
+}
+
 std::uint64_t appendLines(EntryContext context, std::string_view stream,
                           std::vector<std::string> lines)
 {
--- a/flamingo/edits.h
+++ b/flamingo/edits.h
@@ -79,6 +79,9 @@
     TimeMs summarySentAt = 0;
 };
 
+// False for a while after an append that was not acknowledged.
+bool logSeemsUp(const Entry &entry, TimeMs now);
+
 // Appends lines to a stream; returns the id of the append.
 std::uint64_t appendLines(EntryContext context, std::string_view stream,
                           std::vector<std::string> lines);
--- a/flamingo/entry.cc
+++ b/flamingo/entry.cc
@@ -286,11 +286,31 @@
     }
 }
 
+// Ranges without a live owner get one, and silent agents are recorded as lost.
+void proposeOwners(EntryContext context)
+{
+    auto &entry = context.entry;
+    if (context.now < entry.graceUntil || !logSeemsUp(entry, context.now))
+        return;
+    std::map<std::string, TimeMs, std::less<>> heard;
+    for (const auto &agent : entry.view.agents) {
+        if (!agent.report.agent.empty())
+            heard.emplace(agent.report.agent, agent.heardAt);
+    }
+    TakeoverOptions options;
+    options.silentAfterMs = std::max(entry.options.ownerSilentAfterMs, silentAfter(entry));
+    auto lines = proposeTakeovers(entry.ranges, entry.options.region, heard, options, context.now,
+                                  entry.takeovers, context.random);
+    if (!lines.empty())
+        appendLines(context, claimsStream, std::move(lines));
+}
+
 void slowTick(EntryContext context)
 {
     auto &entry = context.entry;
     entry.slowTickAt = context.now;
     findSilentAgents(context);
+    proposeOwners(context);
     forgetFinished(context);
     growBudgetWithTime(entry.budget, context.now);
     checkHolds(entry);
--- a/flamingo/entry.h
+++ b/flamingo/entry.h
@@ -179,6 +179,7 @@
     Estimates estimates;
     RetryBudget budget;
     Edits edits;
+    TakeoverTimers takeovers;
     std::map<std::string, Peer, std::less<>> peers;
     std::vector<Lookup> lookups;
     std::vector<PendingDrain> drains;
--- a/flamingo/jobs.cc
+++ b/flamingo/jobs.cc
@@ -27,6 +27,7 @@
 constexpr std::size_t maxSkipsPerPass = 5000;
 constexpr std::size_t maxStartsPerPass = 128;
 constexpr TimeMs queueFullRetryMs = 1000;
+constexpr std::size_t maxAliases = 100; // job ids of requests that joined one job
 
 Reason reasonOf(ReasonCode code, std::string text)
 {
@@ -187,6 +188,8 @@
             index.erase(at);
     };
     forget(entry.byId, job.spec.job);
+    for (const auto &alias : job.aliases)
+        forget(entry.byId, alias);
     forget(entry.byKey, job.spec.key);
     entry.finished.erase({job.finishedAt, serial});
     entry.jobs.erase(found);
@@ -640,6 +643,15 @@
     return findJob(entry, spec.job);
 }
 
+// A request that joined may be asked for by its own job id, too.
+void addAlias(Entry &entry, Job &job, const std::string &id)
+{
+    if (id.empty() || job.aliases.size() >= maxAliases
+        || !entry.byId.emplace(id, job.serial).second)
+        return;
+    job.aliases.push_back(id);
+}
+
 // Joins a job with the same id or key; true when the waiter is dealt with.
 bool joinJob(EntryContext context, const Waiter &waiter, const JobSpec &spec, bool wait)
 {
@@ -654,6 +666,8 @@
         answer(context, waiter, std::move(reply));
         return true;
     }
+    if (same->state != JobState::Finished || same->verdict == Verdict::Ran)
+        addAlias(context.entry, *same, spec.job);
     if (same->state != JobState::Finished) {
         addWaiter(context, *same, waiter, wait);
         return true;
@@ -925,11 +939,13 @@
     startAsking(context, job, context.entry.options.ownerSilentAfterMs);
 }
 
-// Says that nothing was started for the key.
-void onKeyFree(EntryContext context, Job &job)
+// Nothing is claimed for the key. Only the verdict NotRun excludes that an earlier submission ran.
+void onKeyFree(EntryContext context, Job &job, Verdict verdict)
 {
     if (job.tries >= context.entry.options.maxAttempts) {
-        finishJob(context, job, Verdict::NotRun, job.blocked);
+        if (verdict != Verdict::NotRun && job.spec.firstAttempt)
+            verdict = Verdict::NotRun;
+        finishJob(context, job, verdict, job.blocked);
         return;
     }
     ++job.tries;
@@ -1145,7 +1161,7 @@
     switch (reply.state) {
     case KeyState::Finished:
         if (reply.verdict == Verdict::NotRun)
-            onKeyFree(context, job);
+            onKeyFree(context, job, reply.verdict);
         else
             finishJob(context, job, reply.verdict, reasonOf(reply.reason, reply.detail),
                       reply.answer);
@@ -1155,7 +1171,7 @@
                   reply.answer);
         return;
     case KeyState::Unknown:
-        onKeyFree(context, job);
+        onKeyFree(context, job, reply.verdict);
         return;
     case KeyState::Granted:
     case KeyState::Running:
--- a/flamingo/queue.h
+++ b/flamingo/queue.h
@@ -54,6 +54,7 @@
     JobState state = JobState::Queued;
     std::vector<Waiter> waiters;
     std::vector<Waiter> served; // forwarded requests that were answered, so that copies are known
+    std::vector<std::string> aliases; // job ids of requests that joined by key
     std::vector<Attempt> attempts; // open ones
     std::string current; // attempt that the job is starting or running with
     TimeMs submittedAt = 0;
--- a/tests/entry_test.cc
+++ b/tests/entry_test.cc
@@ -3,16 +3,22 @@
 
 #include "flamingo/entry.h"
 
+#include <rapidcheck.h>
+
+// After RapidCheck, because CppUTest replaces operator new by a macro.
 #include <CppUTest/TestHarness.h>
 
 #include <algorithm>
+#include <cstdlib>
+#include <map>
+#include <set>
 
 using namespace flamingo;
 
 namespace {
 
 // One entry with time, agents that only report, and a log that acknowledges everything.
-struct Bench
+struct Rig
 {
     Entry entry;
     Random random{7};
@@ -21,7 +27,7 @@
     std::uint64_t offset = 0;
     std::uint64_t sequence = 0;
 
-    explicit Bench(EntryOptions options = {})
+    explicit Rig(EntryOptions options = {})
     {
         options.name = "entry-1";
         options.region = "west";
@@ -151,16 +157,16 @@
     return spec;
 }
 
-Bench benchWith(std::size_t agents)
+Rig rigWith(std::size_t agents, const EntryOptions &options = {})
 {
-    Bench bench;
-    bench.edit(twoRows);
-    bench.runLog();
+    Rig rig(options);
+    rig.edit(twoRows);
+    rig.runLog();
     for (std::size_t i = 0; i < agents; ++i)
-        bench.addAgent("w" + std::to_string(i));
-    bench.takeReplies();
-    bench.out.sends.clear();
-    return bench;
+        rig.addAgent("w" + std::to_string(i));
+    rig.takeReplies();
+    rig.out.sends.clear();
+    return rig;
 }
 
 StartReply accepted(const Start &start)
@@ -188,17 +194,551 @@
 
 TEST(Entry, aJobIsStartedAndItsAnswerReachesTheCallerOnce)
 {
-    auto bench = benchWith(2);
-    bench.submit("r1", job("a", 4));
-    const auto starts = bench.take<Start>();
+    auto rig = rigWith(2);
+    rig.submit("r1", job("a", 4));
+    const auto starts = rig.take<Start>();
     CHECK_EQUAL(1U, starts.size());
     const auto &[agent, start] = starts.front();
-    bench.handleFrom(agent, accepted(start));
-    bench.handleFrom(agent, ran(start, "42"));
-    bench.handleFrom(agent, ran(start, "43"));
-    const auto replies = bench.takeReplies();
+    rig.handleFrom(agent, accepted(start));
+    rig.handleFrom(agent, ran(start, "42"));
+    rig.handleFrom(agent, ran(start, "43"));
+    const auto replies = rig.takeReplies();
     CHECK_EQUAL(1U, replies.size());
     CHECK_EQUAL(std::string("42"), replies[0].answer);
     CHECK(replies[0].verdict == Verdict::Ran);
-    CHECK_EQUAL(2U, bench.take<OutcomeAck>().size());
+    CHECK_EQUAL(2U, rig.take<OutcomeAck>().size());
+}
+
+// ---- Admission ----
+
+TEST(Entry, refusalsNameFieldAndCauseAndAreNotRun)
+{
+    auto rig = rigWith(2);
+    rig.pass(4000);
+    const auto refused = [&rig](JobSpec spec, ReasonCode code, std::string_view field) {
+        rig.submit("r", spec);
+        const auto replies = rig.takeReplies();
+        CHECK_EQUAL(1U, replies.size());
+        CHECK(replies[0].verdict == Verdict::NotRun);
+        CHECK(replies[0].reason.code == code);
+        CHECK(replies[0].reason.text.find(field) != std::string::npos);
+    };
+    refused(job("c", 1), ReasonCode::UnknownOrganisation, "organisation");
+    refused(job("a", 9), ReasonCode::ImpossibleShape, "accelerators");
+    auto gang = job("a", 8);
+    gang.members = 3;
+    refused(gang, ReasonCode::ImpossibleShape, "members");
+    gang.members = 513;
+    refused(gang, ReasonCode::ImpossibleShape, "members");
+    auto unkeyed = job("a", 1);
+    unkeyed.idempotent = false;
+    refused(unkeyed, ReasonCode::InvalidInput, "key");
+    auto large = job("a", 1);
+    large.payload.assign(maxPayloadBytes + 1, 'x');
+    refused(large, ReasonCode::InvalidInput, "payload");
+    auto named = job("a", 1);
+    named.key = "line\nbreak";
+    refused(named, ReasonCode::InvalidInput, "key");
+    CHECK(rig.take<Start>().empty());
+}
+
+TEST(Entry, aFullQueueRefusesAtOnceWithRetryAfter)
+{
+    EntryOptions options;
+    options.maxQueued = 3;
+    auto rig = rigWith(1, options);
+    rig.submit("first", job("a", 8));
+    for (int i = 0; i < 5; ++i)
+        rig.submit("r" + std::to_string(i), job("a", 8));
+    const auto replies = rig.takeReplies();
+    CHECK_EQUAL(2U, replies.size());
+    CHECK(replies[0].verdict == Verdict::NotRun);
+    CHECK(replies[0].reason.code == ReasonCode::QueueFull);
+    CHECK(replies[0].retryAfterMs > 0);
+}
+
+TEST(Entry, limitsOfTheTableHoldForABurst)
+{
+    auto rig = rigWith(4);
+    rig.edit(
+        R"({"organisations": [{"name": "a", "homeRegion": "west", "limitAccelerators": 12}]})");
+    rig.runLog();
+    for (int i = 0; i < 6; ++i)
+        rig.submit("r" + std::to_string(i), job("a", 4));
+    CHECK_EQUAL(3U, rig.take<Start>().size());
+    CHECK(explainJob(rig.entry, "entry-1.1.4", rig.now).find("limitAccelerators")
+          != std::string::npos);
+}
+
+TEST(Entry, aQueuedRequestIsRefusedWhenItsDeadlineCannotBeMet)
+{
+    auto rig = rigWith(1);
+    rig.submit("holder", job("a", 8));
+    rig.take<Start>();
+    auto soon = job("a", 8);
+    soon.deadlineMs = 1000;
+    rig.submit("soon", soon);
+    auto declared = job("a", 8);
+    declared.deadlineMs = 1000;
+    declared.declaredMs = 11000; // ten times too long would still not fit
+    rig.submit("declared", declared);
+    auto replies = rig.takeReplies();
+    CHECK_EQUAL(1U, replies.size());
+    CHECK_EQUAL(std::string("declared"), replies[0].request);
+    rig.pass(1000);
+    replies = rig.takeReplies();
+    CHECK_EQUAL(1U, replies.size());
+    CHECK_EQUAL(std::string("soon"), replies[0].request);
+    CHECK(replies[0].verdict == Verdict::NotRun);
+    CHECK(replies[0].reason.code == ReasonCode::DeadlinePassed);
+}
+
+TEST(Entry, runTimesAreLearnedFromOutcomes)
+{
+    auto rig = rigWith(1);
+    for (int i = 0; i < 20; ++i) {
+        auto spec = job("a", 8);
+        spec.declaredMs = 100;
+        rig.submit("r", spec);
+        const auto [agent, start] = rig.take<Start>().at(0);
+        rig.handleFrom(agent, accepted(start));
+        rig.now += 900;
+        rig.handleFrom(agent, ran(start, ""));
+    }
+    rig.takeReplies();
+    auto spec = job("a", 8);
+    spec.declaredMs = 100;
+    spec.deadlineMs = 500;
+    rig.submit("late", spec);
+    const auto replies = rig.takeReplies();
+    CHECK_EQUAL(1U, replies.size());
+    CHECK(replies[0].reason.code == ReasonCode::DeadlinePassed);
+}
+
+// ---- Queue ----
+
+TEST(Entry, aLargeJobIsNotStarvedBySmallOnes)
+{
+    auto rig = rigWith(3);
+    std::map<std::string, std::pair<std::string, Start>> running; // by attempt
+    std::map<std::string, std::uint64_t> freeMasks;
+    const auto takeStarts = [&rig, &running] {
+        for (auto &[agent, start] : rig.take<Start>()) {
+            rig.handleFrom(agent, accepted(start));
+            running[start.attempt] = {agent, start};
+        }
+    };
+    for (int i = 0; i < 12; ++i)
+        rig.submit("s", job("a", 2));
+    takeStarts();
+    rig.submit("large", job("b", 8));
+    int steps = 0;
+    bool started = false;
+    for (; steps < 200 && !started; ++steps) {
+        rig.submit("s", job("a", 2));
+        const auto ending = running.begin()->second;
+        running.erase(running.begin());
+        rig.handleFrom(ending.first, ran(ending.second, ""));
+        takeStarts();
+        started = std::any_of(running.begin(), running.end(), [](const auto &row) {
+            return row.second.second.spec->accelerators == 8;
+        });
+        rig.now += 10;
+    }
+    CHECK(started);
+    CHECK(steps <= static_cast<int>(maxOvertakes) + 14);
+}
+
+TEST(Entry, classesAndSharesDecideWhoIsNext)
+{
+    auto rig = rigWith(1);
+    rig.submit("holder", job("a", 8));
+    const auto [agent, start] = rig.take<Start>().at(0);
+    rig.submit("batch-a", job("a", 8));
+    rig.submit("batch-b", job("b", 8));
+    auto urgent = job("a", 8);
+    urgent.jobClass = JobClass::Urgent;
+    rig.submit("urgent-a", urgent);
+    rig.handleFrom(agent, accepted(start));
+    rig.handleFrom(agent, ran(start, ""));
+    const auto second = rig.take<Start>().at(0);
+    CHECK(second.second.spec->jobClass == JobClass::Urgent);
+    rig.handleFrom(agent, accepted(second.second));
+    // Organisation a has one of its tasks reported, so organisation b comes first.
+    auto report = rig.report(agent, 0);
+    report.tasks.emplace_back();
+    report.tasks.back().organisation = "a";
+    report.tasks.back().attempt = "elsewhere";
+    report.tasks.back().accelerators = 8;
+    rig.handleFrom(agent, report);
+    rig.handleFrom(agent, ran(second.second, ""));
+    report.sequence = ++rig.sequence;
+    report.freeMask = 0xff;
+    rig.handleFrom(agent, report);
+    CHECK_EQUAL(std::string("b"), rig.take<Start>().at(0).second.spec->organisation);
+}
+
+TEST(Entry, aWaveOfCancellationsIsAnsweredAtOnce)
+{
+    auto rig = rigWith(1);
+    rig.submit("holder", job("a", 8));
+    rig.take<Start>();
+    constexpr int count = 5000;
+    for (int i = 0; i < count; ++i)
+        rig.submit("r" + std::to_string(i), job("a", 8), false);
+    const auto jobs = rig.takeReplies();
+    for (const auto &reply : jobs)
+        rig.handle(CancelJob{"c" + reply.job, reply.job});
+    const auto replies = rig.takeReplies();
+    CHECK_EQUAL(static_cast<std::size_t>(count), replies.size());
+    for (const auto &reply : replies)
+        CHECK(reply.verdict == Verdict::NotRun && reply.reason.code == ReasonCode::Cancelled);
+    CHECK_EQUAL(0U, rig.entry.queue.size);
+}
+
+// ---- Dispatch ----
+
+TEST(Entry, anEvictedJobResumesAtTheFrontWithItsCheckpoint)
+{
+    auto rig = rigWith(1);
+    rig.submit("first", job("a", 8));
+    rig.submit("second", job("a", 8));
+    const auto [agent, start] = rig.take<Start>().at(0);
+    rig.handleFrom(agent, accepted(start));
+    Outcome evicted = ran(start, "checkpoint-7");
+    evicted.verdict = Verdict::NotRun;
+    evicted.reason = ReasonCode::Evicted;
+    rig.handleFrom(agent, evicted);
+    const auto again = rig.take<Start>().at(0).second;
+    CHECK_EQUAL(start.spec->job, again.spec->job);
+    CHECK_EQUAL(std::string("checkpoint-7"), again.spec->checkpoint);
+    rig.handleFrom(agent, evicted); // repeated; must not touch the new attempt
+    CHECK(rig.take<Start>().empty());
+    CHECK(rig.takeReplies().empty());
+}
+
+TEST(Entry, aSilentAgentIsCancelledAndAnotherOneTried)
+{
+    auto rig = rigWith(2);
+    rig.submit("r", job("a", 8));
+    const auto [silent, start] = rig.take<Start>().at(0);
+    rig.pass(1200);
+    const auto cancels = rig.take<Cancel>();
+    CHECK_EQUAL(silent, cancels.at(0).first);
+    CHECK_EQUAL(start.attempt, cancels.at(0).second.attempt);
+    const auto [other, second] = rig.take<Start>().at(0);
+    CHECK(other != silent);
+    rig.handleFrom(silent, ran(start, "late")); // the same job, so its answer counts
+    const auto replies = rig.takeReplies();
+    CHECK_EQUAL(1U, replies.size());
+    CHECK_EQUAL(std::string("late"), replies[0].answer);
+    CHECK_EQUAL(second.attempt, rig.take<Cancel>().at(0).second.attempt);
+}
+
+namespace {
+
+Rig keyedRig(std::size_t agents)
+{
+    auto rig = rigWith(agents);
+    for (std::uint32_t range = 0; range < rangesPerRegion; ++range)
+        rig.entry.ranges.owners[{"west", range}].agent = "owner";
+    return rig;
+}
+
+JobSpec keyed(std::string_view key, bool firstAttempt = false)
+{
+    auto spec = job("a", 8);
+    spec.key = key;
+    spec.idempotent = false;
+    spec.firstAttempt = firstAttempt;
+    spec.homeRegion = "west";
+    return spec;
+}
+
+KeyReply keyReply(std::string_view key, KeyState state, Verdict verdict, std::string_view text)
+{
+    KeyReply reply;
+    reply.key = key;
+    reply.state = state;
+    reply.verdict = verdict;
+    reply.answer = text;
+    return reply;
+}
+
+} // namespace
+
+TEST(Entry, aClaimedKeyIsAnsweredFromItsOwner)
+{
+    auto rig = keyedRig(2);
+    rig.submit("r", keyed("k"));
+    const auto [agent, start] = rig.take<Start>().at(0);
+    CHECK_EQUAL(std::string("owner"), start.owner);
+    auto refused = accepted(start);
+    refused.accepted = false;
+    refused.reason = ReasonCode::AlreadyClaimed;
+    rig.handleFrom(agent, refused);
+    CHECK(rig.take<KeyQuery>().at(0).second.watch);
+    rig.handleFrom("owner", keyReply("k", KeyState::Running, Verdict::MayHaveRun, ""));
+    rig.pass(5000);
+    CHECK(rig.takeReplies().empty());
+    rig.handleFrom("owner", keyReply("k", KeyState::Finished, Verdict::Ran, "bill 9"));
+    rig.handleFrom("owner", keyReply("k", KeyState::Finished, Verdict::Ran, "bill 9"));
+    const auto replies = rig.takeReplies();
+    CHECK_EQUAL(1U, replies.size());
+    CHECK_EQUAL(std::string("bill 9"), replies[0].answer);
+    CHECK(rig.take<Start>().empty());
+}
+
+TEST(Entry, aLostAgentLeavesAClaimedJobUndecided)
+{
+    auto rig = keyedRig(2);
+    rig.submit("r", keyed("k", true));
+    const auto [agent, start] = rig.take<Start>().at(0);
+    rig.handleFrom(agent, accepted(start));
+    rig.handle(PeerDown{agent});
+    rig.pass(30000);
+    const auto replies = rig.takeReplies();
+    CHECK_EQUAL(1U, replies.size());
+    CHECK(replies[0].verdict == Verdict::MayHaveRun);
+    CHECK(!rig.take<KeyQuery>().empty());
+    CHECK(rig.take<Start>().empty());
+    CHECK(rig.take<Cancel>().empty());
+}
+
+TEST(Entry, aKeyWithoutAnOwnerWaits)
+{
+    auto rig = rigWith(1);
+    rig.submit("r", keyed("k"));
+    CHECK(rig.take<Start>().empty());
+    rig.entry.ranges.owners[{"west", rangeOf("k")}].agent = "owner";
+    rig.pass(2000);
+    CHECK_EQUAL(1U, rig.take<Start>().size());
+}
+
+TEST(Entry, theSameKeyJoinsAndADifferentSpecIsRefused)
+{
+    auto rig = keyedRig(2);
+    rig.submit("r1", keyed("k"));
+    auto second = keyed("k");
+    second.job = "chosen-by-caller";
+    rig.submit("r2", second);
+    auto other = keyed("k");
+    other.payload = "something else";
+    rig.submit("r3", other);
+    auto replies = rig.takeReplies();
+    CHECK_EQUAL(1U, replies.size());
+    CHECK(replies[0].reason.code == ReasonCode::InvalidInput);
+    const auto starts = rig.take<Start>();
+    CHECK_EQUAL(1U, starts.size());
+    rig.handleFrom(starts[0].first, ran(starts[0].second, "x"));
+    CHECK_EQUAL(2U, rig.takeReplies().size());
+    rig.handle(QueryJob{"q", "chosen-by-caller", false});
+    CHECK_EQUAL(std::string("x"), rig.takeReplies().at(0).answer);
+}
+
+// ---- Regions ----
+
+TEST(Entry, aKeyOfAnUnreachableRegionIsNotRunOnlyIfNeverSent)
+{
+    auto rig = rigWith(1);
+    auto away = keyed("k", true);
+    away.homeRegion = "east";
+    rig.submit("first", away);
+    CHECK(rig.takeReplies().at(0).verdict == Verdict::NotRun);
+    away.key = "k2";
+    away.firstAttempt = false;
+    rig.submit("again", away);
+    CHECK(rig.takeReplies().at(0).verdict == Verdict::MayHaveRun);
+    rig.up("entry-2", ProcessKind::Entry, "east");
+    away.key = "k3";
+    away.firstAttempt = true;
+    rig.submit("sent", away);
+    CHECK_EQUAL(1U, rig.take<Forward>().size());
+    rig.handle(PeerDown{"entry-2"});
+    const auto replies = rig.takeReplies();
+    CHECK(replies.at(0).verdict == Verdict::MayHaveRun);
+    CHECK(replies.at(0).reason.code == ReasonCode::RegionUnreachable);
+}
+
+TEST(Entry, aForwardedRequestIsAnsweredOnceAndNotRunTwice)
+{
+    auto rig = keyedRig(1);
+    rig.up("entry-2", ProcessKind::Entry, "east");
+    Forward forward;
+    forward.request = "f1";
+    forward.entry = "entry-2";
+    forward.spec = std::make_unique<JobSpec>(keyed("k"));
+    forward.spec->job = "entry-2.1.1";
+    rig.handleFrom("entry-2", forward);
+    rig.handleFrom("entry-2", forward);
+    const auto starts = rig.take<Start>();
+    CHECK_EQUAL(1U, starts.size());
+    rig.handle(CancelJob{"c", "entry-2.1.1"});
+    auto refused = accepted(starts[0].second);
+    refused.accepted = false;
+    refused.reason = ReasonCode::Cancelled;
+    rig.handleFrom(starts[0].first, refused);
+    CHECK_EQUAL(1U, rig.take<ForwardReply>().size());
+    rig.handleFrom("entry-2", forward); // late copy of a request that was answered as not run
+    CHECK(rig.take<Start>().empty());
+    CHECK(rig.take<ForwardReply>().at(0).second.verdict == Verdict::NotRun);
+}
+
+// ---- Lookup and shutdown ----
+
+TEST(Entry, aJobOfALostEntryIsFoundThroughReports)
+{
+    auto rig = rigWith(2);
+    auto report = rig.report("w1", 0);
+    report.tasks.emplace_back();
+    report.tasks.back().job = "entry-9.1.5";
+    rig.handleFrom("w1", report);
+    rig.handle(QueryJob{"q", "entry-9.1.5", true});
+    const auto query = rig.take<JobQuery>().at(0);
+    CHECK_EQUAL(std::string("w1"), query.first);
+    JobReply reply;
+    reply.request = query.second.request;
+    reply.job = query.second.job;
+    reply.found = reply.finished = true;
+    reply.verdict = Verdict::Ran;
+    reply.answer = "kept";
+    rig.handleFrom("w1", reply);
+    CHECK_EQUAL(std::string("kept"), rig.takeReplies().at(0).answer);
+    rig.handle(QueryJob{"q2", "nobody-knows", false});
+    CHECK(rig.takeReplies().at(0).verdict == Verdict::MayHaveRun);
+}
+
+TEST(Entry, shutdownRefusesNewRequestsAndFinishesTheOthers)
+{
+    auto rig = rigWith(1);
+    rig.submit("old", job("a", 8));
+    rig.submit("queued", job("a", 8), false);
+    rig.takeReplies();
+    rig.handle(StopAccepting{});
+    rig.submit("new", job("a", 8));
+    const auto refused = rig.takeReplies().at(0);
+    CHECK(refused.verdict == Verdict::NotRun && refused.retryAfterMs > 0);
+    CHECK(!entryIdle(rig.entry));
+    for (int i = 0; i < 2; ++i) {
+        const auto [agent, start] = rig.take<Start>().at(0);
+        rig.handleFrom(agent, accepted(start));
+        rig.handleFrom(agent, ran(start, ""));
+    }
+    CHECK_EQUAL(std::string("old"), rig.takeReplies().at(0).request);
+    CHECK(entryIdle(rig.entry));
+}
+
+// ---- Table ----
+
+TEST(Entry, anEditIsAcceptedOnlyWhenItIsInForceEverywhere)
+{
+    auto rig = rigWith(2);
+    rig.up("entry-2", ProcessKind::Entry, "east");
+    rig.take<LogLinesRequest>();
+    rig.edit(R"({"organisations": [{"name": "c", "homeRegion": "west"}]})", "e1", true);
+    rig.runLog();
+    CHECK_EQUAL(2U, rig.take<LogLines>().size());
+    rig.pass(500);
+    CHECK(rig.takeReplies().empty());
+    for (const auto *agent : {"w0", "w1"})
+        rig.handleFrom(agent, rig.report(agent));
+    rig.pass(500);
+    CHECK(rig.takeReplies().empty()); // the other region did not confirm
+    VersionSummary summary;
+    summary.entry = "entry-2";
+    summary.versions.resize(2);
+    summary.versions[0].process = "entry-2";
+    summary.versions[0].version = rig.entry.table.version;
+    summary.versions[1].process = "*";
+    summary.versions[1].version = rig.entry.table.version - 1;
+    rig.handleFrom("entry-2", summary);
+    rig.pass(500);
+    CHECK(rig.takeReplies().empty()); // one of its agents lags
+    summary.versions[1].version = rig.entry.table.version;
+    rig.handleFrom("entry-2", summary);
+    rig.pass(200);
+    const auto reply = rig.takeReplies().at(0);
+    CHECK(reply.accepted && reply.verdict == Verdict::Ran);
+}
+
+TEST(Entry, anEditIsPendingWhileARegionIsCutOff)
+{
+    auto rig = rigWith(1);
+    rig.up("entry-2", ProcessKind::Entry, "east");
+    rig.handle(PeerDown{"entry-2"});
+    rig.edit(R"({"organisations": [{"name": "c", "homeRegion": "west"}]})", "e1", true);
+    rig.runLog();
+    rig.handleFrom("w0", rig.report("w0"));
+    for (int i = 0; i < 7; ++i) {
+        rig.pass(1000);
+        rig.handleFrom("w0", rig.report("w0"));
+    }
+    const auto reply = rig.takeReplies().at(0);
+    CHECK(reply.accepted && reply.verdict == Verdict::MayHaveRun);
+    CHECK(reply.reason.text.find("recorded") != std::string::npos);
+    CHECK(reply.reason.text.find("region east") != std::string::npos);
+    CHECK(statusJson(rig.entry, rig.now).find("region east") != std::string::npos);
+}
+
+TEST(Entry, aLostAppendAnswerHasNoSecondEffect)
+{
+    auto rig = rigWith(1);
+    rig.edit(R"({"organisations": [{"name": "c", "homeRegion": "west"}]})", "e1", false);
+    const auto first = rig.out.appends.at(0);
+    rig.out.appends.clear();
+    rig.handle(LogAppended{first.id, false, 0});
+    rig.pass(1000);
+    CHECK_EQUAL(first.lines[0], rig.out.appends.at(0).lines[0]);
+    const auto version = rig.entry.table.version;
+    rig.out.appends.push_back(first); // the first append had reached the log, too
+    rig.runLog();
+    CHECK_EQUAL(version + 1, rig.entry.table.version);
+    const auto replies = rig.takeReplies();
+    CHECK_EQUAL(1U, replies.size());
+    CHECK(replies[0].accepted);
+}
+
+TEST(Entry, editsFailTruthfully)
+{
+    auto rig = rigWith(1);
+    EditTable stale{"stale", "operator", 0, std::string(twoRows), 0, true};
+    rig.handle(stale);
+    auto reply = rig.takeReplies().at(0);
+    CHECK(reply.reason.code == ReasonCode::VersionConflict && reply.verdict == Verdict::NotRun);
+    rig.edit(R"({"organisations": [{"name": "a", "homeRegion": "west", "guarantees":
+        [{"region": "west", "copies": 1, "members": 2, "accelerators": 8}]}]})",
+             "unpackable", true);
+    reply = rig.takeReplies().at(0);
+    CHECK(reply.reason.code == ReasonCode::Unpackable && reply.verdict == Verdict::NotRun);
+    CHECK(rig.out.appends.empty());
+    rig.edit(R"({"organisations": [{"name": "c", "homeRegion": "west"}]})", "unknown", true);
+    for (int i = 0; i < 60; ++i) {
+        rig.runLog(false);
+        rig.pass(100);
+    }
+    reply = rig.takeReplies().at(0);
+    CHECK(reply.reason.code == ReasonCode::LogUnavailable && reply.verdict == Verdict::MayHaveRun);
+    rig.edit(R"({"organisations": [{"name": "c", "homeRegion": "west"}]})", "refused", true);
+    reply = rig.takeReplies().at(0);
+    CHECK(reply.reason.code == ReasonCode::LogUnavailable && reply.verdict == Verdict::NotRun);
+}
+
+TEST(Entry, anchorsMoveOffALostWorker)
+{
+    auto rig = rigWith(3);
+    rig.edit(R"({"organisations": [{"name": "a", "homeRegion": "west", "guarantees":
+        [{"region": "west", "copies": 1, "members": 1, "accelerators": 8}]}]})");
+    rig.runLog();
+    const auto lost = rig.entry.table.anchors.at(0).worker;
+    rig.handle(PeerDown{lost});
+    for (int i = 0; i < 20; ++i) {
+        rig.pass(1000);
+        for (const auto *agent : {"w0", "w1", "w2"}) {
+            if (agent != lost)
+                rig.handleFrom(agent, rig.report(agent));
+        }
+        CHECK(i > 8 || rig.entry.table.anchors.at(0).worker == lost);
+        rig.runLog();
+    }
+    CHECK(rig.entry.table.anchors.at(0).worker != lost);
 }
