Unlink the HTTP client's timeout from the loop when the client ends

Cause: h2o keeps a linked list of timeouts per loop. A client that was destroyed before its loop left its own entry in that list, and the next turn of the loop walked over freed memory. flamingoctl, which creates one client per command, crashed in its tests. Ruled out: keeping one client for the whole loop; every user would have to know. Before: the new test ends with a segmentation fault (exit 139) in h2o_timeout_run. Conclusion: HttpServer is used only with the lifetime of its loop and is left as it is.

--- a/flamingo/adapters/http_client.cc
+++ b/flamingo/adapters/http_client.cc
@@ -51,6 +51,8 @@
         if (exchange->client != nullptr)
             h2o_http1client_cancel(exchange->client);
     }
+    // The loop keeps a list of timeouts and would walk over this one.
+    h2o_timeout_dispose(this->loop.handle(), &this->ioTimeout);
 }
 
 HttpClient::CallId HttpClient::call(const HttpCall &call, Callback callback)
--- a/tests/http_test.cc
+++ b/tests/http_test.cc
@@ -117,3 +117,19 @@
     fixture.runUntil([this] { return fixture.results.size() == 1; });
     CHECK_FALSE(fixture.results[0].sent);
 }
+
+TEST(Http, loopGoesOnAfterAClientIsGone)
+{
+    {
+        HttpClient shortLived(fixture.loop);
+        shortLived.call({testAddress, "GET", "/abandoned", "", testBoundMs}, nullptr);
+        fixture.runUntil([this] { return fixture.taken.size() == 1; });
+    }
+    // Takes the place of the client's former memory.
+    const std::string other(sizeof(HttpClient), 'x');
+    fixture.call("/next", "");
+    fixture.runUntil([this] { return fixture.taken.size() == 2; });
+    fixture.server->respond(fixture.taken.at(1).id, {200, "answer"});
+    fixture.runUntil([this] { return fixture.results.size() == 1; });
+    CHECK_EQUAL(std::string("answer"), fixture.results[0].body);
+}
