--- /dev/null
+++ b/tests/process/entry_killed.sh
@@ -0,0 +1,23 @@
+#!/usr/bin/env bash
+# Guards against a lost answer and a second run when an entry dies while a settlement runs: the caller
+# asks again through another entry of the region and gets the whole answer of the one run.
+set -euo pipefail
+. tools/cluster.sh
+clusterInit "$1" 20000
+startStandin
+startEntry entry-1 vestland bergen-1
+startEntry entry-2 vestland bergen-2
+startAgent worker-1 vestland bergen-1 rack-1
+startAgent worker-2 vestland bergen-2 rack-2
+waitFor 15 targetsKnown entry-1 2 vestland
+waitFor 15 targetsKnown entry-2 2 vestland
+createOrganisations entry-1
+
+settlement='{"organisation":"lots","key":"lot-17","idempotent":false,"payload":"{\"runMs\":2000,\"answer\":\"paid 40\"}"}'
+submit entry-1 "$settlement" > /dev/null 2>&1 &
+waitFor 20 runsReach 1 '.*'
+killHard entry-1
+reply=$(submit entry-2 "$settlement")
+expect "verdict after the entry died" "$(jq -r .verdict <<< "$reply")" ran
+expect "whole answer" "$(jq -r .answer <<< "$reply")" "paid 40"
+expect "runs of the settlement" "$(runsOf '.*')" 1
--- a/tools/cluster.sh
+++ b/tools/cluster.sh
@@ -156,3 +156,26 @@
     [ "$2" = "$3" ] || fail "$1: expected '$3', got '$2'"
     echo "ok: $1"
 }
+
+runsReach() { # COUNT JOB_PATTERN
+    [ "$(runsOf "$2")" -ge "$1" ]
+}
+
+postTable() { # ENTRY CHANGE_JSON: an edit against the entry's present version
+    local version
+    version=$(curl -fsS "http://${httpOf[$1]}/v1/table" | jq .version)
+    curl -fsS --max-time 30 -X POST "http://${httpOf[$1]}/v1/table" \
+        -d "{\"baseVersion\":$version,\"author\":\"test\",\"change\":$2}"
+}
+
+editSucceeds() { # ENTRY ORGANISATION
+    [ "$(postTable "$1" "{\"organisations\":[{\"name\":\"$2\",\"homeRegion\":\"vestland\"}]}" \
+        | jq -r .verdict)" = ran ]
+}
+
+# Two organisations without guarantees.
+createOrganisations() { # ENTRY
+    [ "$(postTable "$1" '{"organisations":[{"name":"lots","homeRegion":"vestland","weight":4},
+        {"name":"archive","homeRegion":"vestland","weight":1}]}' | jq -r .verdict)" = ran ] \
+        || fail "the organisations were not accepted"
+}
