--- a/flamingo/adapters/agent_service.cc
+++ b/flamingo/adapters/agent_service.cc
@@ -24,7 +24,9 @@
     options.self.region = settings.options.region;
     options.self.dataCentre = settings.options.dataCentre;
     options.self.rack = settings.options.rack;
-    options.self.address = settings.peerAddress;
+    options.listenAddress = settings.peerAddress;
+    options.self.address
+        = settings.advertisedAddress.empty() ? settings.peerAddress : settings.advertisedAddress;
     options.self.incarnation = settings.options.incarnation;
     options.seeds = settings.seeds;
     options.key = settings.peerKey;
--- a/flamingo/adapters/entry_service.cc
+++ b/flamingo/adapters/entry_service.cc
@@ -53,7 +53,9 @@
     options.self.kind = ProcessKind::Entry;
     options.self.region = settings.options.region;
     options.self.dataCentre = settings.options.dataCentre;
-    options.self.address = settings.peerAddress;
+    options.listenAddress = settings.peerAddress;
+    options.self.address
+        = settings.advertisedAddress.empty() ? settings.peerAddress : settings.advertisedAddress;
     options.self.incarnation = settings.options.incarnation;
     options.seeds = settings.seeds;
     options.key = settings.peerKey;
--- a/flamingo/adapters/peers.cc
+++ b/flamingo/adapters/peers.cc
@@ -87,7 +87,9 @@
         if (error == nullptr)
             static_cast<Peers *>(listening->data)->accept(listening);
     };
-    peers->listener = listenOn(loop, options.self.address, onAccept, peers.get(), reason);
+    const std::string &address
+        = options.listenAddress.empty() ? options.self.address : options.listenAddress;
+    peers->listener = listenOn(loop, address, onAccept, peers.get(), reason);
     if (peers->listener == nullptr)
         return nullptr;
     loop.after(0, [owner = peers.get()] { owner->keepConnected(); });
--- a/flamingo/settings.cc
+++ b/flamingo/settings.cc
@@ -34,6 +34,7 @@
 struct Address
 {
     std::string *value;
+    bool required = true;
 };
 struct Secret
 {
@@ -65,6 +66,8 @@
         {"region", "", Name{&o.region}, 1, maxNameBytes, "Region of this host."},
         {"dataCentre", "", Name{&o.dataCentre}, 1, maxNameBytes, "Data centre of this host."},
         {"peerAddress", "", Address{&s.peerAddress}, 0, 0, "Listens here for entries and agents."},
+        {"advertisedAddress", "", Address{&s.advertisedAddress, false}, 0, 0,
+         "Address at which other processes reach peerAddress, when it is another one."},
         {"httpAddress", "", Address{&s.httpAddress}, 0, 0,
          "Listens here for callers and operators."},
         {"logAddress", "", Address{&s.logAddress}, 0, 0, "Log service of the platform."},
@@ -109,6 +112,8 @@
         {"dataCentre", "", Name{&o.dataCentre}, 1, maxNameBytes, "Data centre of the worker."},
         {"rack", "", Name{&o.rack}, 1, maxNameBytes, "Rack of the worker."},
         {"peerAddress", "", Address{&s.peerAddress}, 0, 0, "Listens here for entries and agents."},
+        {"advertisedAddress", "", Address{&s.advertisedAddress, false}, 0, 0,
+         "Address at which other processes reach peerAddress, when it is another one."},
         {"httpAddress", "", Address{&s.httpAddress}, 0, 0,
          "Listens here for operators: health, metrics and state dump."},
         {"logAddress", "", Address{&s.logAddress}, 0, 0, "Log service of the platform."},
@@ -186,7 +191,7 @@
                           [&](const AddressList &) { return field.low > 0; },
                           [](const auto *) { return false; },
                           [](const Name &) { return true; },
-                          [](const Address &) { return true; },
+                          [](const Address &address) { return address.required; },
                           [](const Secret &) { return true; },
                       },
                       field.target);
--- a/flamingo/settings.h
+++ b/flamingo/settings.h
@@ -27,6 +27,7 @@
 {
     EntryOptions options; // incarnation is left 0; the daemon sets it at its start
     std::string peerAddress; // of the listener for other processes, "IP:port"
+    std::string advertisedAddress; // where others reach it; empty: peerAddress
     std::string httpAddress;
     std::string logAddress;
     std::vector<std::string> seeds; // peer addresses of other entries
@@ -41,6 +42,7 @@
     AgentOptions options;
     OwnerOptions owner; // self and region are those of `options`
     std::string peerAddress;
+    std::string advertisedAddress;
     std::string httpAddress;
     std::string logAddress;
     std::string workerAddress;
--- a/tools/cluster.sh
+++ b/tools/cluster.sh
@@ -179,3 +179,10 @@
         {"name":"archive","homeRegion":"vestland","weight":1}]}' | jq -r .verdict)" = ran ] \
         || fail "the organisations were not accepted"
 }
+
+sameVersion() { # entry-v and entry-t have the same table version
+    local v t
+    v=$(curl -fsS "http://${httpOf[entry-v]}/v1/table" | jq .version)
+    t=$(curl -fsS "http://${httpOf[entry-t]}/v1/table" | jq .version)
+    [ "$v" = "$t" ]
+}
