Add flamingoctl, the operators' command line

Cause: operators edit the table, submit jobs and drain targets through any entry, and scripts rely on exit codes that say whether a request may have run.

--- /dev/null
+++ b/daemons/ctl.cc
@@ -0,0 +1,68 @@
+// flamingoctl: flags and streams around flamingo/adapters/ctl.h.
+
+#include "flamingo/adapters/ctl.h"
+
+#include <absl/flags/flag.h>
+#include <absl/flags/parse.h>
+#include <absl/flags/usage.h>
+#include <absl/strings/str_split.h>
+#include <glog/logging.h>
+
+#include <cstdlib>
+#include <iostream>
+
+ABSL_FLAG(std::string, entry, "127.0.0.1:19001", "entries as IP:PORT, joined by commas");
+ABSL_FLAG(std::string, output, "table", "table or json; csv for 'table get'");
+ABSL_FLAG(bool, yes, false, "apply a table file without asking");
+ABSL_FLAG(bool, wait, true, "wait for the end of a job, or until an edit is in force");
+ABSL_FLAG(std::string, author, "", "author of a table edit; $USER when empty");
+ABSL_FLAG(std::string, address, "", "process to dump as IP:PORT; an entry when empty");
+
+namespace {
+
+using flamingo::adapters::CtlOutput;
+
+std::optional<CtlOutput> outputOf(std::string_view name)
+{
+    if (name == "table")
+        return CtlOutput::Table;
+    if (name == "json")
+        return CtlOutput::Json;
+    if (name == "csv")
+        return CtlOutput::Csv;
+    return std::nullopt;
+}
+
+std::string authorOr(const std::string &author)
+{
+    if (!author.empty())
+        return author;
+    const char *user = std::getenv("USER");
+    return user == nullptr ? "unknown" : user;
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    using namespace flamingo::adapters;
+
+    absl::SetProgramUsageMessage(ctlHelp({}));
+    const std::vector<char *> positional = absl::ParseCommandLine(argc, argv);
+    google::InitGoogleLogging(argv[0]);
+    const auto output = outputOf(absl::GetFlag(FLAGS_output));
+    if (!output) {
+        std::cerr << "--output is one of table, json, csv" << std::endl;
+        return static_cast<int>(CtlExit::BadInput);
+    }
+    CtlOptions options;
+    options.entries = absl::StrSplit(absl::GetFlag(FLAGS_entry), ',', absl::SkipWhitespace());
+    options.output = *output;
+    options.yes = absl::GetFlag(FLAGS_yes);
+    options.wait = absl::GetFlag(FLAGS_wait);
+    options.author = authorOr(absl::GetFlag(FLAGS_author));
+    options.address = absl::GetFlag(FLAGS_address);
+    const std::vector<std::string> words(positional.begin() + 1, positional.end());
+    Loop loop;
+    return static_cast<int>(runCtl(loop, options, words, std::cin, std::cout, std::cerr));
+}
--- a/flamingo/settings.cc
+++ b/flamingo/settings.cc
@@ -21,6 +21,8 @@
 constexpr TimeMs minuteMs = 60 * secondMs;
 constexpr TimeMs hourMs = 60 * minuteMs;
 constexpr TimeMs dayMs = 24 * hourMs;
+// Our HTTP client gives up a connection that was silent for 120 s.
+constexpr TimeMs maxHttpWaitMs = 100 * secondMs;
 constexpr double minKeyBytes = 16;
 constexpr double maxKeyBytes = 128;
 constexpr double maxSeeds = 64;
@@ -76,7 +78,7 @@
          "Larger request bodies are refused with 413."},
         {"maxPendingRequests", "requests", &s.maxPendingRequests, 1, 65536,
          "Unanswered HTTP requests; more are refused with 503."},
-        {"maxWaitMs", "ms", &s.maxWaitMs, secondMs, hourMs,
+        {"maxWaitMs", "ms", &s.maxWaitMs, secondMs, maxHttpWaitMs,
          "A waiting request is answered with 202 after this time; the caller asks again."},
         {"maxQueued", "jobs", &o.maxQueued, 1, 1000000,
          "Jobs that wait for room; more are refused with Retry-After."},
