Let the stand-in lose the answers of commands to workers

Cause: an answer that is lost after a task was started is one of the faults of the platform, but only appends to the log could lose theirs. Reading events also walked over all retained events of a worker, up to 20000 for each long poll. Ruled out: dropping the connection; a status 500 leaves the sender with the same doubt and needs no timeout. Events are read from their position.

--- a/standin/platform.cc
+++ b/standin/platform.cc
@@ -303,6 +303,10 @@
         host.held.push_back(request);
         return;
     }
+    if (request.method == "POST" && host.loseAnswers > 0) {
+        --host.loseAnswers;
+        this->lostAnswers.insert(request.id);
+    }
     advance(host.worker, Loop::now());
     const std::string &what = parts[2];
     if (what == "tasks" && parts.size() == 3)
@@ -387,10 +391,9 @@
     const std::uint64_t from = queryNumber(request, "from", 0);
     this->answerOrWait(request, [&worker, from](bool mayWait) -> std::optional<HttpResponse> {
         Json events = Json::array();
-        for (const WorkerEvent &event : worker.events) {
-            if (event.seq >= from)
-                events.push_back(eventJson(event));
-        }
+        const std::uint64_t oldest = worker.nextSeq - worker.events.size();
+        for (std::uint64_t seq = std::max(from, oldest); seq < worker.nextSeq; ++seq)
+            events.push_back(eventJson(worker.events[seq - oldest]));
         if (mayWait && events.empty())
             return std::nullopt;
         const std::uint64_t next = std::max(from, worker.nextSeq);
@@ -413,7 +416,7 @@
     this->loseAnswers = body.value("loseAnswers", this->loseAnswers);
     if (body.contains("worker")) {
         const Json &worker = body.at("worker");
-        refuseUnknownKeys(worker, {"name", "failAll", "frozen"});
+        refuseUnknownKeys(worker, {"name", "failAll", "frozen", "loseAnswers"});
         this->setWorkerFault(worker.at("name").get<std::string>(), worker.dump());
     }
     if (!log.empty())
@@ -431,6 +434,7 @@
     Host &host = this->hostOf(name);
     advance(host.worker, Loop::now());
     host.worker.failAll = fault.value("failAll", host.worker.failAll);
+    host.loseAnswers = fault.value("loseAnswers", host.loseAnswers);
     setFrozen(host.worker, fault.value("frozen", host.worker.frozen), Loop::now());
     this->settle(name);
     if (host.worker.frozen) {
@@ -469,7 +473,10 @@
 
 void Platform::respond(HttpRequestId request, int status, const std::string &body)
 {
-    this->server->respond(request, {status, body});
+    if (this->lostAnswers.erase(request) > 0)
+        this->server->respond(request, {statusFailed, errorBody("answer lost")});
+    else
+        this->server->respond(request, {status, body});
 }
 
 } // namespace flamingo::standin
--- a/standin/platform.h
+++ b/standin/platform.h
@@ -4,30 +4,38 @@
 // The platform's stand-in over HTTP: log service, workers and switchable faults. Test scaffolding
 // only. The state lives in memory and ends with the process.
 //
-//   POST /log/STREAM {"lines":["..."]}                    200 {"offset":N}, 429 above the rate
-//   GET  /log/STREAM?from=N&wait_ms=M&max=K               200
-//   {"lines":[{"offset","text"}],"next":N}
-//                                                         410 {"error":"trimmed","oldest":N}
+//   POST /log/STREAM {"lines":["..."]}
+//       200 {"offset":N}, 429 above the rate
+//   GET /log/STREAM?from=N&wait_ms=M&max=K
+//       200 {"lines":[{"offset","text"}],"next":N}, 410 {"error":"trimmed","oldest":N}
 //   POST /workers/W/tasks
-//   {"task","job","payload","mask","cores","memoryMib","checkpoint","leaseMs"}
-//                                                         200 {"ok":true}, 409
-//                                                         {"ok":false,"detail"}
-//   POST /workers/W/lease {"leaseMs"}                     200 {"ok":true}
-//   POST /workers/W/tasks/T/checkpoint                    200 {"checkpoint":"..."}, 404 not running
-//   POST /workers/W/tasks/T/stop                          200 {"ok":true}
-//   POST /workers/W/tasks/T/throttle {"percent"}          200 {"ok":true}, 404 not running
-//   GET  /workers/W/events?from=N&wait_ms=M               200 {"events":[...],"next":N}
-//   GET  /runs                                            200 {"job":starts from the beginning}
-//   GET  /faults, POST /faults {"log":"up|down|slow","slowMs":N,"loseAnswers":N,
-//                               "worker":{"name":"W","failAll":bool,"frozen":bool}}
-//   GET  /health
+//        {"task","job","payload","mask","cores","memoryMib","checkpoint","leaseMs"}
+//       200 {"ok":true}, 409 {"ok":false,"detail"}
+//   POST /workers/W/lease {"leaseMs"}
+//   POST /workers/W/tasks/T/stop
+//       200 {"ok":true}
+//   POST /workers/W/tasks/T/checkpoint
+//       200 {"checkpoint":"..."}, 404 when the task does not run
+//   POST /workers/W/tasks/T/throttle {"percent"}
+//       200 {"ok":true}, 404 when the task does not run
+//   GET /workers/W/events?from=N&wait_ms=M
+//       200 {"events":[...],"next":N}
+//   GET /runs
+//       200 {"job":N}, N counts starts without a checkpoint, for a gang those of all members
+//   GET /faults
+//   POST /faults {"log":"up|down|slow","slowMs":N,"loseAnswers":N,
+//                 "worker":{"name":"W","failAll":BOOL,"frozen":BOOL,"loseAnswers":N}}
+//       200 with the faults in force
+//   GET /health
+//       200 {"ok":true}
 //
 // Worker events without `from` answers no events and the `next` to go on from. Reads of the log
 // and of events wait up to `wait_ms` for something to answer.
 //
 // Faults. "down": the log answers 503. "slow": appends take effect at once, and every answer of the
-// log comes slowMs later. "loseAnswers": the next N appends take effect and are answered with 500.
-// A frozen worker answers nothing; its requests are handled when it thaws.
+// log comes slowMs later. "loseAnswers": the next N appends, or the next N commands to the worker,
+// take effect and are answered with 500. A frozen worker answers nothing; its requests are handled
+// when it thaws, also those whose sender has given up.
 
 #include "flamingo/adapters/http_server.h"
 #include "standin/log.h"
@@ -36,6 +44,7 @@
 #include <functional>
 #include <list>
 #include <memory>
+#include <set>
 
 namespace flamingo::standin {
 
@@ -63,6 +72,7 @@
         Worker worker;
         adapters::Loop::TimerId timer = 0;
         std::vector<adapters::HttpRequest> held; // while frozen
+        std::uint64_t loseAnswers = 0;
     };
 
     // The answer of a read; none when there is nothing to read yet and the read may still wait.
@@ -112,7 +122,8 @@
     std::map<std::string, std::list<Waiter>> waiters; // by path of what is read
     LogFault logFault = LogFault::Up;
     TimeMs slowMs = 1000;
-    std::uint64_t loseAnswers = 0;
+    std::uint64_t loseAnswers = 0; // of appends
+    std::set<adapters::HttpRequestId> lostAnswers; // of commands to workers
 };
 
 } // namespace flamingo::standin
--- a/tests/standin_test.cc
+++ b/tests/standin_test.cc
@@ -249,3 +249,12 @@
     fixture.post("/faults", R"({"worker":{"name":"w","frozen":false}})");
     CHECK_EQUAL(200, fixture.get("/workers/w/events?from=0").status);
 }
+
+TEST(Platform, lostAnswerOfAStartHidesThatTheTaskRuns)
+{
+    const std::string task = R"({"task":"t","job":"j","payload":"p","mask":1,"leaseMs":1000})";
+    fixture.post("/faults", R"({"worker":{"name":"w","loseAnswers":1}})");
+    CHECK_EQUAL(500, fixture.post("/workers/w/tasks", task).status);
+    CHECK_EQUAL(200, fixture.post("/workers/w/tasks", task).status);
+    CHECK_EQUAL(std::string(R"({"j":1})"), fixture.get("/runs").body);
+}
