--- a/flamingo/agent.h
+++ b/flamingo/agent.h
@@ -56,16 +56,17 @@
     TimeMs workerLeaseMs = 3000;
     TimeMs answerRetentionMs = 600000;
     std::size_t maxAnswers = 1000; // answers kept, and attempts that run or wait for an ack
+    std::size_t maxDetailBytes = 1024; // text of a reason
     std::size_t maxAnswerBytes = 524288; // one answer; half of a frame
     std::size_t maxAnswerBytesTotal = 8388608; // a quarter of the memory budget of 32 MB
-    std::size_t maxAttempts = 5000; // remembered
-    std::size_t maxRefusals = 20000; // remembered; a Start beyond that gets no reply
+    std::size_t maxAttempts = 10000; // remembered
+    std::size_t maxRefusals = 10000; // remembered; a Start beyond that gets no reply
     std::size_t maxHolds = 64; // gang members held, running or remembered as unfinished here
     std::size_t maxGangs = 16; // led from here at once
     std::size_t maxPeers = 64; // entries that receive reports
     TimeMs claimBoundMs = 5000; // wait for the key's owner when the job has no deadline
     TimeMs releaseBoundMs = 1000; // wait for the owner's ack when a claim is given back
-    TimeMs reclaimGiveUpMs = 10000; // wait for guests that the worker does not stop
+    TimeMs reclaimGiveUpMs = 10000; // wait for a worker that does not stop guests or answer
     TimeMs taskStartBoundMs = 10000; // an unanswered RunTask is stopped by then
     TimeMs usageTrustMs = 5000; // run time from which usage below the declared size counts
     TimeMs quickFailureMs = 2000; // a failure within this time of the start counts against worker
@@ -138,6 +139,7 @@
     TimeMs claimUntil = 0;
     Reason releaseReason;
     Resend begin;
+    std::uint32_t beginsSent = 0;
     Resend settleSend;
     wire::SettleT settle;
     bool replied = false;
@@ -196,6 +198,8 @@
     bool started = false; // GangStart was sent
     Reason stopReason;
     std::vector<MemberView> members;
+    std::size_t answerBytes = 0; // of the members that are done
+    bool answersTooLong = false; // and were dropped
 };
 
 // Reports to one connected entry.
@@ -233,7 +237,8 @@
     std::uint64_t change = 1; // grows with every change that a report shows
     std::uint64_t reportSequence = 0;
     std::uint64_t tableVersion = 0;
-    std::size_t answerBytes = 0; // of ended attempts
+    std::size_t answersKept = 0;
+    std::size_t answerBytes = 0; // of the answers kept
     std::uint64_t ignoredStarts = 0; // beyond maxRefusals
     bool awake = false; // has seen its first event
     TimeMs lastEventAt = 0;
--- a/flamingo/agent_step.h
+++ b/flamingo/agent_step.h
@@ -1,8 +1,8 @@
 #ifndef FLAMINGO_AGENT_STEP_H
 #define FLAMINGO_AGENT_STEP_H
 
-// What the parts of the agent share: tasks.cc (tasks at the worker), agent.cc (attempts, claims,
-// reports) and gang.cc (gangs). Used by the agent only.
+// What the parts of the agent share: tasks.cc (tasks at the worker), attempts.cc (Start, claims,
+// outcomes), gang.cc (gangs) and agent.cc (everything else). Used by the agent only.
 //
 // A function that ends or releases a task may erase it and other tasks. Loops over tasks, attempts
 // and gangs therefore walk over a copy of the ids.
@@ -62,6 +62,8 @@
 // True when a repetition is due; the next one is then due after about twice the wait.
 bool resendDue(const AgentStep &step, Resend &resend);
 
+bool validName(std::string_view name);
+void sendTo(const AgentStep &step, std::string_view to, Message message);
 // Sends a message; one to this agent itself is handled before handleAgent returns.
 void sendGangMessage(const AgentStep &step, std::string_view to, Message message);
 
@@ -100,9 +102,18 @@
 void noteProbe(const AgentStep &step, std::string_view id);
 bool setAsideNow(const Agent &agent, TimeMs now);
 
-// ---- Attempts (agent.cc) ----
-
-// The room of a task is free, or its task ended.
+// ---- Attempts (attempts.cc) ----
+
+void handleStart(const AgentStep &step, std::string_view from, const Start &start);
+void handleBeginReply(const AgentStep &step, const BeginReply &message);
+void handleSettleAck(const AgentStep &step, const SettleAck &message);
+void handleWitness(const AgentStep &step, const Witness &message);
+void handleOutcomeAck(const AgentStep &step, const OutcomeAck &message);
+void handleCancel(const AgentStep &step, const Cancel &message);
+void cancelAttempt(const AgentStep &step, std::string_view id, const Reason &reason);
+void stepAttempts(const AgentStep &step);
+void forgetAnswer(Agent &agent, Attempt &attempt);
+// The room of a single job may be free.
 void attemptReady(const AgentStep &step, std::string_view id);
 void concludeAttempt(const AgentStep &step, std::string_view id, const Ending &ending);
 void acceptAttempt(const AgentStep &step, Attempt &attempt);
@@ -110,7 +121,7 @@
 
 // ---- Gangs (gang.cc) ----
 
-bool startGang(const AgentStep &step, Attempt &attempt, const Start &start);
+void startGang(const AgentStep &step, Attempt &attempt, const Start &start);
 void gangClaimed(const AgentStep &step, std::string_view gang);
 void stopGang(const AgentStep &step, std::string_view gang, const Reason &reason);
 void memberReady(const AgentStep &step, std::string_view gang);
--- /dev/null
+++ b/flamingo/attempts.cc
@@ -0,0 +1,647 @@
+#include "flamingo/agent_step.h"
+#include "flamingo/owner.h"
+
+#include <algorithm>
+
+// An attempt ends exactly once: with a refusing StartReply, or after an accepting one with an
+// Outcome. Refused and ended attempts are remembered, so that late copies of a Start change
+// nothing.
+//
+// Claims of work that is not idempotent: None -> Asking -> Granted, or Asking -> Releasing -> None.
+// Releasing gives back a claim that may have been granted: Settle{NotRun} is repeated until the
+// owner acknowledges it, and only the acknowledgement within releaseBoundMs makes the verdict
+// NotRun. A grant that arrives for an attempt that no longer asks is given back in the same way.
+
+namespace flamingo {
+
+namespace {
+
+constexpr std::uint32_t retrySoonMs = 500;
+constexpr std::size_t maxFencedRegions = 64; // ten times the six regions of the two-year target
+constexpr std::size_t maxWitnessAnswerBytes = maxFrameBytes / 2;
+
+StartReply replyFor(std::string_view job, std::string_view attempt, Verdict verdict,
+                    const Reason &reason)
+{
+    StartReply reply;
+    reply.job = std::string(job);
+    reply.attempt = std::string(attempt);
+    reply.verdict = verdict;
+    reply.reason = reason.code;
+    reply.detail = reason.text;
+    return reply;
+}
+
+// ---- Start ----
+
+bool validMembers(const Agent &agent, const Start &start)
+{
+    const auto &members = start.members;
+    if (start.spec->members == 1 && members.empty())
+        return true;
+    if (members.size() != start.spec->members || members.front() != agent.options.name)
+        return false;
+    std::set<std::string_view> names;
+    for (const auto &member : members) {
+        if (!validName(member) || !names.insert(member).second)
+            return false;
+    }
+    return true;
+}
+
+// Mistakes that every agent would find in this message.
+std::string_view mistakeIn(const Agent &agent, const Start &start)
+{
+    const auto &spec = *start.spec;
+    if (!validName(spec.job) || !validName(spec.organisation) || !validName(start.entry))
+        return "job, organisation or entry is empty or too long";
+    if (spec.key.size() > maxNameBytes || spec.homeRegion.size() > maxNameBytes
+        || start.owner.size() > maxNameBytes)
+        return "key, home region or owner is too long";
+    if (spec.payload.size() > maxPayloadBytes)
+        return "the payload is too long";
+    if (spec.members == 0 || spec.members > maxGangMembers || !validMembers(agent, start))
+        return "the members do not match the job, repeat a name or do not begin with this agent";
+    if (spec.idempotent)
+        return {};
+    if (spec.key.empty() || spec.homeRegion.empty() || start.owner.empty())
+        return "work that is not idempotent needs a key, a home region and an owner";
+    if (start.range >= rangesPerRegion)
+        return "the key range is out of range";
+    return {};
+}
+
+// A refusal that depends on more than the message is remembered, so that a late copy of the Start
+// is not accepted after the entry was told that it did not run.
+void refuse(const AgentStep &step, const Start &start, const Reason &reason)
+{
+    auto &agent = step.agent;
+    auto reply = replyFor(start.spec->job, start.attempt, Verdict::NotRun, reason);
+    if (reason.code == ReasonCode::WorkerFailed)
+        reply.retryAfterMs = static_cast<std::uint32_t>(
+            std::max<TimeMs>(agent.health.probeAt - step.now, retrySoonMs));
+    else
+        reply.retryAfterMs = retrySoonMs;
+    agent.refusals[start.attempt] = {reply, step.now};
+    sendTo(step, start.entry, std::move(reply));
+}
+
+// Drops the oldest acknowledged answer; false when every answer waits for its acknowledgement.
+bool dropOldestAnswer(Agent &agent)
+{
+    Attempt *oldest = nullptr;
+    for (auto &[id, attempt] : agent.attempts) {
+        if (!attempt.ended || attempt.outcome.answer.empty() || agent.open.count(id) > 0)
+            continue;
+        if (oldest == nullptr || attempt.endedAt < oldest->endedAt)
+            oldest = &attempt;
+    }
+    if (oldest == nullptr)
+        return false;
+    forgetAnswer(agent, *oldest);
+    oldest->outcome.detail = "the answer was delivered and is no longer kept";
+    return true;
+}
+
+bool memoryLeft(Agent &agent)
+{
+    const auto &options = agent.options;
+    while (agent.answerBytes > options.maxAnswerBytesTotal
+           || agent.answersKept > options.maxAnswers) {
+        if (!dropOldestAnswer(agent))
+            return false;
+    }
+    return agent.attempts.size() < options.maxAttempts && agent.open.size() < options.maxAnswers;
+}
+
+// Why no new work is accepted at present.
+std::optional<Reason> closedBecause(const AgentStep &step, const Start &start)
+{
+    auto &agent = step.agent;
+    Reason reason;
+    if (agent.cancelledJobs.count(start.spec->job) > 0)
+        return Reason{ReasonCode::Cancelled, "the job was cancelled"};
+    if (agent.draining)
+        return Reason{ReasonCode::Draining, "the target is draining"};
+    if (!leaseCurrent(step))
+        return Reason{ReasonCode::WorkerFailed, "the worker does not answer"};
+    if (!admitByHealth(step, *start.spec, reason))
+        return reason;
+    if (!memoryLeft(agent))
+        return Reason{ReasonCode::QueueFull, "too many attempts are remembered here"};
+    const auto fence = agent.fences.find({start.spec->homeRegion, start.range});
+    if (!start.spec->idempotent && fence != agent.fences.end() && start.epoch < fence->second)
+        return Reason{ReasonCode::StaleEpoch, "the key range has a newer owner"};
+    return std::nullopt;
+}
+
+Attempt makeAttempt(const AgentStep &step, const Start &start)
+{
+    Attempt attempt;
+    attempt.id = start.attempt;
+    attempt.spec = *start.spec;
+    attempt.spec.payload.clear();
+    attempt.entry = start.entry;
+    attempt.guaranteed = start.guaranteed;
+    attempt.gang = start.spec->members > 1;
+    attempt.owner = start.owner;
+    attempt.range = start.range;
+    attempt.epoch = start.epoch;
+    attempt.receivedAt = step.now;
+    return attempt;
+}
+
+void startSingle(const AgentStep &step, const Start &start)
+{
+    auto &agent = step.agent;
+    Reason reason;
+    const auto room =
+        findRoom(agent, step.table, roomRequest(*start.spec, start.guaranteed), step.now, reason);
+    if (!room) {
+        refuse(step, start, reason);
+        return;
+    }
+    auto &attempt = agent.attempts.emplace(start.attempt, makeAttempt(step, start)).first->second;
+    agent.open.insert(attempt.id);
+    noteProbe(step, attempt.id);
+    if (start.spec->idempotent)
+        acceptAttempt(step, attempt);
+    else
+        askClaim(step, attempt);
+    reserveTask(step, {start.attempt, start.spec.get(), start.spec->payload, start.guaranteed},
+                *room);
+    attemptReady(step, start.attempt);
+}
+
+void startLeader(const AgentStep &step, const Start &start)
+{
+    auto &agent = step.agent;
+    if (agent.gangs.size() >= agent.options.maxGangs) {
+        refuse(step, start, {ReasonCode::QueueFull, "this agent leads too many gangs"});
+        return;
+    }
+    auto &attempt = agent.attempts.emplace(start.attempt, makeAttempt(step, start)).first->second;
+    agent.open.insert(attempt.id);
+    startGang(step, attempt, start);
+}
+
+// Answers a repeated Start; true when the attempt is known.
+bool answerAgain(const AgentStep &step, const Start &start)
+{
+    auto &agent = step.agent;
+    const auto refusal = agent.refusals.find(start.attempt);
+    if (refusal != agent.refusals.end()) {
+        sendTo(step, start.entry, refusal->second.reply);
+        return true;
+    }
+    const auto *attempt = findAttempt(agent, start.attempt);
+    if (attempt == nullptr)
+        return false;
+    if (attempt->replied)
+        sendTo(step, attempt->entry, attempt->reply);
+    if (attempt->ended && attempt->reply.accepted)
+        sendTo(step, attempt->entry, attempt->outcome);
+    return true;
+}
+
+// ---- Ends ----
+
+void reply(const AgentStep &step, Attempt &attempt, bool accepted, Verdict verdict,
+           const Reason &reason)
+{
+    attempt.replied = true;
+    attempt.reply = replyFor(attempt.spec.job, attempt.id, verdict, reason);
+    attempt.reply.accepted = accepted;
+    if (!accepted)
+        attempt.reply.retryAfterMs = retrySoonMs;
+    sendTo(step, attempt.entry, attempt.reply);
+}
+
+void closeIfDone(const AgentStep &step, const Attempt &attempt)
+{
+    if (!attempt.ended || attempt.outcomeSend.pending || attempt.settleSend.pending)
+        return;
+    step.agent.open.erase(attempt.id);
+}
+
+void sendSettle(const AgentStep &step, Attempt &attempt, const Ending &ending)
+{
+    auto &settle = attempt.settle;
+    settle.key = attempt.spec.key;
+    settle.attempt = attempt.id;
+    settle.agent = step.agent.options.name;
+    settle.incarnation = step.agent.options.incarnation;
+    settle.range = attempt.range;
+    settle.epoch = attempt.epoch;
+    settle.verdict = ending.verdict;
+    settle.reason = ending.reason.code;
+    settle.detail = ending.reason.text;
+    settle.answer = ending.answer;
+    armResend(step, attempt.settleSend);
+    sendTo(step, attempt.owner, settle);
+}
+
+Ending boundedEnding(const Agent &agent, Ending ending)
+{
+    const auto bytes = ending.answer.size();
+    if (bytes > agent.options.maxAnswerBytes) {
+        ending.answer.clear();
+        ending.reason = {ReasonCode::TaskFailed,
+                         "the answer of " + std::to_string(bytes) + " bytes is too long"};
+    }
+    ending.reason.text.resize(std::min(ending.reason.text.size(), agent.options.maxDetailBytes));
+    return ending;
+}
+
+void endAttempt(const AgentStep &step, Attempt &attempt, const Ending &unbounded)
+{
+    if (attempt.ended)
+        return;
+    const auto ending = boundedEnding(step.agent, unbounded);
+    attempt.ended = true;
+    attempt.endedAt = step.now;
+    attempt.begin.pending = false;
+    auto &outcome = attempt.outcome;
+    outcome.job = attempt.spec.job;
+    outcome.attempt = attempt.id;
+    outcome.verdict = ending.verdict;
+    outcome.reason = ending.reason.code;
+    outcome.detail = ending.reason.text;
+    outcome.answer = ending.answer;
+    outcome.agent = step.agent.options.name;
+    step.agent.answersKept += outcome.answer.empty() ? 0 : 1;
+    step.agent.answerBytes += outcome.answer.size();
+    step.agent.change += 1;
+    if (attempt.claim == ClaimPhase::Granted)
+        sendSettle(step, attempt, ending);
+    if (attempt.reply.accepted) {
+        armResend(step, attempt.outcomeSend);
+        sendTo(step, attempt.entry, outcome);
+    } else {
+        reply(step, attempt, false, ending.verdict, ending.reason);
+    }
+    closeIfDone(step, attempt);
+}
+
+// Gives back a claim that may have been granted and was not used.
+void beginRelease(const AgentStep &step, Attempt &attempt, const Reason &reason)
+{
+    attempt.claim = ClaimPhase::Releasing;
+    attempt.claimUntil = step.now + step.agent.options.releaseBoundMs;
+    attempt.releaseReason = reason;
+    attempt.begin.pending = false;
+    sendSettle(step, attempt, {Verdict::NotRun, reason, {}});
+    const auto id = attempt.id;
+    if (attempt.gang)
+        stopGang(step, id, reason);
+    else
+        dropTask(step, id);
+}
+
+// ---- Claims ----
+
+void sendBegin(const AgentStep &step, Attempt &attempt)
+{
+    attempt.beginsSent += 1;
+    Begin begin;
+    begin.key = attempt.spec.key;
+    begin.job = attempt.spec.job;
+    begin.attempt = attempt.id;
+    begin.agent = step.agent.options.name;
+    begin.incarnation = step.agent.options.incarnation;
+    begin.range = attempt.range;
+    begin.epoch = attempt.epoch;
+    sendTo(step, attempt.owner, std::move(begin));
+}
+
+std::uint64_t fenceOf(const Agent &agent, const Attempt &attempt)
+{
+    const auto fence = agent.fences.find({attempt.spec.homeRegion, attempt.range});
+    return fence == agent.fences.end() ? 0 : fence->second;
+}
+
+void handleGrant(const AgentStep &step, Attempt &attempt, const BeginReply &message)
+{
+    if (attempt.claim == ClaimPhase::Granted)
+        return;
+    if (attempt.claim != ClaimPhase::Asking) {
+        // The grant comes after the attempt gave up: it is given back.
+        if (!attempt.begun)
+            sendSettle(step, attempt, {Verdict::NotRun, attempt.releaseReason, {}});
+        if (attempt.ended)
+            step.agent.open.insert(attempt.id);
+        return;
+    }
+    if (message.epoch < fenceOf(step.agent, attempt)) {
+        beginRelease(step, attempt, {ReasonCode::StaleEpoch, "the key range has a newer owner"});
+        return;
+    }
+    attempt.epoch = message.epoch;
+    attempt.claim = ClaimPhase::Granted;
+    attempt.begun = true;
+    attempt.begin.pending = false;
+    if (attempt.gang) {
+        gangClaimed(step, std::string(attempt.id));
+        return;
+    }
+    acceptAttempt(step, attempt);
+    attemptReady(step, std::string(attempt.id));
+}
+
+Reason denialReason(const BeginReply &message)
+{
+    if (message.state == KeyState::WrongOwner)
+        return {ReasonCode::WrongOwner, message.detail};
+    if (message.state == KeyState::NotReady)
+        return {message.reason == ReasonCode::None ? ReasonCode::TakeoverIncomplete
+                                                   : message.reason,
+                message.detail};
+    return {ReasonCode::AlreadyClaimed, message.detail};
+}
+
+void handleDenial(const AgentStep &step, Attempt &attempt, const BeginReply &message)
+{
+    // While Releasing, another copy of the Begin may still be granted; only the Settle ends that.
+    if (attempt.claim != ClaimPhase::Asking)
+        return;
+    const auto reason = denialReason(message);
+    attempt.claim = ClaimPhase::None;
+    attempt.releaseReason = reason;
+    if (attempt.beginsSent > 1)
+        sendSettle(step, attempt, {Verdict::NotRun, reason, {}});
+    const auto id = attempt.id;
+    if (attempt.gang)
+        stopGang(step, id, reason);
+    else
+        dropTask(step, id);
+    endAttempt(step, attempt, {Verdict::NotRun, reason, {}});
+}
+
+// ---- Witness ----
+
+// Redirects what still concerns the range to its new owner.
+void redirectToOwner(const AgentStep &step, const Witness &message)
+{
+    for (const auto &id : idsOf(step.agent.attempts)) {
+        auto *attempt = findAttempt(step.agent, id);
+        if (attempt == nullptr || attempt->spec.idempotent || attempt->range != message.range
+            || attempt->spec.homeRegion != message.region || attempt->epoch >= message.epoch)
+            continue;
+        attempt->owner = message.owner;
+        attempt->epoch = message.epoch;
+        if (attempt->settleSend.pending)
+            attempt->settle.epoch = message.epoch;
+        if (attempt->claim == ClaimPhase::Asking)
+            beginRelease(step, *attempt,
+                         {ReasonCode::StaleEpoch, "the key range has a newer owner"});
+    }
+}
+
+wire::WitnessedKeyT witnessedKey(const Attempt &attempt, std::size_t &answerBytes)
+{
+    wire::WitnessedKeyT key;
+    key.key = attempt.spec.key;
+    key.job = attempt.spec.job;
+    key.attempt = attempt.id;
+    key.finished = attempt.ended || attempt.claim == ClaimPhase::Releasing;
+    key.verdict = attempt.ended ? attempt.outcome.verdict
+        : key.finished          ? Verdict::NotRun
+                                : Verdict::MayHaveRun;
+    // A reply must fit into one frame. An answer that does not fit still comes with the Settle.
+    if (answerBytes + attempt.outcome.answer.size() > maxWitnessAnswerBytes)
+        return key;
+    answerBytes += attempt.outcome.answer.size();
+    key.answer = attempt.outcome.answer;
+    return key;
+}
+
+// ---- Time ----
+
+void stepAttempt(const AgentStep &step, Attempt &attempt)
+{
+    if (resendDue(step, attempt.begin))
+        sendBegin(step, attempt);
+    if (resendDue(step, attempt.settleSend))
+        sendTo(step, attempt.owner, attempt.settle);
+    if (resendDue(step, attempt.outcomeSend))
+        sendTo(step, attempt.entry, attempt.outcome);
+    if (step.now < attempt.claimUntil)
+        return;
+    if (attempt.claim == ClaimPhase::Asking) {
+        beginRelease(step, attempt,
+                     {ReasonCode::OwnerUnreachable, "the key's owner did not answer"});
+    } else if (attempt.claim == ClaimPhase::Releasing) {
+        attempt.claim = ClaimPhase::None;
+        auto reason = attempt.releaseReason;
+        reason.text += "; the key's owner has not taken the claim back";
+        endAttempt(step, attempt, {Verdict::MayHaveRun, reason, {}});
+    }
+}
+
+} // namespace
+
+void forgetAnswer(Agent &agent, Attempt &attempt)
+{
+    if (attempt.outcome.answer.empty())
+        return;
+    agent.answersKept -= 1;
+    agent.answerBytes -= attempt.outcome.answer.size();
+    attempt.outcome.answer.clear();
+}
+
+bool validName(std::string_view name)
+{
+    return !name.empty() && name.size() <= maxNameBytes;
+}
+
+void sendTo(const AgentStep &step, std::string_view to, Message message)
+{
+    step.out.sends.push_back({std::string(to), std::move(message)});
+}
+
+void handleStart(const AgentStep &step, std::string_view from, const Start &start)
+{
+    auto &agent = step.agent;
+    if (!start.spec || !validName(start.attempt))
+        return;
+    const auto mistake = mistakeIn(agent, start);
+    if (!mistake.empty()) {
+        const Reason reason{ReasonCode::InvalidInput, std::string(mistake)};
+        sendTo(step, from, replyFor(start.spec->job, start.attempt, Verdict::NotRun, reason));
+        return;
+    }
+    if (answerAgain(step, start))
+        return;
+    if (agent.tasks.count(start.attempt) > 0 || agent.members.count(start.attempt) > 0) {
+        const Reason reason{ReasonCode::InvalidInput, "the attempt has the id of a gang"};
+        refuse(step, start, reason);
+        return;
+    }
+    if (agent.refusals.size() >= agent.options.maxRefusals) {
+        // A refusal that is not remembered could turn into a run later; no reply is truthful.
+        agent.ignoredStarts += 1;
+        return;
+    }
+    if (const auto reason = closedBecause(step, start))
+        refuse(step, start, *reason);
+    else if (start.spec->members > 1)
+        startLeader(step, start);
+    else
+        startSingle(step, start);
+}
+
+void handleBeginReply(const AgentStep &step, const BeginReply &message)
+{
+    auto *attempt = findAttempt(step.agent, message.attempt);
+    if (attempt == nullptr || attempt->spec.idempotent || attempt->spec.key != message.key
+        || attempt->range != message.range)
+        return;
+    if (message.granted)
+        handleGrant(step, *attempt, message);
+    else
+        handleDenial(step, *attempt, message);
+}
+
+void handleSettleAck(const AgentStep &step, const SettleAck &message)
+{
+    auto *attempt = findAttempt(step.agent, message.attempt);
+    if (attempt == nullptr || !attempt->settleSend.pending || attempt->spec.key != message.key)
+        return;
+    attempt->settleSend.pending = false;
+    if (attempt->claim == ClaimPhase::Releasing) {
+        attempt->claim = ClaimPhase::None;
+        endAttempt(step, *attempt, {Verdict::NotRun, attempt->releaseReason, {}});
+    }
+    closeIfDone(step, *attempt);
+}
+
+void handleWitness(const AgentStep &step, const Witness &message)
+{
+    auto &agent = step.agent;
+    if (!validName(message.region) || !validName(message.owner) || message.range >= rangesPerRegion)
+        return;
+    const std::pair<std::string, std::uint32_t> range{message.region, message.range};
+    const auto known = agent.fences.find(range);
+    if (known != agent.fences.end() && message.epoch < known->second)
+        return;
+    if (known == agent.fences.end() && agent.fences.size() >= maxFencedRegions * rangesPerRegion)
+        return;
+    agent.fences[range] = message.epoch;
+    redirectToOwner(step, message);
+    WitnessReply answer;
+    answer.region = message.region;
+    answer.range = message.range;
+    answer.epoch = message.epoch;
+    answer.agent = agent.options.name;
+    answer.incarnation = agent.options.incarnation;
+    std::size_t answerBytes = 0;
+    for (const auto &[id, attempt] : agent.attempts) {
+        if (attempt.begun && attempt.range == message.range
+            && attempt.spec.homeRegion == message.region)
+            answer.keys.push_back(witnessedKey(attempt, answerBytes));
+    }
+    sendTo(step, message.owner, std::move(answer));
+}
+
+void cancelAttempt(const AgentStep &step, std::string_view id, const Reason &reason)
+{
+    auto *attempt = findAttempt(step.agent, id);
+    if (attempt == nullptr || attempt->ended || attempt->claim == ClaimPhase::Releasing)
+        return;
+    if (attempt->claim == ClaimPhase::Asking)
+        beginRelease(step, *attempt, reason);
+    else if (attempt->gang)
+        stopGang(step, id, reason);
+    else
+        stopTask(step, id, reason);
+}
+
+void handleCancel(const AgentStep &step, const Cancel &message)
+{
+    auto &agent = step.agent;
+    const Reason reason{ReasonCode::Cancelled, "cancelled"};
+    if (message.attempt.empty()) {
+        if (!validName(message.job))
+            return;
+        if (agent.cancelledJobs.size() < agent.options.maxRefusals)
+            agent.cancelledJobs[message.job] = step.now;
+        for (const auto &id : std::vector<std::string>(agent.open.begin(), agent.open.end())) {
+            const auto *attempt = findAttempt(agent, id);
+            if (attempt != nullptr && attempt->spec.job == message.job)
+                cancelAttempt(step, id, reason);
+        }
+        return;
+    }
+    if (findAttempt(agent, message.attempt) != nullptr) {
+        cancelAttempt(step, message.attempt, reason);
+        return;
+    }
+    // The Cancel overtook the Start.
+    if (validName(message.attempt) && agent.refusals.size() < agent.options.maxRefusals)
+        agent.refusals.try_emplace(
+            message.attempt,
+            Refusal{replyFor(message.job, message.attempt, Verdict::NotRun, reason), step.now});
+}
+
+void handleOutcomeAck(const AgentStep &step, const OutcomeAck &message)
+{
+    auto *attempt = findAttempt(step.agent, message.attempt);
+    if (attempt == nullptr || !attempt->ended)
+        return;
+    attempt->outcomeSend.pending = false;
+    closeIfDone(step, *attempt);
+}
+
+void stepAttempts(const AgentStep &step)
+{
+    const auto &open = step.agent.open;
+    for (const auto &id : std::vector<std::string>(open.begin(), open.end())) {
+        auto *attempt = findAttempt(step.agent, id);
+        if (attempt != nullptr)
+            stepAttempt(step, *attempt);
+    }
+}
+
+void acceptAttempt(const AgentStep &step, Attempt &attempt)
+{
+    reply(step, attempt, true, Verdict::MayHaveRun, {});
+}
+
+void askClaim(const AgentStep &step, Attempt &attempt)
+{
+    const auto bound = step.agent.options.claimBoundMs;
+    const auto deadline = attempt.spec.deadlineMs;
+    attempt.claim = ClaimPhase::Asking;
+    attempt.claimUntil = step.now
+        + (deadline == 0
+               ? bound
+               : std::min<TimeMs>(
+                   bound, static_cast<TimeMs>(std::min<std::uint64_t>(deadline, INT32_MAX))));
+    armResend(step, attempt.begin);
+    sendBegin(step, attempt);
+}
+
+void attemptReady(const AgentStep &step, std::string_view id)
+{
+    const auto *attempt = findAttempt(step.agent, id);
+    if (attempt == nullptr || attempt->ended)
+        return;
+    const bool claimed = attempt->spec.idempotent || attempt->claim == ClaimPhase::Granted;
+    if (claimed)
+        runTask(step, id);
+}
+
+void concludeAttempt(const AgentStep &step, std::string_view id, const Ending &ending)
+{
+    auto *attempt = findAttempt(step.agent, id);
+    if (attempt == nullptr || attempt->ended || attempt->claim == ClaimPhase::Releasing)
+        return;
+    const bool claimed =
+        attempt->claim == ClaimPhase::Granted || attempt->claim == ClaimPhase::Asking;
+    if (claimed && ending.verdict == Verdict::NotRun)
+        beginRelease(step, *attempt, ending.reason);
+    else
+        endAttempt(step, *attempt, ending);
+}
+
+} // namespace flamingo
--- a/flamingo/gang.cc
+++ b/flamingo/gang.cc
@@ -1,41 +1,700 @@
 #include "flamingo/agent_step.h"
 
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+
+// Leader: Holding -> (Claiming ->) Running -> Stopping -> erased. The decision is taken once, when
+// every member holds, and before decideUntil. From then on the leader gives a lease to a member
+// with every GangRenewReply. A member that is silent for a lease is lost, and the leader stops the
+// others. It reports one outcome when every member reported its end or can surely run no longer.
+//
+// Member: Reclaiming -> Held -> Running -> Done. A hold expires by itself. A running member stops
+// when its lease ends. A member that is Done repeats GangMemberDone until the leader answers that
+// the gang is over; it stays known for the retention time, so that late messages cannot start it
+// again.
+//
+// The leader is also a member; the messages between the two roles stay inside this agent.
+
 namespace flamingo {
 
-bool startGang(const AgentStep &step, Attempt &attempt, const Start &)
+namespace {
+
+Gang *findGang(Agent &agent, std::string_view id)
+{
+    const auto found = agent.gangs.find(id);
+    return found == agent.gangs.end() ? nullptr : &found->second;
+}
+
+GangMember *findMember(Agent &agent, std::string_view id)
+{
+    const auto found = agent.members.find(id);
+    return found == agent.members.end() ? nullptr : &found->second;
+}
+
+// Time that a hold may take, and so the time in which all members must hold.
+TimeMs holdBound(const Agent &agent, bool guaranteed)
+{
+    const auto &options = agent.options;
+    return options.holdMs
+        + (guaranteed ? options.checkpointBoundMs + options.stopBoundMs : TimeMs{0});
+}
+
+// ---- Leader ----
+
+void sendHold(const AgentStep &step, const Gang &gang, std::uint32_t index)
+{
+    const auto *attempt = findAttempt(step.agent, gang.id);
+    if (attempt == nullptr)
+        return;
+    Hold hold;
+    hold.gang = gang.id;
+    hold.spec = std::make_unique<JobSpec>(attempt->spec);
+    hold.spec->payload = gang.payload;
+    hold.leader = step.agent.options.name;
+    hold.member = index;
+    hold.guaranteed = attempt->guaranteed;
+    sendGangMessage(step, gang.members[index].agent, std::move(hold));
+}
+
+void sendGangStart(const AgentStep &step, const Gang &gang, std::uint32_t index)
+{
+    GangStart start;
+    start.gang = gang.id;
+    start.member = index;
+    sendGangMessage(step, gang.members[index].agent, std::move(start));
+}
+
+void sendGangStop(const AgentStep &step, std::string_view gang, std::string_view agent,
+                  std::uint32_t index, const Reason &reason)
+{
+    GangStop stop;
+    stop.gang = std::string(gang);
+    stop.member = index;
+    stop.reason = reason.code;
+    stop.detail = reason.text;
+    sendGangMessage(step, agent, std::move(stop));
+}
+
+void sendRenewReply(const AgentStep &step, std::string_view gang, std::string_view agent,
+                    std::uint32_t index, bool alive)
+{
+    GangRenewReply reply;
+    reply.gang = std::string(gang);
+    reply.member = index;
+    reply.alive = alive;
+    sendGangMessage(step, agent, std::move(reply));
+}
+
+template <typename Predicate>
+bool allMembers(const Gang &gang, const Predicate &predicate)
+{
+    return std::all_of(gang.members.begin(), gang.members.end(), predicate);
+}
+
+template <typename Predicate>
+bool anyMember(const Gang &gang, const Predicate &predicate)
+{
+    return std::any_of(gang.members.begin(), gang.members.end(), predicate);
+}
+
+bool ranWell(const MemberView &member)
+{
+    return member.reported && member.done.verdict == Verdict::Ran
+        && member.done.reason == ReasonCode::None;
+}
+
+Ending joinedAnswers(const Gang &gang)
+{
+    if (gang.answersTooLong)
+        return {Verdict::Ran, {ReasonCode::TaskFailed, "the joined answers are too long"}, {}};
+    auto answers = nlohmann::json::array();
+    for (const auto &member : gang.members)
+        answers.push_back(member.done.answer);
+    return {
+        Verdict::Ran, {}, answers.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace)};
+}
+
+// See agent.h on NotRun. Parts that ran to their end are discarded with the rest of the gang.
+Ending gangEnding(const Gang &gang, bool idempotent)
+{
+    if (!gang.started)
+        return {Verdict::NotRun, gang.stopReason, {}};
+    if (allMembers(gang, ranWell))
+        return joinedAnswers(gang);
+    const bool uncertain = anyMember(gang, [](const MemberView &member) {
+        return !member.reported || member.done.verdict == Verdict::MayHaveRun;
+    });
+    const bool nothingRan = allMembers(gang, [](const MemberView &member) {
+        return member.reported && member.done.verdict == Verdict::NotRun;
+    });
+    const bool failed = anyMember(gang, [](const MemberView &member) {
+        return member.reported && member.done.verdict == Verdict::Ran
+            && member.done.reason != ReasonCode::None;
+    });
+    const bool repeatable = idempotent && gang.stopReason.code != ReasonCode::Cancelled;
+    Ending ending{Verdict::MayHaveRun, gang.stopReason, {}};
+    if (nothingRan || (!uncertain && !failed && repeatable))
+        ending.verdict = Verdict::NotRun;
+    else if (!uncertain && failed)
+        ending.verdict = Verdict::Ran;
+    return ending;
+}
+
+void finishGang(const AgentStep &step, std::string_view id)
+{
+    auto &agent = step.agent;
+    const auto found = agent.gangs.find(id);
+    const auto gang = std::move(found->second);
+    agent.gangs.erase(found);
+    for (std::uint32_t index = 0; index < gang.members.size(); ++index) {
+        if (gang.started)
+            sendRenewReply(step, gang.id, gang.members[index].agent, index, false);
+    }
+    const auto *attempt = findAttempt(agent, gang.id);
+    if (attempt != nullptr)
+        concludeAttempt(step, gang.id, gangEnding(gang, attempt->spec.idempotent));
+}
+
+void finishIfAllGone(const AgentStep &step, const Gang &gang)
+{
+    if (allMembers(gang, [](const MemberView &member) { return member.gone; }))
+        finishGang(step, std::string(gang.id));
+}
+
+// The one decision to run. Before it nothing runs, after it every member has a lease.
+void decide(const AgentStep &step, Gang &gang)
+{
+    auto *attempt = findAttempt(step.agent, gang.id);
+    if (attempt == nullptr)
+        return;
+    gang.phase = GangPhase::Running;
+    gang.started = true;
+    gang.payload.clear();
+    for (std::uint32_t index = 0; index < gang.members.size(); ++index) {
+        auto &member = gang.members[index];
+        member.aliveAt = step.now;
+        armResend(step, member.send);
+        sendGangStart(step, gang, index);
+    }
+    acceptAttempt(step, *attempt);
+}
+
+void decideIfHeld(const AgentStep &step, Gang &gang)
+{
+    if (gang.phase != GangPhase::Holding
+        || !allMembers(gang, [](const MemberView &member) { return member.held; }))
+        return;
+    auto *attempt = findAttempt(step.agent, gang.id);
+    if (attempt == nullptr)
+        return;
+    if (attempt->spec.idempotent) {
+        decide(step, gang);
+        return;
+    }
+    gang.phase = GangPhase::Claiming;
+    askClaim(step, *attempt);
+    attempt->claimUntil = std::min(attempt->claimUntil, gang.decideUntil);
+}
+
+void stepMemberView(const AgentStep &step, Gang &gang, std::uint32_t index)
+{
+    const auto &options = step.agent.options;
+    auto &member = gang.members[index];
+    const auto lease = options.gangLeaseMs + options.stopBoundMs + options.gangRenewMs;
+    if (gang.phase == GangPhase::Stopping && !member.gone && step.now - member.aliveAt >= lease)
+        member.gone = true;
+    if (member.gone || !resendDue(step, member.send))
+        return;
+    if (gang.phase == GangPhase::Holding)
+        sendHold(step, gang, index);
+    else if (gang.phase == GangPhase::Running)
+        sendGangStart(step, gang, index);
+    else if (gang.phase == GangPhase::Stopping)
+        sendGangStop(step, gang.id, member.agent, index, gang.stopReason);
+}
+
+// True when the gang goes on: decided in time, and no member silent for a lease.
+bool checkGang(const AgentStep &step, const Gang &gang)
+{
+    const auto leaseMs = step.agent.options.gangLeaseMs;
+    if (gang.phase == GangPhase::Holding && step.now >= gang.decideUntil) {
+        stopGang(step, std::string(gang.id),
+                 {ReasonCode::GangIncomplete, "not every member had room in time"});
+        return false;
+    }
+    if (gang.phase != GangPhase::Running)
+        return true;
+    for (const auto &member : gang.members) {
+        if (member.gone || step.now - member.aliveAt < leaseMs)
+            continue;
+        stopGang(step, std::string(gang.id),
+                 {ReasonCode::TargetUnreachable, "member " + member.agent + " is silent"});
+        return false;
+    }
+    return true;
+}
+
+void stepGang(const AgentStep &step, std::string_view id)
+{
+    auto *gang = findGang(step.agent, id);
+    if (gang == nullptr)
+        return;
+    checkGang(step, *gang);
+    gang = findGang(step.agent, id);
+    if (gang == nullptr)
+        return;
+    for (std::uint32_t index = 0; index < gang->members.size(); ++index)
+        stepMemberView(step, *gang, index);
+    if (gang->phase == GangPhase::Stopping)
+        finishIfAllGone(step, *gang);
+}
+
+// The sender's entry in the gang, if the message is from the agent that it names.
+MemberView *viewOf(Gang &gang, std::string_view from, std::uint32_t index)
 {
-    concludeAttempt(step, std::string(attempt.id),
-                    {Verdict::NotRun, {ReasonCode::Internal, "gangs are not supported yet"}, {}});
-    return false;
+    if (index >= gang.members.size() || gang.members[index].agent != from)
+        return nullptr;
+    return &gang.members[index];
 }
-void gangClaimed(const AgentStep &, std::string_view)
+
+void handleHoldReply(const AgentStep &step, std::string_view from, const HoldReply &message)
+{
+    auto *gang = findGang(step.agent, message.gang);
+    if (gang == nullptr) {
+        if (message.held)
+            sendGangStop(step, message.gang, from, message.member,
+                         {ReasonCode::GangIncomplete, "the gang is over"});
+        return;
+    }
+    auto *view = viewOf(*gang, from, message.member);
+    if (view == nullptr || gang->phase != GangPhase::Holding || !checkGang(step, *gang))
+        return;
+    if (!message.held) {
+        stopGang(step, message.gang,
+                 {ReasonCode::GangIncomplete,
+                  "member " + view->agent + ": " + std::string(reasonName(message.reason)) + ": "
+                      + message.detail});
+        return;
+    }
+    view->held = true;
+    view->send.pending = false;
+    decideIfHeld(step, *gang);
+}
+
+void handleGangRenew(const AgentStep &step, std::string_view from, const GangRenew &message)
+{
+    auto *gang = findGang(step.agent, message.gang);
+    if (gang != nullptr && !checkGang(step, *gang))
+        gang = findGang(step.agent, message.gang);
+    auto *view = gang == nullptr ? nullptr : viewOf(*gang, from, message.member);
+    if (view == nullptr) {
+        if (message.running)
+            sendRenewReply(step, message.gang, from, message.member, false);
+        return;
+    }
+    const bool alive = gang->phase == GangPhase::Running && message.running && !view->gone;
+    if (alive) {
+        view->running = true;
+        view->send.pending = false;
+        view->aliveAt = step.now;
+    }
+    if (message.running)
+        sendRenewReply(step, message.gang, from, message.member, alive);
+    else if (gang->phase == GangPhase::Stopping)
+        view->gone = true; // the member does not know the gang (any more)
+    if (gang->phase == GangPhase::Stopping)
+        finishIfAllGone(step, *gang);
+}
+
+// Keeps the answer of a member while all answers together fit into one answer.
+void keepDone(const AgentStep &step, Gang &gang, MemberView &view, const GangMemberDone &message)
+{
+    view.reported = true;
+    view.gone = true;
+    view.send.pending = false;
+    view.done = message;
+    gang.answerBytes += message.answer.size();
+    if (gang.answerBytes <= step.agent.options.maxAnswerBytes)
+        return;
+    gang.answersTooLong = true;
+    for (auto &member : gang.members)
+        member.done.answer.clear();
+}
+
+void handleMemberDone(const AgentStep &step, std::string_view from, const GangMemberDone &message)
+{
+    auto *gang = findGang(step.agent, message.gang);
+    auto *view = gang == nullptr ? nullptr : viewOf(*gang, from, message.member);
+    if (view == nullptr) {
+        sendRenewReply(step, message.gang, from, message.member, false);
+        return;
+    }
+    if (!view->reported)
+        keepDone(step, *gang, *view, message);
+    if (gang->phase != GangPhase::Stopping && !ranWell(*view)) {
+        const auto code = gang->started ? message.reason : ReasonCode::GangIncomplete;
+        const auto text = "member " + view->agent + ": " + message.detail;
+        stopGang(step, message.gang, {code, text});
+        return;
+    }
+    sendRenewReply(step, message.gang, from, message.member, gang->phase == GangPhase::Running);
+    finishIfAllGone(step, *gang);
+}
+
+// ---- Member ----
+
+void sendHoldReply(const AgentStep &step, std::string_view leader, std::string_view gang,
+                   std::uint32_t index, bool held, const Reason &reason)
+{
+    HoldReply reply;
+    reply.gang = std::string(gang);
+    reply.member = index;
+    reply.held = held;
+    reply.reason = reason.code;
+    reply.detail = reason.text;
+    sendGangMessage(step, leader, std::move(reply));
+}
+
+void sendRenew(const AgentStep &step, GangMember &member)
+{
+    GangRenew renew;
+    renew.gang = member.gang;
+    renew.member = member.index;
+    renew.running = true;
+    member.nextRenew = step.now + step.agent.options.gangRenewMs;
+    sendGangMessage(step, member.leader, std::move(renew));
+}
+
+void sendDone(const AgentStep &step, GangMember &member)
+{
+    member.nextRenew = step.now + step.agent.options.gangRenewMs;
+    sendGangMessage(step, member.leader, member.done);
+}
+
+bool validHold(const AgentStep &step, std::string_view from, const Hold &hold)
+{
+    return hold.spec && hold.leader == from && validName(hold.gang) && validName(hold.leader)
+        && validName(hold.spec->job) && validName(hold.spec->organisation) && hold.spec->members > 1
+        && hold.spec->members <= maxGangMembers && hold.member < hold.spec->members
+        && hold.spec->payload.size() <= maxPayloadBytes
+        && (hold.leader == step.agent.options.name) == (hold.member == 0);
+}
+
+std::optional<Reason> closedForHolds(const AgentStep &step, const Hold &hold)
+{
+    const auto &agent = step.agent;
+    Reason reason;
+    if (agent.cancelledJobs.count(hold.spec->job) > 0)
+        return Reason{ReasonCode::Cancelled, "the job was cancelled"};
+    if (agent.draining)
+        return Reason{ReasonCode::Draining, "the target is draining"};
+    if (!leaseCurrent(step))
+        return Reason{ReasonCode::WorkerFailed, "the worker does not answer"};
+    if (!admitByHealth(step, *hold.spec, reason))
+        return reason;
+    const auto active = std::count_if(agent.members.begin(), agent.members.end(), [](auto &entry) {
+        return entry.second.phase != MemberPhase::Done;
+    });
+    if (static_cast<std::size_t>(active) >= agent.options.maxHolds
+        || agent.members.size() >= agent.options.maxAttempts)
+        return Reason{ReasonCode::QueueFull, "too many gang members are held here"};
+    if (agent.tasks.count(hold.gang) > 0)
+        return Reason{ReasonCode::InvalidInput, "the gang has the id of another task"};
+    return std::nullopt;
+}
+
+// Answers a repeated Hold; true when the gang is known.
+bool answerHoldAgain(const AgentStep &step, const Hold &hold)
+{
+    const auto *member = findMember(step.agent, hold.gang);
+    if (member == nullptr)
+        return false;
+    if (member->leader != hold.leader || member->phase == MemberPhase::Reclaiming)
+        return true;
+    const bool done = member->phase == MemberPhase::Done;
+    sendHoldReply(step, hold.leader, hold.gang, hold.member, !done,
+                  {member->done.reason, member->done.detail});
+    return true;
+}
+
+void handleHold(const AgentStep &step, std::string_view from, const Hold &hold)
+{
+    if (!validHold(step, from, hold)) {
+        sendHoldReply(step, from, hold.gang, hold.member, false,
+                      {ReasonCode::InvalidInput, "a field of the hold is invalid"});
+        return;
+    }
+    if (answerHoldAgain(step, hold))
+        return;
+    Reason reason;
+    std::optional<Room> room;
+    if (auto closed = closedForHolds(step, hold))
+        reason = *closed;
+    else
+        room = findRoom(step.agent, step.table, roomRequest(*hold.spec, hold.guaranteed), step.now,
+                        reason);
+    if (!room) {
+        sendHoldReply(step, from, hold.gang, hold.member, false, reason);
+        return;
+    }
+    GangMember member;
+    member.gang = hold.gang;
+    member.leader = hold.leader;
+    member.index = hold.member;
+    member.holdUntil = step.now + holdBound(step.agent, hold.guaranteed);
+    step.agent.members.emplace(hold.gang, std::move(member));
+    reserveTask(step, {hold.gang, hold.spec.get(), hold.spec->payload, hold.guaranteed, true},
+                *room);
+    memberReady(step, hold.gang);
+}
+
+// Answers for a gang that is not known here: nothing of it runs, and nothing will.
+void rememberOver(const AgentStep &step, std::string_view leader, std::string_view gang,
+                  std::uint32_t index)
 {
+    auto &agent = step.agent;
+    if (!validName(gang) || agent.members.size() >= agent.options.maxAttempts)
+        return;
+    GangMember member;
+    member.gang = std::string(gang);
+    member.leader = std::string(leader);
+    member.index = index;
+    member.phase = MemberPhase::Done;
+    member.over = true;
+    member.endedAt = step.now;
+    member.done.gang = member.gang;
+    member.done.member = index;
+    member.done.reason = ReasonCode::Expired;
+    member.done.detail = "the gang is not held here";
+    sendGangMessage(step, leader, member.done);
+    agent.members.emplace(member.gang, std::move(member));
 }
-void stopGang(const AgentStep &, std::string_view, const Reason &)
+
+void handleGangStart(const AgentStep &step, std::string_view from, const GangStart &message)
+{
+    auto *member = findMember(step.agent, message.gang);
+    if (member == nullptr) {
+        rememberOver(step, from, message.gang, message.member);
+        return;
+    }
+    if (member->leader != from)
+        return;
+    switch (member->phase) {
+    case MemberPhase::Reclaiming:
+        return;
+    case MemberPhase::Held:
+        member->phase = MemberPhase::Running;
+        member->leaseUntil = step.now + step.agent.options.gangLeaseMs;
+        if (!runTask(step, message.gang)) {
+            stopTask(step, message.gang, {ReasonCode::WorkerFailed, "the worker does not answer"});
+            return;
+        }
+        sendRenew(step, *member);
+        return;
+    case MemberPhase::Running:
+        sendRenew(step, *member);
+        return;
+    case MemberPhase::Done:
+        sendDone(step, *member);
+        return;
+    }
+}
+
+void handleRenewReply(const AgentStep &step, std::string_view from, const GangRenewReply &message)
 {
+    auto *member = findMember(step.agent, message.gang);
+    if (member == nullptr || member->leader != from)
+        return;
+    if (!message.alive) {
+        member->over = true;
+        if (member->phase != MemberPhase::Done)
+            stopTask(step, message.gang, {ReasonCode::GangIncomplete, "the gang is over"});
+        return;
+    }
+    // A lease that lapsed stays lapsed: the task is being stopped.
+    if (step.now < member->leaseUntil)
+        member->leaseUntil = step.now + step.agent.options.gangLeaseMs;
 }
-void memberReady(const AgentStep &, std::string_view)
+
+void handleGangStop(const AgentStep &step, std::string_view from, const GangStop &message)
 {
+    auto *member = findMember(step.agent, message.gang);
+    if (member == nullptr) {
+        rememberOver(step, from, message.gang, message.member);
+        return;
+    }
+    if (member->leader != from)
+        return;
+    if (member->phase == MemberPhase::Done)
+        sendDone(step, *member);
+    else
+        stopTask(step, message.gang, {message.reason, message.detail});
 }
-void memberEnded(const AgentStep &, std::string_view, const Ending &)
+
+void stepMember(const AgentStep &step, std::string_view id)
 {
+    auto *member = findMember(step.agent, id);
+    if (member == nullptr)
+        return;
+    switch (member->phase) {
+    case MemberPhase::Reclaiming:
+    case MemberPhase::Held:
+        if (step.now >= member->holdUntil)
+            stopTask(step, id, {ReasonCode::Expired, "the hold expired"});
+        return;
+    case MemberPhase::Running:
+        if (step.now >= member->leaseUntil)
+            stopTask(step, id, {ReasonCode::LeaseLapsed, "the gang's leader does not answer"});
+        else if (step.now >= member->nextRenew)
+            sendRenew(step, *member);
+        return;
+    case MemberPhase::Done:
+        if (step.now >= member->leaseUntil)
+            member->over = true;
+        if (!member->over && step.now >= member->nextRenew)
+            sendDone(step, *member);
+        return;
+    }
 }
-void drainMembers(const AgentStep &)
+
+} // namespace
+
+void startGang(const AgentStep &step, Attempt &attempt, const Start &start)
 {
+    Gang gang;
+    gang.id = attempt.id;
+    gang.payload = start.spec->payload;
+    gang.decideUntil = step.now + holdBound(step.agent, attempt.guaranteed);
+    for (const auto &name : start.members) {
+        MemberView member;
+        member.agent = name;
+        member.aliveAt = step.now;
+        armResend(step, member.send);
+        gang.members.push_back(std::move(member));
+    }
+    const auto &stored = step.agent.gangs.emplace(gang.id, std::move(gang)).first->second;
+    for (std::uint32_t index = 0; index < stored.members.size(); ++index)
+        sendHold(step, stored, index);
 }
-void stepGangs(const AgentStep &)
+
+void gangClaimed(const AgentStep &step, std::string_view id)
 {
+    auto *gang = findGang(step.agent, id);
+    if (gang == nullptr || gang->phase != GangPhase::Claiming)
+        return;
+    if (step.now < gang->decideUntil)
+        decide(step, *gang);
+    else
+        stopGang(step, id, {ReasonCode::GangIncomplete, "the claim came after the holds"});
 }
-void handleGangMessage(const AgentStep &, std::string_view, const Message &)
+
+void stopGang(const AgentStep &step, std::string_view id, const Reason &reason)
 {
+    auto *gang = findGang(step.agent, id);
+    if (gang == nullptr || gang->phase == GangPhase::Stopping)
+        return;
+    gang->phase = GangPhase::Stopping;
+    gang->stopReason = reason;
+    for (std::uint32_t index = 0; index < gang->members.size(); ++index) {
+        auto &member = gang->members[index];
+        if (member.gone)
+            continue;
+        armResend(step, member.send);
+        sendGangStop(step, gang->id, member.agent, index, reason);
+    }
+    // Before the decision nothing runs. Holds whose GangStop is lost expire.
+    if (!gang->started)
+        finishGang(step, std::string(id));
+    else
+        finishIfAllGone(step, *gang);
 }
-bool isGangMessage(const Message &)
+
+void memberReady(const AgentStep &step, std::string_view id)
 {
-    return false;
+    auto *member = findMember(step.agent, id);
+    const auto *task = findTask(step.agent, id);
+    if (member == nullptr || task == nullptr || member->phase != MemberPhase::Reclaiming
+        || !task->blockers.empty())
+        return;
+    member->phase = MemberPhase::Held;
+    sendHoldReply(step, member->leader, member->gang, member->index, true, {});
 }
+
+void memberEnded(const AgentStep &step, std::string_view id, const Ending &ending)
+{
+    auto *member = findMember(step.agent, id);
+    if (member == nullptr || member->phase == MemberPhase::Done)
+        return;
+    member->phase = MemberPhase::Done;
+    member->endedAt = step.now;
+    member->leaseUntil = std::max(member->leaseUntil, step.now + step.agent.options.gangLeaseMs);
+    auto &done = member->done;
+    done.gang = member->gang;
+    done.member = member->index;
+    done.verdict = ending.verdict;
+    done.reason = ending.reason.code;
+    done.detail = ending.reason.text;
+    done.answer = ending.answer;
+    sendDone(step, *member);
+}
+
+void drainMembers(const AgentStep &step)
+{
+    const Reason reason{ReasonCode::Draining, "the target is draining"};
+    for (const auto &id : idsOf(step.agent.gangs)) {
+        const auto *gang = findGang(step.agent, id);
+        if (gang != nullptr && gang->phase == GangPhase::Holding)
+            stopGang(step, id, reason);
+    }
+    for (const auto &id : idsOf(step.agent.members)) {
+        const auto *member = findMember(step.agent, id);
+        if (member != nullptr && member->phase < MemberPhase::Running)
+            stopTask(step, id, reason);
+    }
+}
+
+void stepGangs(const AgentStep &step)
+{
+    for (const auto &id : idsOf(step.agent.members))
+        stepMember(step, id);
+    for (const auto &id : idsOf(step.agent.gangs))
+        stepGang(step, id);
+}
+
+bool isGangMessage(const Message &message)
+{
+    return std::holds_alternative<Hold>(message) || std::holds_alternative<HoldReply>(message)
+        || std::holds_alternative<GangStart>(message) || std::holds_alternative<GangRenew>(message)
+        || std::holds_alternative<GangRenewReply>(message)
+        || std::holds_alternative<GangMemberDone>(message)
+        || std::holds_alternative<GangStop>(message);
+}
+
+void handleGangMessage(const AgentStep &step, std::string_view from, const Message &message)
+{
+    if (const auto *hold = std::get_if<Hold>(&message))
+        handleHold(step, from, *hold);
+    else if (const auto *holdReply = std::get_if<HoldReply>(&message))
+        handleHoldReply(step, from, *holdReply);
+    else if (const auto *start = std::get_if<GangStart>(&message))
+        handleGangStart(step, from, *start);
+    else if (const auto *renew = std::get_if<GangRenew>(&message))
+        handleGangRenew(step, from, *renew);
+    else if (const auto *renewReply = std::get_if<GangRenewReply>(&message))
+        handleRenewReply(step, from, *renewReply);
+    else if (const auto *done = std::get_if<GangMemberDone>(&message))
+        handleMemberDone(step, from, *done);
+    else if (const auto *stop = std::get_if<GangStop>(&message))
+        handleGangStop(step, from, *stop);
+}
+
 bool gangsIdle(const Agent &agent)
 {
-    return agent.gangs.empty();
+    return agent.gangs.empty()
+        && std::all_of(agent.members.begin(), agent.members.end(), [](const auto &entry) {
+               return entry.second.phase == MemberPhase::Done && entry.second.over;
+           });
 }
 
 } // namespace flamingo
--- a/flamingo/tasks.cc
+++ b/flamingo/tasks.cc
@@ -165,15 +165,12 @@
 void stepWaiting(const AgentStep &step, const LocalTask &task)
 {
     const auto id = task.id;
-    if (task.blockers.empty()) {
-        if (task.member)
-            memberReady(step, id);
-        else
-            attemptReady(step, id);
-        return;
-    }
     if (!task.member && step.now - task.reservedAt >= step.agent.options.reclaimGiveUpMs)
-        stopTask(step, id, {ReasonCode::NoRoom, "the worker did not stop a guest in time"});
+        stopTask(step, id, {ReasonCode::NoRoom, "the worker did not make room in time"});
+    else if (task.member)
+        memberReady(step, id);
+    else
+        attemptReady(step, id);
 }
 
 void stepTask(const AgentStep &step, LocalTask &task)
--- /dev/null
+++ b/tests/gang_test.cc
@@ -0,0 +1,524 @@
+// Guards against a gang of which a part runs without the whole, and against gangs that report no
+// outcome, two outcomes or a wrong one.
+
+#include "flamingo/agent.h"
+
+// Before CppUTest, which replaces `new` by a macro.
+#include <rapidcheck.h>
+
+#include <CppUTest/TestHarness.h>
+
+#include <CppUTest/MemoryLeakWarningPlugin.h>
+
+#include <cstdlib>
+#include <functional>
+#include <map>
+
+using namespace flamingo;
+
+namespace {
+
+constexpr TimeMs tickMs = 100;
+constexpr TimeMs slackMs = 2 * tickMs; // one tick to notice a bound and one to act on it
+
+struct Behaviour
+{
+    TimeMs minDelayMs = 1;
+    TimeMs maxDelayMs = 1;
+    unsigned dropPercent = 0;
+    unsigned duplicatePercent = 0;
+};
+
+struct Stopped
+{
+    TimeMs at = 0;
+    TimeMs until = 0; // the process handles nothing in between
+};
+
+// Agents joined by a network that delays, drops, repeats and reorders messages. Each agent has a
+// worker that stops a task stopBoundMs after StopTask and when its own lease ends.
+struct Net
+{
+    struct Node
+    {
+        Agent agent;
+        std::vector<Stopped> pauses;
+        bool dead = false;
+        TimeMs workerLeaseUntil = 0;
+        std::map<std::string, TimeMs> running; // task and start
+        std::map<std::string, TimeMs> finishAt;
+    };
+    struct Delivery
+    {
+        std::string to;
+        AgentEvent event;
+    };
+
+    AgentOptions options;
+    Behaviour behaviour;
+    Table table;
+    Random random;
+    TimeMs now = 0;
+    std::map<std::string, Node> nodes;
+    std::multimap<TimeMs, Delivery> queue;
+    std::vector<StartReply> replies;
+    std::vector<Outcome> outcomes;
+    std::map<std::string, std::set<std::string>> everRan; // nodes by task
+    TimeMs taskMs = 2000;
+    bool acknowledge = true;
+    bool ranTwice = false;
+    std::map<std::string, std::set<std::string>> finished; // nodes by task
+
+    Net(unsigned count, std::uint64_t seed, Behaviour behaviour = {})
+        : behaviour(behaviour)
+        , random(seed)
+    {
+        for (unsigned index = 0; index < count; ++index) {
+            this->options.name = "a" + std::to_string(index);
+            this->nodes[this->options.name].agent = makeAgent(this->options);
+        }
+    }
+
+    TimeMs number(TimeMs low, TimeMs high)
+    {
+        return std::uniform_int_distribution<TimeMs>(low, high)(this->random);
+    }
+
+    bool percent(unsigned share)
+    {
+        return this->number(0, 99) < static_cast<TimeMs>(share);
+    }
+
+    bool stopped(const Node &node) const
+    {
+        if (node.dead)
+            return true;
+        return std::any_of(node.pauses.begin(), node.pauses.end(), [&](const Stopped &pause) {
+            return this->now >= pause.at && this->now < pause.until;
+        });
+    }
+
+    void later(TimeMs delay, std::string_view to, AgentEvent event)
+    {
+        this->queue.emplace(this->now + delay, Delivery{std::string(to), std::move(event)});
+    }
+
+    void transmit(std::string_view from, const Send &send)
+    {
+        if (this->percent(this->behaviour.dropPercent))
+            return;
+        const auto copies = this->percent(this->behaviour.duplicatePercent) ? 2 : 1;
+        for (int copy = 0; copy < copies; ++copy)
+            this->later(this->number(this->behaviour.minDelayMs, this->behaviour.maxDelayMs),
+                        send.to, PeerMessage{std::string(from), send.message});
+    }
+
+    void handle(const std::string &name, const AgentEvent &event)
+    {
+        auto &node = this->nodes[name];
+        Outbox out;
+        handleAgent(node.agent, event, this->table, this->now, this->random, out);
+        for (const auto &send : out.sends)
+            this->transmit(name, send);
+        for (const auto &command : out.commands)
+            this->obey(name, node, command);
+    }
+
+    void obey(const std::string &name, Node &node, const WorkerCommand &command)
+    {
+        if (const auto *run = std::get_if<RunTask>(&command)) {
+            this->ranTwice |= !this->everRan[run->task].insert(name).second;
+            node.running[run->task] = this->now;
+            node.finishAt[run->task] = this->now + this->taskMs;
+            this->later(1, name, TaskStarted{run->task, true, {}});
+        } else if (const auto *stop = std::get_if<StopTask>(&command)) {
+            if (node.running.count(stop->task) == 0)
+                this->later(1, name, TaskStopped{stop->task});
+            else
+                node.finishAt[stop->task] =
+                    std::min(node.finishAt[stop->task], this->now + this->options.stopBoundMs);
+            this->stopping[name].insert(stop->task);
+        }
+    }
+
+    void stepWorker(const std::string &name, Node &node)
+    {
+        for (auto task = node.running.begin(); task != node.running.end();) {
+            const auto id = task->first;
+            const bool lapsed = this->now >= node.workerLeaseUntil;
+            if (!lapsed && this->now < node.finishAt[id]) {
+                ++task;
+                continue;
+            }
+            if (lapsed || this->stopping[name].count(id) > 0)
+                this->later(1, name, TaskStopped{id});
+            else
+                this->finish(name, id);
+            task = node.running.erase(task);
+        }
+    }
+
+    void finish(const std::string &name, const std::string &task)
+    {
+        this->finished[task].insert(name);
+        this->later(1, name, TaskFinished{task, true, "part-" + name, {}});
+    }
+
+    // The entry and the owner of keys.
+    void answer(const PeerMessage &event, std::string_view as)
+    {
+        if (const auto *reply = std::get_if<StartReply>(&event.message)) {
+            this->replies.push_back(*reply);
+            if (!reply->accepted)
+                this->end(reply->attempt, reply->verdict, reply->reason);
+        }
+        if (const auto *outcome = std::get_if<Outcome>(&event.message)) {
+            this->outcomes.push_back(*outcome);
+            this->end(outcome->attempt, outcome->verdict, outcome->reason);
+            if (this->acknowledge)
+                this->transmit(as, {event.from, OutcomeAck{{}, outcome->job, outcome->attempt}});
+        }
+        if (const auto *begin = std::get_if<Begin>(&event.message)) {
+            BeginReply reply;
+            reply.key = begin->key;
+            reply.attempt = begin->attempt;
+            reply.range = begin->range;
+            reply.epoch = begin->epoch;
+            reply.granted = true;
+            this->transmit(as, {event.from, reply});
+        }
+        if (const auto *settle = std::get_if<Settle>(&event.message))
+            this->transmit(as, {event.from, SettleAck{{}, settle->key, settle->attempt}});
+    }
+
+    // Checks a final verdict when it arrives.
+    void end(const std::string &attempt, Verdict verdict, ReasonCode reason)
+    {
+        const auto [known, first] = this->ends.try_emplace(attempt, verdict);
+        this->contradiction |= known->second != verdict;
+        if (!first || verdict != Verdict::NotRun)
+            return;
+        const bool repeatable = this->idempotent && reason != ReasonCode::Cancelled;
+        this->wrongNotRun |=
+            this->runningParts(attempt) > 0 || (!repeatable && !this->everRan[attempt].empty());
+    }
+
+    void deliver(const Delivery &delivery)
+    {
+        const auto node = this->nodes.find(delivery.to);
+        if (node == this->nodes.end()) {
+            this->answer(std::get<PeerMessage>(delivery.event), delivery.to);
+            return;
+        }
+        if (node->second.dead)
+            return;
+        if (this->stopped(node->second))
+            this->later(tickMs / 10, delivery.to, delivery.event); // waits in the socket
+        else
+            this->handle(delivery.to, delivery.event);
+    }
+
+    void stepNode(const std::string &name, Node &node)
+    {
+        if (this->stopped(node))
+            return;
+        if (this->now % 1000 == 0) {
+            node.workerLeaseUntil = this->now + this->options.workerLeaseMs;
+            this->handle(name, LeaseRenewed{true});
+        }
+        if (this->now % tickMs == 0)
+            this->handle(name, Tick{});
+    }
+
+    template <typename Check>
+    void pass(TimeMs ms, const Check &check)
+    {
+        for (const auto end = this->now + ms; this->now < end; this->now += 10) {
+            for (auto &[name, node] : this->nodes) {
+                this->stepWorker(name, node);
+                this->stepNode(name, node);
+            }
+            while (!this->queue.empty() && this->queue.begin()->first <= this->now) {
+                const auto delivery = std::move(this->queue.begin()->second);
+                this->queue.erase(this->queue.begin());
+                this->deliver(delivery);
+            }
+            check();
+        }
+    }
+
+    void pass(TimeMs ms)
+    {
+        this->pass(ms, [] {});
+    }
+
+    void start(const Start &start)
+    {
+        this->later(1, start.members.front(), PeerMessage{"e1", start});
+    }
+
+    unsigned runningParts(const std::string &gang) const
+    {
+        unsigned parts = 0;
+        for (const auto &[name, node] : this->nodes)
+            parts += node.running.count(gang);
+        return parts;
+    }
+
+    std::map<std::string, std::set<std::string>> stopping; // tasks by node
+    std::map<std::string, Verdict> ends;
+    bool idempotent = true;
+    bool contradiction = false; // two different final verdicts of one attempt
+    bool wrongNotRun = false;
+};
+
+Start gangStart(std::string_view id, unsigned members, std::uint32_t accelerators)
+{
+    Start start;
+    start.spec = std::make_unique<JobSpec>();
+    start.spec->job = "job-" + std::string(id);
+    start.spec->organisation = "org";
+    start.spec->homeRegion = "north";
+    start.spec->members = members;
+    start.spec->accelerators = accelerators;
+    start.attempt = std::string(id);
+    start.entry = "e1";
+    for (unsigned index = 0; index < members; ++index)
+        start.members.push_back("a" + std::to_string(index));
+    return start;
+}
+
+// Measures for how long parts of gangs ran without the whole. Parts that finished belong to it.
+struct PartWatch
+{
+    std::map<std::string, TimeMs> since;
+    TimeMs longestMs = 0;
+
+    void check(const Net &net, const std::string &gang, unsigned members)
+    {
+        const auto running = net.runningParts(gang);
+        const auto done = net.finished.find(gang);
+        const auto finished = done == net.finished.end() ? 0 : done->second.size();
+        if (running == 0 || running + finished >= members) {
+            this->since.erase(gang);
+            return;
+        }
+        const auto start = this->since.try_emplace(gang, net.now).first->second;
+        this->longestMs = std::max(this->longestMs, net.now - start);
+    }
+};
+
+TimeMs draw(TimeMs low, TimeMs high)
+{
+    return *rc::gen::inRange<TimeMs>(low, high);
+}
+
+bool holds(const std::string &text, const std::function<void()> &property)
+{
+    // A fixed seed gives every run the same verdict.
+    setenv("RC_PARAMS", "seed=20261204", 0);
+    // CppUTest would report what RapidCheck keeps for later checks as leaks of this test.
+    MemoryLeakWarningPlugin::saveAndDisableNewDeleteOverloads();
+    const bool held = rc::check(text, property);
+    MemoryLeakWarningPlugin::restoreNewDeleteOverloads();
+    return held;
+}
+
+Behaviour anyBehaviour()
+{
+    Behaviour behaviour;
+    behaviour.maxDelayMs = draw(1, 150);
+    behaviour.dropPercent = static_cast<unsigned>(draw(0, 20));
+    behaviour.duplicatePercent = static_cast<unsigned>(draw(0, 20));
+    return behaviour;
+}
+
+// Pauses and kills any node at any time.
+void addFaults(Net &net)
+{
+    for (auto &[name, node] : net.nodes) {
+        if (draw(0, 3) == 0) {
+            const auto at = draw(0, 8000);
+            node.pauses.push_back({at, at + draw(100, 6000)});
+        }
+        if (draw(0, 6) == 0)
+            node.pauses.push_back({draw(0, 8000), 1000000});
+    }
+}
+
+} // namespace
+
+TEST_GROUP(Gang){};
+
+TEST(Gang, runsAsAWholeAndJoinsTheAnswers)
+{
+    Net net(3, 1);
+    net.start(gangStart("g1", 3, 4));
+    net.pass(1000);
+    CHECK_EQUAL(3U, net.runningParts("g1"));
+    net.pass(5000);
+    CHECK_EQUAL(1U, net.replies.size());
+    CHECK(net.replies[0].accepted);
+    CHECK_EQUAL(1U, net.outcomes.size());
+    CHECK_EQUAL(std::string(R"(["part-a0","part-a1","part-a2"])"), net.outcomes[0].answer);
+    for (const auto &[name, node] : net.nodes)
+        CHECK(agentIdle(node.agent));
+}
+
+TEST(Gang, refusesWithoutRunningWhenOneMemberHasNoRoom)
+{
+    Net net(3, 1);
+    auto single = gangStart("s1", 1, 8);
+    single.members = {"a2"};
+    net.start(single);
+    net.pass(100);
+    net.start(gangStart("g1", 3, 4));
+    net.pass(1000);
+    CHECK_EQUAL(2U, net.replies.size());
+    CHECK(!net.replies[1].accepted);
+    CHECK(net.replies[1].reason == ReasonCode::GangIncomplete);
+    CHECK(net.replies[1].verdict == Verdict::NotRun);
+    CHECK(net.everRan["g1"].empty());
+    CHECK(net.nodes["a0"].agent.tasks.empty());
+}
+
+TEST(Gang, stopsWithinTheLeaseWhenTheLeaderDies)
+{
+    Net net(3, 1);
+    net.taskMs = 60000;
+    net.start(gangStart("g1", 3, 4));
+    net.pass(1000);
+    net.nodes["a0"].dead = true;
+    net.pass(net.options.gangLeaseMs + net.options.stopBoundMs + slackMs);
+    CHECK_EQUAL(0U, net.runningParts("g1"));
+}
+
+TEST(Gang, stopsEveryPartAndReportsOnceWhenAMemberIsLost)
+{
+    Net net(3, 1);
+    net.taskMs = 60000;
+    net.start(gangStart("g1", 3, 4));
+    net.pass(1000);
+    net.nodes["a1"].dead = true;
+    net.pass(net.options.gangLeaseMs + net.options.stopBoundMs + slackMs);
+    CHECK_EQUAL(0U, net.runningParts("g1"));
+    net.pass(5000);
+    CHECK_EQUAL(1U, net.outcomes.size());
+    CHECK(net.outcomes[0].verdict == Verdict::MayHaveRun);
+    CHECK(net.outcomes[0].reason == ReasonCode::TargetUnreachable);
+}
+
+// Guards against a part that outlives its gang, whatever the network and the nodes do.
+TEST(Gang, noPartRunsLongWithoutTheWhole)
+{
+    CHECK(holds("parts", [] {
+        constexpr unsigned members = 4;
+        const auto behaviour = anyBehaviour();
+        Net net(members, draw(0, 1000000), behaviour);
+        addFaults(net);
+        net.taskMs = draw(0, 2) == 0 ? 3000 : 60000;
+        net.idempotent = draw(0, 2) == 0;
+        const bool cancel = draw(0, 4) == 0;
+        const auto gangs = static_cast<unsigned>(draw(1, 4));
+        std::vector<Start> starts;
+        for (unsigned gang = 0; gang < gangs; ++gang) {
+            auto start = gangStart("g" + std::to_string(gang), members, 4);
+            std::rotate(start.members.begin(), start.members.begin() + gang, start.members.end());
+            start.spec->idempotent = net.idempotent;
+            start.spec->key = "k" + std::to_string(gang);
+            start.owner = "o1";
+            starts.push_back(std::move(start));
+        }
+        PartWatch watch;
+        for (int second = 0; second < 25; ++second) {
+            for (const auto &start : starts) {
+                if (second < 3) // repeated, because the first ones may be lost
+                    net.start(start);
+                if (cancel && second == 4)
+                    net.later(1, start.members[0],
+                              PeerMessage{"e1", Cancel{{}, {}, start.attempt}});
+            }
+            net.pass(1000, [&] {
+                for (const auto &start : starts)
+                    watch.check(net, start.attempt, members);
+            });
+        }
+        const auto &options = net.options;
+        RC_ASSERT(watch.longestMs <= options.gangLeaseMs + options.stopBoundMs + options.gangRenewMs
+                      + behaviour.maxDelayMs + slackMs);
+        RC_ASSERT(!net.ranTwice);
+        RC_ASSERT(!net.contradiction);
+        RC_ASSERT(!net.wrongNotRun);
+        for (const auto &start : starts) {
+            const auto &leader = net.nodes[start.members[0]];
+            if (net.stopped(leader) || net.taskMs > 25000)
+                continue;
+            RC_ASSERT(net.ends.count(start.attempt) == 1);
+        }
+    }));
+}
+
+// Guards against a guaranteed gang that waits for guests, and against a hold that is confirmed
+// while a guest still runs.
+TEST(Gang, reclaimsItsAnchorsFromGuestsDuringTheHold)
+{
+    Net net(2, 1);
+    net.taskMs = 60000;
+    net.table.anchors = {{"owner", 0, 0, 0, "a0", 0, 8}, {"owner", 0, 0, 1, "a1", 0, 8}};
+    auto guest = gangStart("guest", 2, 6);
+    guest.spec->checkpointable = true; // the worker never answers the CheckpointTask
+    net.start(guest);
+    net.pass(1000);
+    CHECK_EQUAL(2U, net.runningParts("guest"));
+    auto owner = gangStart("own", 2, 8);
+    owner.spec->organisation = "owner";
+    owner.guaranteed = true;
+    net.start(owner);
+    bool together = false;
+    net.pass(net.options.checkpointBoundMs + net.options.stopBoundMs + slackMs, [&] {
+        for (const auto &[name, node] : net.nodes)
+            together |= node.running.count("guest") + node.running.count("own") > 1;
+    });
+    CHECK(!together);
+    CHECK_EQUAL(2U, net.runningParts("own"));
+    net.pass(2000);
+    CHECK(net.ends["guest"] == Verdict::NotRun);
+    CHECK(net.outcomes[0].reason == ReasonCode::Evicted);
+    CHECK_EQUAL(1U, net.outcomes.size());
+    CHECK(!net.wrongNotRun);
+}
+
+// Guards against a cancelled gang that leaves a part running or claims that nothing ran.
+TEST(Gang, cancelStopsEveryPart)
+{
+    Net net(3, 1);
+    net.taskMs = 60000;
+    net.start(gangStart("g1", 3, 2));
+    net.pass(1000);
+    net.later(1, "a0", PeerMessage{"e1", Cancel{{}, "job-g1", {}}});
+    net.pass(1000);
+    CHECK_EQUAL(0U, net.runningParts("g1"));
+    CHECK_EQUAL(1U, net.outcomes.size());
+    CHECK(net.outcomes[0].verdict == Verdict::MayHaveRun);
+    CHECK(net.outcomes[0].reason == ReasonCode::Cancelled);
+    for (const auto &[name, node] : net.nodes)
+        CHECK(agentIdle(node.agent));
+}
+
+// Guards against members that repeat a name, leave out the leader or differ from the spec.
+TEST(Gang, refusesInvalidMemberLists)
+{
+    Net net(3, 1);
+    auto repeated = gangStart("g1", 3, 2);
+    repeated.members[2] = "a1";
+    auto few = gangStart("g2", 3, 2);
+    few.members.pop_back();
+    auto other = gangStart("g3", 3, 2);
+    std::swap(other.members[0], other.members[1]);
+    for (const auto *start : {&repeated, &few, &other})
+        net.later(1, "a0", PeerMessage{"e1", *start});
+    net.pass(100);
+    CHECK_EQUAL(3U, net.replies.size());
+    for (const auto &reply : net.replies)
+        CHECK(reply.reason == ReasonCode::InvalidInput && reply.verdict == Verdict::NotRun);
+}
