Test the agent with random runs against a set of accelerators per task

Cause: only four examples covered grants, lending, reclaim, claims, leases and verdicts.

The model drives one agent with random Starts, repeated Starts, cancels, drains, evictions, usage, lost messages, a worker that answers late, not at all or with failures, and pauses of the agent. It keeps what the worker runs as a plain set of accelerators per task.

Found by it: StopTask was repeated with a back-off of up to 5 s, so that a guaranteed start could wait for a guest whose stop command was lost. StopTask is now repeated every stopBoundMs.

Ruled out: losing TaskStopped and TaskFinished in the model. The agent then never learns of the end; the process around it must repeat events (agent.h says so).

Before: 4 agent tests.

--- a/flamingo/agent.h
+++ b/flamingo/agent.h
@@ -116,7 +116,7 @@
     TimeMs issuedAt = 0;
     TimeMs startedAt = 0;
     TimeMs phaseUntil = 0; // of Checkpointing and Stopping
-    Resend stop;
+    TimeMs nextStop = 0; // repetition of StopTask
     Reason leaving; // why it is stopped
     std::string checkpoint;
 };
--- a/flamingo/tasks.cc
+++ b/flamingo/tasks.cc
@@ -104,7 +104,7 @@
     const auto &options = step.agent.options;
     task.phase = TaskPhase::Stopping;
     task.phaseUntil = step.now + options.workerLeaseMs + options.stopBoundMs;
-    task.stop = {true, step.now + options.stopBoundMs, options.stopBoundMs};
+    task.nextStop = step.now + options.stopBoundMs;
     step.out.commands.emplace_back(StopTask{task.id});
     step.agent.change += 1;
 }
@@ -136,8 +136,11 @@
 
 void stepStopping(const AgentStep &step, LocalTask &task)
 {
-    if (resendDue(step, task.stop))
+    // Without back-off, because a guaranteed start may wait for this task.
+    if (step.now >= task.nextStop) {
+        task.nextStop = step.now + step.agent.options.stopBoundMs;
         step.out.commands.emplace_back(StopTask{task.id});
+    }
     if (task.ended || step.now < task.phaseUntil)
         return;
     // The caller learns that the end is uncertain; the room stays taken.
--- a/tests/agent_test.cc
+++ b/tests/agent_test.cc
@@ -3,8 +3,17 @@
 
 #include "flamingo/agent.h"
 
+// Before CppUTest, which replaces `new` by a macro.
+#include <rapidcheck.h>
+
 #include <CppUTest/TestHarness.h>
 
+#include <CppUTest/MemoryLeakWarningPlugin.h>
+
+#include <array>
+#include <cstdlib>
+#include <functional>
+#include <map>
 #include <optional>
 
 using namespace flamingo;
@@ -83,6 +92,16 @@
     }
 };
 
+std::uint64_t anchorMask(const Table &table, std::string_view organisation, bool own)
+{
+    std::uint64_t mask = 0;
+    for (const auto &anchor : table.anchors) {
+        if ((anchor.organisation == organisation) == own)
+            mask |= ((std::uint64_t{1} << anchor.count) - 1) << anchor.first;
+    }
+    return mask;
+}
+
 Start makeStart(std::string_view attempt, std::string_view organisation, std::uint32_t accelerators)
 {
     Start start;
@@ -120,6 +139,384 @@
     return reply;
 }
 
+bool holds(const std::string &text, const std::function<void()> &property)
+{
+    // A fixed seed gives every run the same verdict.
+    setenv("RC_PARAMS", "seed=20261204 max_success=1000", 0);
+    // CppUTest would report what RapidCheck keeps for later checks as leaks of this test.
+    MemoryLeakWarningPlugin::saveAndDisableNewDeleteOverloads();
+    const bool held = rc::check(text, property);
+    MemoryLeakWarningPlugin::restoreNewDeleteOverloads();
+    return held;
+}
+
+// One agent between a worker, an entry and an owner of keys that all misbehave. What the worker
+// runs is kept as a plain set of accelerators per task and compared with every command.
+struct Model
+{
+    struct Job
+    {
+        Start start;
+        bool issued = false;
+        bool startFailed = false;
+        bool accepted = false;
+        bool granted = false;
+        std::optional<Verdict> end;
+        TimeMs runBy = 0; // a guaranteed start on an own anchor; 0: no bound
+    };
+    struct Work
+    {
+        std::uint64_t mask = 0;
+        std::string organisation;
+        TimeMs stopAt = 0; // 0: not asked to stop
+    };
+
+    Agent agent;
+    Table table = tableWithAnchor();
+    Random random;
+    TimeMs now = 0;
+    std::map<std::string, Job> jobs;
+    std::map<std::string, Work> work; // at the worker
+    std::multimap<TimeMs, AgentEvent> events;
+    bool mute = false; // the worker neither takes commands nor sends events
+    bool fair = false; // every message is answered
+    std::vector<std::string> unreported; // stopped tasks
+    TimeMs leaseUntil = 3000;
+    bool calm = false; // the worker answers and the agent is neither paused nor drained
+    TimeMs disturbedAt = -10000; // last time the worker was mute or the agent paused
+    std::string broken; // first broken rule
+
+    explicit Model(std::uint64_t seed)
+        : random(seed)
+    {
+        AgentOptions options;
+        options.name = "a1";
+        options.slots = 5;
+        this->table.organisations["guest"].limitAccelerators = 5;
+        this->table.organisations["guest"].limitSlots = 3;
+        this->table.anchors.push_back({"third", 0, 0, 0, "a1", 6, 2});
+        this->agent = makeAgent(options);
+    }
+
+    void require(bool condition, std::string_view rule)
+    {
+        if (!condition && this->broken.empty())
+            this->broken = std::string(rule);
+    }
+
+    TimeMs number(TimeMs low, TimeMs high)
+    {
+        return std::uniform_int_distribution<TimeMs>(low, high)(this->random);
+    }
+
+    bool often()
+    {
+        return this->fair || this->number(0, 9) < 7;
+    }
+
+    void later(TimeMs delay, AgentEvent event)
+    {
+        this->events.emplace(this->now + delay, std::move(event));
+    }
+
+    void fromPeer(std::string_view from, Message message)
+    {
+        this->later(this->number(0, 200), PeerMessage{std::string(from), std::move(message)});
+    }
+
+    void handle(const AgentEvent &event)
+    {
+        Outbox out;
+        handleAgent(this->agent, event, this->table, this->now, this->random, out);
+        for (const auto &command : out.commands)
+            this->obey(command);
+        for (const auto &send : out.sends)
+            this->receive(send.message);
+    }
+
+    void run(const RunTask &task)
+    {
+        auto &job = this->jobs[task.task];
+        const auto &spec = *job.start.spec;
+        this->require(!job.issued, "an attempt runs at most once");
+        this->require(!job.end, "nothing runs after the final verdict");
+        this->require(spec.idempotent || job.granted, "a grant comes first");
+        const auto low = task.mask & (~task.mask + 1);
+        this->require(task.mask < 256 && ((task.mask + low) & task.mask) == 0
+                          && __builtin_popcountll(task.mask) == static_cast<int>(spec.accelerators),
+                      "the block has the wanted size and is adjacent");
+        const auto own = anchorMask(this->table, spec.organisation, true);
+        const auto others = anchorMask(this->table, spec.organisation, false);
+        this->require(spec.idempotent || spec.checkpointable || (task.mask & others) == 0,
+                      "only work that can be evicted is on a foreign anchor");
+        this->require(!job.start.guaranteed || (task.mask & ~own) == 0,
+                      "guaranteed work is on the own anchor");
+        std::uint64_t accelerators = spec.accelerators;
+        std::size_t slots = 1;
+        for (const auto &[id, other] : this->work) {
+            this->require((other.mask & task.mask) == 0, "no accelerator is granted twice");
+            if (other.organisation == spec.organisation) {
+                accelerators += __builtin_popcountll(other.mask);
+                slots += 1;
+            }
+        }
+        this->require(this->work.size() < this->agent.options.slots, "a slot is free");
+        this->require(spec.organisation != "guest" || (accelerators <= 5 && slots <= 3),
+                      "the limits of the organisation hold");
+        job.issued = true;
+        if (this->mute)
+            return;
+        if (!this->calm && this->number(0, 9) == 0) {
+            job.startFailed = true;
+            this->later(10, TaskStarted{task.task, false, "broken"});
+            return;
+        }
+        this->work[task.task] = {task.mask, spec.organisation};
+        this->later(this->number(0, 300), TaskStarted{task.task, true, {}});
+    }
+
+    void obey(const WorkerCommand &command)
+    {
+        if (const auto *task = std::get_if<RunTask>(&command))
+            return this->run(*task);
+        if (this->mute)
+            return;
+        if (const auto *checkpoint = std::get_if<CheckpointTask>(&command)) {
+            if (this->number(0, 2) > 0)
+                this->later(this->number(0, 3000),
+                            TaskCheckpointed{checkpoint->task, this->often(), "saved"});
+            return;
+        }
+        const auto &id = std::get<StopTask>(command).task;
+        const auto found = this->work.find(id);
+        if (found == this->work.end())
+            this->later(10, TaskStopped{id});
+        else if (found->second.stopAt == 0)
+            found->second.stopAt = this->now + this->number(1, 450);
+    }
+
+    void end(const std::string &attempt, Verdict verdict, ReasonCode reason)
+    {
+        auto &job = this->jobs[attempt];
+        this->require(!job.end || *job.end == verdict, "an attempt has one final verdict");
+        if (job.end)
+            return;
+        job.end = verdict;
+        this->require(reason != ReasonCode::Evicted || !job.start.guaranteed,
+                      "guaranteed work is not evicted");
+        const auto &spec = *job.start.spec;
+        const bool repeatable = spec.idempotent && reason != ReasonCode::Cancelled;
+        if (verdict == Verdict::NotRun)
+            this->require(!job.issued || job.startFailed
+                              || (repeatable && this->work.count(attempt) == 0),
+                          "NotRun is true");
+        if (verdict == Verdict::NotRun)
+            this->require(!job.granted, "NotRun leaves no claim behind");
+        if (verdict == Verdict::Ran)
+            this->require(job.issued, "Ran is true");
+    }
+
+    void receive(const Message &message)
+    {
+        if (const auto *reply = std::get_if<StartReply>(&message)) {
+            auto &job = this->jobs[reply->attempt];
+            if (reply->accepted)
+                job.accepted = true;
+            else
+                this->end(reply->attempt, reply->verdict, reply->reason);
+            this->require(!job.accepted || reply->accepted, "an accepted Start is not refused");
+        } else if (const auto *outcome = std::get_if<Outcome>(&message)) {
+            this->require(this->jobs[outcome->attempt].accepted, "an Outcome follows an accept");
+            this->end(outcome->attempt, outcome->verdict, outcome->reason);
+            if (this->often())
+                this->fromPeer("e1", OutcomeAck{{}, outcome->job, outcome->attempt});
+        } else if (const auto *begin = std::get_if<Begin>(&message)) {
+            auto &job = this->jobs[begin->attempt];
+            if (!this->often())
+                return;
+            const bool granted = job.granted || this->often();
+            job.granted |= granted;
+            this->fromPeer("o1", grant(job.start, granted));
+        } else if (const auto *settle = std::get_if<Settle>(&message)) {
+            if (!this->often())
+                return;
+            this->jobs[settle->attempt].granted &= settle->verdict != Verdict::NotRun;
+            this->fromPeer("o1", SettleAck{{}, settle->key, settle->attempt});
+        }
+    }
+
+    void stepWorker()
+    {
+        for (auto task = this->work.begin(); task != this->work.end();) {
+            const bool stop = task->second.stopAt != 0 && this->now >= task->second.stopAt;
+            if (!stop && this->now < this->leaseUntil) {
+                ++task;
+                continue;
+            }
+            this->unreported.push_back(task->first);
+            task = this->work.erase(task);
+        }
+        if (this->mute)
+            return;
+        for (const auto &id : this->unreported)
+            this->later(0, TaskStopped{id});
+        this->unreported.clear();
+    }
+
+    void checkBounds()
+    {
+        for (auto &[id, job] : this->jobs) {
+            if (job.runBy == 0 || job.issued || job.end || this->disturbedAt > job.runBy - 2600)
+                continue;
+            this->require(this->now <= job.runBy, "a guaranteed start runs within its bound");
+        }
+    }
+
+    void pass(TimeMs ms)
+    {
+        for (const auto end = this->now + ms; this->now < end;) {
+            this->now += 50;
+            if (this->mute)
+                this->disturbedAt = this->now;
+            if (this->now % 1000 == 0) {
+                if (!this->mute)
+                    this->leaseUntil = this->now + this->agent.options.workerLeaseMs;
+                this->handle(LeaseRenewed{!this->mute});
+            }
+            this->stepWorker();
+            while (!this->events.empty() && this->events.begin()->first <= this->now) {
+                const auto event = std::move(this->events.begin()->second);
+                this->events.erase(this->events.begin());
+                this->handle(event);
+            }
+            if (this->now % tickMs == 0)
+                this->handle(Tick{});
+            this->checkBounds();
+        }
+    }
+
+    // The process handles nothing for a while; its worker goes on.
+    void pause(TimeMs ms)
+    {
+        this->now += ms - ms % 50;
+        this->disturbedAt = this->now;
+        this->stepWorker();
+    }
+
+    bool ownerCanReclaim() const
+    {
+        for (const auto &[id, task] : this->agent.tasks) {
+            if (task.organisation == "owner")
+                return false;
+        }
+        return !this->agent.draining && !this->agent.health.setAside
+            && this->now <= this->agent.leaseUntil && this->now - this->disturbedAt > 1000;
+    }
+
+    void start(TimeMs draw)
+    {
+        const auto name = "t" + std::to_string(this->jobs.size());
+        const std::string_view organisation = std::array{"owner", "guest", "third"}[draw % 3];
+        const auto size = static_cast<std::uint32_t>(draw / 3 % 5);
+        const bool keyed = draw / 16 % 3 == 0;
+        auto start =
+            keyed ? makeKeyedStart(name, organisation, size) : makeStart(name, organisation, size);
+        start.spec->checkpointable = draw / 64 % 2 == 0;
+        start.spec->cores = static_cast<std::uint32_t>(draw / 128 % 20);
+        start.spec->deadlineMs = draw / 1024 % 2 == 0 ? 0 : 3000;
+        start.guaranteed = size > 0 && (organisation == "owner" || draw / 256 % 4 == 0);
+        auto &job = this->jobs[name];
+        job.start = start;
+        const bool reclaim = organisation == "owner" && start.guaranteed && this->ownerCanReclaim();
+        this->handle(PeerMessage{"e1", start});
+        this->require(!reclaim || !job.end, "a guaranteed shape can be reclaimed");
+        if (reclaim && !keyed)
+            job.runBy = this->now + 2000 + 500 + tickMs;
+    }
+
+    std::string pick(TimeMs draw) const
+    {
+        if (this->jobs.empty())
+            return "t0";
+        return std::next(this->jobs.begin(), draw % static_cast<TimeMs>(this->jobs.size()))->first;
+    }
+
+    void finish(TimeMs draw)
+    {
+        if (this->work.empty() || this->mute)
+            return;
+        const auto task =
+            std::next(this->work.begin(), draw % static_cast<TimeMs>(this->work.size()));
+        this->later(0, TaskFinished{task->first, draw % 7 != 0, "done", "failed"});
+        this->work.erase(task);
+    }
+
+    void cancel(TimeMs draw)
+    {
+        const auto attempt = this->pick(draw / 2);
+        auto &job = this->jobs[attempt];
+        if (!job.start.spec)
+            return void(this->jobs.erase(attempt));
+        job.runBy = 0;
+        const auto byJob = draw % 2 == 0;
+        this->handle(
+            PeerMessage{"e1", Cancel{{}, job.start.spec->job, byJob ? std::string() : attempt}});
+    }
+
+    void act(TimeMs draw)
+    {
+        const auto detail = draw / 16;
+        const auto kind = draw % 16;
+        switch (this->calm && kind >= 1 && kind <= 3 ? 15 : kind) {
+        case 0:
+            return this->cancel(detail);
+        case 1:
+            return this->handle(PeerMessage{"e1", Drain{{}, detail % 3 == 0}});
+        case 2:
+            this->mute = detail % 5 == 0;
+            return;
+        case 3:
+            if (detail % 8 == 0)
+                this->pause(detail / 8 % 6000);
+            return;
+        case 4:
+        case 5:
+        case 6:
+            return this->finish(detail);
+        case 7:
+            return this->handle(TaskUsage{this->pick(detail),
+                                          static_cast<std::uint32_t>(detail / 8 % 80), 1000,
+                                          detail / 4 % 10000});
+        case 8:
+            if (!this->jobs.empty())
+                this->handle(PeerMessage{"e1", this->jobs[this->pick(detail)].start});
+            return;
+        case 9:
+        case 10:
+            return this->pass(detail % 3000);
+        default:
+            this->start(detail);
+            this->pass(50);
+        }
+    }
+
+    // Everything behaves from here on, so that every attempt must come to its end.
+    void conclude()
+    {
+        this->fair = true;
+        this->mute = false;
+        this->handle(PeerMessage{"e1", Drain{{}, true}});
+        for (int second = 0; second < 40; ++second) {
+            while (!this->work.empty())
+                this->finish(1);
+            this->pass(1000);
+        }
+        this->require(agentIdle(this->agent) && this->agent.tasks.empty(), "a drain comes to rest");
+        for (const auto &[id, job] : this->jobs)
+            this->require(job.end.has_value(), "every attempt has a final verdict");
+    }
+};
+
 } // namespace
 
 TEST_GROUP(Agent){};
@@ -196,3 +593,249 @@
     f.message("e1", OutcomeAck{{}, {}, "t1"});
     CHECK(agentIdle(f.agent));
 }
+
+// Guards against every broken rule named in Model, in any order of events.
+TEST(Agent, keepsItsRulesInRandomRuns)
+{
+    CHECK(holds("rules", [] {
+        Model model(static_cast<std::uint64_t>(*rc::gen::inRange<TimeMs>(0, 1000000)));
+        const auto draws =
+            *rc::gen::container<std::vector<TimeMs>>(rc::gen::inRange<TimeMs>(0, TimeMs{1} << 30));
+        model.calm = *rc::gen::inRange(0, 2) == 0;
+        for (const auto draw : draws)
+            model.act(draw);
+        model.conclude();
+        if (!model.broken.empty())
+            RC_FAIL(model.broken + "\n" + dumpAgent(model.agent, model.now));
+    }));
+}
+
+// Guards against a reclaim that waits for guests longer than its bounds, or evicts more than
+// needed.
+TEST(Agent, reclaimEvictsTheFewestGuestsWithinItsBounds)
+{
+    Fixture f;
+    f.table.anchors.push_back({"third", 0, 0, 0, "a1", 4, 4});
+    auto saved = makeStart("saved", "guest", 2);
+    saved.spec->checkpointable = true;
+    f.message("e1", saved);
+    f.message("e1", makeStart("small", "guest", 1));
+    f.message("e1", makeStart("other", "guest", 1));
+    for (const auto *id : {"saved", "small", "other"})
+        f.event(TaskStarted{id, true, {}});
+    CHECK_EQUAL(0xfU,
+                f.commands<RunTask>()[0].mask | f.commands<RunTask>()[1].mask
+                    | f.commands<RunTask>()[2].mask);
+    auto start = makeStart("own", "owner", 2);
+    start.guaranteed = true;
+    f.pass(1000);
+    f.message("e1", start);
+    CHECK_EQUAL(1U, f.commands<CheckpointTask>().size()); // one guest that loses no work
+    CHECK_EQUAL(std::string("saved"), f.commands<CheckpointTask>()[0].task);
+    CHECK_EQUAL(0U, f.commands<StopTask>().size());
+    f.pass(f.agent.options.checkpointBoundMs); // the worker never answers the CheckpointTask
+    CHECK_EQUAL(1U, f.commands<StopTask>().size());
+    CHECK_EQUAL(3U, f.commands<RunTask>().size());
+    f.event(TaskStopped{"saved"});
+    CHECK_EQUAL(4U, f.commands<RunTask>().size());
+    const auto outcome = f.sent<Outcome>()[0];
+    CHECK(outcome.reason == ReasonCode::Evicted && outcome.verdict == Verdict::NotRun);
+}
+
+// Guards against accelerators that are granted again while a stopped task may still use them.
+TEST(Agent, keepsTheRoomOfATaskUntilTheWorkerConfirmsItsStop)
+{
+    Fixture f;
+    f.message("e1", makeStart("t1", "guest", 8));
+    f.event(TaskStarted{"t1", true, {}});
+    f.message("e1", Cancel{{}, {}, "t1"});
+    f.pass(6000);
+    CHECK(f.commands<StopTask>().size() > 5); // repeated
+    CHECK(f.sent<Outcome>().back().verdict == Verdict::MayHaveRun);
+    f.message("e1", makeStart("t2", "guest", 1));
+    CHECK(f.sent<StartReply>().back().reason == ReasonCode::NoRoom);
+    f.event(TaskStopped{"t1"});
+    f.message("e1", makeStart("t3", "guest", 1));
+    CHECK(f.sent<StartReply>().back().accepted);
+}
+
+// Guards against a paused agent that trusts leases which ended in the meantime.
+TEST(Agent, treatsItsTasksAsLapsedAfterAPause)
+{
+    for (const bool longPause : {false, true}) {
+        Fixture f;
+        const auto keyed = makeKeyedStart("t2", "guest", 1);
+        f.message("e1", makeStart("t1", "guest", 1));
+        f.message("e1", keyed);
+        f.message("o1", grant(keyed));
+        for (const auto *id : {"t1", "t2"})
+            f.event(TaskStarted{id, true, {}});
+        f.now += f.agent.options.workerLeaseMs + (longPause ? 5000 : 100);
+        f.event(LeaseRenewed{true});
+        CHECK_EQUAL(2U, f.commands<StopTask>().size());
+        CHECK_EQUAL(longPause ? 0U : 2U, f.agent.tasks.size());
+        f.event(TaskStopped{"t1"});
+        f.event(TaskStopped{"t2"});
+        const auto outcomes = f.sent<Outcome>();
+        CHECK_EQUAL(2U, outcomes.size());
+        CHECK(outcomes[0].reason == ReasonCode::LeaseLapsed);
+        CHECK(outcomes[0].verdict == (longPause ? Verdict::MayHaveRun : Verdict::NotRun));
+        CHECK(outcomes[1].verdict == Verdict::MayHaveRun);
+    }
+}
+
+// Guards against a worker that goes on failing jobs, and against one job that condemns a worker.
+TEST(Agent, setsAsideAWorkerThatFailsDifferentJobsAndTakesItBackAfterAProbe)
+{
+    Fixture f;
+    const auto fail = [&](std::string_view attempt, std::string_view job) {
+        auto start = makeStart(attempt, "guest", 1);
+        start.spec->job = std::string(job);
+        f.message("e1", start);
+        f.event(TaskStarted{std::string(attempt), false, "no driver"});
+    };
+    for (const auto *attempt : {"t1", "t2", "t3", "t4"})
+        fail(attempt, "same");
+    f.message("e1", makeStart("t5", "guest", 1));
+    CHECK(f.sent<StartReply>().back().accepted);
+    f.event(TaskFinished{"t5", true, {}, {}});
+    for (const auto *job : {"j1", "j2", "j3"})
+        fail(job, job);
+    f.message("e1", makeStart("t6", "guest", 1));
+    CHECK(f.sent<StartReply>().back().reason == ReasonCode::WorkerFailed);
+    f.pass(f.agent.options.probeMs);
+    f.message("e1", makeStart("probe", "guest", 1));
+    CHECK(f.sent<StartReply>().back().accepted);
+    f.message("e1", makeStart("t7", "guest", 1));
+    CHECK(!f.sent<StartReply>().back().accepted); // one probe at a time
+    f.event(TaskFinished{"probe", true, {}, {}});
+    f.message("e1", makeStart("t8", "guest", 1));
+    CHECK(f.sent<StartReply>().back().accepted);
+}
+
+// Guards against grants of an owner that was replaced, and against keys hidden from the new owner.
+TEST(Agent, answersAWitnessAndRefusesOlderGrants)
+{
+    Fixture f;
+    const auto begun = makeKeyedStart("t1", "guest", 1);
+    const auto asking = makeKeyedStart("t2", "guest", 1);
+    f.message("e1", begun);
+    f.message("o1", grant(begun));
+    f.message("e1", asking);
+    Witness witness;
+    witness.region = "north";
+    witness.range = 3;
+    witness.epoch = 6;
+    witness.owner = "o2";
+    f.message("o2", witness);
+    const auto answers = f.sent<WitnessReply>();
+    CHECK_EQUAL(1U, answers.size());
+    CHECK_EQUAL(1U, answers[0].keys.size());
+    CHECK_EQUAL(std::string("key-t1"), answers[0].keys[0].key);
+    f.message("o1", grant(asking));
+    CHECK_EQUAL(1U, f.commands<RunTask>().size());
+    f.message("e1", makeKeyedStart("t3", "guest", 1));
+    CHECK(f.sent<StartReply>().back().reason == ReasonCode::StaleEpoch);
+    f.event(TaskFinished{"t1", true, "paid", {}});
+    CHECK_EQUAL(std::string("o2"), f.out.sends[f.out.sends.size() - 2].to);
+    CHECK_EQUAL(6U, f.sent<Settle>().back().epoch);
+}
+
+// Guards against NotRun while the owner may still hold a claim for the attempt.
+TEST(Agent, unansweredClaimEndsAsNotRunOnlyWhenItWasGivenBack)
+{
+    for (const bool acknowledged : {false, true}) {
+        Fixture f;
+        const auto start = makeKeyedStart("t1", "guest", 1);
+        f.message("e1", start);
+        f.pass(f.agent.options.claimBoundMs);
+        CHECK_EQUAL(0U, f.sent<StartReply>().size());
+        CHECK(f.sent<Settle>().back().verdict == Verdict::NotRun);
+        if (acknowledged)
+            f.message("o1", SettleAck{{}, start.spec->key, "t1"});
+        f.pass(f.agent.options.releaseBoundMs);
+        const auto reply = f.sent<StartReply>().back();
+        CHECK(reply.reason == ReasonCode::OwnerUnreachable && !reply.accepted);
+        CHECK(reply.verdict == (acknowledged ? Verdict::NotRun : Verdict::MayHaveRun));
+    }
+}
+
+// Guards against report storms and against entries that learn of changes too late.
+TEST(Agent, reportsChangesAtOnceButNotMoreOftenThanTheGap)
+{
+    Fixture f;
+    PeerInfo peer;
+    peer.process = "e1";
+    peer.kind = ProcessKind::Entry;
+    f.event(PeerUp{peer});
+    CHECK_EQUAL(1U, f.sent<Report>().size());
+    for (int index = 0; index < 5; ++index)
+        f.message("e1", makeStart("t" + std::to_string(index), "guest", 1));
+    CHECK_EQUAL(1U, f.sent<Report>().size());
+    f.now += f.agent.options.reportMinGapMs;
+    f.event(Tick{});
+    CHECK_EQUAL(2U, f.sent<Report>().size());
+    CHECK_EQUAL(5U, f.sent<Report>()[1].tasks.size());
+    CHECK_EQUAL(3, __builtin_popcountll(f.sent<Report>()[1].freeMask));
+    f.message("e1", ReportAck{{}, 2, 5000, 1});
+    f.pass(4500);
+    const auto before = f.sent<Report>().size();
+    f.pass(5000);
+    CHECK_EQUAL(before + 1, f.sent<Report>().size());
+}
+
+// Guards against fields that would overflow masks or fill the memory, and against a Cancel that
+// overtakes its Start.
+TEST(Agent, refusesInvalidImpossibleAndCancelledStarts)
+{
+    Fixture f;
+    f.message("e1", makeStart("t1", "guest", 9));
+    CHECK(f.sent<StartReply>().back().reason == ReasonCode::ImpossibleShape);
+    f.message("e1", makeStart("t2", std::string(maxNameBytes + 1, 'x'), 1));
+    CHECK(f.sent<StartReply>().back().reason == ReasonCode::InvalidInput);
+    f.message("e1", makeStart("t3", "", 1));
+    CHECK(f.sent<StartReply>().back().reason == ReasonCode::InvalidInput);
+    auto keyless = makeKeyedStart("t4", "guest", 1);
+    keyless.spec->key.clear();
+    f.message("e1", keyless);
+    CHECK(f.sent<StartReply>().back().reason == ReasonCode::InvalidInput);
+    f.message("e1", Cancel{{}, {}, "t5"});
+    f.message("e1", makeStart("t5", "guest", 1));
+    CHECK(f.sent<StartReply>().back().reason == ReasonCode::Cancelled);
+    for (const auto &reply : f.sent<StartReply>())
+        CHECK(!reply.accepted && reply.verdict == Verdict::NotRun);
+    CHECK_EQUAL(0U, f.commands<RunTask>().size());
+}
+
+// Guards against declared sizes that block a worker for ever or overload it.
+TEST(Agent, usageCorrectsDeclaredSizes)
+{
+    Fixture f;
+    auto start = makeStart("t1", "guest", 1);
+    start.spec->cores = 64;
+    f.message("e1", start);
+    f.event(TaskUsage{"t1", 2, 100, 100}); // too early to trust
+    f.message("e1", makeStart("t2", "guest", 1));
+    CHECK(f.sent<StartReply>().back().reason == ReasonCode::NoRoom);
+    f.event(TaskUsage{"t1", 8, 100, 10000});
+    f.message("e1", makeStart("t3", "guest", 1));
+    CHECK(f.sent<StartReply>().back().accepted);
+    CHECK_EQUAL(10U, f.agent.tasks.at("t1").cores); // 8 and 25% headroom
+}
+
+// Guards against small jobs that cannot be evicted and fill every slot of a guaranteed shape.
+TEST(Agent, keepsASlotForEveryAnchor)
+{
+    Fixture f;
+    for (unsigned index = 0; index < f.agent.options.slots; ++index) {
+        const auto start = makeKeyedStart("t" + std::to_string(index), "guest", 0);
+        f.message("e1", start);
+        f.message("o1", grant(start));
+    }
+    CHECK_EQUAL(f.agent.options.slots - 1, f.commands<RunTask>().size());
+    CHECK(f.sent<StartReply>().back().reason == ReasonCode::NoRoom);
+    auto own = makeStart("own", "owner", 4);
+    own.guaranteed = true;
+    f.message("e1", own);
+    CHECK_EQUAL(std::string("own"), f.commands<RunTask>().back().task);
+}
