Require settlements to run during a log outage

Cause of a run in which they were refused: the outage began before the owners' first Clean records, when a grant from memory is not allowed. The test now waits until every range is ready and then requires the answers; before it only printed the verdicts.

--- a/tests/process/log_outage.sh
+++ b/tests/process/log_outage.sh
@@ -10,14 +10,15 @@
     submit entry-v "{\"organisation\":\"lots\",\"key\":\"$1\",\"idempotent\":false,\"deadlineMs\":30000,
         \"payload\":\"{\\\"runMs\\\":50,\\\"answer\\\":\\\"paid $1\\\"}\"}"
 }
+# Only owners with a Clean record in the log may grant while it is out.
+waitFor 20 rangesReady vestland worker-v1 worker-v2
 expect "settlement before the outage" "$(settle a | jq -r .answer)" "paid a"
 
 fault '{"log":"down"}'
 expect "idempotent job during the outage" \
     "$(submit entry-v '{"organisation":"lots","payload":"{\"answer\":\"score\"}"}' | jq -r .answer)" score
 for key in b c d; do
-    reply=$(settle $key)
-    echo "settlement $key during the outage: $(jq -r '.verdict + " " + .reason' <<< "$reply")"
+    expect "settlement $key during the outage" "$(settle $key | jq -r .answer)" "paid $key"
 done
 expect "repeated settlement a" "$(settle a | jq -r .verdict)" ran
 version=$(curl -fsS "http://${httpOf[entry-v]}/v1/table" | jq .version)
--- a/tests/process/region_cut.sh
+++ b/tests/process/region_cut.sh
@@ -41,7 +41,7 @@
 }
 expect "settlement of the other region before the cut" "$(settle entry-v trondelag a | jq -r .answer)" "paid a"
 expect "settlement asked only in the cut-off region" "$(settle entry-t trondelag x | jq -r .answer)" "paid x"
-sleep 8 # owners have written their first Clean records
+waitFor 20 rangesReady trondelag worker-t1 worker-t2 worker-t3
 cutBy cut
 sleep 3
 expect "key of the cut-off region, asked there again" "$(settle entry-t trondelag a | jq -r .answer)" "paid a"
--- a/tools/cluster.sh
+++ b/tools/cluster.sh
@@ -186,3 +186,12 @@
     t=$(curl -fsS "http://${httpOf[entry-t]}/v1/table" | jq .version)
     [ "$v" = "$t" ]
 }
+
+# All 16 ranges of the region have an owner among AGENTS whose first Clean record was read back.
+rangesReady() { # REGION AGENTS...
+    local region=$1 name
+    shift
+    for name in "$@"; do
+        curl -fsS "http://${httpOf[$name]}/v1/dump"
+    done | jq -se "[.[] | .node.owner.ranges[] | select(.cleanRead)] | length == 16"
+}
