Go back to the state of the log when a range is lost

Owner::logged now keeps what the log says of keys with records not read back, and replaces the memory state when the range is lost; late records are applied only by the owner whose takeover they complete, and never over a record of a newer epoch. - A duplicate Begin that arrived after the target had given up was granted, and a lost grant left the key running for ever. Unsettled grants are sent again every grantRepeatMs.

Ruled out: marking such keys as unsure and letting any record replace them. It is right only while the process does not own the range again.

--- a/flamingo/owner.cc
+++ b/flamingo/owner.cc
@@ -167,6 +167,7 @@
 
 void claimKey(Owner &owner, const Begin &begin, TimeMs now, Outbox &out)
 {
+    keepLogged(owner, begin.key);
     auto &state = owner.keys[begin.key];
     state = OwnedKey();
     state.range = begin.range;
@@ -251,6 +252,7 @@
     const bool late = state.phase == KeyPhase::MayHaveRun && phase == KeyPhase::Finished;
     if (!open && !late)
         return;
+    keepLogged(owner, settle.key);
     setAnswer(state, settle.verdict, {settle.reason, settle.detail}, settle.answer);
     settleKey(owner, settle.key, state, phase, now);
     if (phase != KeyPhase::Released || owner.memoryMode)
@@ -421,8 +423,9 @@
     return now - owned.cleanAt >= owner.options.refreshMs;
 }
 
-// Drops what is past its retention and appends again what the log would soon forget.
-void sweep(Owner &owner, TimeMs now)
+// Drops what is past its retention, repeats grants that are not settled, and appends again what the
+// log would soon forget.
+void sweep(Owner &owner, TimeMs now, Outbox &out)
 {
     const auto &options = owner.options;
     owner.sweptAt = now;
@@ -438,9 +441,14 @@
             continue;
         }
         ++entry;
+        const auto owned = owner.ranges.find(state.range);
+        if (state.phase == KeyPhase::Granted && owned != owner.ranges.end()
+            && owned->second.complete && now - state.grantSentAt >= options.grantRepeatMs)
+            sendGrant(owner, key, state, out);
         if (now - state.loggedAt < options.refreshMs || state.phase == KeyPhase::Released
             || state.queuedSequence != 0)
             continue;
+        keepLogged(owner, key);
         queueClaim(owner, key, state, now);
         if (state.phase == KeyPhase::Finished || state.phase == KeyPhase::MayHaveRun)
             queueSettled(owner, key, state, now);
@@ -477,7 +485,7 @@
     }
     sendWitnesses(owner, now, out);
     if (now - owner.sweptAt >= options.sweepIntervalMs)
-        sweep(owner, now);
+        sweep(owner, now, out);
 }
 
 void onPeerMessage(Owner &owner, const PeerMessage &message, TimeMs now, Outbox &out)
@@ -510,6 +518,7 @@
     if (owned == owner.ranges.end())
         return;
     state.grantEpoch = owned->second.epoch;
+    state.grantSentAt = owner.lastEventAt;
     BeginReply reply;
     reply.key = key;
     reply.attempt = state.attempt;
--- a/flamingo/owner.h
+++ b/flamingo/owner.h
@@ -210,6 +210,9 @@
     // retention less its longest outage.
     TimeMs refreshMs = 6LL * 3600 * 1000;
     TimeMs releasedRetentionMs = 60000; // a released attempt that asks again is refused so long
+    // A grant is sent again while the attempt is not settled, because the target may have given up
+    // before a late or lost grant; it then answers with Settle NotRun.
+    TimeMs grantRepeatMs = 30000;
     TimeMs witnessRepeatMs = 1000;
     std::size_t maxWitnessPerTick = 512; // Witness messages sent per tick
     TimeMs pauseBoundMs = 1000; // a larger gap between events counts as a pause of the process
@@ -239,11 +242,14 @@
     std::uint64_t grantEpoch = 0; // newest epoch in which this process sent a grant for the attempt
     std::uint64_t settledSequence = 0; // of the queued Settled record, 0: none waits
     std::uint64_t queuedSequence = 0; // of the newest queued record of the key, 0: none waits
-    bool unsure = false; // held by a former epoch of this process, which did not log its last state
+    std::uint64_t logEpoch = 0; // of the last valid record
+    TimeMs grantSentAt = 0;
     TimeMs changedAt = 0;
     TimeMs loggedAt = 0; // last time a record of the key was read or queued
 };
 
+using KeyMap = std::unordered_map<std::string, OwnedKey>;
+
 struct SettleWaiter
 {
     std::string agent;
@@ -281,9 +287,12 @@
 {
     OwnerOptions options;
     RangeMap map;
-    std::unordered_map<std::string, OwnedKey> keys; // of all ranges of the region
+    KeyMap keys; // of all ranges of the region
+    // What the log says of keys of owned ranges that have records not read back. It replaces the
+    // state in `keys` when the range is lost.
+    KeyMap logged;
     std::map<std::uint32_t, OwnedRange> ranges;
-    // Late records, by range and key; they take effect together when the handover is complete.
+    // Late records, by range and key; they take effect together in the takeover that they complete.
     std::map<std::uint32_t, std::map<std::string, ClaimsRecord, std::less<>>> late;
     std::set<std::uint32_t> foldIncomplete; // ranges of which keys were dropped at maxKeys
     std::map<std::string, std::set<std::string>, std::less<>> watchers; // by key: processes
--- a/flamingo/owner_dump.cc
+++ b/flamingo/owner_dump.cc
@@ -101,7 +101,7 @@
                      {"grantEpoch", state.grantEpoch},
                      {"settledSequence", state.settledSequence},
                      {"queuedSequence", state.queuedSequence},
-                     {"unsure", state.unsure},
+                     {"logEpoch", state.logEpoch},
                      {"ageMs", now - state.changedAt}};
     return json;
 }
--- a/flamingo/owner_log.cc
+++ b/flamingo/owner_log.cc
@@ -6,8 +6,9 @@
 // marked; a takeover of it then stays incomplete until the dropped keys would have expired.
 //
 // For an owned range the state in memory is ahead of the log, so a record read back only confirms.
-// For other ranges the state follows the records. A record of the valid owner may replace a state
-// that this process held in memory when it lost the range (`unsure`).
+// For other ranges the state follows the records. Owner::logged keeps what the log says of keys
+// with records not read back, so that a process that loses a range goes back to the state of the
+// log; a state that only this process knew would otherwise hide the decisions of the next owner.
 //
 // Appends: one at a time, at least appendIntervalMs apart, with everything that waits. After an
 // unknown result everything from the first unacknowledged line on is appended again; the sequence
@@ -85,21 +86,16 @@
 
 // ---- Records of ranges that this process does not own ----
 
-bool mayReplace(const OwnedKey &state)
+OwnedKey *findOrAddKey(Owner &owner, KeyMap &keys, const ClaimsRecord &record)
 {
-    return state.unsure || state.phase == KeyPhase::Released;
-}
-
-OwnedKey *findOrAddKey(Owner &owner, const ClaimsRecord &record)
-{
-    const auto found = owner.keys.find(record.key);
-    if (found != owner.keys.end())
+    const auto found = keys.find(record.key);
+    if (found != keys.end())
         return &found->second;
-    if (owner.keys.size() >= owner.options.maxKeys) {
+    if (keys.size() >= owner.options.maxKeys) {
         owner.foldIncomplete.insert(record.range);
         return nullptr;
     }
-    auto &state = owner.keys[record.key];
+    auto &state = keys[record.key];
     state.range = record.range;
     state.phase = KeyPhase::Released;
     return &state;
@@ -112,34 +108,34 @@
     state.incarnation = record.incarnation;
     state.attempt = record.attempt;
     state.grantEpoch = 0;
-    state.unsure = false;
+    state.logEpoch = record.epoch;
     state.changedAt = now;
     state.loggedAt = now;
 }
 
-void foldClaim(Owner &owner, const ClaimsRecord &record, TimeMs now)
+void foldClaim(Owner &owner, KeyMap &keys, const ClaimsRecord &record, TimeMs now)
 {
-    auto *const state = findOrAddKey(owner, record);
+    auto *const state = findOrAddKey(owner, keys, record);
     if (state == nullptr)
         return;
     const bool same = state->attempt == record.attempt && state->agent == record.agent
         && state->incarnation == record.incarnation;
-    if (same && !state->unsure && state->phase != KeyPhase::Released) {
-        state->loggedAt = now;
-        return;
-    }
-    if (mayReplace(*state))
+    if (state->phase == KeyPhase::Released) {
         hold(*state, record, KeyPhase::Granted, now);
-    else
+    } else if (same) {
+        state->loggedAt = now;
+        state->logEpoch = record.epoch;
+    } else {
         ++owner.map.voided;
+    }
 }
 
-void foldSettled(Owner &owner, const ClaimsRecord &record, TimeMs now)
+void foldSettled(Owner &owner, KeyMap &keys, const ClaimsRecord &record, TimeMs now)
 {
-    auto *const state = findOrAddKey(owner, record);
+    auto *const state = findOrAddKey(owner, keys, record);
     if (state == nullptr)
         return;
-    if (state->attempt != record.attempt && !mayReplace(*state)) {
+    if (state->attempt != record.attempt && state->phase != KeyPhase::Released) {
         ++owner.map.voided;
         return;
     }
@@ -204,12 +200,21 @@
 
 void confirm(Owner &owner, OwnedRange &owned, const ClaimsRecord &record, TimeMs now, Outbox &out)
 {
-    if (record.kind == RecordKind::Claim)
+    if (record.kind == RecordKind::Clean) {
+        confirmClean(owned, record);
+        owner.late.erase(record.range);
+        return;
+    }
+    if (record.kind == RecordKind::Claim) {
+        foldClaim(owner, owner.logged, record, now);
         confirmClaim(owner, record, now, out);
-    else if (record.kind == RecordKind::Settled)
+    } else {
+        foldSettled(owner, owner.logged, record, now);
         confirmSettled(owner, record, now, out);
-    else
-        confirmClean(owned, record);
+    }
+    const auto found = owner.keys.find(record.key);
+    if (found == owner.keys.end() || found->second.queuedSequence == 0)
+        owner.logged.erase(record.key);
 }
 
 // ---- Lines in order ----
@@ -254,11 +259,11 @@
     if (owned != owner.ranges.end()) // a trimmed fold was corrected by a newer owner
         stopOwning(owner, record.range, now, out);
     if (record.kind == RecordKind::Claim)
-        foldClaim(owner, record, now);
+        foldClaim(owner, owner.keys, record, now);
     else if (record.kind == RecordKind::Settled)
-        foldSettled(owner, record, now);
+        foldSettled(owner, owner.keys, record, now);
     else
-        owner.late.erase(record.range); // the owner's takeover was complete
+        owner.late.erase(record.range); // what the owner took from them is logged
 }
 
 void onRecord(Owner &owner, const ClaimsRecord &record, std::uint64_t offset, TimeMs now,
@@ -295,6 +300,14 @@
 
 } // namespace
 
+void keepLogged(Owner &owner, const std::string &key)
+{
+    const auto found = owner.keys.find(key);
+    if (found != owner.keys.end() && found->second.queuedSequence == 0
+        && owner.ranges.find(found->second.range) != owner.ranges.end())
+        owner.logged.emplace(key, found->second);
+}
+
 void queueClaim(Owner &owner, const std::string &key, OwnedKey &state, TimeMs now)
 {
     const auto owned = owner.ranges.find(state.range);
--- a/flamingo/owner_parts.h
+++ b/flamingo/owner_parts.h
@@ -11,6 +11,9 @@
 
 // ---- owner_log.cc: records to append, and records read ----
 
+// Saves what the log says of the key. Call it before a change of the key that is then queued.
+void keepLogged(Owner &owner, const std::string &key);
+
 // Queue a record of the key's present state. They return without effect when the range is not
 // owned.
 void queueClaim(Owner &owner, const std::string &key, OwnedKey &state, TimeMs now);
--- a/flamingo/owner_takeover.cc
+++ b/flamingo/owner_takeover.cc
@@ -48,6 +48,7 @@
 
 void release(Owner &owner, const std::string &key, OwnedKey &state, TimeMs now)
 {
+    keepLogged(owner, key);
     setAnswer(state, Verdict::NotRun, {ReasonCode::Expired, "the target never began"}, "");
     settleKey(owner, key, state, KeyPhase::Released, now);
 }
@@ -59,6 +60,7 @@
         release(owner, key, state, now);
         return;
     }
+    keepLogged(owner, key);
     setAnswer(state, Verdict::MayHaveRun,
               {ReasonCode::TargetUnreachable, "target " + state.agent + " was lost"}, "");
     settleKey(owner, key, state, KeyPhase::MayHaveRun, now);
@@ -120,6 +122,7 @@
 void finishByEvidence(Owner &owner, const std::string &key, OwnedKey &state,
                       const Evidence &evidence, TimeMs now, Outbox &out)
 {
+    keepLogged(owner, key);
     setAnswer(state, evidence.verdict, evidence.reason, evidence.answer);
     KeyPhase phase = KeyPhase::Finished;
     if (evidence.verdict == Verdict::NotRun)
@@ -131,41 +134,59 @@
         tellWatchers(owner, key, false, out);
 }
 
-// The last state of a key under the former owner.
-void applyLate(Owner &owner, const ClaimsRecord &last, TimeMs now, Outbox &out)
+// The last state of a key under the former owner. Records of a newer owner go before it.
+void applyLate(Owner &owner, OwnedRange &owned, const ClaimsRecord &last, TimeMs now, Outbox &out)
 {
-    const IncarnationName name(last.agent, last.incarnation);
-    const auto owned = owner.ranges.find(last.range);
-    Evidence evidence{
-        last.agent,   last.incarnation, last.attempt, last.kind == RecordKind::Settled,
-        last.verdict, last.reason,      last.answer};
-    if (evidence.finished || owned == owner.ranges.end()) {
+    const auto found = owner.keys.find(last.key);
+    const bool known = found != owner.keys.end();
+    if (known && found->second.logEpoch > last.epoch)
+        return;
+    const bool finished = last.kind == RecordKind::Settled;
+    const Evidence evidence{last.agent,   last.incarnation, last.attempt, finished,
+                            last.verdict, last.reason,      last.answer};
+    if (finished && last.verdict == Verdict::NotRun) {
+        // Whatever attempt the log shows, the former owner had released it.
+        if (known && isOpen(found->second) && found->second.grantEpoch != owned.epoch)
+            release(owner, last.key, found->second, now);
+        return;
+    }
+    if (finished) {
         takeEvidence(owner, last.key, last.range, evidence, now, out);
         return;
     }
-    const auto known = owner.map.agents.find(last.agent);
-    const bool live = known != owner.map.agents.end() && !known->second.lost
-        && known->second.incarnation == last.incarnation;
-    const bool answered = live && owned->second.unanswered.count(name) == 0;
-    if (answered)
-        return; // its own list is newer
+    const auto agent = owner.map.agents.find(last.agent);
+    const bool live = agent != owner.map.agents.end() && !agent->second.lost
+        && agent->second.incarnation == last.incarnation;
+    if (live && owned.unanswered.count({last.agent, last.incarnation}) == 0)
+        return; // it answered, and its own list is newer
     takeEvidence(owner, last.key, last.range, evidence, now, out);
     if (live)
-        inherit(owned->second, last.key, owner.keys.at(last.key), now);
+        inherit(owned, last.key, owner.keys.at(last.key), now);
+}
+
+void applyHandover(Owner &owner, std::uint32_t range, OwnedRange &owned, TimeMs now, Outbox &out)
+{
+    const auto found = owner.late.find(range);
+    if (found == owner.late.end())
+        return;
+    for (const auto &[key, last] : found->second)
+        applyLate(owner, owned, last, now, out);
 }
 
 // Releases inherited attempts of an incarnation that answered without listing them.
 void releaseUnlisted(Owner &owner, OwnedRange &owned, const IncarnationName &name,
-                     const std::set<std::string> &listed, TimeMs now)
+                     const std::set<std::pair<std::string, std::string>> &listed, TimeMs now)
 {
     const auto inherited = owned.inherited.find(name);
     if (inherited == owned.inherited.end())
         return;
     for (const auto &key : inherited->second) {
         const auto found = owner.keys.find(key);
-        if (found == owner.keys.end() || listed.count(key) > 0)
+        if (found == owner.keys.end())
             continue;
         auto &state = found->second;
+        if (listed.count({key, state.attempt}) > 0)
+            continue;
         if (!isOpen(state) || IncarnationName(state.agent, state.incarnation) != name
             || state.grantEpoch == owned.epoch)
             continue;
@@ -192,6 +213,9 @@
     if (owner.foldIncomplete.count(range) > 0)
         owned.blocking.insert({std::string(), 0});
     collectInherited(owner, range, owned, now);
+    Outbox noWatchers;
+    if (record.cleanSeen == handedOver)
+        applyHandover(owner, range, owned, now, noWatchers);
     ++owner.counters.takeovers;
     completeIfReady(owner, range, owned, now);
 }
@@ -202,17 +226,26 @@
     owner.ranges.erase(range);
     ++owner.counters.fenced;
     tellWatchersWrongOwner(owner, range, out);
-    for (auto &[key, state] : owner.keys) {
-        if (state.range != range)
+    for (auto entry = owner.keys.begin(); entry != owner.keys.end();) {
+        auto &[key, state] = *entry;
+        if (state.range != range) {
+            ++entry;
             continue;
+        }
         owner.settleWaiters.erase(key);
-        if (state.queuedSequence != 0) {
-            state.unsure = true;
-            state.phase = KeyPhase::MayHaveRun;
-            state.verdict = Verdict::MayHaveRun;
+        const auto logged = owner.logged.find(key);
+        const bool unread = state.queuedSequence != 0;
+        if (unread && logged == owner.logged.end()) {
+            entry = owner.keys.erase(entry);
+            continue;
         }
+        if (unread)
+            state = std::move(logged->second);
+        if (logged != owner.logged.end())
+            owner.logged.erase(logged);
         state.queuedSequence = 0;
         state.settledSequence = 0;
+        ++entry;
     }
 }
 
@@ -229,13 +262,10 @@
         return;
     }
     const auto owned = owner.ranges.find(record.range);
-    const bool open = owned == owner.ranges.end() || !owned->second.complete;
-    if (record.seen != handedOver || !open)
+    if (record.seen != handedOver || owned == owner.ranges.end() || owned->second.complete)
         return;
-    for (const auto &[key, last] : late)
-        applyLate(owner, last, now, out);
-    owner.late.erase(record.range);
-    if (owned == owner.ranges.end() || owner.foldIncomplete.count(record.range) > 0)
+    applyHandover(owner, record.range, owned->second, now, out);
+    if (owner.foldIncomplete.count(record.range) > 0)
         return;
     owned->second.blocking.clear();
     completeIfReady(owner, record.range, owned->second, now);
@@ -268,8 +298,7 @@
 {
     auto found = owner.keys.find(key);
     const bool notRun = evidence.finished && evidence.verdict == Verdict::NotRun;
-    if (found != owner.keys.end() && sameAttempt(found->second, evidence)
-        && !found->second.unsure) {
+    if (found != owner.keys.end() && sameAttempt(found->second, evidence)) {
         auto &state = found->second;
         const bool open = isOpen(state) || state.phase == KeyPhase::MayHaveRun;
         if (open && evidence.finished && !(notRun && state.phase == KeyPhase::MayHaveRun))
@@ -278,16 +307,18 @@
     }
     if (notRun)
         return;
-    if (found == owner.keys.end()) {
+    const bool isNew = found == owner.keys.end();
+    if (isNew) {
         found = owner.keys.emplace(key, OwnedKey()).first;
         found->second.range = range;
         found->second.phase = KeyPhase::Released;
     }
     auto &state = found->second;
-    if (state.phase == KeyPhase::Finished && !state.unsure)
+    if (state.phase == KeyPhase::Finished)
         return;
+    if (!isNew)
+        keepLogged(owner, key);
     supersede(owner, key, state, now);
-    state.unsure = false;
     state.phase = KeyPhase::Granted;
     state.agent = evidence.agent;
     state.incarnation = evidence.incarnation;
@@ -313,11 +344,11 @@
     const bool awaited = owned.blocking.erase(name) > 0;
     if (owned.unanswered.erase(name) == 0 && !awaited)
         return;
-    std::set<std::string> listed;
+    std::set<std::pair<std::string, std::string>> listed; // key and attempt
     for (const auto &key : reply.keys) {
         if (rangeOf(key.key) != reply.range)
             continue;
-        listed.insert(key.key);
+        listed.emplace(key.key, key.attempt);
         takeEvidence(owner, key.key, reply.range,
                      {reply.agent,
                       reply.incarnation,
@@ -363,15 +394,6 @@
     owned.complete = true;
     ++owner.counters.completed;
     owner.foldIncomplete.erase(range);
-    for (auto &[key, state] : owner.keys) {
-        if (state.range != range || !state.unsure)
-            continue;
-        state.unsure = false;
-        setAnswer(state, Verdict::MayHaveRun,
-                  {ReasonCode::StaleEpoch, "granted under an older epoch"}, "");
-        queueClaim(owner, key, state, now);
-        queueSettled(owner, key, state, now);
-    }
 }
 
 } // namespace flamingo::ownerparts
--- a/tests/owner_fuzz_test.cc
+++ b/tests/owner_fuzz_test.cc
@@ -21,9 +21,13 @@
 
 namespace {
 
+constexpr std::uint32_t recentKeys = 4; // a repeated request is for one of these
+
 enum class StepKind : std::uint8_t {
     Submit,
     SubmitNew,
+    SubmitTwice,
+    IsolateOwner,
     Kill,
     Freeze,
     StopLog,
@@ -53,7 +57,9 @@
     return rc::gen::build<Step>(
         rc::gen::set(&Step::kind,
                      rc::gen::weightedElement<StepKind>({{8, StepKind::Submit},
-                                                         {8, StepKind::SubmitNew},
+                                                         {6, StepKind::SubmitNew},
+                                                         {6, StepKind::SubmitTwice},
+                                                         {3, StepKind::IsolateOwner},
                                                          {3, StepKind::Kill},
                                                          {3, StepKind::Freeze},
                                                          {2, StepKind::StopLog},
@@ -81,11 +87,17 @@
 {
     switch (step.kind) {
     case StepKind::Submit:
-        world.submit(keyNumber(step.first % std::max(submitted, 1U)));
+        world.submit(keyNumber(submitted - std::min(submitted, step.first % recentKeys)));
         break;
     case StepKind::SubmitNew:
         world.submit(keyNumber(submitted++));
         break;
+    case StepKind::SubmitTwice:
+        world.submitTwice(keyNumber(submitted++), step.first * 30);
+        break;
+    case StepKind::IsolateOwner:
+        world.isolateOwner(step.first, step.second % 2 == 0, 10000 + step.durationMs);
+        break;
     case StepKind::Kill:
         world.kill(step.first, step.durationMs);
         break;
--- a/tests/owner_world.h
+++ b/tests/owner_world.h
@@ -110,6 +110,29 @@
         this->startAttempt(*this->entries[this->pick(this->entries.size())], key, 0);
     }
 
+    // One request through each entry.
+    void submitTwice(const std::string &key, TimeMs apart)
+    {
+        this->keys.insert(key);
+        this->startAttempt(*this->entries.front(), key, 0);
+        this->at(apart, [this, key] { this->startAttempt(*this->entries.back(), key, 0); });
+    }
+
+    // The owner of a range loses the log and the entries, but not the targets. With `stale`, one
+    // entry loses the log too, and so keeps naming this owner.
+    void isolateOwner(std::size_t range, bool stale, TimeMs duration)
+    {
+        const auto owner = ownerOf(this->entries.back()->map, "west",
+                                   static_cast<std::uint32_t>(range % usedRanges));
+        if (owner.agent.empty())
+            return;
+        this->cutLog(owner.agent, duration);
+        for (const auto &entry : this->entries)
+            this->cutLink(owner.agent, entry->name, duration);
+        if (stale)
+            this->cutLog(this->entries.front()->name, duration);
+    }
+
     void kill(std::size_t which, TimeMs restartAfter)
     {
         auto &agent = *this->agents[which % this->agents.size()];
