Add CSV and differences; bound the table's size and the search

Operators edit the table like a spreadsheet, so the rows can be written as CSV and read back; a mistake names its line and column. A difference of two tables has one line per row and copy. JSON documents now also refuse keys that appear twice and names in both lists, and names with quotes or backslashes, which need escapes in every record.

Two limits were missing. And the search could try 20,000 placements over any number of workers, so it is also bounded by the workers it looks at.

--- a/bench/table_bench.cc
+++ b/bench/table_bench.cc
@@ -142,13 +142,17 @@
             return worker.worker == packing.anchors[0].worker;
         }));
     const auto lost = millisecondsOf([&] { again = packAnchors(rows, packing.anchors, fewer); });
+    // One copy more than the region can hold, so that best fit places many and the search fails.
     auto more = rows;
-    more["impossible"].name = "impossible";
-    more["impossible"].guarantees = {{workers[0].region, 1, maxGangMembers, 8}};
+    auto &greedy = more["greedy"];
+    greedy.name = "greedy";
+    greedy.guarantees = {{workers[0].region, maxCopies, 1, 1}};
+    const auto over = packAnchors(more, packing.anchors, workers).shortages.size();
+    greedy.guarantees[0].copies -= static_cast<std::uint32_t>(over) - 1;
     const auto refused =
         millisecondsOf([&] { again = packAnchors(more, packing.anchors, workers); });
     std::printf("%8zu %8zu %8zu %10.2f %10.2f %10.2f %10.2f %10zu\n", workers.size(),
-                packing.anchors.size(), packing.shortages.size(), scratch, unchanged, lost, refused,
+                packing.anchors.size(), again.shortages.size(), scratch, unchanged, lost, refused,
                 peak / 1024);
 }
 
--- a/flamingo/anchors.cc
+++ b/flamingo/anchors.cc
@@ -21,7 +21,7 @@
 // only the key of the last placement and takes the next greater one on return, so memory is linear
 // in the number of members. A state that failed before is recognised by a hash over the multiset of
 // (data centre, free mask, used by the current unit), which makes workers of equal state
-// interchangeable. The search ends after maxPackingSteps placements; best fit stands then.
+// interchangeable. The search ends at the bounds in the header; best fit stands then.
 
 namespace flamingo {
 namespace {
@@ -305,6 +305,10 @@
 std::optional<std::vector<Placement>> search(Region &region)
 {
     auto levels = levelsOf(region);
+    const auto maxSteps =
+        std::min(maxPackingSteps, maxPackingVisits / std::max<std::size_t>(1, region.sites.size()));
+    if (levels.size() > maxSteps)
+        return std::nullopt;
     std::unordered_set<std::uint64_t> failed;
     std::size_t level = 0;
     for (std::size_t steps = 0; level < levels.size(); ++steps) {
@@ -314,7 +318,7 @@
         if (!current.last)
             current.hash = stateHash(region, level);
         std::optional<Key> key;
-        if (steps < maxPackingSteps && failed.count(current.hash) == 0)
+        if (steps < maxSteps && failed.count(current.hash) == 0)
             key = nextPlacement(region, contextOf(region, unit, current.needed), current.last);
         current.last = key;
         if (key) {
@@ -322,7 +326,7 @@
             ++level;
             continue;
         }
-        if (level == 0 || steps >= maxPackingSteps)
+        if (level == 0 || steps >= maxSteps)
             break;
         failed.insert(current.hash);
         --level;
--- a/flamingo/anchors.h
+++ b/flamingo/anchors.h
@@ -26,9 +26,10 @@
     std::uint32_t accelerators = 0;
 };
 
-// Placements that the search of one region may try. It bounds the time of a refusal; see
-// bench/table_bench.cc.
+// Bounds of the search of one region, so that a refusal does not hold up an entry: placements
+// tried, and workers looked at in all.
 constexpr std::size_t maxPackingSteps = 20000;
+constexpr std::size_t maxPackingVisits = 2000000;
 
 struct Packing
 {
--- a/flamingo/table.cc
+++ b/flamingo/table.cc
@@ -3,6 +3,8 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <array>
+#include <functional>
 #include <initializer_list>
 #include <limits>
 #include <set>
@@ -119,7 +121,8 @@
             return true;
         }
     }
-    const auto shown = value.is_number() ? value.dump() : std::string(value.type_name());
+    const bool isShort = value.is_string() && value.get_ref<const std::string &>().size() <= 32;
+    const auto shown = value.is_number() || isShort ? value.dump() : std::string(value.type_name());
     note(problems, path, concat({"is ", shown, ", must be ", rangeText(range)}));
     return false;
 }
@@ -155,9 +158,10 @@
 {
     if (!readText(value, path, {1, maxNameBytes}, name, problems))
         return false;
-    if (name.front() != ' ' && name.back() != ' ')
+    const bool padded = name.front() == ' ' || name.back() == ' ';
+    if (!padded && name.find_first_of("\"\\") == std::string::npos)
         return true;
-    note(problems, path, "must not begin or end with a space");
+    note(problems, path, "must not begin or end with a space or contain \" or \\");
     return false;
 }
 
@@ -727,6 +731,45 @@
     table.writerVersions.erase(oldest);
 }
 
+// Upper bounds of what a Snapshot takes.
+std::size_t bytesOf(const Anchor &anchor)
+{
+    return anchor.worker.size() + 6;
+}
+
+std::size_t bytesOf(const Shortage &shortage)
+{
+    return shortage.organisation.size() + 2 * shortage.cause.size() + 70;
+}
+
+std::size_t bytesOf(const Rows &rows)
+{
+    std::size_t bytes = 0;
+    for (const auto &[name, row] : rows) {
+        bytes += 2 * name.size() + 2 * row.homeRegion.size() + 150;
+        for (const auto &shape : row.guarantees)
+            bytes += shape.region.size() + 80 + 15 * std::size_t{shape.copies};
+    }
+    return bytes;
+}
+
+template <typename Items>
+std::size_t bytesOfAll(const Items &items)
+{
+    std::size_t bytes = 0;
+    for (const auto &item : items)
+        bytes += bytesOf(item);
+    return bytes;
+}
+
+void checkSize(std::size_t bytes, Problems &problems)
+{
+    if (bytes > maxTableBytes)
+        note(problems, "",
+             concat({"the table would take ", std::to_string(bytes), " bytes, allowed are ",
+                     std::to_string(maxTableBytes)}));
+}
+
 // Replaces the anchors and shortages of the affected organisations, when there is no mistake.
 void applyAnchors(Table &table, const Edit &edit, Change &change, Problems &problems)
 {
@@ -744,6 +787,10 @@
         kept.insert(CopyKey(copyOf(shortage)));
         change.shortages.push_back(shortage);
     }
+    auto bytes = bytesOf(change.rows) + bytesOfAll(change.anchors) + bytesOfAll(change.shortages);
+    for (std::size_t index = 0; index < staying.size(); ++index)
+        bytes += staying[index] ? bytesOf(table.anchors[index]) : 0;
+    checkSize(bytes, problems);
     checkComplete(change, kept, problems);
     std::sort(change.anchors.begin(), change.anchors.end(), beforeByPlace);
     checkDisjoint(table, staying, change, problems);
@@ -784,6 +831,9 @@
     change.affected = affectedOrganisations(table, edit, change);
     if (!change.affected.empty())
         applyAnchors(table, edit, change, problems);
+    else
+        checkSize(bytesOf(change.rows) + bytesOfAll(table.anchors) + bytesOfAll(table.shortages),
+                  problems);
     if (problems.count > 0)
         return false;
     table.organisations = std::move(change.rows);
@@ -1039,23 +1089,387 @@
     return dump(document, 2);
 }
 
+namespace {
+
+// Parses JSON and notes keys that appear twice in one object, of which the parser keeps the last.
+Json parseStrictly(std::string_view text, Problems &problems)
+{
+    std::vector<NameSet> keys;
+    const auto onEvent = [&](int, Json::parse_event_t event, Json &parsed) {
+        if (event == Json::parse_event_t::object_start)
+            keys.emplace_back();
+        else if (event == Json::parse_event_t::object_end)
+            keys.pop_back();
+        else if (event == Json::parse_event_t::key
+                 && !keys.back().insert(parsed.get<std::string>()).second)
+            note(problems, parsed.get<std::string>(), "appears twice in one object");
+        return true;
+    };
+    return Json::parse(text, onEvent, false);
+}
+
+std::optional<TableChange> checkedChange(TableChange change, const Problems &problems,
+                                         Reason &reason)
+{
+    if (problems.count == 0)
+        return change;
+    reason = toReason(problems);
+    return std::nullopt;
+}
+
+void checkRemovals(const TableChange &change, Problems &problems)
+{
+    NameSet names;
+    for (const auto &row : change.upserts)
+        names.insert(row.name);
+    std::size_t index = 0;
+    for (const auto &name : change.removals) {
+        const auto path = itemPath("remove", index++);
+        if (!name.empty() && !names.insert(name).second)
+            note(problems, path,
+                 concat({inQuotes(name), " appears twice or is also in organisations"}));
+    }
+}
+
+} // namespace
+
 std::optional<TableChange> parseTableChange(std::string_view json, Reason &reason)
 {
     Problems problems;
-    const auto document = Json::parse(json, nullptr, false);
-    if (document.is_discarded()) {
-        reason = {ReasonCode::InvalidInput, "the document is not JSON"};
-        return std::nullopt;
-    }
     TableChange change;
-    if (readObject(document, "", {"organisations", "remove"}, problems)) {
+    const auto document = parseStrictly(json, problems);
+    if (document.is_discarded()) {
+        note(problems, "", "the document is not JSON");
+    } else if (readObject(document, "", {"organisations", "remove"}, problems)) {
         readOrganisations(document, "organisations", change.upserts, problems);
         readNames(document, "remove", change.removals, problems);
+        checkRemovals(change, problems);
     }
-    if (problems.count == 0)
-        return change;
-    reason = toReason(problems);
-    return std::nullopt;
+    return checkedChange(std::move(change), problems, reason);
+}
+
+// ---- CSV ----
+
+namespace {
+
+constexpr std::array<const char *, 9> csvColumns = {
+    "name",   "homeRegion", "weight",  "limitAccelerators", "limitSlots",
+    "region", "copies",     "members", "accelerators"};
+constexpr std::size_t csvRowColumns = 5; // the others belong to a guarantee
+
+struct CsvLine
+{
+    std::size_t number = 0;
+    std::vector<std::string> cells;
+};
+
+// Splits CSV as of RFC 4180: cells in quotes may contain commas, line ends and doubled quotes.
+std::vector<CsvLine> splitCsv(std::string_view csv)
+{
+    std::vector<CsvLine> lines;
+    std::size_t number = 1;
+    bool inside = false;
+    bool open = false; // a line has begun
+    for (std::size_t index = 0; index < csv.size(); ++index) {
+        const char character = csv[index];
+        if (!open)
+            lines.push_back({number, {""}});
+        open = true;
+        auto &cell = lines.back().cells.back();
+        if (character == '\n')
+            ++number;
+        if (inside && character == '"' && index + 1 < csv.size() && csv[index + 1] == '"') {
+            cell += csv[++index];
+        } else if (character == '"' && (inside || cell.empty())) {
+            inside = !inside;
+        } else if (!inside && character == ',') {
+            lines.back().cells.emplace_back();
+        } else if (!inside && character == '\n') {
+            open = false;
+        } else if (inside || character != '\r') {
+            cell += character;
+        }
+    }
+    return lines;
+}
+
+std::string csvCell(std::string_view text)
+{
+    if (text.find_first_of(",\"\r\n") == std::string_view::npos)
+        return std::string(text);
+    std::string cell = "\"";
+    for (const char character : text)
+        cell.append(character == '"' ? 2 : 1, character);
+    return cell + "\"";
+}
+
+bool isEmptyLine(const CsvLine &line)
+{
+    return std::all_of(line.cells.begin(), line.cells.end(),
+                       [](const auto &cell) { return cell.empty(); });
+}
+
+// A cell as the JSON value that the readers expect.
+Json csvValue(std::size_t column, const std::string &cell)
+{
+    const bool isText = column < 2 || column == csvRowColumns;
+    const bool isNumber =
+        !isText && cell.size() <= 18 && cell.find_first_not_of("0123456789") == std::string::npos;
+    return isNumber ? Json(std::stoull(cell)) : Json(cell);
+}
+
+Json csvObject(const CsvLine &line, std::size_t begin, std::size_t end)
+{
+    auto object = Json::object();
+    for (auto column = begin; column < end; ++column) {
+        if (!line.cells[column].empty())
+            object[csvColumns[column]] = csvValue(column, line.cells[column]);
+    }
+    return object;
+}
+
+// Organisations by name, each with the line that gave its own columns.
+using CsvRows = std::map<std::string, std::pair<const CsvLine *, Organisation>, std::less<>>;
+
+void readCsvLine(const CsvLine &line, CsvRows &rows, Problems &problems)
+{
+    const auto number = "line " + std::to_string(line.number);
+    const auto path = number + ", column ";
+    if (line.cells.size() != csvColumns.size()) {
+        note(problems, number,
+             concat({"has ", std::to_string(line.cells.size()), " columns, must have ",
+                     std::to_string(csvColumns.size())}));
+        return;
+    }
+    auto &[first, row] = rows[line.cells[0]];
+    if (first == nullptr) {
+        first = &line;
+        readOrganisation(csvObject(line, 0, csvRowColumns), path, row, problems);
+    }
+    for (std::size_t column = 1; column < csvRowColumns; ++column) {
+        if (line.cells[column].empty() || line.cells[column] == first->cells[column])
+            continue;
+        note(problems, path + csvColumns[column],
+             "differs from line " + std::to_string(first->number) + " of the same organisation");
+    }
+    const auto shape = csvObject(line, csvRowColumns, csvColumns.size());
+    if (!shape.empty())
+        readShape(shape, path, row.guarantees.emplace_back(), problems);
+    if (row.guarantees.size() == maxGuarantees + 1)
+        note(problems, number,
+             concat({"is guarantee ", std::to_string(maxGuarantees + 1), " of ", inQuotes(row.name),
+                     ", allowed are ", std::to_string(maxGuarantees)}));
+}
+
+bool sameRow(const Organisation &left, const Organisation &right)
+{
+    return std::tie(left.homeRegion, left.weight, left.limitAccelerators, left.limitSlots)
+        == std::tie(right.homeRegion, right.weight, right.limitAccelerators, right.limitSlots)
+        && sameGuarantees(left, right);
+}
+
+bool isUtf8(std::string_view text)
+{
+    // The JSON parser refuses strings that are not UTF-8.
+    auto literal = "\"" + std::string(text) + "\"";
+    std::replace_if(
+        literal.begin() + 1, literal.end() - 1,
+        [](char character) {
+            return isControl(character) || character == '"' || character == '\\';
+        },
+        ' ');
+    return Json::accept(literal);
+}
+
+std::string csvHeader()
+{
+    std::string header;
+    for (const auto *column : csvColumns)
+        header += concat({header.empty() ? "" : ",", column});
+    return header;
+}
+
+void readCsvLines(const std::vector<CsvLine> &lines, CsvRows &rows, Problems &problems)
+{
+    const std::vector<std::string> columns(csvColumns.begin(), csvColumns.end());
+    if (lines.empty() || lines[0].cells != columns) {
+        note(problems, "line 1", concat({"must be ", csvHeader()}));
+        return;
+    }
+    for (const auto &line : absl::MakeConstSpan(lines).subspan(1)) {
+        if (!isEmptyLine(line))
+            readCsvLine(line, rows, problems);
+    }
+    if (rows.empty())
+        note(problems, "", "the file has no organisations; remove the last one as JSON instead");
+    if (rows.size() > maxOrganisations)
+        note(problems, "",
+             concat({"the file has ", std::to_string(rows.size()), " organisations, allowed are ",
+                     std::to_string(maxOrganisations)}));
+    if (problems.count > 0)
+        return;
+    for (const auto &[name, row] : rows)
+        checkLimit(row.second, "line " + std::to_string(row.first->number) + ", column ", problems);
+}
+
+} // namespace
+
+std::string tableCsv(const Table &table)
+{
+    auto csv = csvHeader() + "\n";
+    for (const auto &[name, row] : table.organisations) {
+        const auto own = concat(
+            {csvCell(name), ",", csvCell(row.homeRegion), ",", std::to_string(row.weight), ",",
+             std::to_string(row.limitAccelerators), ",", std::to_string(row.limitSlots), ","});
+        if (row.guarantees.empty())
+            csv += own + ",,,\n";
+        for (const auto &shape : row.guarantees)
+            csv += concat({own, csvCell(shape.region), ",", std::to_string(shape.copies), ",",
+                           std::to_string(shape.members), ",", std::to_string(shape.accelerators),
+                           "\n"});
+    }
+    return csv;
+}
+
+std::optional<TableChange> parseTableCsv(std::string_view csv, const Table &table, Reason &reason)
+{
+    constexpr std::string_view byteOrderMark = "\xef\xbb\xbf"; // spreadsheets write it
+    if (csv.substr(0, byteOrderMark.size()) == byteOrderMark)
+        csv.remove_prefix(byteOrderMark.size());
+    Problems problems;
+    CsvRows rows;
+    TableChange change;
+    const auto lines = splitCsv(csv);
+    if (csv.size() > maxRecordBytes || !isUtf8(csv))
+        note(problems, "",
+             concat(
+                 {"the file must be UTF-8 of at most ", std::to_string(maxRecordBytes), " bytes"}));
+    else
+        readCsvLines(lines, rows, problems);
+    for (const auto &[name, row] : rows) {
+        const auto former = table.organisations.find(name);
+        if (former == table.organisations.end() || !sameRow(former->second, row.second))
+            change.upserts.push_back(row.second);
+    }
+    for (const auto &[name, row] : table.organisations) {
+        if (rows.count(name) == 0)
+            change.removals.push_back(name);
+    }
+    return checkedChange(std::move(change), problems, reason);
+}
+
+// ---- Differences ----
+
+namespace {
+
+std::string guaranteesText(const Organisation &row)
+{
+    std::string text = "[";
+    for (const auto &shape : row.guarantees)
+        text += concat({text.size() > 1 ? ", " : "", std::to_string(shape.copies), " x ",
+                        std::to_string(shape.members), " x ", std::to_string(shape.accelerators),
+                        " in ", shape.region});
+    return text + "]";
+}
+
+// The fields of a row as name and text.
+std::vector<std::pair<std::string_view, std::string>> fieldsOf(const Organisation &row)
+{
+    return {{"homeRegion", row.homeRegion},
+            {"weight", std::to_string(row.weight)},
+            {"limitAccelerators", std::to_string(row.limitAccelerators)},
+            {"limitSlots", std::to_string(row.limitSlots)},
+            {"guarantees", guaranteesText(row)}};
+}
+
+std::string rowChange(const Organisation &before, const Organisation &after)
+{
+    std::string text;
+    const auto former = fieldsOf(before);
+    std::size_t index = 0;
+    for (const auto &[name, value] : fieldsOf(after)) {
+        const auto &old = former[index++].second;
+        if (old != value)
+            text += concat({text.empty() ? "" : ", ", name, " ", old, " -> ", value});
+    }
+    return text;
+}
+
+std::string rowText(const Organisation &row)
+{
+    std::string text;
+    for (const auto &[name, value] : fieldsOf(row))
+        text += concat({text.empty() ? "" : ", ", name, " ", value});
+    return text;
+}
+
+// Where each copy is, or why it is short.
+std::map<CopyKey, std::string> copiesText(const Table &table)
+{
+    std::map<CopyKey, std::string> texts;
+    std::vector<const Anchor *> ordered;
+    ordered.reserve(table.anchors.size());
+    for (const auto &anchor : table.anchors)
+        ordered.push_back(&anchor);
+    std::sort(ordered.begin(), ordered.end(),
+              [](const auto *left, const auto *right) { return beforeByMember(*left, *right); });
+    for (const auto *anchor : ordered) {
+        auto &text = texts[CopyKey(copyOf(*anchor))];
+        text += concat({text.empty() ? "" : " ", anchor->worker, "[", std::to_string(anchor->first),
+                        "-", std::to_string(anchor->first + anchor->count - 1), "]"});
+    }
+    for (const auto &shortage : table.shortages)
+        texts[CopyKey(copyOf(shortage))] = "short: " + shortage.cause;
+    return texts;
+}
+
+// Calls `report(key, before, after)` for each key whose values differ; null stands for no value.
+template <typename Map, typename Same, typename Report>
+void eachDifference(const Map &before, const Map &after, Same same, Report report)
+{
+    for (const auto &[key, value] : before) {
+        const auto found = after.find(key);
+        if (found == after.end())
+            report(key, &value, decltype (&value)(nullptr));
+        else if (!same(value, found->second))
+            report(key, &value, &found->second);
+    }
+    for (const auto &[key, value] : after) {
+        if (before.count(key) == 0)
+            report(key, decltype (&value)(nullptr), &value);
+    }
+}
+
+} // namespace
+
+std::string diffTables(const Table &before, const Table &after)
+{
+    std::vector<std::string> lines;
+    eachDifference(before.organisations, after.organisations, sameRow,
+                   [&](const auto &name, const auto *former, const auto *now) {
+                       const auto title = concat({"organisation ", inQuotes(name)});
+                       if (now == nullptr)
+                           lines.push_back("- " + title);
+                       else if (former == nullptr)
+                           lines.push_back(concat({"+ ", title, ": ", rowText(*now)}));
+                       else
+                           lines.push_back(concat({"~ ", title, ": ", rowChange(*former, *now)}));
+                   });
+    eachDifference(copiesText(before), copiesText(after), std::equal_to<>(),
+                   [&](const auto &key, const auto *former, const auto *now) {
+                       const auto &[name, shape, copy] = key;
+                       lines.push_back(concat({"~ ", copyPath(name, shape, copy), ": ",
+                                               former == nullptr ? "none" : *former, " -> ",
+                                               now == nullptr ? "none" : *now}));
+                   });
+    std::string text;
+    std::size_t shown = 0;
+    for (const auto &line : lines) {
+        if (shown++ == maxDiffLines)
+            return text + "and " + std::to_string(lines.size() - maxDiffLines) + " more lines\n";
+        text += line + "\n";
+    }
+    return text;
 }
 
 void setAnchors(Edit &edit, const Table &table, absl::Span<const Anchor> anchors,
--- a/flamingo/table.h
+++ b/flamingo/table.h
@@ -51,6 +51,10 @@
 constexpr std::size_t maxHistoryEntries = 100;
 constexpr std::size_t maxProblems = 100; // mistakes listed in one error text
 constexpr std::size_t maxRecordBytes = maxFrameBytes - 4096; // a line fits into a LogLines frame
+// Rows, anchors and shortages as JSON. The rest of a Snapshot, its history and writers, takes at
+// most 193,000 bytes.
+constexpr std::size_t maxTableBytes = maxRecordBytes - 200000;
+constexpr std::size_t maxDiffLines = 200;
 
 // `copies` independent gangs of `members` workers with `accelerators` adjacent accelerators each,
 // all members of a copy in one data centre of `region`.
@@ -166,6 +170,19 @@
 };
 std::optional<TableChange> parseTableChange(std::string_view json, Reason &reason);
 
+// The rows as CSV for a spreadsheet: one line per guarantee, or one line for an organisation
+// without any. The first line names the columns:
+//
+//   name,homeRegion,weight,limitAccelerators,limitSlots,region,copies,members,accelerators
+//
+// Parsing compares the whole file with `table`: organisations without a line are removed, changed
+// and new ones are upserted. Further lines of an organisation may leave its own columns empty.
+std::string tableCsv(const Table &table);
+std::optional<TableChange> parseTableCsv(std::string_view csv, const Table &table, Reason &reason);
+
+// What changed from `before` to `after`, one line per organisation and per copy, for people.
+std::string diffTables(const Table &before, const Table &after);
+
 // The table as JSON for operators.
 std::string tableJson(const Table &table);
 
--- a/tests/table_test.cc
+++ b/tests/table_test.cc
@@ -541,3 +541,137 @@
         checkTable(reader);
     }));
 }
+
+TEST(Table, everyMistakeInAnOperatorsDocumentIsNamed)
+{
+    Reason reason;
+    CHECK_FALSE(parseTableChange(R"({"organisations": [
+        {"name": "a", "weight": 0, "colour": "red"},
+        {"name": "a", "limitAccelerators": 7, "guarantees": [
+            {"region": "west", "copies": 1, "members": 2, "accelerators": 4}]},
+        {"homeRegion": 5, "guarantees": [{"region": "w\"", "accelerators": 65}, 3]}],
+        "remove": ["a"], "remvoe": []})",
+                                 reason)
+                    .has_value());
+    CHECK(reason.code == ReasonCode::InvalidInput);
+    CHECK_EQUAL(
+        std::string(
+            "remvoe: is unknown, allowed are organisations, remove\n"
+            "organisations[0].colour: is unknown, allowed are name, homeRegion, weight, "
+            "limitAccelerators, limitSlots, guarantees\n"
+            "organisations[0].weight: is 0, must be an integer from 1 to 1000000\n"
+            "organisations[1].limitAccelerators: is 7, must be 0 or from 8 (guaranteed "
+            "accelerators) to 1000000\n"
+            "organisations[1].name: \"a\" appears twice\n"
+            "organisations[2].name: is missing\n"
+            "organisations[2].homeRegion: is number, must be a string\n"
+            "organisations[2].guarantees[0].region: must not begin or end with a space or contain "
+            "\" or \\\n"
+            "organisations[2].guarantees[0].accelerators: is 65, must be an integer from 1 to 64\n"
+            "organisations[2].guarantees[1]: is number, must be an object\n"
+            "remove[0]: \"a\" appears twice or is also in organisations"),
+        reason.text);
+    CHECK_FALSE(parseTableChange(R"({"remove": [], "remove": ["a"]})", reason).has_value());
+    CHECK_EQUAL(std::string("remove: appears twice in one object"), reason.text);
+}
+
+TEST(Table, aCopyMustNotUseAWorkerTwice)
+{
+    Table table;
+    Reason reason;
+    auto edit = editOf(table, 1, {organisation("a", {{"west", 1, 2, 4}})});
+    edit.anchors = {{"a", 0, 0, 0, "w1", 0, 4}, {"a", 0, 0, 1, "w1", 4, 4}};
+    CHECK(foldTable(table, editLine(edit), 0, reason) == FoldResult::Malformed);
+    CHECK_EQUAL(std::string("organisation \"a\", guarantee 0, copy 0: has two members on worker "
+                            "\"w1\""),
+                reason.text);
+}
+
+// A table whose snapshot does not fit into a frame could not be passed on by peers.
+TEST(Table, aTableThatDoesNotFitIntoASnapshotIsRefused)
+{
+    Table table;
+    Reason reason;
+    for (std::uint64_t part = 1; part <= 40; ++part) {
+        const auto name = "part-" + std::to_string(part);
+        auto edit = editOf(table, part, {organisation(name, {{"west", 1000, 1, 1}})});
+        for (std::uint32_t copy = 0; copy < 1000; ++copy)
+            edit.anchors.push_back(
+                {name, 0, copy, 0, "w" + std::to_string(part * 1000 + copy), 0, 1});
+        if (foldTable(table, editLine(edit), part, reason) != FoldResult::Applied)
+            break;
+    }
+    CHECK_EQUAL(std::string("the table would take"), reason.text.substr(0, 20));
+    CHECK(snapshotLine(table).size() <= maxTableBytes);
+    CHECK(table.anchors.size() >= 25000);
+}
+
+TEST(Table, rowsSurviveTheRoundTripThroughCsv)
+{
+    CHECK(rc::check("CSV round trip", [] {
+        Table before;
+        for (const auto &row : someRows())
+            before.organisations[row.name] = row;
+        Table after;
+        for (auto row : someRows()) {
+            row.weight = *rc::gen::inRange(1U, 100U);
+            row.homeRegion = *rc::gen::element("", "a,b", "a 'b'", "\"quoted\"");
+            after.organisations[row.name] = row;
+        }
+        Reason reason;
+        const auto change = parseTableCsv(tableCsv(after), before, reason);
+        RC_ASSERT(change.has_value() != after.organisations.empty());
+        if (!change)
+            return;
+        auto merged = before;
+        for (const auto &name : change->removals)
+            merged.organisations.erase(name);
+        for (const auto &row : change->upserts)
+            merged.organisations[row.name] = row;
+        RC_ASSERT(tableCsv(merged) == tableCsv(after));
+        const auto same = parseTableCsv(tableCsv(after), after, reason);
+        RC_ASSERT(same->upserts.empty() && same->removals.empty());
+    }));
+}
+
+TEST(Table, everyMistakeInACsvFileIsNamed)
+{
+    const auto header = tableCsv(Table());
+    Reason reason;
+    CHECK_FALSE(parseTableCsv("name;weight\n", Table(), reason).has_value());
+    CHECK_EQUAL("line 1: must be " + header.substr(0, header.size() - 1), reason.text);
+    CHECK_FALSE(parseTableCsv("\xef\xbb\xbf" + header
+                                  + "a,west,none,0,0,west,1,1,4\r\n"
+                                    "a,,2,,,west,1,1,99\r\n\r\n"
+                                    "b,west\r\n",
+                              Table(), reason)
+                    .has_value());
+    CHECK_EQUAL(
+        std::string("line 2, column weight: is \"none\", must be an integer from 1 to 1000000\n"
+                    "line 3, column weight: differs from line 2 of the same organisation\n"
+                    "line 3, column accelerators: is 99, must be an integer from 1 to 64\n"
+                    "line 5: has 2 columns, must have 9"),
+        reason.text);
+}
+
+TEST(Table, aDifferenceNamesRowsAndCopies)
+{
+    Table before;
+    before.organisations["a"] = organisation("a", {{"west", 1, 1, 4}});
+    before.organisations["b"] = organisation("b");
+    before.anchors = {{"a", 0, 0, 0, "w1", 4, 4}};
+    auto after = before;
+    after.organisations["a"].weight = 3;
+    after.organisations.erase("b");
+    after.organisations["c"] = organisation("c");
+    after.anchors.clear();
+    after.shortages = {{"a", 0, 0, "host lost"}};
+    CHECK_EQUAL(std::string("~ organisation \"a\": weight 1 -> 3\n"
+                            "- organisation \"b\"\n"
+                            "+ organisation \"c\": homeRegion west, weight 1, limitAccelerators 0, "
+                            "limitSlots 0, guarantees []\n"
+                            "~ organisation \"a\", guarantee 0, copy 0: w1[4-7] -> short: host "
+                            "lost\n"),
+                diffTables(before, after));
+    CHECK_EQUAL(std::string(), diffTables(after, after));
+}
