Pack an unchanged table in less time

Cause: an entry packs for each edit of a guarantee, and most of that time went into sorting long names again: of workers that come sorted, of the anchors by organisation, and of a result that is nearly in order. perf showed memcmp and the comparison of anchors at the top besides the placements.

Workers are sorted only when needed, anchors are grouped by organisation and then sorted by numbers, the kept part of the result is merged with the new one, and a worker takes the rack number of the one before it when it is the same.

--- a/flamingo/anchors.cc
+++ b/flamingo/anchors.cc
@@ -350,56 +350,70 @@
 
 // ---- Regions and kept anchors ----
 
-// Numbers names in the order of their first use.
-std::uint32_t numberOf(std::map<std::string_view, std::uint32_t> &numbers, std::string_view name)
+using Numbers = std::map<std::string_view, std::uint32_t>;
+
+// The number of `name`; a new name takes the number `next` and moves it on.
+std::uint32_t numberOf(Numbers &numbers, std::string_view name, std::uint32_t &next)
 {
-    return numbers.emplace(name, static_cast<std::uint32_t>(numbers.size())).first->second;
+    const auto [entry, added] = numbers.emplace(name, next);
+    next += added ? 1 : 0;
+    return entry->second;
 }
 
 using Regions = std::map<std::string_view, Region>;
 
+bool beforeByWorker(const WorkerSite *left, const WorkerSite *right)
+{
+    return std::tie(left->worker, left->region, left->dataCentre, left->rack, left->accelerators)
+        < std::tie(right->worker, right->region, right->dataCentre, right->rack,
+                   right->accelerators);
+}
+
 Regions regionsOf(absl::Span<const WorkerSite> workers)
 {
     std::vector<const WorkerSite *> ordered;
+    ordered.reserve(workers.size());
     for (const auto &worker : workers)
         ordered.push_back(&worker);
-    std::sort(ordered.begin(), ordered.end(), [](const auto *left, const auto *right) {
-        return std::tie(left->worker, left->region, left->dataCentre, left->rack,
-                        left->accelerators)
-            < std::tie(right->worker, right->region, right->dataCentre, right->rack,
-                       right->accelerators);
-    });
+    if (!std::is_sorted(ordered.begin(), ordered.end(), beforeByWorker))
+        std::sort(ordered.begin(), ordered.end(), beforeByWorker);
     Regions regions;
-    std::map<std::string_view, std::map<std::string_view, std::uint32_t>> dataCentres;
-    std::map<std::string_view,
-             std::map<std::pair<std::string_view, std::string_view>, std::uint32_t>>
-        racks;
-    std::string_view last;
+    std::map<std::string_view, Numbers> dataCentres;
+    std::map<std::pair<std::string_view, std::string_view>, Numbers> racks;
+    const WorkerSite *last = nullptr;
     for (const auto *worker : ordered) {
-        if (worker->worker == last)
+        if (last != nullptr && worker->worker == last->worker)
             continue;
-        last = worker->worker;
         auto &region = regions[worker->region];
-        auto &regionRacks = racks[worker->region];
-        const auto rack = regionRacks
-                              .emplace(std::pair(std::string_view(worker->dataCentre),
-                                                 std::string_view(worker->rack)),
-                                       static_cast<std::uint32_t>(regionRacks.size()))
-                              .first->second;
         const auto accelerators = std::min(worker->accelerators, maxAcceleratorsPerWorker);
-        region.sites.push_back({worker->worker,
-                                numberOf(dataCentres[worker->region], worker->dataCentre), rack,
-                                accelerators, lowBits(accelerators), false});
-        region.dataCentres = static_cast<std::uint32_t>(dataCentres[worker->region].size());
-        region.racks = static_cast<std::uint32_t>(regionRacks.size());
+        Site site{worker->worker, 0, 0, accelerators, lowBits(accelerators), false};
+        // Workers of one rack often follow each other.
+        if (last != nullptr && last->rack == worker->rack && last->dataCentre == worker->dataCentre
+            && last->region == worker->region) {
+            site.dataCentre = region.sites.back().dataCentre;
+            site.rack = region.sites.back().rack;
+        } else {
+            site.dataCentre =
+                numberOf(dataCentres[worker->region], worker->dataCentre, region.dataCentres);
+            site.rack =
+                numberOf(racks[{worker->region, worker->dataCentre}], worker->rack, region.racks);
+        }
+        region.sites.push_back(site);
+        last = worker;
     }
     return regions;
 }
 
-auto memberOrder(const Anchor &anchor)
+auto withinOrganisation(const Anchor &anchor)
+{
+    return std::tie(anchor.shape, anchor.copy, anchor.member, anchor.worker, anchor.first,
+                    anchor.count);
+}
+
+bool beforeByMember(const Anchor &left, const Anchor &right)
 {
-    return std::tie(anchor.organisation, anchor.shape, anchor.copy, anchor.member, anchor.worker,
-                    anchor.first, anchor.count);
+    return std::tie(left.organisation, left.shape, left.copy, left.member)
+        < std::tie(right.organisation, right.shape, right.copy, right.member);
 }
 
 std::optional<std::uint32_t> findSite(const Region &region, std::string_view worker)
@@ -451,26 +465,36 @@
 {
     const Rows *rows = nullptr;
     Regions regions;
-    std::vector<const Anchor *> current; // ordered by copy and member
+    std::map<std::string_view, std::vector<const Anchor *>> current; // by organisation, in order
     Packing result;
 };
 
 absl::Span<const Anchor *const> currentOf(const Packer &packer, std::string_view organisation,
                                           std::uint32_t shape, std::uint32_t copy)
 {
-    const auto key = std::tuple(organisation, shape, copy);
-    const auto keyOf = [](const Anchor *anchor) {
-        return std::tuple(std::string_view(anchor->organisation), anchor->shape, anchor->copy);
+    const auto found = packer.current.find(organisation);
+    if (found == packer.current.end())
+        return {};
+    const auto before = [](const Anchor *left,
+                           const std::pair<std::uint32_t, std::uint32_t> &right) {
+        return std::pair(left->shape, left->copy) < right;
     };
-    const auto begin = std::lower_bound(
-        packer.current.begin(), packer.current.end(), key,
-        [&](const Anchor *left, const auto &right) { return keyOf(left) < right; });
-    auto end = begin;
-    while (end != packer.current.end() && keyOf(*end) == key)
-        ++end;
-    return absl::MakeConstSpan(packer.current)
-        .subspan(static_cast<std::size_t>(begin - packer.current.begin()),
-                 static_cast<std::size_t>(end - begin));
+    const auto &anchors = found->second;
+    const auto begin =
+        std::lower_bound(anchors.begin(), anchors.end(), std::pair(shape, copy), before);
+    const auto end = std::lower_bound(begin, anchors.end(), std::pair(shape, copy + 1), before);
+    return absl::MakeConstSpan(anchors).subspan(static_cast<std::size_t>(begin - anchors.begin()),
+                                                static_cast<std::size_t>(end - begin));
+}
+
+void setCurrent(Packer &packer, absl::Span<const Anchor> current)
+{
+    for (const auto &anchor : current)
+        packer.current[anchor.organisation].push_back(&anchor);
+    for (auto &[name, anchors] : packer.current)
+        std::sort(anchors.begin(), anchors.end(), [](const auto *left, const auto *right) {
+            return withinOrganisation(*left) < withinOrganisation(*right);
+        });
 }
 
 void addAnchor(Packer &packer, const Region &region, const Unit &unit, std::uint32_t member,
@@ -653,19 +677,14 @@
     Packer packer;
     packer.rows = &organisations;
     packer.regions = regionsOf(workers);
-    for (const auto &anchor : current)
-        packer.current.push_back(&anchor);
-    std::sort(packer.current.begin(), packer.current.end(),
-              [](const auto *left, const auto *right) {
-                  return memberOrder(*left) < memberOrder(*right);
-              });
+    setCurrent(packer, current);
     keepAnchors(packer);
+    auto &anchors = packer.result.anchors;
+    const auto kept = static_cast<std::ptrdiff_t>(anchors.size()); // in order already
     for (auto &[name, region] : packer.regions)
         packRegion(packer, name, region);
-    auto &anchors = packer.result.anchors;
-    std::sort(anchors.begin(), anchors.end(), [](const Anchor &left, const Anchor &right) {
-        return memberOrder(left) < memberOrder(right);
-    });
+    std::sort(anchors.begin() + kept, anchors.end(), beforeByMember);
+    std::inplace_merge(anchors.begin(), anchors.begin() + kept, anchors.end(), beforeByMember);
     auto &shortages = packer.result.shortages;
     std::sort(shortages.begin(), shortages.end(), [](const Shortage &left, const Shortage &right) {
         return std::tie(left.organisation, left.shape, left.copy)
