Give up a gang early when a member does not confirm its start

A member that has not confirmed its start gangStartMs (1 s) after the decision is lost. Members that run are lost after gangLeaseMs as before.

Ruled out: shortening the lease. It would stop gangs for short pauses.

A test of the state dump is added.

--- a/flamingo/agent.h
+++ b/flamingo/agent.h
@@ -52,6 +52,7 @@
     TimeMs stopBoundMs = 500;
     TimeMs holdMs = 2000;
     TimeMs gangLeaseMs = 3000;
+    TimeMs gangStartMs = 1000; // after the decision every member confirms its start by then
     TimeMs gangRenewMs = 1000;
     TimeMs workerLeaseMs = 3000;
     TimeMs answerRetentionMs = 600000;
--- a/flamingo/gang.cc
+++ b/flamingo/gang.cc
@@ -214,10 +214,12 @@
         sendGangStop(step, gang.id, member.agent, index, gang.stopReason);
 }
 
-// True when the gang goes on: decided in time, and no member silent for a lease.
+// True when the gang goes on: decided in time, and no member silent for a lease. A member that
+// never confirmed its start is given up sooner: without it the others already run as a part, and
+// one whose agent dies now runs on for its worker's lease.
 bool checkGang(const AgentStep &step, const Gang &gang)
 {
-    const auto leaseMs = step.agent.options.gangLeaseMs;
+    const auto &options = step.agent.options;
     if (gang.phase == GangPhase::Holding && step.now >= gang.decideUntil) {
         stopGang(step, std::string(gang.id),
                  {ReasonCode::GangIncomplete, "not every member had room in time"});
@@ -226,7 +228,8 @@
     if (gang.phase != GangPhase::Running)
         return true;
     for (const auto &member : gang.members) {
-        if (member.gone || step.now - member.aliveAt < leaseMs)
+        const auto silentMs = member.running ? options.gangLeaseMs : options.gangStartMs;
+        if (member.gone || step.now - member.aliveAt < silentMs)
             continue;
         stopGang(step, std::string(gang.id),
                  {ReasonCode::TargetUnreachable, "member " + member.agent + " is silent"});
--- a/tests/agent_test.cc
+++ b/tests/agent_test.cc
@@ -4,6 +4,7 @@
 #include "flamingo/agent.h"
 
 // Before CppUTest, which replaces `new` by a macro.
+#include <nlohmann/json.hpp>
 #include <rapidcheck.h>
 
 #include <CppUTest/TestHarness.h>
@@ -839,3 +840,20 @@
     f.message("e1", own);
     CHECK_EQUAL(std::string("own"), f.commands<RunTask>().back().task);
 }
+
+// Guards against a state dump that fails on names which are not UTF-8.
+TEST(Agent, dumpsEveryStateAsJson)
+{
+    Fixture f;
+    f.message("e1", makeStart("t\xff", "guest", 1));
+    const auto keyed = makeKeyedStart("t2", "guest", 1);
+    f.message("e1", keyed);
+    f.message("o1", grant(keyed));
+    f.event(TaskFinished{"t2", true, "paid", {}});
+    f.message("e1", makeStart("t3", "guest", 9));
+    const auto dump = nlohmann::json::parse(dumpAgent(f.agent, f.now));
+    CHECK_EQUAL(1U, dump["tasks"].size());
+    CHECK_EQUAL(2U, dump["attempts"].size());
+    CHECK_EQUAL(1U, dump["refusals"].size());
+    CHECK_EQUAL(std::string("granted"), dump["attempts"]["t2"]["claim"].get<std::string>());
+}
