--- a/flamingo/owner_dump.cc
+++ b/flamingo/owner_dump.cc
@@ -102,6 +102,7 @@
                      {"settledSequence", state.settledSequence},
                      {"queuedSequence", state.queuedSequence},
                      {"logEpoch", state.logEpoch},
+                     {"grantSentMsAgo", now - state.grantSentAt},
                      {"ageMs", now - state.changedAt}};
     return json;
 }
--- a/tests/owner_fuzz_test.cc
+++ b/tests/owner_fuzz_test.cc
@@ -93,7 +93,7 @@
         world.submit(keyNumber(submitted++));
         break;
     case StepKind::SubmitTwice:
-        world.submitTwice(keyNumber(submitted++), step.first * 30);
+        world.submitTwice(keyNumber(submitted++), TimeMs(30) * step.first);
         break;
     case StepKind::IsolateOwner:
         world.isolateOwner(step.first, step.second % 2 == 0, 10000 + step.durationMs);
--- a/tests/owner_test.cc
+++ b/tests/owner_test.cc
@@ -377,6 +377,46 @@
     CHECK_FALSE(node.owner.ranges.at(rangeOf(key)).complete);
 }
 
+// An owner that lost the range but lives must not leave the takeover incomplete for a lost target,
+// and must not believe its own unlogged grant when it owns the range again.
+TEST(Owner, handoverCompletesTheTakeoverWithItsMemoryGrants)
+{
+    Node former(log, "o");
+    start(former);
+    settleDown(former);
+    log.up = false;
+    former.handle(PeerMessage{"t1", beginFor(key, "t1", "a")}, now);
+    former.run(now, now + 3000);
+    CHECK_TRUE(former.take<BeginReply>().at(0).granted);
+    log.append({epochLine("west", rangeOf(key), 2, "n"), lostLine("t1", 1)});
+    Node node(log, "n");
+    node.handle(log.readFrom(0), now);
+    log.append({announceLine("n", "west", 1), epochLine("west", rangeOf(key), 3, "n")});
+    node.handle(log.readFrom(node.owner.map.nextOffset), now);
+    CHECK_FALSE(node.owner.ranges.at(rangeOf(key)).complete);
+    log.up = true;
+    former.run(now, now + 2000);
+    CHECK_EQUAL(0U, former.owner.keys.count(key));
+    node.handle(log.readFrom(node.owner.map.nextOffset), now);
+    CHECK_TRUE(node.owner.ranges.at(rangeOf(key)).complete);
+    CHECK_TRUE(node.owner.keys.at(key).phase == KeyPhase::MayHaveRun);
+    CHECK_EQUAL(std::string("a"), node.owner.keys.at(key).attempt);
+}
+
+// A lost grant to a target that gave up would leave the key running for ever.
+TEST(Owner, unsettledGrantIsSentAgain)
+{
+    Node node(log, "o");
+    start(node);
+    node.handle(PeerMessage{"t1", beginFor(key, "t1", "a")}, now);
+    settleDown(node);
+    CHECK_EQUAL(1U, node.take<BeginReply>().size());
+    node.run(now, now + 45000);
+    const auto replies = node.take<BeginReply>();
+    CHECK_EQUAL(1U, replies.size());
+    CHECK_TRUE(replies[0].granted);
+}
+
 TEST(Owner, attemptThatItsTargetNeverBeganIsReleasedByTheWitness)
 {
     Node former(log, "o");
@@ -387,7 +427,14 @@
 
     Node node(log, "n");
     makeOwnerOf(node, 2);
-    for (const auto *const agent : {"t1", "t2", "o", "n"})
+    // The target lists the key, but under an attempt that it gave up.
+    auto listed = witnessFrom("t1", key, 2);
+    listed.keys.resize(1);
+    listed.keys[0].key = key;
+    listed.keys[0].attempt = "older";
+    listed.keys[0].finished = true;
+    node.handle(PeerMessage{"t1", listed}, now);
+    for (const auto *const agent : {"t2", "o", "n"})
         node.handle(PeerMessage{agent, witnessFrom(agent, key, 2)}, now);
     node.handle(PeerMessage{"t2", beginFor(key, "t2", "b")}, now);
     settleDown(node);
