--- a/flamingo/view.cc
+++ b/flamingo/view.cc
@@ -34,6 +34,14 @@
     return reportBaseBytes + taskBytes * report.tasks.size();
 }
 
+// Start of a block in a run: a multiple of its size if there is one, so that neighbours of the same
+// size fit beside it, else the run's start.
+int alignedIn(int first, int length, int count)
+{
+    const int aligned = (first + count - 1) / count * count;
+    return aligned + count <= first + length ? aligned : first;
+}
+
 // ---- Buckets ----
 
 void removeFromBucket(View &view, std::vector<AgentId> &bucket, std::uint32_t Room::*position,
@@ -532,7 +540,7 @@
         const int length = ~shifted == 0 ? 64 : __builtin_ctzll(~shifted);
         if (length >= static_cast<int>(count) && length < bestLength) {
             bestLength = length;
-            best = lowBits(count) << first;
+            best = lowBits(count) << alignedIn(first, length, static_cast<int>(count));
         }
         mask &= ~(lowBits(static_cast<std::uint32_t>(length)) << first);
     }
