--- a/tests/ctl_test.cc
+++ b/tests/ctl_test.cc
@@ -370,7 +370,7 @@
     MemoryLeakWarningPlugin::saveAndDisableNewDeleteOverloads();
     const bool ok = rc::check([](const std::string &noise) {
         std::vector<std::string> mistakes;
-        const std::string header = tableCsv({});
+        const std::string header = tableCsv(TableRows{});
         const auto rows = parseTableCsv(header + "n," + noise + ",1,0,0,", mistakes);
         if (!rows) {
             RC_ASSERT(!mistakes.empty());
--- a/tests/process/region_cut.sh
+++ b/tests/process/region_cut.sh
@@ -15,14 +15,11 @@
 pidOf[relay]=$!
 waitFor 5 curl -fsS "http://$linkControl/bytes"
 startEntry entry-v vestland bergen-1 "\"advertisedAddress\": \"$advertisedV\""
-seedsOfV=$seeds
 logAddress=$linkToLog
 seeds="\"$advertisedV\""
 startEntry entry-t trondelag trondheim-1 "\"advertisedAddress\": \"$advertisedT\""
-seeds="\"127.0.0.1:$((basePort + 12))\""
 for i in 1 2 3; do startAgent worker-t$i trondelag trondheim-1 rack-2; done
 logAddress=$standinAddress
-seeds=$seedsOfV
 for i in 1 2 3; do startAgent worker-v$i vestland bergen-1 rack-1; done
 waitFor 15 targetsKnown entry-v 3 vestland
 waitFor 15 targetsKnown entry-t 3 trondelag
--- a/tools/cluster.sh
+++ b/tools/cluster.sh
@@ -11,8 +11,8 @@
     standinAddress="127.0.0.1:$basePort"
     entryCount=0
     agentCount=0
-    declare -gA pidOf httpOf regionOf
-    seeds=""
+    declare -gA pidOf httpOf seedsOf # seedsOf: the entries' peer addresses, by region
+    seeds=""                         # all entries
     trap clusterEnd EXIT
 }
 
@@ -60,7 +60,6 @@
         http=$((peer + 1))
         entryCount=$((entryCount + 1))
         httpOf[$name]="127.0.0.1:$http"
-        regionOf[$name]=$2
         cat > "$work/$name.json" <<JSON
 {
     // Written by tools/cluster.sh.
@@ -70,6 +69,7 @@
 }
 JSON
         seeds="${seeds:+$seeds, }\"127.0.0.1:$peer\""
+        seedsOf[$2]="${seedsOf[$2]:+${seedsOf[$2]}, }\"127.0.0.1:$peer\""
     fi
     "$build/flamingo-entryd" --settings "$work/$name.json" 2>> "$work/$name.log" &
     pidOf[$name]=$!
@@ -83,13 +83,12 @@
         http=$((peer + 1))
         agentCount=$((agentCount + 1))
         httpOf[$name]="127.0.0.1:$http"
-        regionOf[$name]=$2
         cat > "$work/$name.json" <<JSON
 {
     "name": "$name", "region": "$2", "dataCentre": "$3", "rack": "$4",
     "peerAddress": "127.0.0.1:$peer", "httpAddress": "127.0.0.1:$http",
     "logAddress": "${logAddress:-$standinAddress}", "workerAddress": "$standinAddress",
-    "seeds": [${seeds}], "peerKey": "$key"${5:+, $5}
+    "seeds": [${seedsOf[$2]}], "peerKey": "$key"${5:+, $5}
 }
 JSON
     fi
