State in agent.h what NotRun means for repeatable work

Cause: the header listed reasons with which NotRun can follow after the work ran. The list was incomplete: a gang can also end as NotRun with the reason of the member that failed first (Draining, Expired, NoRoom).

Ruled out: a reason code of its own. The reason says why the attempt ended and entries already repeat idempotent work.

Before: a list of reasons. After: the rule (an Outcome of idempotent work with any reason but Cancelled), and the duty of the process around the agent to deliver TaskFinished and TaskStopped at least once, which the random test assumes.

--- a/flamingo/agent.h
+++ b/flamingo/agent.h
@@ -9,12 +9,13 @@
 //
 // What NotRun means in an Outcome or a refusing StartReply:
 //   - No RunTask was issued for the attempt, or the worker answered TaskStarted{ok = false}. If the
-//     key's owner may have granted the attempt, the owner has acknowledged that it was given back.
-//   - Only for idempotent work that was running, and only with the reasons Evicted, LeaseLapsed,
-//     GangIncomplete, WorkerFailed and TargetUnreachable: the worker (for a gang: every member)
-//     confirmed the stop, no answer was delivered, and the work is safe to repeat. With reason
-//     Evicted the answer field holds the newest checkpoint, if there is one. An entry repeats such
-//     an attempt; it must not tell a caller that this request did not run.
+//     key's owner may have granted the attempt, the owner has acknowledged that it was given back;
+//     after a denial the agent repeats that in the background.
+//   - In an Outcome of idempotent work, with any reason but Cancelled, also: the work ran, but the
+//     worker (for a gang: every member) confirmed its stop or end, no answer was delivered, and the
+//     work is safe to repeat. With reason Evicted the answer field holds the newest checkpoint of a
+//     single job, if there is one. An entry repeats such an attempt. If it gives up instead, it
+//     must not tell the caller that the request did not run.
 // Work that is not idempotent and was issued to the worker ends as Ran or MayHaveRun, also when a
 // checkpoint of it exists.
 //
@@ -23,7 +24,9 @@
 //     per workerLeaseMs; without one the agent treats its tasks as lapsed and refuses work.
 //   - Before the first event, stop whatever an earlier incarnation left on the worker.
 //   - TaskStarted{ok = false} only if the worker refused; an unanswered RunTask is not reported.
-//   - TaskStopped also for a task that the worker does not know (any more).
+//   - TaskFinished and TaskStopped are delivered at least once, also after the worker was out of
+//     reach; the agent does not ask for them. TaskStopped also answers a StopTask for a task that
+//     the worker does not know (any more).
 
 #include "flamingo/messages.h"
 #include "flamingo/table.h"
