Show that the tests of the owner find broken variants

Cause: two broken variants passed. The unit test for a Clean record that had not read a loss never appended such a record; it now makes one (an owner appends Clean after a pause) and checks that it is the last line. The return to the state of the log had no test of its own; it has one now.

--- a/tests/owner_test.cc
+++ b/tests/owner_test.cc
@@ -366,7 +366,10 @@
     start(former);
     former.reads = false;
     log.append({lostLine("t1", 1)});
+    now += 5000; // after a pause the owner appends Clean records
     former.run(now, now + 8000);
+    const auto last = parseClaimsRecord(log.lines.back().text);
+    CHECK_TRUE(last && last->kind == RecordKind::Clean);
     former.handle(PeerMessage{"t1", beginFor(key, "t1", "a")}, now);
     former.run(now, now + 8000);
 
@@ -403,6 +406,26 @@
     CHECK_EQUAL(std::string("a"), node.owner.keys.at(key).attempt);
 }
 
+// A state that only the former owner knew must not outlive its ownership.
+TEST(Owner, lostRangeGoesBackToTheStateOfTheLog)
+{
+    Node node(log, "o");
+    start(node);
+    const auto first = beginFor(key, "t1", "a");
+    node.handle(PeerMessage{"t1", first}, now);
+    settleDown(node);
+    log.up = false;
+    node.handle(PeerMessage{"t1", settleFor(first, Verdict::NotRun)}, now);
+    node.handle(PeerMessage{"t2", beginFor(key, "t2", "b")}, now);
+    node.run(now, now + 3000);
+    CHECK_EQUAL(std::string("b"), node.owner.keys.at(key).attempt);
+    log.append({epochLine("west", rangeOf(key), 2, "t2")});
+    log.up = true;
+    node.run(now, now + 200);
+    CHECK_EQUAL(std::string("a"), node.owner.keys.at(key).attempt);
+    CHECK_TRUE(node.owner.keys.at(key).phase == KeyPhase::Granted);
+}
+
 // A lost grant to a target that gave up would leave the key running for ever.
 TEST(Owner, unsettledGrantIsSentAgain)
 {
