End a job that was cancelled through another entry

Cause: an entry that does not have a job passes a cancellation on to the agent. The agent's Outcome, with the reason Cancelled, reached the job's own entry, which queued the job again like an evicted one.

Before: aJobThatWasCancelledThroughAnotherEntryIsNotRunAgain aborts (a second Start).

--- a/flamingo/jobs.cc
+++ b/flamingo/jobs.cc
@@ -868,6 +868,10 @@
         retryFailed(context, job, agent, outcome);
         return;
     }
+    if (outcome.reason == ReasonCode::Cancelled) { // through another entry
+        finishJob(context, job, Verdict::NotRun, reasonOf(outcome.reason, outcome.detail));
+        return;
+    }
     ++context.entry.counters.evictions;
     if (!outcome.answer.empty())
         job.spec.checkpoint = outcome.answer;
@@ -878,7 +882,7 @@
 void onUncertain(EntryContext context, Job &job, const Outcome &outcome)
 {
     auto reason = reasonOf(outcome.reason, outcome.detail);
-    if (!job.spec.idempotent || job.state == JobState::Cancelling) {
+    if (!job.spec.idempotent || outcome.reason == ReasonCode::Cancelled) {
         finishJob(context, job, Verdict::MayHaveRun, std::move(reason), outcome.answer);
         return;
     }
--- a/tests/entry_test.cc
+++ b/tests/entry_test.cc
@@ -264,6 +264,23 @@
     CHECK_EQUAL(second.attempt, rig.take<Cancel>().at(0).second.attempt);
 }
 
+TEST(Entry, aJobThatWasCancelledThroughAnotherEntryIsNotRunAgain)
+{
+    for (const auto verdict : {Verdict::NotRun, Verdict::MayHaveRun}) {
+        auto rig = rigWith(2);
+        rig.submit("r", job("a", 8));
+        const auto [agent, start] = rig.take<Start>().at(0);
+        rig.handleFrom(agent, accepted(start));
+        auto stopped = ran(start, "");
+        stopped.verdict = verdict;
+        stopped.reason = ReasonCode::Cancelled;
+        rig.handleFrom(agent, stopped);
+        CHECK(rig.take<Start>().empty());
+        const auto reply = rig.takeReplies().at(0);
+        CHECK(reply.verdict == verdict && reply.reason.code == ReasonCode::Cancelled);
+    }
+}
+
 TEST(Entry, aLateOutcomeOfAnOlderAttemptLeavesTheCurrentOneAlone)
 {
     auto rig = rigWith(2);
