--- a/flamingo/owner.cc
+++ b/flamingo/owner.cc
@@ -34,8 +34,6 @@
 
 #include "flamingo/owner_parts.h"
 
-#include <nlohmann/json.hpp>
-
 #include <algorithm>
 
 namespace flamingo {
@@ -169,6 +167,7 @@
 
 void claimKey(Owner &owner, const Begin &begin, TimeMs now, Outbox &out)
 {
+    keepLogged(owner, begin.key);
     auto &state = owner.keys[begin.key];
     state = OwnedKey();
     state.range = begin.range;
@@ -253,18 +252,34 @@
     const bool late = state.phase == KeyPhase::MayHaveRun && phase == KeyPhase::Finished;
     if (!open && !late)
         return;
+    keepLogged(owner, settle.key);
     setAnswer(state, settle.verdict, {settle.reason, settle.detail}, settle.answer);
     settleKey(owner, settle.key, state, phase, now);
     if (phase != KeyPhase::Released || owner.memoryMode)
         tellWatchers(owner, settle.key, false, out);
 }
 
-void onSettle(Owner &owner, const PeerMessage &message, const Settle &settle, TimeMs now,
-              Outbox &out)
+// A target that missed the change of the owner still settles here. The epoch grows with each hop,
+// so that processes with different views of the log do not pass the message round for ever.
+void forwardSettle(const Owner &owner, const Settle &settle, Outbox &out)
+{
+    const auto range = ownerOf(owner.map, owner.options.region, settle.range);
+    if (range.agent.empty() || range.agent == owner.options.self || range.epoch <= settle.epoch)
+        return;
+    auto forwarded = settle;
+    forwarded.epoch = range.epoch;
+    out.sends.push_back({range.agent, std::move(forwarded)});
+}
+
+void onSettle(Owner &owner, const Settle &settle, TimeMs now, Outbox &out)
 {
+    if (rangeOf(settle.key) != settle.range)
+        return;
     const auto owned = owner.ranges.find(settle.range);
-    if (owned == owner.ranges.end() || rangeOf(settle.key) != settle.range)
-        return; // the target repeats it to the new owner
+    if (owned == owner.ranges.end()) {
+        forwardSettle(owner, settle, out);
+        return;
+    }
     auto found = owner.keys.find(settle.key);
     const bool holder = found != owner.keys.end()
         && sameAttempt(found->second, settle.agent, settle.incarnation, settle.attempt);
@@ -285,9 +300,9 @@
     }
     if (found != owner.keys.end() && found->second.settledSequence != 0
         && sameAttempt(found->second, settle.agent, settle.incarnation, settle.attempt))
-        waitForLog(owner, settle.key, message.from, settle.attempt);
+        waitForLog(owner, settle.key, settle.agent, settle.attempt);
     else
-        ackSettle(message.from, settle.key, settle.attempt, out);
+        ackSettle(settle.agent, settle.key, settle.attempt, out);
 }
 
 // ---- KeyQuery ----
@@ -370,7 +385,7 @@
     for (auto &[range, owned] : owner.ranges) {
         owned.trustedSequence = owned.nextSequence;
         if (owned.complete)
-            queueClean(owner, range, owned, now);
+            queueClean(owner, range, owned, owner.map.nextOffset, now);
     }
 }
 
@@ -408,8 +423,9 @@
     return now - owned.cleanAt >= owner.options.refreshMs;
 }
 
-// Drops what is past its retention and appends again what the log would soon forget.
-void sweep(Owner &owner, TimeMs now)
+// Drops what is past its retention, repeats grants that are not settled, and appends again what the
+// log would soon forget.
+void sweep(Owner &owner, TimeMs now, Outbox &out)
 {
     const auto &options = owner.options;
     owner.sweptAt = now;
@@ -425,9 +441,14 @@
             continue;
         }
         ++entry;
+        const auto owned = owner.ranges.find(state.range);
+        if (state.phase == KeyPhase::Granted && owned != owner.ranges.end()
+            && owned->second.complete && now - state.grantSentAt >= options.grantRepeatMs)
+            sendGrant(owner, key, state, out);
         if (now - state.loggedAt < options.refreshMs || state.phase == KeyPhase::Released
             || state.queuedSequence != 0)
             continue;
+        keepLogged(owner, key);
         queueClaim(owner, key, state, now);
         if (state.phase == KeyPhase::Finished || state.phase == KeyPhase::MayHaveRun)
             queueSettled(owner, key, state, now);
@@ -460,11 +481,11 @@
     for (auto &[range, owned] : owner.ranges) {
         completeIfReady(owner, range, owned, now);
         if (needsClean(owner, owned, now))
-            queueClean(owner, range, owned, now);
+            queueClean(owner, range, owned, owner.map.nextOffset, now);
     }
     sendWitnesses(owner, now, out);
     if (now - owner.sweptAt >= options.sweepIntervalMs)
-        sweep(owner, now);
+        sweep(owner, now, out);
 }
 
 void onPeerMessage(Owner &owner, const PeerMessage &message, TimeMs now, Outbox &out)
@@ -472,109 +493,13 @@
     if (const auto *const begin = std::get_if<Begin>(&message.message))
         onBegin(owner, message, *begin, now, out);
     else if (const auto *const settle = std::get_if<Settle>(&message.message))
-        onSettle(owner, message, *settle, now, out);
+        onSettle(owner, *settle, now, out);
     else if (const auto *const query = std::get_if<KeyQuery>(&message.message))
         onKeyQuery(owner, message, *query, out);
     else if (const auto *const witness = std::get_if<WitnessReply>(&message.message))
         onWitnessReply(owner, *witness, now, out);
 }
 
-std::string_view phaseName(KeyPhase phase)
-{
-    switch (phase) {
-    case KeyPhase::Claiming:
-        return "claiming";
-    case KeyPhase::Granted:
-        return "granted";
-    case KeyPhase::Released:
-        return "released";
-    case KeyPhase::Finished:
-        return "finished";
-    case KeyPhase::MayHaveRun:
-        return "may_have_run";
-    }
-    return "invalid";
-}
-
-using Json = nlohmann::json;
-
-Json describeMap(const RangeMap &map)
-{
-    Json json = {{"nextOffset", map.nextOffset},       {"trimmed", map.trimmed},
-                 {"malformed", map.malformed},         {"voided", map.voided},
-                 {"lostForgotten", map.lostForgotten}, {"owners", Json::array()},
-                 {"agents", Json::object()},           {"lost", Json::array()}};
-    for (const auto &[name, owner] : map.owners)
-        json["owners"].push_back({{"region", name.first},
-                                  {"range", name.second},
-                                  {"agent", owner.agent},
-                                  {"incarnation", owner.incarnation},
-                                  {"epoch", owner.epoch},
-                                  {"offset", owner.offset},
-                                  {"sequence", owner.sequence},
-                                  {"firm", owner.firm},
-                                  {"cleanEpoch", owner.cleanEpoch},
-                                  {"cleanOwner", owner.cleanOwner},
-                                  {"cleanIncarnation", owner.cleanIncarnation},
-                                  {"cleanSeen", owner.cleanSeen}});
-    for (const auto &[name, agent] : map.agents)
-        json["agents"][name] = {{"region", agent.region},
-                                {"incarnation", agent.incarnation},
-                                {"announcedAt", agent.announcedAt},
-                                {"lost", agent.lost},
-                                {"lostAt", agent.lostAt}};
-    for (const auto &lost : map.lost)
-        json["lost"].push_back({{"agent", lost.agent},
-                                {"incarnation", lost.incarnation},
-                                {"region", lost.region},
-                                {"lostAt", lost.lostAt}});
-    return json;
-}
-
-Json describeRange(std::uint32_t range, const OwnedRange &owned, TimeMs now)
-{
-    Json json = {{"range", range},
-                 {"epoch", owned.epoch},
-                 {"offset", owned.offset},
-                 {"complete", owned.complete},
-                 {"cleanRead", owned.cleanRead},
-                 {"cleanWaits", owned.cleanWaits},
-                 {"cleanSeen", owned.cleanSeen},
-                 {"nextSequence", owned.nextSequence},
-                 {"trustedSequence", owned.trustedSequence},
-                 {"ownedForMs", now - owned.ownedSince},
-                 {"unanswered", Json::array()},
-                 {"blocking", Json::array()}};
-    for (const auto &[name, due] : owned.unanswered)
-        json["unanswered"].push_back(
-            {{"agent", name.first}, {"incarnation", name.second}, {"dueInMs", due - now}});
-    for (const auto &[agent, incarnation] : owned.blocking)
-        json["blocking"].push_back({{"agent", agent}, {"incarnation", incarnation}});
-    return json;
-}
-
-Json describeKeys(const Owner &owner, TimeMs now)
-{
-    Json json = Json::object();
-    for (const auto &[key, state] : owner.keys)
-        json[key] = {{"range", state.range},
-                     {"phase", phaseName(state.phase)},
-                     {"agent", state.agent},
-                     {"incarnation", state.incarnation},
-                     {"attempt", state.attempt},
-                     {"verdict", verdictName(state.verdict)},
-                     {"reason", reasonName(state.reason.code)},
-                     {"detail", state.reason.text},
-                     {"answer", state.answer},
-                     {"answerBytes", state.answerBytes},
-                     {"grantEpoch", state.grantEpoch},
-                     {"settledSequence", state.settledSequence},
-                     {"queuedSequence", state.queuedSequence},
-                     {"unsure", state.unsure},
-                     {"ageMs", now - state.changedAt}};
-    return json;
-}
-
 } // namespace
 
 namespace ownerparts {
@@ -593,6 +518,7 @@
     if (owned == owner.ranges.end())
         return;
     state.grantEpoch = owned->second.epoch;
+    state.grantSentAt = owner.lastEventAt;
     BeginReply reply;
     reply.key = key;
     reply.attempt = state.attempt;
@@ -675,7 +601,7 @@
     else if (const auto *const read = std::get_if<LogRead>(&event))
         onLogRead(owner, *read, now, out);
     else if (const auto *const appended = std::get_if<LogAppended>(&event))
-        onAppended(owner, *appended, now);
+        onAppended(owner, *appended);
     else if (const auto *const down = std::get_if<PeerDown>(&event))
         dropWatchersOf(owner, down->process);
     else if (std::holds_alternative<Tick>(event))
@@ -688,32 +614,4 @@
     return owner.mustRestart;
 }
 
-std::string dumpOwner(const Owner &owner, TimeMs now)
-{
-    Json json = {{"self", owner.options.self},
-                 {"region", owner.options.region},
-                 {"incarnation", owner.options.incarnation},
-                 {"memoryMode", owner.memoryMode},
-                 {"mustRestart", owner.mustRestart},
-                 {"queuedLines", owner.queue.size()},
-                 {"acknowledgedLines", owner.acknowledged},
-                 {"linesInFlight", owner.inFlight},
-                 {"appendOpen", owner.appendOpen},
-                 {"waitingForMs", owner.waitingSince < 0 ? 0 : now - owner.waitingSince},
-                 {"watchers", owner.watcherCount},
-                 {"settlesWaiting", owner.settleWaiters.size()},
-                 {"foldIncomplete", owner.foldIncomplete},
-                 {"map", describeMap(owner.map)},
-                 {"ranges", Json::array()},
-                 {"keys", describeKeys(owner, now)}};
-    for (const auto &[range, owned] : owner.ranges)
-        json["ranges"].push_back(describeRange(range, owned, now));
-    const auto &counters = owner.counters;
-    json["counters"] = {{"grants", counters.grants},       {"memoryGrants", counters.memoryGrants},
-                        {"denials", counters.denials},     {"appends", counters.appends},
-                        {"takeovers", counters.takeovers}, {"completed", counters.completed},
-                        {"fenced", counters.fenced},       {"pauses", counters.pauses}};
-    return json.dump(-1, ' ', false, Json::error_handler_t::replace);
-}
-
 } // namespace flamingo
--- a/flamingo/owner_log.cc
+++ b/flamingo/owner_log.cc
@@ -6,8 +6,9 @@
 // marked; a takeover of it then stays incomplete until the dropped keys would have expired.
 //
 // For an owned range the state in memory is ahead of the log, so a record read back only confirms.
-// For other ranges the state follows the records. A record of the valid owner may replace a state
-// that this process held in memory when it lost the range (`unsure`).
+// For other ranges the state follows the records. Owner::logged keeps what the log says of keys
+// with records not read back, so that a process that loses a range goes back to the state of the
+// log; a state that only this process knew would otherwise hide the decisions of the next owner.
 //
 // Appends: one at a time, at least appendIntervalMs apart, with everything that waits. After an
 // unknown result everything from the first unacknowledged line on is appended again; the sequence
@@ -54,11 +55,16 @@
         return found != owner.map.agents.end()
             && found->second.incarnation >= owner.options.incarnation && !found->second.lost;
     }
-    const auto owned = owner.ranges.find(line.range);
-    if (owned == owner.ranges.end() || owned->second.epoch != line.epoch)
+    const auto found = owner.map.owners.find({owner.options.region, line.range});
+    if (found == owner.map.owners.end())
         return true;
-    const auto range = owner.map.owners.find({owner.options.region, line.range});
-    return range != owner.map.owners.end() && range->second.sequence >= line.sequence;
+    const auto &range = found->second;
+    const auto &options = owner.options;
+    if (range.epoch == line.epoch)
+        return range.agent != options.self || range.incarnation != options.incarnation
+            || range.sequence >= line.sequence;
+    return range.cleanEpoch != line.epoch || range.cleanOwner != options.self
+        || range.cleanIncarnation != options.incarnation || range.cleanSequence >= line.sequence;
 }
 
 void dropDoneLines(Owner &owner, TimeMs now)
@@ -80,21 +86,16 @@
 
 // ---- Records of ranges that this process does not own ----
 
-bool mayReplace(const OwnedKey &state)
+OwnedKey *findOrAddKey(Owner &owner, KeyMap &keys, const ClaimsRecord &record)
 {
-    return state.unsure || state.phase == KeyPhase::Released;
-}
-
-OwnedKey *findOrAddKey(Owner &owner, const ClaimsRecord &record)
-{
-    const auto found = owner.keys.find(record.key);
-    if (found != owner.keys.end())
+    const auto found = keys.find(record.key);
+    if (found != keys.end())
         return &found->second;
-    if (owner.keys.size() >= owner.options.maxKeys) {
+    if (keys.size() >= owner.options.maxKeys) {
         owner.foldIncomplete.insert(record.range);
         return nullptr;
     }
-    auto &state = owner.keys[record.key];
+    auto &state = keys[record.key];
     state.range = record.range;
     state.phase = KeyPhase::Released;
     return &state;
@@ -107,34 +108,34 @@
     state.incarnation = record.incarnation;
     state.attempt = record.attempt;
     state.grantEpoch = 0;
-    state.unsure = false;
+    state.logEpoch = record.epoch;
     state.changedAt = now;
     state.loggedAt = now;
 }
 
-void foldClaim(Owner &owner, const ClaimsRecord &record, TimeMs now)
+void foldClaim(Owner &owner, KeyMap &keys, const ClaimsRecord &record, TimeMs now)
 {
-    auto *const state = findOrAddKey(owner, record);
+    auto *const state = findOrAddKey(owner, keys, record);
     if (state == nullptr)
         return;
     const bool same = state->attempt == record.attempt && state->agent == record.agent
         && state->incarnation == record.incarnation;
-    if (same && !state->unsure && state->phase != KeyPhase::Released) {
-        state->loggedAt = now;
-        return;
-    }
-    if (mayReplace(*state))
+    if (state->phase == KeyPhase::Released) {
         hold(*state, record, KeyPhase::Granted, now);
-    else
+    } else if (same) {
+        state->loggedAt = now;
+        state->logEpoch = record.epoch;
+    } else {
         ++owner.map.voided;
+    }
 }
 
-void foldSettled(Owner &owner, const ClaimsRecord &record, TimeMs now)
+void foldSettled(Owner &owner, KeyMap &keys, const ClaimsRecord &record, TimeMs now)
 {
-    auto *const state = findOrAddKey(owner, record);
+    auto *const state = findOrAddKey(owner, keys, record);
     if (state == nullptr)
         return;
-    if (state->attempt != record.attempt && !mayReplace(*state)) {
+    if (state->attempt != record.attempt && state->phase != KeyPhase::Released) {
         ++owner.map.voided;
         return;
     }
@@ -199,12 +200,21 @@
 
 void confirm(Owner &owner, OwnedRange &owned, const ClaimsRecord &record, TimeMs now, Outbox &out)
 {
-    if (record.kind == RecordKind::Claim)
+    if (record.kind == RecordKind::Clean) {
+        confirmClean(owned, record);
+        owner.late.erase(record.range);
+        return;
+    }
+    if (record.kind == RecordKind::Claim) {
+        foldClaim(owner, owner.logged, record, now);
         confirmClaim(owner, record, now, out);
-    else if (record.kind == RecordKind::Settled)
+    } else {
+        foldSettled(owner, owner.logged, record, now);
         confirmSettled(owner, record, now, out);
-    else
-        confirmClean(owned, record);
+    }
+    const auto found = owner.keys.find(record.key);
+    if (found == owner.keys.end() || found->second.queuedSequence == 0)
+        owner.logged.erase(record.key);
 }
 
 // ---- Lines in order ----
@@ -214,7 +224,7 @@
     if (record.region != owner.options.region)
         return;
     if (owner.ranges.find(record.range) != owner.ranges.end())
-        stopOwning(owner, record.range, out);
+        stopOwning(owner, record.range, now, out);
     const auto range = owner.map.owners.find({record.region, record.range});
     const bool mine = range->second.agent == owner.options.self
         && range->second.incarnation == owner.options.incarnation;
@@ -247,11 +257,13 @@
         return;
     }
     if (owned != owner.ranges.end()) // a trimmed fold was corrected by a newer owner
-        stopOwning(owner, record.range, out);
+        stopOwning(owner, record.range, now, out);
     if (record.kind == RecordKind::Claim)
-        foldClaim(owner, record, now);
+        foldClaim(owner, owner.keys, record, now);
     else if (record.kind == RecordKind::Settled)
-        foldSettled(owner, record, now);
+        foldSettled(owner, owner.keys, record, now);
+    else
+        owner.late.erase(record.range); // what the owner took from them is logged
 }
 
 void onRecord(Owner &owner, const ClaimsRecord &record, std::uint64_t offset, TimeMs now,
@@ -261,10 +273,15 @@
     const auto found = owner.map.agents.find(record.agent);
     if (found != owner.map.agents.end())
         before = found->second;
-    if (!foldRecord(owner.map, record, offset)) {
+    const auto standing = foldRecord(owner.map, record, offset);
+    if (standing == Standing::Void) {
         ++owner.map.voided;
         return;
     }
+    if (standing == Standing::Late) {
+        onLateRecord(owner, record, now, out);
+        return;
+    }
     switch (record.kind) {
     case RecordKind::Epoch:
         onEpoch(owner, record, now, out);
@@ -283,6 +300,14 @@
 
 } // namespace
 
+void keepLogged(Owner &owner, const std::string &key)
+{
+    const auto found = owner.keys.find(key);
+    if (found != owner.keys.end() && found->second.queuedSequence == 0
+        && owner.ranges.find(found->second.range) != owner.ranges.end())
+        owner.logged.emplace(key, found->second);
+}
+
 void queueClaim(Owner &owner, const std::string &key, OwnedKey &state, TimeMs now)
 {
     const auto owned = owner.ranges.find(state.range);
@@ -314,7 +339,32 @@
     state.loggedAt = now;
 }
 
-void queueClean(Owner &owner, std::uint32_t range, OwnedRange &owned, TimeMs now)
+void queueHandover(Owner &owner, std::uint32_t range, OwnedRange &owned, TimeMs now)
+{
+    owner.queue.erase(
+        std::remove_if(
+            owner.queue.begin() + static_cast<std::ptrdiff_t>(owner.acknowledged + owner.inFlight),
+            owner.queue.end(),
+            [&](const auto &line) { return line.epoch == owned.epoch && line.range == range; }),
+        owner.queue.end());
+    if (!owned.cleanRead)
+        return;
+    for (auto &[key, state] : owner.keys) {
+        if (state.range != range || state.queuedSequence == 0)
+            continue;
+        if (state.phase == KeyPhase::Claiming)
+            setAnswer(state, Verdict::NotRun, {ReasonCode::StaleEpoch, "never granted"}, "");
+        else if (state.phase != KeyPhase::Released)
+            queueClaim(owner, key, state, now);
+        if (state.phase != KeyPhase::Granted)
+            queueSettled(owner, key, state, now);
+    }
+    queueClean(owner, range, owned, handedOver, now);
+    ++owner.counters.handovers;
+}
+
+void queueClean(Owner &owner, std::uint32_t range, OwnedRange &owned, std::uint64_t seen,
+                TimeMs now)
 {
     ClaimsRecord record;
     record.kind = RecordKind::Clean;
@@ -322,7 +372,7 @@
     record.range = range;
     record.owner = owner.options.self;
     record.ownerIncarnation = owner.options.incarnation;
-    record.seen = owner.map.nextOffset;
+    record.seen = seen;
     enqueue(owner, owned, record, now);
     owned.cleanWaits = true;
     owned.cleanSeen = record.seen;
@@ -365,18 +415,14 @@
     out.appends.push_back(std::move(append));
 }
 
-void onAppended(Owner &owner, const LogAppended &appended, TimeMs now)
+void onAppended(Owner &owner, const LogAppended &appended)
 {
     if (!owner.appendOpen || appended.id + 1 != owner.nextAppend)
         return;
     owner.appendOpen = false;
-    if (appended.acknowledged) {
+    if (appended.acknowledged)
         owner.acknowledged += owner.inFlight;
-        owner.inFlight = 0;
-        return;
-    }
     owner.inFlight = 0;
-    owner.appendedAt = std::max(owner.appendedAt, now - owner.options.appendIntervalMs);
 }
 
 void onLogRead(Owner &owner, const LogRead &read, TimeMs now, Outbox &out)
@@ -386,7 +432,7 @@
     if (read.trimmed && owner.map.nextOffset > 0) {
         owner.mustRestart = true;
         while (!owner.ranges.empty())
-            stopOwning(owner, owner.ranges.begin()->first, out);
+            stopOwning(owner, owner.ranges.begin()->first, now, out);
     }
     owner.map.trimmed = owner.map.trimmed || read.trimmed;
     for (const auto &line : read.lines) {
@@ -402,7 +448,7 @@
     owner.map.nextOffset = std::max(owner.map.nextOffset, read.next);
     if (owner.mustRestart) {
         while (!owner.ranges.empty())
-            stopOwning(owner, owner.ranges.begin()->first, out);
+            stopOwning(owner, owner.ranges.begin()->first, now, out);
     }
     dropDoneLines(owner, now);
 }
--- a/flamingo/owner_takeover.cc
+++ b/flamingo/owner_takeover.cc
@@ -13,6 +13,10 @@
 // The position of the Clean record alone would not do: an owner whose reads lag behind its appends
 // could write it after the Lost record without having read that, and grant to the lost agent later.
 //
+// An owner that lost the range and lives hands over: it appends the last state of every key that
+// the log does not have yet, and a Clean record with `seen` = handedOver. Those records are late,
+// so they count for the takeover only. It is then complete at once, whoever was lost.
+//
 // An incarnation that ended without being covered may have run keys that nobody knows. The takeover
 // then stays incomplete until finishedRetentionMs have passed, after which such keys would be
 // forgotten in any case.
@@ -44,6 +48,7 @@
 
 void release(Owner &owner, const std::string &key, OwnedKey &state, TimeMs now)
 {
+    keepLogged(owner, key);
     setAnswer(state, Verdict::NotRun, {ReasonCode::Expired, "the target never began"}, "");
     settleKey(owner, key, state, KeyPhase::Released, now);
 }
@@ -55,6 +60,7 @@
         release(owner, key, state, now);
         return;
     }
+    keepLogged(owner, key);
     setAnswer(state, Verdict::MayHaveRun,
               {ReasonCode::TargetUnreachable, "target " + state.agent + " was lost"}, "");
     settleKey(owner, key, state, KeyPhase::MayHaveRun, now);
@@ -85,7 +91,7 @@
 // Incarnations without which the takeover is not complete.
 void collectBlocking(const Owner &owner, const RangeOwner &range, OwnedRange &owned)
 {
-    if (range.cleanEpoch == 0)
+    if (range.cleanEpoch == 0 || range.cleanSeen == handedOver)
         return;
     for (const auto &entry : owned.unanswered)
         owned.blocking.insert(entry.first);
@@ -116,6 +122,7 @@
 void finishByEvidence(Owner &owner, const std::string &key, OwnedKey &state,
                       const Evidence &evidence, TimeMs now, Outbox &out)
 {
+    keepLogged(owner, key);
     setAnswer(state, evidence.verdict, evidence.reason, evidence.answer);
     KeyPhase phase = KeyPhase::Finished;
     if (evidence.verdict == Verdict::NotRun)
@@ -127,18 +134,59 @@
         tellWatchers(owner, key, false, out);
 }
 
+// The last state of a key under the former owner. Records of a newer owner go before it.
+void applyLate(Owner &owner, OwnedRange &owned, const ClaimsRecord &last, TimeMs now, Outbox &out)
+{
+    const auto found = owner.keys.find(last.key);
+    const bool known = found != owner.keys.end();
+    if (known && found->second.logEpoch > last.epoch)
+        return;
+    const bool finished = last.kind == RecordKind::Settled;
+    const Evidence evidence{last.agent,   last.incarnation, last.attempt, finished,
+                            last.verdict, last.reason,      last.answer};
+    if (finished && last.verdict == Verdict::NotRun) {
+        // Whatever attempt the log shows, the former owner had released it.
+        if (known && isOpen(found->second) && found->second.grantEpoch != owned.epoch)
+            release(owner, last.key, found->second, now);
+        return;
+    }
+    if (finished) {
+        takeEvidence(owner, last.key, last.range, evidence, now, out);
+        return;
+    }
+    const auto agent = owner.map.agents.find(last.agent);
+    const bool live = agent != owner.map.agents.end() && !agent->second.lost
+        && agent->second.incarnation == last.incarnation;
+    if (live && owned.unanswered.count({last.agent, last.incarnation}) == 0)
+        return; // it answered, and its own list is newer
+    takeEvidence(owner, last.key, last.range, evidence, now, out);
+    if (live)
+        inherit(owned, last.key, owner.keys.at(last.key), now);
+}
+
+void applyHandover(Owner &owner, std::uint32_t range, OwnedRange &owned, TimeMs now, Outbox &out)
+{
+    const auto found = owner.late.find(range);
+    if (found == owner.late.end())
+        return;
+    for (const auto &[key, last] : found->second)
+        applyLate(owner, owned, last, now, out);
+}
+
 // Releases inherited attempts of an incarnation that answered without listing them.
 void releaseUnlisted(Owner &owner, OwnedRange &owned, const IncarnationName &name,
-                     const std::set<std::string> &listed, TimeMs now)
+                     const std::set<std::pair<std::string, std::string>> &listed, TimeMs now)
 {
     const auto inherited = owned.inherited.find(name);
     if (inherited == owned.inherited.end())
         return;
     for (const auto &key : inherited->second) {
         const auto found = owner.keys.find(key);
-        if (found == owner.keys.end() || listed.count(key) > 0)
+        if (found == owner.keys.end())
             continue;
         auto &state = found->second;
+        if (listed.count({key, state.attempt}) > 0)
+            continue;
         if (!isOpen(state) || IncarnationName(state.agent, state.incarnation) != name
             || state.grantEpoch == owned.epoch)
             continue;
@@ -165,29 +213,64 @@
     if (owner.foldIncomplete.count(range) > 0)
         owned.blocking.insert({std::string(), 0});
     collectInherited(owner, range, owned, now);
+    Outbox noWatchers;
+    if (record.cleanSeen == handedOver)
+        applyHandover(owner, range, owned, now, noWatchers);
     ++owner.counters.takeovers;
     completeIfReady(owner, range, owned, now);
 }
 
-void stopOwning(Owner &owner, std::uint32_t range, Outbox &out)
+void stopOwning(Owner &owner, std::uint32_t range, TimeMs now, Outbox &out)
 {
+    queueHandover(owner, range, owner.ranges[range], now);
     owner.ranges.erase(range);
     ++owner.counters.fenced;
     tellWatchersWrongOwner(owner, range, out);
-    for (auto &[key, state] : owner.keys) {
-        if (state.range != range)
+    for (auto entry = owner.keys.begin(); entry != owner.keys.end();) {
+        auto &[key, state] = *entry;
+        if (state.range != range) {
+            ++entry;
             continue;
+        }
         owner.settleWaiters.erase(key);
-        if (state.queuedSequence != 0) {
-            state.unsure = true;
-            state.phase = KeyPhase::MayHaveRun;
-            state.verdict = Verdict::MayHaveRun;
+        const auto logged = owner.logged.find(key);
+        const bool unread = state.queuedSequence != 0;
+        if (unread && logged == owner.logged.end()) {
+            entry = owner.keys.erase(entry);
+            continue;
         }
+        if (unread)
+            state = std::move(logged->second);
+        if (logged != owner.logged.end())
+            owner.logged.erase(logged);
         state.queuedSequence = 0;
         state.settledSequence = 0;
+        ++entry;
     }
 }
 
+void onLateRecord(Owner &owner, const ClaimsRecord &record, TimeMs now, Outbox &out)
+{
+    if (record.region != owner.options.region)
+        return;
+    auto &late = owner.late[record.range];
+    if (record.kind != RecordKind::Clean) {
+        if (late.size() < owner.options.maxKeys)
+            late[record.key] = record;
+        else
+            owner.foldIncomplete.insert(record.range);
+        return;
+    }
+    const auto owned = owner.ranges.find(record.range);
+    if (record.seen != handedOver || owned == owner.ranges.end() || owned->second.complete)
+        return;
+    applyHandover(owner, record.range, owned->second, now, out);
+    if (owner.foldIncomplete.count(record.range) > 0)
+        return;
+    owned->second.blocking.clear();
+    completeIfReady(owner, record.range, owned->second, now);
+}
+
 void onIncarnationEnded(Owner &owner, const IncarnationName &ended, TimeMs now, Outbox &out)
 {
     for (auto &[key, state] : owner.keys) {
@@ -215,8 +298,7 @@
 {
     auto found = owner.keys.find(key);
     const bool notRun = evidence.finished && evidence.verdict == Verdict::NotRun;
-    if (found != owner.keys.end() && sameAttempt(found->second, evidence)
-        && !found->second.unsure) {
+    if (found != owner.keys.end() && sameAttempt(found->second, evidence)) {
         auto &state = found->second;
         const bool open = isOpen(state) || state.phase == KeyPhase::MayHaveRun;
         if (open && evidence.finished && !(notRun && state.phase == KeyPhase::MayHaveRun))
@@ -225,16 +307,18 @@
     }
     if (notRun)
         return;
-    if (found == owner.keys.end()) {
+    const bool isNew = found == owner.keys.end();
+    if (isNew) {
         found = owner.keys.emplace(key, OwnedKey()).first;
         found->second.range = range;
         found->second.phase = KeyPhase::Released;
     }
     auto &state = found->second;
-    if (state.phase == KeyPhase::Finished && !state.unsure)
+    if (state.phase == KeyPhase::Finished)
         return;
+    if (!isNew)
+        keepLogged(owner, key);
     supersede(owner, key, state, now);
-    state.unsure = false;
     state.phase = KeyPhase::Granted;
     state.agent = evidence.agent;
     state.incarnation = evidence.incarnation;
@@ -260,11 +344,11 @@
     const bool awaited = owned.blocking.erase(name) > 0;
     if (owned.unanswered.erase(name) == 0 && !awaited)
         return;
-    std::set<std::string> listed;
+    std::set<std::pair<std::string, std::string>> listed; // key and attempt
     for (const auto &key : reply.keys) {
         if (rangeOf(key.key) != reply.range)
             continue;
-        listed.insert(key.key);
+        listed.emplace(key.key, key.attempt);
         takeEvidence(owner, key.key, reply.range,
                      {reply.agent,
                       reply.incarnation,
@@ -310,15 +394,6 @@
     owned.complete = true;
     ++owner.counters.completed;
     owner.foldIncomplete.erase(range);
-    for (auto &[key, state] : owner.keys) {
-        if (state.range != range || !state.unsure)
-            continue;
-        state.unsure = false;
-        setAnswer(state, Verdict::MayHaveRun,
-                  {ReasonCode::StaleEpoch, "granted under an older epoch"}, "");
-        queueClaim(owner, key, state, now);
-        queueSettled(owner, key, state, now);
-    }
 }
 
 } // namespace flamingo::ownerparts
