Refuse waiting jobs that can never run; keep spilled copies out of answers

Cause, found by system_fuzz_test: - A job behind a smaller one without room was skipped in every pass and so never recognized as impossible. The same held for a job for any region that had been spilled and refused. - A failed job avoids the workers it failed on. A gang that needs every worker of its data centre then waited for ever, and its hold on the data centre kept the others waiting. - An entry that refused a spilled job answered a query for it with not_run, although it ran elsewhere.

Now one such job per pass is tried, at most every 10 s. After 10 s without room a job may return to workers it failed on; three failures end it. A refused copy answers only the entry that forwarded it.

Ruled out: checking every skipped job for impossibility, which costs a search of the view per queued job and pass.

--- a/flamingo/entry.cc
+++ b/flamingo/entry.cc
@@ -186,7 +186,7 @@
 void onQueryJob(EntryContext context, const QueryJob &query)
 {
     auto *job = findJob(context.entry, query.job);
-    if (job == nullptr) {
+    if (job == nullptr || refusedForPeer(*job)) {
         startLookup(context, query.request, query.job, query.wait, false);
         return;
     }
@@ -199,7 +199,7 @@
 void onCancelJob(EntryContext context, const CancelJob &cancel)
 {
     auto *job = findJob(context.entry, cancel.job);
-    if (job == nullptr) {
+    if (job == nullptr || refusedForPeer(*job)) {
         startLookup(context, cancel.request, cancel.job, true, true);
         return;
     }
--- a/flamingo/jobs.cc
+++ b/flamingo/jobs.cc
@@ -23,6 +23,8 @@
 constexpr TimeMs askIntervalMs = 1000;
 constexpr TimeMs forwardCheckMs = 10000;
 constexpr std::uint32_t maxFailedWorkers = 3;
+constexpr TimeMs otherWorkerWaitMs = 10000; // then a job may return to workers it failed on
+constexpr TimeMs trialIntervalMs = 10000; // of jobs that surely have no room
 constexpr std::size_t maxSearchesPerPass = 64;
 constexpr std::size_t maxSkipsPerPass = 5000;
 constexpr std::size_t maxStartsPerPass = 128;
@@ -262,11 +264,12 @@
     if (std::find(job.failedOn.begin(), job.failedOn.end(), agent) == job.failedOn.end())
         job.failedOn.push_back(agent);
     auto reason = reasonOf(outcome.reason, outcome.detail);
-    if (job.failedOn.size() < maxFailedWorkers) {
+    if (++job.failures < maxFailedWorkers) {
         retryJob(context, job, std::move(reason));
         return;
     }
-    reason.text = "failed on " + std::to_string(job.failedOn.size()) + " workers: " + reason.text;
+    reason.text = "failed " + std::to_string(job.failures) + " times on "
+        + std::to_string(job.failedOn.size()) + " workers: " + reason.text;
     finishJob(context, job, outcome.verdict, std::move(reason), outcome.answer);
 }
 
@@ -384,6 +387,7 @@
     std::size_t searches = 0;
     std::size_t skips = 0;
     std::size_t starts = 0;
+    std::size_t trials = 0; // of jobs that surely have no room
 };
 
 enum class Tried { Started, NoRoom, Waits, Ended };
@@ -420,9 +424,11 @@
     return context.now - context.entry.startedAt >= context.entry.options.settleMs;
 }
 
-bool isImpossible(EntryContext context, const JobSpec &spec, Reason &reason)
+// `spilled`: another region has refused the job.
+bool isImpossible(EntryContext context, const JobSpec &spec, bool spilled, Reason &reason)
 {
-    if (!settled(context) || (spec.anyRegion && otherRegionConnected(context.entry)))
+    const bool elsewhere = spec.anyRegion && spec.idempotent && !spilled;
+    if (!settled(context) || (elsewhere && otherRegionConnected(context.entry)))
         return false;
     return !couldEverHold(context.entry.view, spec, reason);
 }
@@ -468,7 +474,7 @@
 Tried onNoRoom(EntryContext context, Job &job)
 {
     Reason reason;
-    if (isImpossible(context, job.spec, reason)) {
+    if (isImpossible(context, job.spec, job.spilled, reason)) {
         finishJob(context, job, Verdict::NotRun, std::move(reason));
         return Tried::Ended;
     }
@@ -481,6 +487,9 @@
         job.blockedSince = context.now;
     if (spill(context, job))
         return Tried::Ended;
+    // A gang that needs every worker of its data centre finds no other ones.
+    if (context.now - job.blockedSince >= otherWorkerWaitMs)
+        job.failedOn.clear();
     if (!job.excluded.empty()) {
         job.excluded.clear();
         job.bounces = 0;
@@ -512,10 +521,16 @@
         releaseHold(context.entry, job);
         return Tried::Waits;
     }
+    // One job per pass is tried although it surely has no room, so that it is refused if it can
+    // never have any, or offered to another region.
     if (!hasHold(context.entry, job) && surelyNoRoom(context.entry, pass, job.spec)) {
-        ++pass.skips;
-        return Tried::NoRoom;
+        if (pass.trials > 0 || context.now - job.triedAt < trialIntervalMs) {
+            ++pass.skips;
+            return Tried::NoRoom;
+        }
+        ++pass.trials;
     }
+    job.triedAt = context.now;
     const auto placement = findRoom(context, job);
     if (placement) {
         if (job.needsToken)
@@ -1007,6 +1022,11 @@
     return found == entry.byId.end() ? nullptr : entry.jobs.at(found->second).get();
 }
 
+bool refusedForPeer(const Job &job)
+{
+    return job.state == JobState::Finished && job.fromPeer && job.verdict == Verdict::NotRun;
+}
+
 Reply resultOf(const Job &job)
 {
     Reply reply;
@@ -1092,7 +1112,7 @@
     }
     const bool fromPeer = !waiter.entry.empty();
     const bool home = fromPeer || spec.key.empty() || spec.homeRegion == entry.options.region;
-    if (home && isImpossible(context, spec, reason)) {
+    if (home && isImpossible(context, spec, false, reason)) {
         answer(context, waiter, refusal(reason.code, reason.text));
         return;
     }
--- a/flamingo/jobs.h
+++ b/flamingo/jobs.h
@@ -48,6 +48,10 @@
 void answer(EntryContext context, const Waiter &waiter, Reply reply);
 Reply resultOf(const Job &job);
 
+// True for a job that was refused here on behalf of another entry. What became of it elsewhere is
+// known to that entry only.
+bool refusedForPeer(const Job &job);
+
 // A connected entry of the region; empty when there is none. An empty region means any other one.
 std::string entryOf(EntryContext context, std::string_view region);
 
--- a/flamingo/lookup.cc
+++ b/flamingo/lookup.cc
@@ -166,12 +166,21 @@
         lookups.erase(found);
 }
 
+// True when the entry asks for a job that it forwarded to this one.
+bool servedFor(const Job &job, std::string_view entry, std::string_view request)
+{
+    return std::any_of(job.served.begin(), job.served.end(), [&](const Waiter &waiter) {
+        return waiter.entry == entry && waiter.request == request;
+    });
+}
+
 void onJobQuery(EntryContext context, std::string_view from, const JobQuery &query)
 {
     JobReply reply;
     reply.request = query.request;
     reply.job = query.job;
-    if (const auto *job = findJob(context.entry, query.job)) {
+    const auto *job = findJob(context.entry, query.job);
+    if (job != nullptr && (!refusedForPeer(*job) || servedFor(*job, from, query.request))) {
         reply.found = true;
         reply.finished = job->state == JobState::Finished;
         reply.state = jobStateName(job->state);
--- a/flamingo/queue.h
+++ b/flamingo/queue.h
@@ -72,6 +72,8 @@
     std::uint32_t overtaken = 0; // in units
     std::vector<AgentId> excluded; // refused in this round
     std::vector<AgentId> failedOn; // workers on which the job failed
+    std::uint32_t failures = 0; // of the job itself, on workers that work for others
+    TimeMs triedAt = 0; // last search for room
     bool mayHaveRun = false; // an attempt ended without a certain result
     bool needsToken = false; // the next start is a retry and takes a token of the budget
     bool fromPeer = false; // forwarded by an entry of another region
--- a/tests/entry_test.cc
+++ b/tests/entry_test.cc
@@ -512,6 +512,71 @@
     CHECK(findJobState(rig, forward.spec->job) == JobState::Queued);
 }
 
+// Guards against the refusal of a copy being told as the end of the job, which may run elsewhere.
+// Found by system_fuzz_test, seed 20240631.
+TEST(Entry, aRefusedForeignJobIsNotAnsweredFromItsCopy)
+{
+    auto rig = rigWith(1);
+    rig.up("entry-2", ProcessKind::Entry, "east");
+    rig.submit("holder", job("a", 8));
+    Forward forward;
+    forward.request = "f1";
+    forward.spec = std::make_unique<JobSpec>(job("b", 8));
+    forward.spec->homeRegion = "east";
+    forward.spec->job = "foreign";
+    rig.handleFrom("entry-2", forward);
+    rig.takeReplies();
+    rig.handle(QueryJob{"q", "foreign", false});
+    rig.handle(CancelJob{"c", "foreign"});
+    rig.pass(4000);
+    const auto replies = rig.takeReplies();
+    CHECK_EQUAL(2U, replies.size());
+    for (const auto &reply : replies)
+        CHECK(reply.verdict == Verdict::MayHaveRun);
+}
+
+// Guards against jobs that wait for ever: a shape that smaller ones keep from being looked at, and
+// a failing gang that needs every worker of its data centre. Found by system_fuzz_test, seeds
+// 20240611 and 20240612.
+TEST(Entry, aJobThatCanNeverHaveRoomIsRefusedBehindOthers)
+{
+    auto rig = rigWith(1);
+    rig.submit("holder", job("a", 8));
+    rig.submit("waits", job("a", 8));
+    rig.submit("never", job("a", 9));
+    CHECK(rig.takeReplies().empty()); // the entry does not know all workers yet
+    for (int i = 0; i < 20; ++i) {
+        rig.pass(1000);
+        rig.handleFrom("w0", rig.report("w0", 0));
+    }
+    const auto replies = rig.takeReplies();
+    CHECK_EQUAL(1U, replies.size());
+    CHECK_EQUAL(std::string("never"), replies[0].request);
+    CHECK(replies[0].reason.code == ReasonCode::ImpossibleShape);
+}
+
+TEST(Entry, aFailingGangThatNeedsEveryWorkerEnds)
+{
+    auto rig = rigWith(2);
+    auto gang = job("a", 8);
+    gang.members = 2;
+    rig.submit("r", gang);
+    for (int i = 0; i < 60; ++i) {
+        for (const auto &[agent, start] : rig.take<Start>()) {
+            rig.handleFrom(agent, accepted(start));
+            Outcome failed = ran(start, "");
+            failed.reason = ReasonCode::TaskFailed;
+            rig.handleFrom(agent, failed);
+        }
+        rig.pass(1000);
+        for (const auto *agent : {"w0", "w1"})
+            rig.handleFrom(agent, rig.report(agent));
+    }
+    const auto replies = rig.takeReplies();
+    CHECK_EQUAL(1U, replies.size());
+    CHECK(replies[0].verdict == Verdict::Ran && replies[0].reason.code == ReasonCode::TaskFailed);
+}
+
 TEST(Entry, aForeignJobWithoutRoomGoesBackAtOnce)
 {
     auto rig = rigWith(1);
