Stop the whole gang when the worker of a member dies

Cause: when the worker of a member died and its agent lived, the agent waited for lease and stop bound again before it reported the member's end, and renewed the gang's lease meanwhile. The other members ran on for up to 6.5 s.

Now a member that stops its task sends GangStop to the leader, which stops the whole gang.

Ruled out: GangRenew with running false, which a stopping leader takes for a member that is gone.

Conclusion: the window is again lease + stop bound + renew interval.

--- a/flamingo/agent_step.h
+++ b/flamingo/agent_step.h
@@ -125,6 +125,7 @@
 void gangClaimed(const AgentStep &step, std::string_view gang);
 void stopGang(const AgentStep &step, std::string_view gang, const Reason &reason);
 void memberReady(const AgentStep &step, std::string_view gang);
+void memberLapsed(const AgentStep &step, std::string_view gang);
 void memberEnded(const AgentStep &step, std::string_view gang, const Ending &ending);
 void drainMembers(const AgentStep &step);
 void stepGangs(const AgentStep &step);
--- a/flamingo/gang.cc
+++ b/flamingo/gang.cc
@@ -519,6 +519,13 @@
 
 void handleGangStop(const AgentStep &step, std::string_view from, const GangStop &message)
 {
+    auto *gang = findGang(step.agent, message.gang);
+    if (gang != nullptr && gang->phase == GangPhase::Running
+        && viewOf(*gang, from, message.member) != nullptr) {
+        // A member that stops its task asks for the end of the whole gang.
+        stopGang(step, message.gang, {message.reason, message.detail});
+        return;
+    }
     auto *member = findMember(step.agent, message.gang);
     if (member == nullptr) {
         rememberOver(step, from, message.gang, message.member);
@@ -532,6 +539,21 @@
         stopTask(step, message.gang, {message.reason, message.detail});
 }
 
+bool memberStops(const AgentStep &step, std::string_view id)
+{
+    const auto *task = findTask(step.agent, id);
+    return task != nullptr && task->phase == TaskPhase::Stopping;
+}
+
+// Tells the leader that this member stops. Its end cannot be reported before the worker confirms
+// it, and a dead worker never does; the other members must not run on for so long.
+void sendMemberStop(const AgentStep &step, GangMember &member)
+{
+    member.nextRenew = step.now + step.agent.options.gangRenewMs;
+    const auto *task = findTask(step.agent, member.gang);
+    sendGangStop(step, member.gang, member.leader, member.index, task->leaving);
+}
+
 void stepMember(const AgentStep &step, std::string_view id)
 {
     auto *member = findMember(step.agent, id);
@@ -546,6 +568,8 @@
     case MemberPhase::Running:
         if (step.now >= member->leaseUntil)
             stopTask(step, id, {ReasonCode::LeaseLapsed, "the gang's leader does not answer"});
+        else if (step.now >= member->nextRenew && memberStops(step, id))
+            sendMemberStop(step, *member);
         else if (step.now >= member->nextRenew)
             sendRenew(step, *member);
         return;
@@ -621,6 +645,13 @@
     sendHoldReply(step, member->leader, member->gang, member->index, true, {});
 }
 
+void memberLapsed(const AgentStep &step, std::string_view id)
+{
+    auto *member = findMember(step.agent, id);
+    if (member != nullptr && member->phase == MemberPhase::Running)
+        member->nextRenew = step.now;
+}
+
 void memberEnded(const AgentStep &step, std::string_view id, const Ending &ending)
 {
     auto *member = findMember(step.agent, id);
--- a/flamingo/tasks.cc
+++ b/flamingo/tasks.cc
@@ -132,6 +132,8 @@
         return;
     task.leaving = {ReasonCode::LeaseLapsed, "the worker's lease lapsed"};
     beginStop(step, task);
+    if (task.member)
+        memberLapsed(step, task.id);
 }
 
 void stepStopping(const AgentStep &step, LocalTask &task)
--- a/tests/gang_test.cc
+++ b/tests/gang_test.cc
@@ -44,6 +44,7 @@
         Agent agent;
         std::vector<Stopped> pauses;
         bool dead = false;
+        bool workerDead = false; // runs nothing, answers nothing
         TimeMs workerLeaseUntil = 0;
         std::map<std::string, TimeMs> running; // task and start
         std::map<std::string, TimeMs> finishAt;
@@ -126,6 +127,8 @@
 
     void obey(const std::string &name, Node &node, const WorkerCommand &command)
     {
+        if (node.workerDead)
+            return;
         if (const auto *run = std::get_if<RunTask>(&command)) {
             this->ranTwice |= !this->everRan[run->task].insert(name).second;
             node.running[run->task] = this->now;
@@ -143,6 +146,8 @@
 
     void stepWorker(const std::string &name, Node &node)
     {
+        if (node.workerDead)
+            node.running.clear();
         for (auto task = node.running.begin(); task != node.running.end();) {
             const auto id = task->first;
             const bool lapsed = this->now >= node.workerLeaseUntil;
@@ -224,7 +229,7 @@
             return;
         if (this->now % 1000 == 0) {
             node.workerLeaseUntil = this->now + this->options.workerLeaseMs;
-            this->handle(name, LeaseRenewed{true});
+            this->handle(name, LeaseRenewed{!node.workerDead});
         }
         if (this->now % tickMs == 0)
             this->handle(name, Tick{});
@@ -408,6 +413,19 @@
     CHECK(net.outcomes[0].reason == ReasonCode::TargetUnreachable);
 }
 
+// Guards against members that run on while the agent of a dead worker waits for it to confirm a
+// stop. Found by system_fuzz_test, seed 20240619.
+TEST(Gang, stopsWithinTheLeaseWhenTheWorkerOfAMemberDies)
+{
+    Net net(3, 1);
+    net.taskMs = 60000;
+    net.start(gangStart("g1", 3, 4));
+    net.pass(1000);
+    net.nodes["a1"].workerDead = true;
+    net.pass(net.options.workerLeaseMs + net.options.stopBoundMs + slackMs);
+    CHECK_EQUAL(0U, net.runningParts("g1"));
+}
+
 // Guards against a part that outlives its gang, whatever the network and the nodes do.
 TEST(Gang, noPartRunsLongWithoutTheWhole)
 {
