Keep the reason of a failed key, and a large answer, across a takeover

Cause: WitnessedKey had no reason, so a key that failed under the former owner was answered as ran with an empty answer (system_fuzz_test). A finished key whose answer did not fit into the WitnessReply was answered with an empty answer, too. Change: reason and detail travel; a key whose answer does not fit counts as running until its Settle arrives. Before: fails; both new tests fail without the change. After: all pass.

--- a/flamingo/attempts.cc
+++ b/flamingo/attempts.cc
@@ -407,9 +407,17 @@
     key.verdict = attempt.ended ? attempt.outcome.verdict
         : key.finished          ? Verdict::NotRun
                                 : Verdict::MayHaveRun;
-    // A reply must fit into one frame. An answer that does not fit still comes with the Settle.
-    if (answerBytes + attempt.outcome.answer.size() > maxWitnessAnswerBytes)
+    key.reason = attempt.outcome.reason;
+    key.detail = attempt.outcome.detail;
+    // A reply must fit into one frame. A key whose answer does not fit counts as running until the
+    // answer comes with the Settle; called finished here, its callers would get an empty answer.
+    if (answerBytes + attempt.outcome.answer.size() > maxWitnessAnswerBytes) {
+        key.finished = false;
+        key.verdict = Verdict::MayHaveRun;
+        key.reason = ReasonCode::None;
+        key.detail.clear();
         return key;
+    }
     answerBytes += attempt.outcome.answer.size();
     key.answer = attempt.outcome.answer;
     return key;
--- a/flamingo/owner_takeover.cc
+++ b/flamingo/owner_takeover.cc
@@ -355,7 +355,7 @@
                       key.attempt,
                       key.finished,
                       key.verdict,
-                      {},
+                      {key.reason, key.detail},
                       key.answer},
                      now, out);
     }
--- a/flamingo/wire/messages_generated.h
+++ b/flamingo/wire/messages_generated.h
@@ -4587,6 +4587,8 @@
   bool finished = false;
   flamingo::wire::Verdict verdict = flamingo::wire::Verdict::NotRun;
   std::string answer{};
+  flamingo::wire::ReasonCode reason = flamingo::wire::ReasonCode::None;
+  std::string detail{};
 };
 
 struct WitnessedKey FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -4599,7 +4601,9 @@
     VT_ATTEMPT = 8,
     VT_FINISHED = 10,
     VT_VERDICT = 12,
-    VT_ANSWER = 14
+    VT_ANSWER = 14,
+    VT_REASON = 16,
+    VT_DETAIL = 18
   };
   const flatbuffers::String *key() const {
     return GetPointer<const flatbuffers::String *>(VT_KEY);
@@ -4619,6 +4623,12 @@
   const flatbuffers::String *answer() const {
     return GetPointer<const flatbuffers::String *>(VT_ANSWER);
   }
+  flamingo::wire::ReasonCode reason() const {
+    return static_cast<flamingo::wire::ReasonCode>(GetField<uint8_t>(VT_REASON, 0));
+  }
+  const flatbuffers::String *detail() const {
+    return GetPointer<const flatbuffers::String *>(VT_DETAIL);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_KEY) &&
@@ -4631,6 +4641,9 @@
            VerifyField<uint8_t>(verifier, VT_VERDICT, 1) &&
            VerifyOffset(verifier, VT_ANSWER) &&
            verifier.VerifyString(answer()) &&
+           VerifyField<uint8_t>(verifier, VT_REASON, 1) &&
+           VerifyOffset(verifier, VT_DETAIL) &&
+           verifier.VerifyString(detail()) &&
            verifier.EndTable();
   }
   WitnessedKeyT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -4660,6 +4673,12 @@
   void add_answer(flatbuffers::Offset<flatbuffers::String> answer) {
     fbb_.AddOffset(WitnessedKey::VT_ANSWER, answer);
   }
+  void add_reason(flamingo::wire::ReasonCode reason) {
+    fbb_.AddElement<uint8_t>(WitnessedKey::VT_REASON, static_cast<uint8_t>(reason), 0);
+  }
+  void add_detail(flatbuffers::Offset<flatbuffers::String> detail) {
+    fbb_.AddOffset(WitnessedKey::VT_DETAIL, detail);
+  }
   explicit WitnessedKeyBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -4678,12 +4697,16 @@
     flatbuffers::Offset<flatbuffers::String> attempt = 0,
     bool finished = false,
     flamingo::wire::Verdict verdict = flamingo::wire::Verdict::NotRun,
-    flatbuffers::Offset<flatbuffers::String> answer = 0) {
+    flatbuffers::Offset<flatbuffers::String> answer = 0,
+    flamingo::wire::ReasonCode reason = flamingo::wire::ReasonCode::None,
+    flatbuffers::Offset<flatbuffers::String> detail = 0) {
   WitnessedKeyBuilder builder_(_fbb);
+  builder_.add_detail(detail);
   builder_.add_answer(answer);
   builder_.add_attempt(attempt);
   builder_.add_job(job);
   builder_.add_key(key);
+  builder_.add_reason(reason);
   builder_.add_verdict(verdict);
   builder_.add_finished(finished);
   return builder_.Finish();
@@ -4701,11 +4724,14 @@
     const char *attempt = nullptr,
     bool finished = false,
     flamingo::wire::Verdict verdict = flamingo::wire::Verdict::NotRun,
-    const char *answer = nullptr) {
+    const char *answer = nullptr,
+    flamingo::wire::ReasonCode reason = flamingo::wire::ReasonCode::None,
+    const char *detail = nullptr) {
   auto key__ = key ? _fbb.CreateString(key) : 0;
   auto job__ = job ? _fbb.CreateString(job) : 0;
   auto attempt__ = attempt ? _fbb.CreateString(attempt) : 0;
   auto answer__ = answer ? _fbb.CreateString(answer) : 0;
+  auto detail__ = detail ? _fbb.CreateString(detail) : 0;
   return flamingo::wire::CreateWitnessedKey(
       _fbb,
       key__,
@@ -4713,7 +4739,9 @@
       attempt__,
       finished,
       verdict,
-      answer__);
+      answer__,
+      reason,
+      detail__);
 }
 
 flatbuffers::Offset<WitnessedKey> CreateWitnessedKey(flatbuffers::FlatBufferBuilder &_fbb, const WitnessedKeyT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -7607,6 +7635,8 @@
   { auto _e = finished(); _o->finished = _e; }
   { auto _e = verdict(); _o->verdict = _e; }
   { auto _e = answer(); if (_e) _o->answer = _e->str(); }
+  { auto _e = reason(); _o->reason = _e; }
+  { auto _e = detail(); if (_e) _o->detail = _e->str(); }
 }
 
 inline flatbuffers::Offset<WitnessedKey> WitnessedKey::Pack(flatbuffers::FlatBufferBuilder &_fbb, const WitnessedKeyT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -7623,6 +7653,8 @@
   auto _finished = _o->finished;
   auto _verdict = _o->verdict;
   auto _answer = _o->answer.empty() ? 0 : _fbb.CreateString(_o->answer);
+  auto _reason = _o->reason;
+  auto _detail = _o->detail.empty() ? 0 : _fbb.CreateString(_o->detail);
   return flamingo::wire::CreateWitnessedKey(
       _fbb,
       _key,
@@ -7630,7 +7662,9 @@
       _attempt,
       _finished,
       _verdict,
-      _answer);
+      _answer,
+      _reason,
+      _detail);
 }
 
 inline WitnessReplyT *WitnessReply::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
--- a/tests/agent_test.cc
+++ b/tests/agent_test.cc
@@ -742,6 +742,31 @@
     CHECK_EQUAL(6U, f.sent<Settle>().back().epoch);
 }
 
+// Guards against a key that a new owner takes for finished with an empty answer, because the answer
+// did not fit into the WitnessReply.
+TEST(Agent, witnessedAnswerThatDoesNotFitIsNotCalledFinished)
+{
+    Fixture f;
+    const std::string large(f.agent.options.maxAnswerBytes * 2 / 3, 'x');
+    for (const auto *attempt : {"t1", "t2"}) {
+        const auto start = makeKeyedStart(attempt, "guest", 1);
+        f.message("e1", start);
+        f.message("o1", grant(start));
+        f.event(TaskStarted{attempt, true, {}});
+        f.event(TaskFinished{attempt, true, large, {}});
+    }
+    Witness witness;
+    witness.region = "north";
+    witness.range = 3;
+    witness.epoch = 6;
+    witness.owner = "o2";
+    f.message("o2", witness);
+    const auto keys = f.sent<WitnessReply>().at(0).keys;
+    CHECK_EQUAL(2U, keys.size());
+    CHECK(keys[0].finished && keys[0].answer == large);
+    CHECK(!keys[1].finished && keys[1].verdict == Verdict::MayHaveRun);
+}
+
 // Guards against NotRun while the owner may still hold a claim for the attempt.
 TEST(Agent, unansweredClaimEndsAsNotRunOnlyWhenItWasGivenBack)
 {
--- a/tests/owner_test.cc
+++ b/tests/owner_test.cc
@@ -358,6 +358,32 @@
     CHECK_TRUE(node.owner.ranges.at(rangeOf("other")).complete);
 }
 
+// A key that failed under the former owner must not look like a success with an empty answer.
+TEST(Owner, failureLearnedFromAWitnessKeepsItsReason)
+{
+    Node former(log, "o");
+    start(former);
+    settleDown(former);
+    Node node(log, "n");
+    makeOwnerOf(node, 2);
+    auto reply = witnessFrom("t2", "other", 2);
+    reply.keys.resize(1);
+    reply.keys[0].key = "other";
+    reply.keys[0].attempt = "z";
+    reply.keys[0].finished = true;
+    reply.keys[0].verdict = Verdict::Ran;
+    reply.keys[0].reason = ReasonCode::TaskFailed;
+    reply.keys[0].detail = "no driver";
+    node.handle(PeerMessage{"t2", reply}, now);
+    settleDown(node);
+    node.sent.clear();
+    node.handle(PeerMessage{"e", queryFor("other")}, now);
+    const auto answers = node.take<KeyReply>();
+    CHECK_TRUE(answers[0].state == KeyState::Finished);
+    CHECK_TRUE(answers[0].reason == ReasonCode::TaskFailed);
+    CHECK_EQUAL(std::string("no driver"), answers[0].detail);
+}
+
 // Without the offset in the Clean record a memory grant made after it, to a target that was lost
 // before it, would be forgotten by the takeover.
 TEST(Owner, cleanRecordThatHadNotReadTheLossDoesNotCloseTheTarget)
