Remove the table's own CSV and difference functions

Cause: flamingoctl has both (adapters/table_csv, ctl_table) and no program called these; the logic stood twice. Their three tests went with them; tests/ctl_test.cc holds the round trip and the mistakes of the form that operators use.

--- a/flamingo/table.h
+++ b/flamingo/table.h
@@ -54,7 +54,6 @@
 // Rows, anchors and shortages as JSON. The rest of a Snapshot, its history and writers, takes at
 // most 193,000 bytes.
 constexpr std::size_t maxTableBytes = maxRecordBytes - 200000;
-constexpr std::size_t maxDiffLines = 200;
 
 // `copies` independent gangs of `members` workers with `accelerators` adjacent accelerators each,
 // all members of a copy in one data centre of `region`.
@@ -170,19 +169,6 @@
 };
 std::optional<TableChange> parseTableChange(std::string_view json, Reason &reason);
 
-// The rows as CSV for a spreadsheet: one line per guarantee, or one line for an organisation
-// without any. The first line names the columns:
-//
-//   name,homeRegion,weight,limitAccelerators,limitSlots,region,copies,members,accelerators
-//
-// Parsing compares the whole file with `table`: organisations without a line are removed, changed
-// and new ones are upserted. Further lines of an organisation may leave its own columns empty.
-std::string tableCsv(const Table &table);
-std::optional<TableChange> parseTableCsv(std::string_view csv, const Table &table, Reason &reason);
-
-// What changed from `before` to `after`, one line per organisation and per copy, for people.
-std::string diffTables(const Table &before, const Table &after);
-
 // The table as JSON for operators.
 std::string tableJson(const Table &table);
 
