Keep an unacknowledged Settle beyond the retention time

Cause: a target forgot ended attempts after answerRetentionMs, acknowledged or not. While the log is out, an owner's memory grants are known only to itself and to the target; when the outage lasted longer than the retention time and the owner was then lost, the next owner took the key for unknown and granted it again.

--- a/flamingo/adapters/agent_service.cc
+++ b/flamingo/adapters/agent_service.cc
@@ -121,9 +121,10 @@
     for (const Append &append : out.appends)
         this->log->append(append);
     for (const WorkerCommand &command : out.commands) {
-        if (const auto *run = std::get_if<RunTask>(&command))
-            LOG(INFO) << "run task=" << run->task << " job=" << run->job << " mask=" << run->mask
-                      << " table_version=" << this->node.table.version;
+        const auto *run = std::get_if<RunTask>(&command);
+        LOG_IF(INFO, run != nullptr && this->runLines.take(Loop::now()))
+            << "run task=" << run->task << " job=" << run->job << " mask=" << run->mask
+            << " table_version=" << this->node.table.version << this->runLines.takeLeftOut();
         this->worker->command(command);
     }
 }
--- a/flamingo/adapters/agent_service.h
+++ b/flamingo/adapters/agent_service.h
@@ -6,6 +6,7 @@
 
 #include "flamingo/adapters/http_client.h"
 #include "flamingo/adapters/http_server.h"
+#include "flamingo/adapters/log_budget.h"
 #include "flamingo/adapters/log_client.h"
 #include "flamingo/adapters/metrics.h"
 #include "flamingo/adapters/peers.h"
@@ -47,6 +48,7 @@
     std::unique_ptr<LogClient> log;
     std::unique_ptr<WorkerClient> worker;
     Metrics metrics;
+    LogBudget runLines{100};
     bool stopping = false;
 };
 
--- a/flamingo/adapters/entry_service.cc
+++ b/flamingo/adapters/entry_service.cc
@@ -156,11 +156,12 @@
     const double seconds = static_cast<double>(Loop::now() - waited.since) / msPerSecond;
     this->metrics.observe("flamingo_request_duration_seconds", "Time from request to reply",
                           seconds, {{"verdict", std::string(verdictName(reply.verdict))}});
-    LOG_EVERY_N(INFO, 1) << "reply request=" << reply.request << " job=" << reply.job
-                         << " verdict=" << verdictName(reply.verdict)
-                         << " reason=" << reasonName(reply.reason.code)
-                         << " accepted=" << reply.accepted << " detail=\"" << reply.reason.text
-                         << "\"";
+    LOG_IF(INFO, this->replyLines.take(Loop::now()))
+        << "reply request=" << reply.request << " job=" << reply.job
+        << " organisation=" << waited.organisation << " verdict=" << verdictName(reply.verdict)
+        << " reason=" << reasonName(reply.reason.code) << " accepted=" << reply.accepted
+        << " table_version=" << this->entry.table.version << " detail=\"" << reply.reason.text
+        << "\"" << this->replyLines.takeLeftOut();
     this->answer(waited.http, replyResponse(reply));
 }
 
@@ -240,11 +241,12 @@
     if (submit.spec.homeRegion.empty())
         submit.spec.homeRegion = this->settings.options.region;
     submit.wait = parsed->wait;
-    this->expectReply(request, submit.spec.job);
+    this->expectReply(request, submit.spec.job, submit.spec.organisation);
     this->dispatch(submit);
 }
 
-void EntryService::expectReply(const HttpRequest &request, const std::string &job)
+void EntryService::expectReply(const HttpRequest &request, const std::string &job,
+                               const std::string &organisation)
 {
     const std::string id = std::to_string(request.id);
     const auto timer = this->loop.after(this->settings.maxWaitMs, [this, id] {
@@ -259,7 +261,7 @@
                         "not ended yet, ask again with GET /v1/jobs/" + waited.job};
         this->answer(waited.http, replyResponse(reply));
     });
-    this->waiting[id] = {request.id, job, Loop::now(), timer};
+    this->waiting[id] = {request.id, job, organisation, Loop::now(), timer};
 }
 
 void EntryService::routeJob(const HttpRequest &request, std::string_view rest)
--- a/flamingo/adapters/entry_service.h
+++ b/flamingo/adapters/entry_service.h
@@ -6,6 +6,7 @@
 
 #include "flamingo/adapters/http_client.h"
 #include "flamingo/adapters/http_server.h"
+#include "flamingo/adapters/log_budget.h"
 #include "flamingo/adapters/log_client.h"
 #include "flamingo/adapters/metrics.h"
 #include "flamingo/adapters/peers.h"
@@ -42,7 +43,8 @@
     void routeJob(const HttpRequest &request, std::string_view rest);
     void routeTarget(const HttpRequest &request, std::string_view rest);
     void edit(const HttpRequest &request);
-    void expectReply(const HttpRequest &request, const std::string &job);
+    void expectReply(const HttpRequest &request, const std::string &job,
+                     const std::string &organisation = "");
     void answer(HttpRequestId request, const HttpResponse &response);
     void stopWhenIdle();
     std::string dump() const;
@@ -57,6 +59,7 @@
     std::unique_ptr<Peers> peers;
     std::unique_ptr<LogClient> log;
     Metrics metrics;
+    LogBudget replyLines{100};
     bool stopping = false;
     std::uint64_t nextJob = 1;
 
@@ -64,6 +67,7 @@
     {
         HttpRequestId http = 0;
         std::string job;
+        std::string organisation;
         TimeMs since = 0;
         Loop::TimerId timer = 0;
     };
--- a/flamingo/agent.cc
+++ b/flamingo/agent.cc
@@ -79,7 +79,9 @@
         entry = old(entry->second) ? map.erase(entry) : std::next(entry);
 }
 
-// Forgets what is older than the retention time, acknowledged or not.
+// Forgets what is older than the retention time. An outcome may be unacknowledged then, because its
+// entry may be gone for good. A Settle may not: while the log is out the owner grants from memory,
+// and if it is lost, this agent is the only witness that the key ran.
 void sweep(const AgentStep &step)
 {
     auto &agent = step.agent;
@@ -88,7 +90,7 @@
     agent.nextSweepAt = step.now + sweepMs;
     const auto limit = step.now - agent.options.answerRetentionMs;
     eraseOld(agent.attempts, [&](Attempt &attempt) {
-        const bool old = attempt.ended && attempt.endedAt < limit;
+        const bool old = attempt.ended && attempt.endedAt < limit && !attempt.settleSend.pending;
         if (old) {
             forgetAnswer(agent, attempt);
             agent.open.erase(attempt.id);
--- a/tests/agent_test.cc
+++ b/tests/agent_test.cc
@@ -742,6 +742,31 @@
     CHECK_EQUAL(6U, f.sent<Settle>().back().epoch);
 }
 
+// Guards against a second run after a log outage that is longer than the retention time, when the
+// owner that granted from memory is lost before it could log the key.
+TEST(Agent, unacknowledgedSettleIsKeptBeyondTheRetentionTime)
+{
+    Fixture f;
+    const auto start = makeKeyedStart("t1", "guest", 1);
+    f.message("e1", start);
+    f.message("o1", grant(start));
+    f.event(TaskStarted{"t1", true, {}});
+    f.event(TaskFinished{"t1", true, "paid", {}});
+    f.pass(f.agent.options.answerRetentionMs * 2);
+    Witness witness;
+    witness.region = "north";
+    witness.range = 3;
+    witness.epoch = 6;
+    witness.owner = "o2";
+    f.message("o2", witness);
+    const auto keys = f.sent<WitnessReply>().at(0).keys;
+    CHECK_EQUAL(1U, keys.size());
+    CHECK_EQUAL(std::string("paid"), keys[0].answer);
+    f.message("o2", SettleAck{{}, start.spec->key, "t1"});
+    f.pass(f.agent.options.answerRetentionMs * 2);
+    CHECK(f.agent.attempts.empty());
+}
+
 // Guards against a key that a new owner takes for finished with an empty answer, because the answer
 // did not fit into the WitnessReply.
 TEST(Agent, witnessedAnswerThatDoesNotFitIsNotCalledFinished)
