Never answer not run for work that was stopped after its start

Cause: a stopped attempt of idempotent work counts as not run for the entry that repeats it, but two paths told callers so: the final reply after an eviction, a failed gang or a failed worker, and JobQuery, with which another entry asks the agent while the first one repeats the job.

--- a/flamingo/agent.cc
+++ b/flamingo/agent.cc
@@ -60,12 +60,17 @@
     answer.job = message.job;
     answer.found = newest != nullptr;
     if (newest != nullptr) {
-        answer.finished = newest->ended;
+        // The entry repeats idempotent work that was stopped, so such an end is not the job's end.
+        const bool repeated = newest->ended && newest->spec.idempotent
+            && newest->outcome.verdict == Verdict::NotRun
+            && newest->outcome.reason != ReasonCode::Cancelled;
+        answer.finished = newest->ended && !repeated;
         answer.state = std::string(attemptState(step.agent, *newest));
-        answer.verdict = newest->ended ? newest->outcome.verdict : Verdict::MayHaveRun;
+        answer.verdict = answer.finished ? newest->outcome.verdict : Verdict::MayHaveRun;
         answer.reason = newest->outcome.reason;
         answer.detail = newest->outcome.detail;
-        answer.answer = newest->outcome.answer;
+        if (answer.finished)
+            answer.answer = newest->outcome.answer; // otherwise it is a checkpoint
     }
     sendTo(step, from, std::move(answer));
 }
--- a/flamingo/jobs.cc
+++ b/flamingo/jobs.cc
@@ -879,6 +879,10 @@
 // The agent stopped the job, for example for a guaranteed one: back to the front of the queue.
 void onStopped(EntryContext context, Job &job, AgentId agent, const Outcome &outcome)
 {
+    // A stopped attempt of idempotent work may have run in part. It is safe to repeat, but a caller
+    // must not be told that nothing ran.
+    if (job.spec.idempotent && outcome.reason != ReasonCode::Cancelled)
+        job.mayHaveRun = true;
     if (outcome.reason == ReasonCode::WorkerFailed || outcome.reason == ReasonCode::TaskFailed) {
         retryFailed(context, job, agent, outcome);
         return;
--- a/tests/agent_test.cc
+++ b/tests/agent_test.cc
@@ -742,6 +742,26 @@
     CHECK_EQUAL(6U, f.sent<Settle>().back().epoch);
 }
 
+// Guards against an entry that tells a caller "not run" about a job that its own entry repeats.
+TEST(Agent, evictedJobIsNotReportedAsFinished)
+{
+    Fixture f;
+    f.table.anchors.push_back({"third", 0, 0, 0, "a1", 0, 8});
+    f.message("e1", makeStart("guest", "guest", 8));
+    f.event(TaskStarted{"guest", true, {}});
+    auto own = makeStart("own", "third", 8);
+    own.guaranteed = true;
+    f.message("e1", own);
+    f.event(TaskStopped{"guest"});
+    CHECK(f.sent<Outcome>().at(0).reason == ReasonCode::Evicted);
+    JobQuery query;
+    query.request = "q";
+    query.job = f.sent<Outcome>().at(0).job;
+    f.message("e2", query);
+    const auto reply = f.sent<JobReply>().at(0);
+    CHECK(reply.found && !reply.finished && reply.verdict == Verdict::MayHaveRun);
+}
+
 // Guards against a second run after a log outage that is longer than the retention time, when the
 // owner that granted from memory is lost before it could log the key.
 TEST(Agent, unacknowledgedSettleIsKeptBeyondTheRetentionTime)
--- a/tests/entry_test.cc
+++ b/tests/entry_test.cc
@@ -246,6 +246,28 @@
     CHECK(rig.takeReplies().empty());
 }
 
+// Guards against "not run" for a job that ran in part before it was evicted and then cancelled.
+TEST(Entry, anEvictedJobIsNeverAnsweredAsNotRun)
+{
+    auto rig = rigWith(1);
+    rig.submit("r", job("a", 8));
+    const auto [agent, start] = rig.take<Start>().at(0);
+    rig.handleFrom(agent, accepted(start));
+    Outcome evicted = ran(start, "");
+    evicted.verdict = Verdict::NotRun;
+    evicted.reason = ReasonCode::Evicted;
+    rig.handleFrom(agent, evicted);
+    const auto again = rig.take<Start>().at(0).second;
+    StartReply refused;
+    refused.job = again.spec->job;
+    refused.attempt = again.attempt;
+    refused.reason = ReasonCode::DeadlinePassed;
+    rig.handleFrom(agent, refused);
+    const auto replies = rig.takeReplies();
+    CHECK_EQUAL(1U, replies.size());
+    CHECK(replies[0].verdict == Verdict::MayHaveRun);
+}
+
 TEST(Entry, aSilentAgentIsCancelledAndAnotherOneTried)
 {
     auto rig = rigWith(2);
