Let any job probe a worker that nothing idempotent probes

Cause: a worker that was set aside took back only by an idempotent single job. When only gangs or settlements waited, they waited for ever. Found by system_fuzz_test.

--- a/flamingo/gang.cc
+++ b/flamingo/gang.cc
@@ -449,6 +449,7 @@
     step.agent.members.emplace(hold.gang, std::move(member));
     reserveTask(step, {hold.gang, hold.spec.get(), hold.spec->payload, hold.guaranteed, true},
                 *room);
+    noteProbe(step, hold.gang);
     memberReady(step, hold.gang);
 }
 
--- a/flamingo/tasks.cc
+++ b/flamingo/tasks.cc
@@ -399,8 +399,11 @@
     const auto &health = step.agent.health;
     if (!health.setAside)
         return true;
-    // A probe may fail after it took effect, so only work that can be repeated serves as a probe.
-    if (!setAsideNow(step.agent, step.now) && spec.idempotent && spec.members <= 1)
+    // A probe may fail after it took effect, so work that can be repeated is preferred as a probe.
+    // Other work serves when none of that came for a while; it would wait for ever otherwise.
+    const bool preferred = spec.idempotent && spec.members <= 1;
+    const TimeMs since = health.probeAt + (preferred ? 0 : step.agent.options.probeMs);
+    if (!setAsideNow(step.agent, step.now) && step.now >= since)
         return true;
     reason = {ReasonCode::WorkerFailed, "the worker failed several jobs in a row"};
     return false;
--- a/tests/agent_test.cc
+++ b/tests/agent_test.cc
@@ -714,6 +714,29 @@
     CHECK(f.sent<StartReply>().back().accepted);
 }
 
+// Guards against a worker that stays set aside, and a job that waits for ever, when no idempotent
+// single job comes that could serve as the probe.
+TEST(Agent, otherWorkServesAsTheProbeWhenNoIdempotentJobComes)
+{
+    Fixture f;
+    for (const auto *job : {"j1", "j2", "j3"}) {
+        auto start = makeStart(job, "guest", 1);
+        start.spec->job = job;
+        f.message("e1", start);
+        f.event(TaskStarted{job, false, "no driver"});
+    }
+    f.pass(f.agent.options.probeMs);
+    f.message("e1", makeKeyedStart("early", "guest", 1));
+    CHECK(f.sent<StartReply>().back().reason == ReasonCode::WorkerFailed);
+    f.pass(f.agent.options.probeMs);
+    const auto probe = makeKeyedStart("probe", "guest", 1);
+    f.message("e1", probe);
+    f.message("o1", grant(probe));
+    f.event(TaskStarted{"probe", true, {}});
+    f.event(TaskFinished{"probe", true, "paid", {}});
+    CHECK(!f.agent.health.setAside);
+}
+
 // Guards against grants of an owner that was replaced, and against keys hidden from the new owner.
 TEST(Agent, answersAWitnessAndRefusesOlderGrants)
 {
