Reclaim guests that are still starting

Cause: the view deducted a started job from both the free and the evictable accelerators until the next report, so a guaranteed job that came in between found no room on its own anchor and waited.

--- a/flamingo/view.cc
+++ b/flamingo/view.cc
@@ -85,6 +85,8 @@
     for (const auto &deduction : agent.deductions) {
         room.freeMask &= ~deduction.mask;
         room.evictableMask &= ~deduction.mask;
+        if (deduction.evictable)
+            room.evictableMask |= deduction.mask;
         room.cores -= static_cast<std::int32_t>(deduction.cores);
         room.memoryMib -= static_cast<std::int32_t>(deduction.memoryMib);
         room.slots -= 1;
@@ -669,6 +671,8 @@
         deduction.attempt = attempt;
         deduction.organisation = spec.organisation;
         deduction.mask = placement.masks[i];
+        deduction.evictable =
+            placement.kind != RoomKind::OwnAnchor && (spec.idempotent || spec.checkpointable);
         deduction.cores = spec.cores;
         deduction.memoryMib = spec.memoryMib;
         deduction.sentAt = now;
--- a/flamingo/view.h
+++ b/flamingo/view.h
@@ -38,6 +38,7 @@
     std::string attempt;
     std::string organisation;
     std::uint64_t mask = 0;
+    bool evictable = false; // the started job can give way to a guaranteed one
     std::uint32_t cores = 0;
     std::uint32_t memoryMib = 0;
     TimeMs sentAt = 0;
--- a/tests/view_test.cc
+++ b/tests/view_test.cc
@@ -294,6 +294,23 @@
     CHECK(!place(view, guest, {}, random).has_value());
 }
 
+// Guards against an urgent job that waits for the next report because a guest was just started on
+// its anchor.
+TEST(View, aGuestThatIsStillStartingCanBeReclaimed)
+{
+    View view;
+    Random random(5);
+    applyReport(view, reportOf("w0", 1), 0);
+    setAnchors(view, tableWith({{"a", 0, 0, 0, "w0", 0, 8}}));
+    auto guest = jobOf(1, 4);
+    guest.organisation = "b";
+    const auto lent = place(view, guest, {}, random);
+    CHECK(lent.has_value());
+    deduct(view, *lent, guest, "guest-1", 0);
+    const auto own = place(view, jobOf(1, 8), {}, random);
+    CHECK(own.has_value() && own->kind == RoomKind::OwnAnchor);
+}
+
 TEST(View, foreignAnchorsAreOnlyForJobsThatCanBeStopped)
 {
     View view;
