Treat the end of the fault phase like the end of an isolation in check 8

Cause: check 8 leaves out processes within 8 s after their isolation, but the end of the fault phase lifted isolations without noting the time. The rule itself is unchanged.

--- a/tests/system_schedule.cc
+++ b/tests/system_schedule.cc
@@ -595,6 +595,10 @@
     this->note("all faults end");
     this->ending = true;
     this->cut = false;
+    for (const auto &process : this->processes) {
+        if (this->isolated.count(process->info.process) > 0)
+            process->faultAt = this->now; // as at the ordinary end of an isolation
+    }
     this->isolated.clear();
     this->noiseUntil = 0;
     this->logDownUntil = 0;
