--- a/flamingo/adapters/log_budget.h
+++ b/flamingo/adapters/log_budget.h
@@ -39,7 +39,7 @@
     {
         if (this->leftOut == 0)
             return "";
-        const std::string text = " left_out_before=" + std::to_string(this->leftOut);
+        std::string text = " left_out_before=" + std::to_string(this->leftOut);
         this->leftOut = 0;
         return text;
     }
