Share the peer set-up of both services and the counter look-up of the metrics

Cause: entry_service and agent_service filled PeersOptions and forwarded peer events with the same lines, and Metrics built a counter family in two places. Now peersOptionsOf and peerHandlers in adapters/service.h, and Metrics::counter.

--- a/flamingo/adapters/agent_service.cc
+++ b/flamingo/adapters/agent_service.cc
@@ -3,6 +3,7 @@
 
 #include "flamingo/adapters/agent_service.h"
 
+#include "flamingo/adapters/service.h"
 #include "flamingo/adapters/traffic_json.h"
 
 #include <glog/logging.h>
@@ -16,23 +17,6 @@
 constexpr TimeMs tickMs = 100;
 constexpr TimeMs idleCheckMs = 50;
 
-PeersOptions peersOptions(const AgentSettings &settings)
-{
-    PeersOptions options;
-    options.self.process = settings.options.name;
-    options.self.kind = ProcessKind::Agent;
-    options.self.region = settings.options.region;
-    options.self.dataCentre = settings.options.dataCentre;
-    options.self.rack = settings.options.rack;
-    options.listenAddress = settings.peerAddress;
-    options.self.address =
-        settings.advertisedAddress.empty() ? settings.peerAddress : settings.advertisedAddress;
-    options.self.incarnation = settings.options.incarnation;
-    options.seeds = settings.seeds;
-    options.key = settings.peerKey;
-    return options;
-}
-
 OwnerOptions ownerOptions(const AgentSettings &settings)
 {
     OwnerOptions options = settings.owner;
@@ -58,14 +42,11 @@
 {
     std::unique_ptr<AgentService> owned(new AgentService(loop, settings));
     AgentService *service = owned.get();
+    PeersOptions peersOptions = peersOptionsOf(settings, ProcessKind::Agent);
+    peersOptions.self.rack = settings.options.rack;
     service->peers = Peers::listen(
-        loop, peersOptions(settings),
-        {[service](const std::string &from, Message message) {
-             service->dispatch(PeerMessage{from, std::move(message)});
-         },
-         [service](const PeerInfo &peer) { service->dispatch(PeerUp{peer}); },
-         [service](const std::string &process) { service->dispatch(PeerDown{process}); }},
-        reason);
+        loop, peersOptions,
+        peerHandlers([service](const auto &event) { service->dispatch(event); }), reason);
     if (!service->peers)
         return nullptr;
     HttpServerOptions serverOptions;
--- a/flamingo/adapters/entry_service.cc
+++ b/flamingo/adapters/entry_service.cc
@@ -5,6 +5,7 @@
 #include "flamingo/adapters/entry_service.h"
 
 #include "flamingo/adapters/job_json.h"
+#include "flamingo/adapters/service.h"
 #include "flamingo/adapters/traffic_json.h"
 
 #include <glog/logging.h>
@@ -46,22 +47,6 @@
     return response;
 }
 
-PeersOptions peersOptions(const EntrySettings &settings)
-{
-    PeersOptions options;
-    options.self.process = settings.options.name;
-    options.self.kind = ProcessKind::Entry;
-    options.self.region = settings.options.region;
-    options.self.dataCentre = settings.options.dataCentre;
-    options.listenAddress = settings.peerAddress;
-    options.self.address =
-        settings.advertisedAddress.empty() ? settings.peerAddress : settings.advertisedAddress;
-    options.self.incarnation = settings.options.incarnation;
-    options.seeds = settings.seeds;
-    options.key = settings.peerKey;
-    return options;
-}
-
 HttpServerOptions serverOptions(const EntrySettings &settings)
 {
     HttpServerOptions options;
@@ -88,13 +73,8 @@
     std::unique_ptr<EntryService> owned(new EntryService(loop, settings));
     EntryService *service = owned.get();
     service->peers = Peers::listen(
-        loop, peersOptions(settings),
-        {[service](const std::string &from, Message message) {
-             service->dispatch(PeerMessage{from, std::move(message)});
-         },
-         [service](const PeerInfo &peer) { service->dispatch(PeerUp{peer}); },
-         [service](const std::string &process) { service->dispatch(PeerDown{process}); }},
-        reason);
+        loop, peersOptionsOf(settings, ProcessKind::Entry),
+        peerHandlers([service](const auto &event) { service->dispatch(event); }), reason);
     if (!service->peers)
         return nullptr;
     service->server = HttpServer::listen(
--- a/flamingo/adapters/metrics.cc
+++ b/flamingo/adapters/metrics.cc
@@ -28,7 +28,8 @@
 
 Metrics::Metrics() = default;
 
-void Metrics::add(std::string_view name, std::string_view help, double amount, const Labels &labels)
+prometheus::Counter &Metrics::counter(std::string_view name, std::string_view help,
+                                      const Labels &labels)
 {
     auto &family = familyOf(
         this->counters, name, [&]() -> auto & {
@@ -37,22 +38,20 @@
                 .Help(std::string(help))
                 .Register(this->registry);
         });
-    family.Add(labels).Increment(amount);
+    return family.Add(labels);
+}
+
+void Metrics::add(std::string_view name, std::string_view help, double amount, const Labels &labels)
+{
+    this->counter(name, help, labels).Increment(amount);
 }
 
 void Metrics::raiseTo(std::string_view name, std::string_view help, double total,
                       const Labels &labels)
 {
-    auto &family = familyOf(
-        this->counters, name, [&]() -> auto & {
-            return prometheus::BuildCounter()
-                .Name(std::string(name))
-                .Help(std::string(help))
-                .Register(this->registry);
-        });
-    auto &counter = family.Add(labels);
-    if (total > counter.Value())
-        counter.Increment(total - counter.Value());
+    auto &raised = this->counter(name, help, labels);
+    if (total > raised.Value())
+        raised.Increment(total - raised.Value());
 }
 
 void Metrics::set(std::string_view name, std::string_view help, double value, const Labels &labels)
--- a/flamingo/adapters/metrics.h
+++ b/flamingo/adapters/metrics.h
@@ -34,6 +34,9 @@
     std::string text() const;
 
 private:
+    prometheus::Counter &counter(std::string_view name, std::string_view help,
+                                 const Labels &labels);
+
     prometheus::Registry registry;
     std::map<std::string, prometheus::Family<prometheus::Counter> *, std::less<>> counters;
     std::map<std::string, prometheus::Family<prometheus::Gauge> *, std::less<>> gauges;
