Take an append that was read back for stored; let timeouts follow the log's answers

Each append took 320 ms and four writers queued at the partition, so the fixed timeout of 1 s gave up appends that were being carried out; callers were answered 504, entries deposed a leader whose signs of life were only late. Ruled out: the entries' processor (0.0008 cores). Tests, each failed before: acceptanceThatIsReadBackIsStored, leaderGoesOnAfterAnAppendThatIsReadBack, submissionBehindAnUnansweredAppendIsRefusedInTime; new: tests/answer_times_test.cc.

--- a/flamingo/adapters/scheduler_service.cc
+++ b/flamingo/adapters/scheduler_service.cc
@@ -4,10 +4,14 @@
 //
 // A leader has one fenced append outstanding at a time. Changes made meanwhile gather for the next
 // one, so the number of appends adapts to the log's speed.
+//
+// Whatever this entry appends it also reads. A record that has been read is stored, so neither a
+// leader nor a caller waits for the answer to an append when that answer is lost or late.
 
 #include "flamingo/adapters/scheduler_service.h"
 
 #include <algorithm>
+#include <limits>
 #include <utility>
 
 namespace flamingo::adapters {
@@ -17,6 +21,7 @@
 
 constexpr TimeMs tickMs = 100;
 constexpr std::uint64_t claimSequence = 0; // of the append that claims leadership
+constexpr TimeMs relayPerAnswer = 2; // an answer this many times later than the slowest is missing
 constexpr TimeMs resignTimeoutMs = 400; // the log normally answers within tens of milliseconds
 constexpr std::string_view latencyHelp = "Time until the job log answered, by call";
 
@@ -159,6 +164,31 @@
         this->noteLeader();
     if (key->kind == RecordKind::Progress)
         noteLeaderSign(this->leadership, this->scheduling.table.leader.resigned, Loop::now());
+    this->takeReadBack(stored);
+}
+
+// Ends what waits for the answer to the append of this record.
+void SchedulerService::takeReadBack(const StoredRecord &stored)
+{
+    if (this->flushing && stored.offset >= this->ownEnd && !this->flushRecords.empty()) {
+        const Record &last = this->flushRecords.back();
+        if (stored.record.key == last.key && stored.record.value == last.value)
+            this->noteFlushStored(stored.offset + 1);
+    }
+    const auto waiting = this->open.extract(stored.record.key);
+    if (waiting.empty())
+        return;
+    for (const auto &weak : waiting.mapped()) {
+        if (const auto attempt = weak.lock())
+            endAttempt(*attempt, Verdict::Ran);
+    }
+}
+
+void SchedulerService::noteAnswered(TimeMs sentAt)
+{
+    const TimeMs now = Loop::now();
+    this->answeredAt = now;
+    noteAnswer(this->answerTimes, now - sentAt, now);
 }
 
 bool SchedulerService::isSelf(const Leader &leader) const
@@ -230,6 +260,11 @@
     for (auto item = this->unresolved.begin(); item != this->unresolved.end();)
         item = now - item->second > this->options.unresolvedMs ? this->unresolved.erase(item)
                                                                : std::next(item);
+    for (auto item = this->open.begin(); item != this->open.end();)
+        item = std::all_of(item->second.begin(), item->second.end(),
+                           [](const auto &weak) { return weak.expired(); })
+            ? this->open.erase(item)
+            : std::next(item);
     if (this->leading()) {
         this->tellStale(now);
         this->planNow();
@@ -241,6 +276,7 @@
         return;
     }
     const Leader &leader = this->scheduling.table.leader;
+    this->leadership.answerMs = recentAnswerMs(this->answerTimes, now);
     weighComplaints(this->leadership, leader.epoch, leader.hosts, now);
     if (this->role == Role::Following && this->isLoaded && !this->resigning
         && shouldCampaign(this->leadership, now))
@@ -316,6 +352,7 @@
                           + " offset=" + std::to_string(this->nextOffset));
     this->metrics.add("flamingo_leader_changes_total", "Times that this entry began to lead", 1);
     this->flushing = false;
+    this->ownEnd = this->nextOffset;
     this->lastAppendAt = Loop::now();
 }
 
@@ -382,11 +419,12 @@
         this->flushRecords.push_back(leaderRecord(this->self(this->scheduling.epoch)));
     this->flushing = true;
     this->lastAppendAt = Loop::now();
-    this->log.appendFenced(this->flushRecords, {this->scheduling.epoch, this->sequence},
-                           [this, epoch = this->scheduling.epoch](const AppendResult &result) {
-                               if (epoch == this->scheduling.epoch)
-                                   this->takeFlush(result);
-                           });
+    const Fence fence = {this->scheduling.epoch, this->sequence};
+    this->log.appendFenced(this->flushRecords, fence, [this, fence](const AppendResult &result) {
+        // The append may have been read back meanwhile.
+        if (fence.epoch == this->scheduling.epoch && fence.sequence == this->sequence)
+            this->takeFlush(result);
+    });
 }
 
 void SchedulerService::takeFlush(const AppendResult &result)
@@ -398,18 +436,8 @@
         || (result.status == AppendStatus::WrongSequence
             && result.expectedSequence == this->sequence + 1);
     if (stored) {
-        ++this->sequence;
-        this->flushing = false;
-        if (this->flushNumber > 0)
-            noteStored(this->scheduling, this->flushNumber);
-        this->contactAt = std::max(this->contactAt, this->lastAppendAt);
-        this->answeredAt = Loop::now();
-        if (this->resigning) {
-            this->finishResigning();
-            return;
-        }
-        this->flush();
-        this->answerReports();
+        this->noteAnswered(this->lastAppendAt);
+        this->noteFlushStored(result.end);
         return;
     }
     if (result.status == AppendStatus::Fenced || result.status == AppendStatus::WrongSequence) {
@@ -417,12 +445,32 @@
         return;
     }
     this->metrics.add("flamingo_store_failures_total", "Calls to the job log without an answer", 1);
-    this->loop.after(this->options.retryMs, [this, epoch = this->scheduling.epoch] {
-        if (epoch == this->scheduling.epoch && this->leading())
+    const Fence fence = {this->scheduling.epoch, this->sequence};
+    this->loop.after(this->options.retryMs, [this, fence] {
+        if (fence.epoch == this->scheduling.epoch && fence.sequence == this->sequence
+            && this->leading())
             this->sendFlush();
     });
 }
 
+// `end` is the offset behind the append; 0 when the log did not tell it.
+void SchedulerService::noteFlushStored(std::uint64_t end)
+{
+    ++this->sequence;
+    this->flushing = false;
+    // Without it nothing is taken for read back: a later append may carry an equal record.
+    this->ownEnd = end == 0 ? std::numeric_limits<std::uint64_t>::max() : end;
+    if (this->flushNumber > 0)
+        noteStored(this->scheduling, this->flushNumber);
+    this->contactAt = std::max(this->contactAt, this->lastAppendAt);
+    if (this->resigning) {
+        this->finishResigning();
+        return;
+    }
+    this->flush();
+    this->answerReports();
+}
+
 HostOrders SchedulerService::ordersFor(const std::string &host) const
 {
     if (!this->leading()) {
@@ -515,6 +563,7 @@
     auto attempt = std::make_shared<Attempt>();
     attempt->record = record;
     attempt->since = Loop::now();
+    this->open[record.key].push_back(attempt);
     return attempt;
 }
 
@@ -529,19 +578,37 @@
         this->retryOrEnd(attempt);
         return;
     }
-    this->loop.after(this->options.relayAfterMs, [this, attempt] {
+    const TimeMs now = Loop::now();
+    const TimeMs relayMs = std::max(this->options.relayAfterMs,
+                                    relayPerAnswer * recentAnswerMs(this->answerTimes, now));
+    this->loop.after(relayMs, [this, attempt, relayMs] {
         // A log that answers others is slow; a second entry would only add to its load.
-        if (Loop::now() - this->answeredAt >= this->options.relayAfterMs)
+        if (Loop::now() - this->answeredAt >= relayMs)
             this->relayAttempt(attempt);
     });
     this->queued.push_back(attempt);
+    this->loop.after(this->options.queueHoldMs, [this, attempt] { this->giveUpQueued(attempt); });
     this->sendQueued();
 }
 
+// What has not been sent yet is surely not stored, unless an earlier try of it is.
+void SchedulerService::giveUpQueued(const std::shared_ptr<Attempt> &attempt)
+{
+    const auto found = std::find(this->queued.begin(), this->queued.end(), attempt);
+    if (found == this->queued.end())
+        return;
+    this->queued.erase(found);
+    const bool open = attempt->mayBeStored || attempt->relayPending;
+    endAttempt(*attempt, open ? Verdict::MayHaveRun : Verdict::NotRun);
+}
+
 // One append of acceptances and cancellations is outstanding at a time. What arrives meanwhile goes
 // together into the next one, so that a slow log is not given more calls than it can answer.
 void SchedulerService::sendQueued()
 {
+    this->queued.erase(std::remove_if(this->queued.begin(), this->queued.end(),
+                                      [](const auto &attempt) { return attempt->ended; }),
+                       this->queued.end());
     if (this->appendOutstanding || this->queued.empty())
         return;
     const std::size_t count = std::min(this->queued.size(), this->options.maxGroupCommit);
@@ -559,7 +626,7 @@
         this->metrics.observe("flamingo_store_append_seconds", latencyHelp,
                               seconds(Loop::now() - sentAt));
         if (result.status == AppendStatus::Stored)
-            this->answeredAt = Loop::now();
+            this->noteAnswered(sentAt);
         else
             this->noteStoreLoss(result.error, result.timedOut);
         for (const auto &attempt : sent)
--- a/flamingo/adapters/scheduler_service.h
+++ b/flamingo/adapters/scheduler_service.h
@@ -10,6 +10,7 @@
 #include "flamingo/adapters/decision_log.h"
 #include "flamingo/adapters/loop.h"
 #include "flamingo/adapters/metrics.h"
+#include "flamingo/scheduler/answer_times.h"
 #include "flamingo/scheduler/job_log.h"
 #include "flamingo/scheduler/leadership.h"
 #include "flamingo/scheduler/scheduler.h"
@@ -36,6 +37,7 @@
     TimeMs relayAfterMs = 300; // an append unanswered this long is also given to another entry
     TimeMs submitRetryMs = 100; // between attempts to store an acceptance
     TimeMs submitHoldMs = 800; // a caller waits this long at most for a log that has just failed
+    TimeMs queueHoldMs = 1200; // ... or for the append before; callers wait 3 s for an answer
     std::uint64_t start = 1; // differs between two starts of the process
     std::uint64_t seed = 1; // of random choices
     scheduler::SchedulerOptions scheduling;
@@ -133,6 +135,8 @@
     void readOn();
     void takeRead(const scheduler::ReadResult &result, TimeMs confirmed);
     void fold(const scheduler::StoredRecord &stored);
+    void takeReadBack(const scheduler::StoredRecord &stored);
+    void noteAnswered(TimeMs sentAt);
     void noteLeader();
     bool isSelf(const scheduler::Leader &leader) const;
     scheduler::Leader self(std::uint64_t epoch) const;
@@ -150,6 +154,7 @@
     void flush();
     void sendFlush();
     void takeFlush(const scheduler::AppendResult &result);
+    void noteFlushStored(std::uint64_t end);
     void finishResigning();
     void answerReports();
     void answer(const std::string &host);
@@ -159,8 +164,9 @@
     void takeAppend(const std::shared_ptr<Attempt> &attempt, const scheduler::AppendResult &result);
     void relayAttempt(const std::shared_ptr<Attempt> &attempt);
     static void endAttempt(Attempt &attempt, Verdict verdict);
+    void giveUpQueued(const std::shared_ptr<Attempt> &attempt);
     void retryOrEnd(const std::shared_ptr<Attempt> &attempt);
-    static std::shared_ptr<Attempt> begin(const scheduler::Record &record);
+    std::shared_ptr<Attempt> begin(const scheduler::Record &record);
     void writeDecisions();
 
     Loop &loop;
@@ -178,6 +184,7 @@
     std::map<std::string, std::uint64_t> offsetOfKey; // of the newest record folded, while loading
     TimeMs contactAt = 0; // everything in the log up to then has been read
     TimeMs answeredAt = 0; // when the log last answered any call
+    scheduler::AnswerTimes answerTimes; // of the log
     bool storeReachable = false;
     TimeMs storeLostAt = 0;
     std::uint64_t campaignEpoch = 0;
@@ -186,6 +193,7 @@
     bool flushing = false;
     bool toldStale = false; // hosts know that the log is out of reach
     std::uint64_t flushNumber = 0; // of the outstanding flush
+    std::uint64_t ownEnd = 0; // all of this leader's earlier appends lie before this offset
     std::vector<scheduler::Record> flushRecords;
     TimeMs lastAppendAt = 0;
     bool planPending = false;
@@ -193,6 +201,7 @@
     Relay relay;
     std::vector<std::shared_ptr<Attempt>> queued; // wait for the outstanding append
     bool appendOutstanding = false;
+    std::map<std::string, std::vector<std::weak_ptr<Attempt>>> open; // attempts, by record key
     std::map<std::string, TimeMs> unresolved; // jobs whose append was not answered, and when
     bool resigning = false;
     bool resignationSent = false;
--- /dev/null
+++ b/flamingo/scheduler/answer_times.cc
@@ -0,0 +1,30 @@
+// The slowest answer is kept until it is too old or a slower one comes. A maximum reacts to the
+// first slow answer, where a mean would need several.
+
+#include "flamingo/scheduler/answer_times.h"
+
+#include <algorithm>
+
+namespace flamingo::scheduler {
+
+void noteAnswer(AnswerTimes &times, TimeMs tookMs, TimeMs now)
+{
+    if (tookMs < recentAnswerMs(times, now))
+        return;
+    times.slowestMs = tookMs;
+    times.slowestAt = now;
+}
+
+TimeMs recentAnswerMs(const AnswerTimes &times, TimeMs now)
+{
+    return now - times.slowestAt <= times.options.memoryMs ? times.slowestMs : 0;
+}
+
+TimeMs timeoutFor(const AnswerTimes &times, TimeMs baseMs, TimeMs now)
+{
+    const auto wanted =
+        static_cast<TimeMs>(times.options.patience * double(recentAnswerMs(times, now)));
+    return std::max(baseMs, std::min(wanted, times.options.maxTimeoutMs));
+}
+
+} // namespace flamingo::scheduler
--- a/flamingo/scheduler/leadership.cc
+++ b/flamingo/scheduler/leadership.cc
@@ -60,7 +60,9 @@
             >= leadership.options.complaintMs + leadership.extraDelayMs)
         return true;
     const TimeMs begin = std::max(leadership.lastSign, leadership.readableSince);
-    TimeMs silence = leadership.options.silenceMs;
+    // The signs of life of a leader at a slow log are as late as the log's answers.
+    TimeMs silence = leadership.options.silenceMs
+        + static_cast<TimeMs>(leadership.options.silencePerAnswer * double(leadership.answerMs));
     if (!leadership.leaderEverSeen)
         silence = leadership.options.firstSilenceMs;
     else if (!leadership.leaderKnown)
--- a/flamingo/scheduler/leadership.h
+++ b/flamingo/scheduler/leadership.h
@@ -22,7 +22,8 @@
 struct LeadershipOptions
 {
     TimeMs keepAliveMs = 300;
-    TimeMs silenceMs = 1300; // two missed signs of life while the log answers 60 times as slowly
+    TimeMs silenceMs = 1300; // several missed signs of life ...
+    double silencePerAnswer = 2; // ... and the time of the append and the read of one of them
     TimeMs complaintMs = 1500; // a report of an agent that a cut delayed is tried again meanwhile
     TimeMs complaintAgeMs = 3000; // an agent asks another entry at least this often
     TimeMs firstSilenceMs = 300; // while no leader was ever seen
@@ -38,7 +39,8 @@
     bool leaderEverSeen = false;
     TimeMs lastSign = 0; // of another leader
     TimeMs readableSince = 0; // reads have succeeded without a break since then; 0: they do not
-    TimeMs roundTripMs = 0; // of the log's fastest answer
+    TimeMs roundTripMs = 0; // of the log's answer to the last campaign
+    TimeMs answerMs = 0; // slowest recent answer of the log
     std::uint64_t complainedEpoch = 0; // the leader that is complained of ...
     std::map<std::string, TimeMs> complaints; // ... by these hosts, and when last
     TimeMs complaintsSince = 0; // they outnumber the leader's hosts since then; 0: they do not
--- /dev/null
+++ b/tests/answer_times_test.cc
@@ -0,0 +1,54 @@
+// Guards against timeouts that give up calls while a slow service carries them out, and against
+// ones that stay long after the service has recovered.
+
+#include "flamingo/scheduler/answer_times.h"
+#include "flamingo/scheduler/leadership.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace flamingo;
+using namespace flamingo::scheduler;
+
+TEST_GROUP(AnswerTimes)
+{
+    AnswerTimes times;
+};
+
+TEST(AnswerTimes, usualSpeedKeepsTheBase)
+{
+    LONGS_EQUAL(1000, timeoutFor(times, 1000, 5000));
+    noteAnswer(times, 20, 5000);
+    LONGS_EQUAL(1000, timeoutFor(times, 1000, 5001));
+}
+
+TEST(AnswerTimes, slowAnswersLengthenTheTimeoutUpToItsLimit)
+{
+    noteAnswer(times, 320, 5000);
+    LONGS_EQUAL(1280, timeoutFor(times, 1000, 5001));
+    noteAnswer(times, 900, 5100);
+    LONGS_EQUAL(times.options.maxTimeoutMs, timeoutFor(times, 1000, 5101));
+}
+
+TEST(AnswerTimes, fastAnswersDoNotHideASlowOneUntilItIsOld)
+{
+    noteAnswer(times, 500, 5000);
+    noteAnswer(times, 10, 5500);
+    LONGS_EQUAL(500, recentAnswerMs(times, 5500));
+    LONGS_EQUAL(0, recentAnswerMs(times, 5000 + times.options.memoryMs + 1));
+    noteAnswer(times, 10, 5000 + times.options.memoryMs + 1);
+    LONGS_EQUAL(10, recentAnswerMs(times, 5000 + times.options.memoryMs + 2));
+}
+
+// Store 80 times slower than usual: entries deposed a leader whose signs of life were only late.
+TEST(AnswerTimes, leaderAtASlowLogIsGivenMoreTime)
+{
+    Leadership leadership;
+    noteRead(leadership, true, 1000);
+    noteLeaderSign(leadership, false, 2000);
+    const TimeMs usual = 2000 + leadership.options.silenceMs;
+    CHECK_FALSE(shouldCampaign(leadership, usual - 1));
+    CHECK_TRUE(shouldCampaign(leadership, usual));
+    leadership.answerMs = 600;
+    CHECK_FALSE(shouldCampaign(leadership, usual + 1199));
+    CHECK_TRUE(shouldCampaign(leadership, usual + 1200));
+}
--- a/tests/fake_job_log.h
+++ b/tests/fake_job_log.h
@@ -9,6 +9,7 @@
 
 #include <algorithm>
 #include <map>
+#include <type_traits>
 
 namespace flamingo::tests {
 
@@ -33,6 +34,7 @@
 
     bool silent = false; // calls are not answered before they time out
     bool refuses = false; // calls are answered with a refusal
+    bool losesAnswers = false; // appends are carried out; their answers do not arrive
     TimeMs delayMs = 2;
     TimeMs timeoutMs = 300;
     int appends = 0;
@@ -147,6 +149,14 @@
             this->loop.after(this->timeoutMs, [done = std::move(done)] { done({}); });
             return;
         }
+        if (this->losesAnswers && std::is_same_v<Result, scheduler::AppendResult>) {
+            this->loop.after(this->delayMs, [fill] {
+                Result ignored;
+                fill(ignored);
+            });
+            this->loop.after(this->timeoutMs, [done = std::move(done)] { done({}); });
+            return;
+        }
         this->loop.after(this->delayMs, [this, done = std::move(done), fill] {
             Result result;
             if (!this->refuses)
--- a/tests/scheduler_service_test.cc
+++ b/tests/scheduler_service_test.cc
@@ -301,3 +301,55 @@
     fixture.runUntil([&stored] { return stored == 20; });
     CHECK(entry.log.appends - appendsBefore < 10);
 }
+
+// A caller must not wait for an answer that is lost when the record itself has been read.
+TEST(SchedulerService, acceptanceThatIsReadBackIsStored)
+{
+    Entry &entry = fixture.add("a", 1);
+    fixture.start();
+    fixture.runUntil([&entry] { return entry.service.fresh(); });
+    entry.log.losesAnswers = true;
+    entry.log.timeoutMs = 3000;
+    const TimeMs sentAt = Loop::now();
+    std::optional<Verdict> verdict;
+    entry.service.submit(smallJob(), [&verdict](Verdict result) { verdict = result; });
+    fixture.runUntil([&verdict] { return verdict.has_value(); });
+    CHECK(*verdict == Verdict::Ran);
+    CHECK(Loop::now() - sentAt < 1000);
+}
+
+// A leader whose appends are not answered must not stand still until each of them times out.
+TEST(SchedulerService, leaderGoesOnAfterAnAppendThatIsReadBack)
+{
+    Entry &entry = fixture.add("a", 1);
+    fixture.start();
+    fixture.runUntil([&entry] { return entry.service.leading(); });
+    entry.log.losesAnswers = true;
+    entry.log.timeoutMs = 3000;
+    const std::size_t before = fixture.state.records.size();
+    fixture.runUntil([&] { return fixture.state.records.size() >= before + 5; });
+    CHECK(entry.service.leading());
+    entry.log.losesAnswers = false;
+    fixture.runFor(300);
+    CHECK(entry.service.leading());
+}
+
+// What waits behind an append that is not answered is answered truthfully while its caller is still
+// there.
+TEST(SchedulerService, submissionBehindAnUnansweredAppendIsRefusedInTime)
+{
+    Entry &entry = fixture.add("a", 1);
+    fixture.start();
+    fixture.runUntil([&entry] { return entry.service.fresh(); });
+    entry.log.silent = true;
+    entry.log.timeoutMs = 4000;
+    entry.service.submit(smallJob(), [](Verdict /*ignored*/) {});
+    scheduler::Job second = smallJob();
+    second.id.back() = '0';
+    std::optional<Verdict> verdict;
+    const TimeMs sentAt = Loop::now();
+    entry.service.submit(second, [&verdict](Verdict result) { verdict = result; });
+    fixture.runUntil([&verdict] { return verdict.has_value(); });
+    CHECK(*verdict == Verdict::NotRun);
+    CHECK(Loop::now() - sentAt < 2000);
+}
