Learn how slow each host is, and keep urgent work off the slow ones

Durations of one step's tasks are compared across hosts; placement weighs the result. Tests: tests/host_speed_test.cc; urgentWorkAvoidsTheHostThatWasSlow fails without it.

--- /dev/null
+++ b/flamingo/scheduler/host_speed.cc
@@ -0,0 +1,61 @@
+// The usual duration of a step's task is the mean of the durations, each divided by what is known
+// of its host. Without that division, hosts that work together with slow ones would seem fast.
+// Ratios are averaged as logarithms: twice as slow and twice as fast cancel each other.
+
+#include "flamingo/scheduler/host_speed.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace flamingo::scheduler {
+namespace {
+
+double remaining(const HostSpeeds &speeds, const HostSpeed &host, TimeMs now)
+{
+    return std::exp2(-double(now - host.at) / speeds.options.halfLifeMs);
+}
+
+void addRatio(HostSpeeds &speeds, const std::string &name, double ratio, TimeMs now)
+{
+    HostSpeed &host = speeds.hosts[name];
+    const double kept = host.weight > 0 ? remaining(speeds, host, now) : 0;
+    const double clamped = std::clamp(ratio, speeds.options.minRatio, speeds.options.maxRatio);
+    host.logSum = host.logSum * kept + std::log(clamped);
+    host.weight = host.weight * kept + 1;
+    host.at = now;
+}
+
+bool onSeveralHosts(absl::Span<const TaskDuration> durations)
+{
+    return std::any_of(durations.begin(), durations.end(), [&durations](const TaskDuration &each) {
+        return each.host != durations.front().host;
+    });
+}
+
+} // namespace
+
+void noteStep(HostSpeeds &speeds, absl::Span<const TaskDuration> durations, TimeMs now)
+{
+    if (durations.empty() || !onSeveralHosts(durations))
+        return;
+    double sum = 0;
+    for (const TaskDuration &duration : durations)
+        sum += double(duration.ms) / slowness(speeds, duration.host, now);
+    const double usual = sum / double(durations.size());
+    if (usual <= 0)
+        return;
+    for (const TaskDuration &duration : durations)
+        addRatio(speeds, duration.host, double(duration.ms) / usual, now);
+}
+
+double slowness(const HostSpeeds &speeds, std::string_view host, TimeMs now)
+{
+    const auto found = speeds.hosts.find(host);
+    if (found == speeds.hosts.end())
+        return 1;
+    const double kept = remaining(speeds, found->second, now);
+    return std::exp(found->second.logSum * kept
+                    / (found->second.weight * kept + speeds.options.priorWeight));
+}
+
+} // namespace flamingo::scheduler
--- a/flamingo/scheduler/placement.cc
+++ b/flamingo/scheduler/placement.cc
@@ -58,7 +58,7 @@
         == demand.avoidedWorkers.end();
 }
 
-double leftover(const WorkerRoom &worker, const Resources &room)
+double leftover(const Demand &demand, const WorkerRoom &worker, const Resources &room)
 {
     const auto share = [](std::int64_t part, std::int64_t whole) {
         return whole > 0 ? double(part) / double(whole) : 0.0;
@@ -66,7 +66,7 @@
     return share(room.accelerators, worker.capacity.accelerators)
         + 0.1 * share(room.cpuMilli, worker.capacity.cpuMilli)
         + 0.1 * share(room.memoryMb, worker.capacity.memoryMb)
-        + (worker.suspect ? suspectCost : 0.0);
+        + demand.slownessCost * (worker.slowness - 1) + (worker.suspect ? suspectCost : 0.0);
 }
 
 Resources without(Resources room, const Resources &need)
@@ -80,7 +80,7 @@
 {
     if (!fits(demand.need, candidate.room))
         return std::nullopt;
-    return Increment{leftover(worker, without(candidate.room, demand.need)), {}, 0};
+    return Increment{leftover(demand, worker, without(candidate.room, demand.need)), {}, 0};
 }
 
 std::optional<Increment> placeByReclaim(const Demand &demand, const WorkerRoom &worker,
@@ -112,7 +112,7 @@
     }
     if (!fits(demand.need, room))
         return std::nullopt;
-    result.cost += leftover(worker, without(room, demand.need));
+    result.cost += leftover(demand, worker, without(room, demand.need));
     return result;
 }
 
@@ -138,7 +138,7 @@
     }
     if (!fits(demand.need, room))
         return std::nullopt;
-    result.cost = double(result.freeInMs) + leftover(worker, room);
+    result.cost = double(result.freeInMs) + leftover(demand, worker, room);
     return result;
 }
 
--- a/flamingo/scheduler/placement.h
+++ b/flamingo/scheduler/placement.h
@@ -4,7 +4,8 @@
 // Where tasks of one step go: a pure choice over the room of the workers.
 //
 // The choice packs tightly: it takes the worker, and for gangs the rack, in which the least room is
-// left over, so that whole workers stay free for tasks that need all their accelerators.
+// left over, so that whole workers stay free for tasks that need all their accelerators. Slow
+// workers are avoided as far as the demand asks for it.
 //
 // `findPlacement` uses room that is free now. `findReclaim` may also count on room that a run still
 // holds: it returns the runs to stop and their cost. `findReservation` stops nothing; it says where
@@ -40,6 +41,7 @@
     Resources capacity;
     Resources room; // free now, less what is reserved; may be negative
     bool suspect = false; // its last run failed; used when nothing else fits
+    double slowness = 1; // run time here as a multiple of the usual one
     std::vector<HeldRoom> held;
 };
 
@@ -53,6 +55,7 @@
     std::string requiredLabel;
     std::string dataRack; // empty: any
     std::uint32_t maxPerWorker = 0; // 0: no limit
+    double slownessCost = 0.5; // of twice the usual run time, beside a whole worker left over as 1
     std::vector<std::uint32_t> placedPerWorker; // tasks of the step there already, by worker
     std::vector<std::string> avoidedWorkers; // keys
 };
--- a/flamingo/scheduler/planner.cc
+++ b/flamingo/scheduler/planner.cc
@@ -42,6 +42,10 @@
 // Estimates are rough: a run past its estimate is expected to need this share of it again.
 constexpr double overrunShare = 0.3;
 
+// Weight of a slow worker in the placement of urgent work, against 1 for a whole worker left over.
+// A worker that takes 30% longer uses up most of the slack of an urgent job (half of its run time).
+constexpr double urgentSlownessCost = 5;
+
 // Lost core-seconds that urgent work beyond its guarantee may cost: a base, and a multiple of its
 // own work. Late urgent work loses four fifths of its worth to the caller, lost work is done again.
 constexpr double reclaimBaseCost = 400;
@@ -144,6 +148,7 @@
         room.capacity = worker.info.capacity;
         room.room = worker.info.capacity;
         room.suspect = this->now < worker.suspectUntil;
+        room.slowness = slowness(this->scheduler.speeds, worker.host, this->now);
         for (const auto &[key, run] : worker.runs) {
             room.room -= run.need;
             room.held.push_back(this->hold(worker, key, run));
@@ -312,6 +317,8 @@
     demand.requiredLabel = step.requiredLabel;
     demand.dataRack = step.dataRack;
     demand.maxPerWorker = step.maxPerWorker;
+    if (unit.priority == 0)
+        demand.slownessCost = urgentSlownessCost;
     for (const std::size_t task : unit.tasks) {
         const auto failed = unit.entry->lastFailedWorker.find(task);
         if (failed != unit.entry->lastFailedWorker.end())
--- a/flamingo/scheduler/scheduler.cc
+++ b/flamingo/scheduler/scheduler.cc
@@ -133,9 +133,30 @@
          "event=job_failed job=" + entry.job->id + " reason=\"" + entry.progress.reason + "\"");
 }
 
+// Compares the hosts of a step when all its tasks have ended. Only whole runs count, from their
+// start under this leader to their end; members of a gang wait for each other and tell nothing.
+void learnSpeed(Scheduler &scheduler, const Worker &worker, JobEntry &entry, const Run &run,
+                TimeMs now)
+{
+    const TaskPosition position = taskPosition(*entry.job, run.taskNumber);
+    const Step &step = entry.job->steps[position.step];
+    const bool whole = run.assignedAt != 0 && (run.run == 1 || !step.checkpointing);
+    if (step.gang || step.count < 2 || !whole)
+        return;
+    const std::size_t first = run.taskNumber - position.index;
+    std::vector<TaskDuration> &durations = entry.durations[first];
+    durations.push_back({worker.host, now - run.assignedAt});
+    for (std::size_t i = first; i < first + step.count; ++i) {
+        if (entry.progress.tasks[i].phase != TaskPhase::Done)
+            return;
+    }
+    noteStep(scheduler.speeds, durations, now);
+    entry.durations.erase(first);
+}
+
 void takeEnd(Scheduler &scheduler, Worker &worker, const ReportedEnd &end, TimeMs now)
 {
-    worker.runs.erase({end.task, end.run});
+    const auto ended = worker.runs.extract({end.task, end.run});
     const auto name = parseTaskName(end.task);
     const auto found = name ? scheduler.table.jobs.find(name->jobId) : scheduler.table.jobs.end();
     if (found == scheduler.table.jobs.end() || !found->second.job)
@@ -162,6 +183,8 @@
     }
     if (end.how == EndKind::Done) {
         noteSuccess(scheduler, worker, entry, *number, now);
+        if (!ended.empty())
+            learnSpeed(scheduler, worker, entry, ended.mapped(), now);
         return;
     }
     if (end.how == EndKind::Failed)
@@ -450,6 +473,7 @@
     scheduler.leadingSince = now;
     scheduler.workers.clear();
     scheduler.hosts.clear();
+    scheduler.speeds.hosts.clear();
     scheduler.nextToken = 0;
     scheduler.flush = 1;
     scheduler.storedFlush = 0;
@@ -457,6 +481,7 @@
         entry.dirty = false;
         entry.notedCancel = false;
         entry.notedAcceptance = false;
+        entry.durations.clear();
         entry.endedAt = now;
         entry.notBefore = 0;
     }
--- a/flamingo/scheduler/scheduler.h
+++ b/flamingo/scheduler/scheduler.h
@@ -19,6 +19,7 @@
 // All functions are pure: time is an argument, effects are returned or kept in the state.
 
 #include "flamingo/scheduler/host_messages.h"
+#include "flamingo/scheduler/host_speed.h"
 #include "flamingo/scheduler/placement.h"
 #include "flamingo/scheduler/records.h"
 
@@ -45,6 +46,8 @@
     TimeMs endedAt = 0; // when the outcome was set here
     TimeMs notBefore = 0; // no placement before, after a start that did not succeed
     std::map<std::size_t, std::string> lastFailedWorker; // by task
+    // Tasks that ran to their end under this leader, by the number of their step's first task.
+    std::map<std::size_t, std::vector<TaskDuration>> durations;
 };
 
 struct JobTable
@@ -137,6 +140,7 @@
     std::map<std::string, Worker> workers; // by key
     std::map<std::string, HostState> hosts; // by name
     std::map<std::string, std::int64_t> guarantees; // accelerators by organisation
+    HostSpeeds speeds;
     std::uint64_t nextToken = 0;
     std::uint64_t flush = 1; // changes made now are stored by this flush
     std::uint64_t storedFlush = 0;
--- /dev/null
+++ b/tests/host_speed_test.cc
@@ -0,0 +1,93 @@
+// Hosts of different speed: urgent work that lands on a slow one misses its objective, because its
+// slack is half of its run time. Guards against comparing tasks that are not alike, and against a
+// disturbance that is held against a host for good.
+
+#include "flamingo/scheduler/host_speed.h"
+
+#include "scheduler_rig.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace flamingo;
+using namespace flamingo::scheduler;
+using flamingo::tests::SchedulerRig;
+
+TEST_GROUP(HostSpeed)
+{
+    HostSpeeds speeds;
+
+    void note(const std::vector<TaskDuration> &durations, TimeMs now)
+    {
+        noteStep(speeds, durations, now);
+    }
+};
+
+TEST(HostSpeed, slowHostIsFoundAndOthersStayNearTheUsual)
+{
+    for (int i = 0; i < 5; ++i)
+        this->note({{"a", 1000 * (i + 1)}, {"b", 1000 * (i + 1)}, {"slow", 1300 * (i + 1)}}, 1000);
+    CHECK(slowness(speeds, "slow", 1000) > 1.1);
+    CHECK(slowness(speeds, "slow", 1000) < 1.3);
+    CHECK(slowness(speeds, "a", 1000) < 1.02);
+    CHECK(slowness(speeds, "a", 1000) > 0.85);
+    DOUBLES_EQUAL(1, slowness(speeds, "unknown", 1000), 0);
+}
+
+TEST(HostSpeed, oneHostTeachesNothing)
+{
+    this->note({{"a", 1000}, {"a", 9000}}, 1000);
+    DOUBLES_EQUAL(1, slowness(speeds, "a", 1000), 0);
+    this->note({}, 1000);
+}
+
+TEST(HostSpeed, oneOutlierCountsForLittle)
+{
+    this->note({{"a", 1000}, {"b", 50000}}, 1000);
+    CHECK(slowness(speeds, "b", 1000) < speeds.options.maxRatio / 2);
+}
+
+TEST(HostSpeed, whatWasLearnedFades)
+{
+    this->note({{"a", 1000}, {"b", 3000}}, 1000);
+    const double before = slowness(speeds, "b", 1000);
+    const double after = slowness(speeds, "b", 1000 + 60000);
+    CHECK(before > 1.1);
+    CHECK(after < 1.05);
+}
+
+// Six tasks on three hosts, one of which takes half as long again: the next urgent job goes to
+// another host, although the slow one would be packed more tightly.
+TEST(HostSpeed, urgentWorkAvoidsTheHostThatWasSlow)
+{
+    SchedulerRig rig;
+    for (const std::string host : {"h1", "h2", "h3"})
+        rig.addWorker(host);
+    for (int round = 0; round < 4; ++round) {
+        const std::string id = "batch" + std::to_string(round);
+        rig.accept(rig.job(id, 6, 4));
+        for (const std::string host : {"h1", "h2", "h3"})
+            rig.report(host);
+        for (const std::string host : {"h1", "h2", "h3"})
+            rig.report(host);
+        rig.pass(1000);
+        const auto finish = [&](const std::string &host) {
+            const std::vector<ReportedRun> runs = rig.last.at(host).runs;
+            for (const ReportedRun &run : runs)
+                rig.end(host, run.task, run.run, EndKind::Done);
+            rig.report(host);
+        };
+        finish("h1");
+        finish("h3");
+        rig.pass(500);
+        finish("h2");
+        rig.report("h2");
+        STRCMP_EQUAL("completed", rig.state(id).c_str());
+    }
+    rig.accept(rig.job("filler", 1, 2));
+    for (const std::string host : {"h1", "h2", "h3"})
+        rig.report(host);
+    rig.accept(rig.job("urgent", 3, 4, 0));
+    for (const std::string host : {"h1", "h2", "h3"})
+        rig.report(host);
+    CHECK_EQUAL(0, rig.running("h2"));
+}
