Find the leader sooner after a loss of power; explain a job from the logs

The new leader led at 35.81 s and met its first worker at 36.27 s: each agent's first call went to a machine that was still without power and hung until the connection request was sent again a second later; the same call then timed out and the agent gave up the leader that answered it. A leader cut from the log kept its hosts until the log named its successor. Now the next entry is asked after 0.25 s, calls from before the leader's last answer say nothing, and other entries are asked for the successor of a leader without the log.

--- a/daemons/ctl.cc
+++ b/daemons/ctl.cc
@@ -10,6 +10,8 @@
 
 #include <cstdlib>
 #include <iostream>
+#include <string>
+#include <vector>
 
 ABSL_FLAG(std::string, entry, "127.0.0.1:19001", "entries as IP:PORT, joined by commas");
 ABSL_FLAG(std::string, output, "table", "table or json; csv for 'table get'");
@@ -17,6 +19,7 @@
 ABSL_FLAG(bool, wait, true, "wait for the end of a job, or until an edit is in force");
 ABSL_FLAG(std::string, author, "", "author of a table edit; $USER when empty");
 ABSL_FLAG(std::string, address, "", "process to dump as IP:PORT; an entry when empty");
+ABSL_FLAG(std::vector<std::string>, log, {}, "log files to explain a job from, joined by commas");
 
 namespace {
 
@@ -62,6 +65,7 @@
     options.wait = absl::GetFlag(FLAGS_wait);
     options.author = authorOr(absl::GetFlag(FLAGS_author));
     options.address = absl::GetFlag(FLAGS_address);
+    options.logFiles = absl::GetFlag(FLAGS_log);
     const std::vector<std::string> words(positional.begin() + 1, positional.end());
     Loop loop;
     return static_cast<int>(runCtl(loop, options, words, std::cin, std::cout, std::cerr));
--- a/flamingo/adapters/ctl.cc
+++ b/flamingo/adapters/ctl.cc
@@ -7,6 +7,7 @@
 #include "flamingo/adapters/ctl_output.h"
 #include "flamingo/adapters/ctl_table.h"
 #include "flamingo/adapters/http_client.h"
+#include "flamingo/adapters/log_history.h"
 #include "flamingo/settings.h"
 
 #include <absl/strings/numbers.h>
@@ -210,6 +211,7 @@
     CtlExit jobCancel(absl::Span<const std::string> words);
     CtlExit jobAnswer(absl::Span<const std::string> words);
     CtlExit explain(absl::Span<const std::string> words);
+    CtlExit explainFromLogs(const std::string &jobId);
     CtlExit targetList(absl::Span<const std::string> words);
     CtlExit targetDrain(absl::Span<const std::string> words);
     CtlExit targetUndrain(absl::Span<const std::string> words);
@@ -654,8 +656,31 @@
     return CtlExit::Done;
 }
 
+// From logs, without an entry: the processes may be gone by now.
+CtlExit Ctl::explainFromLogs(const std::string &jobId)
+{
+    std::vector<std::string> logs;
+    for (const std::string &name : this->options.logFiles) {
+        auto text = readFile(name);
+        if (!text) {
+            this->err << "cannot read " << name << std::endl;
+            return CtlExit::BadInput;
+        }
+        logs.push_back(std::move(*text));
+    }
+    const std::vector<LogLine> history = historyOf(logs, jobId);
+    if (history.empty()) {
+        this->err << "no line of these logs names the job " << jobId << std::endl;
+        return CtlExit::BadInput;
+    }
+    this->out << renderHistory(history);
+    return CtlExit::Done;
+}
+
 CtlExit Ctl::explain(absl::Span<const std::string> words)
 {
+    if (!this->options.logFiles.empty())
+        return this->explainFromLogs(words[0]);
     return this->show({"GET", "/v1/jobs/" + percentEncoded(words[0]) + "/explain", Json(), true,
                        false, "the explanation"});
 }
@@ -773,8 +798,11 @@
     {"job answer", 1, 1, &Ctl::jobAnswer, "JOB",
      "Waits for the end of a job and prints its answer and nothing else.",
      "flamingoctl job answer j-42 > answer"},
-    {"explain", 1, 1, &Ctl::explain, "JOB", "Says why a job waits or cannot run.",
-     "flamingoctl explain j-42"},
+    {"explain", 1, 1, &Ctl::explain, "JOB",
+     "Says why a job waits or cannot run. With --log, prints the history of a job on the platform\n"
+     "from the logs of its processes; needs no entry.",
+     "flamingoctl explain j-42\n"
+     "flamingoctl explain 7a54f7980f875eda --log=entry-1.log,entry-2.log,agent-1.log"},
     {"target list", 0, 0, &Ctl::targetList, "", "Prints all targets and their state.",
      "flamingoctl target list --output=json"},
     {"target drain", 1, 1, &Ctl::targetDrain, "AGENT",
--- a/flamingo/adapters/ctl.h
+++ b/flamingo/adapters/ctl.h
@@ -38,6 +38,7 @@
     bool wait = true;
     std::string author; // of table edits
     std::string address; // of the process to dump; empty: an entry
+    std::vector<std::string> logFiles; // of processes on the platform, to explain a job from
     TimeMs readTimeoutMs = 5000;
     TimeMs waitTimeoutMs = 110000; // above maxWaitMs of every entry, below the client's own 120 s
     TimeMs pollPauseMs = 200; // between two questions after a job
--- a/flamingo/adapters/host_agent_service.cc
+++ b/flamingo/adapters/host_agent_service.cc
@@ -15,7 +15,7 @@
 using namespace flamingo::scheduler;
 
 constexpr TimeMs stepMs = 50;
-constexpr int maxOutstandingReports = 2;
+constexpr std::size_t maxOutstandingReports = 2;
 constexpr TimeMs minReportIntervalMs = 10; // bounds what a leader that answers at once can cause
 constexpr std::size_t maxEntries = 16;
 
@@ -64,7 +64,7 @@
 {
     if (!this->agent.worker || !this->agent.worker->draining)
         return false;
-    return !this->agent.workerGone || this->agent.reportNeeded || this->outstandingReports > 1;
+    return !this->agent.workerGone || this->agent.reportNeeded || this->outstandingAtCurrent() > 1;
 }
 
 HostReport HostAgentService::currentReport() const
@@ -80,17 +80,58 @@
         this->callWorker(call);
     for (const std::string &decision : std::exchange(this->agent.decisions, {}))
         this->decisions.write(decision);
-    const bool due = this->outstandingReports == 0
-        || (this->agent.reportNeeded && this->outstandingReports < maxOutstandingReports);
-    const bool something = this->agent.worker || this->agent.workerGone;
+    const bool searching = this->searchesOn(now);
+    if (searching)
+        this->chooseNextEntry();
+    const std::size_t waiting = this->outstandingAtCurrent();
+    const bool due =
+        searching || waiting == 0 || (this->agent.reportNeeded && waiting < maxOutstandingReports);
+    const bool something = (this->agent.worker || this->agent.workerGone) && !this->entries.empty();
     if (something && due && now >= this->nextReportAt)
-        this->sendReport();
-    const bool stale = now - this->leaderAnsweredAt > this->options.lookUpAfterMs
-        || this->leaderStoreSilentMs > this->options.staleLeaderMs;
+        this->sendReport(this->entries[this->current]);
+    if (something && this->leaderIsStale() && now - this->lastAskAt >= this->options.searchAfterMs)
+        this->askForSuccessor();
+    const bool stale =
+        now - this->leaderAnsweredAt > this->options.lookUpAfterMs || this->leaderIsStale();
     if (stale && now - this->lastLookUpAt > this->options.lookUpEveryMs)
         this->lookUpLeader();
 }
 
+std::size_t HostAgentService::outstandingAtCurrent() const
+{
+    if (this->entries.empty())
+        return 0;
+    const auto found = this->outstanding.find(this->entries[this->current]);
+    return found == this->outstanding.end() ? 0 : found->second.size();
+}
+
+// Has the entry that was asked last been silent for too long while no leader is known?
+bool HostAgentService::searchesOn(TimeMs now) const
+{
+    std::size_t reports = 0;
+    for (const auto &[address, sequences] : this->outstanding)
+        reports += sequences.size();
+    return !this->leaderKnown && this->outstandingAtCurrent() > 0
+        && reports < this->options.maxSearchReports
+        && now - this->lastReportAt >= this->options.searchAfterMs;
+}
+
+// A leader answers a report at the latest when the next one arrives. Older reports to an entry that
+// has answered are lost therefore, and need not time out before the next one is sent.
+void HostAgentService::noteResult(const HttpResult &result, const std::string &address,
+                                  std::uint64_t sequence)
+{
+    const auto found = this->outstanding.find(address);
+    if (found == this->outstanding.end())
+        return;
+    std::set<std::uint64_t> &sequences = found->second;
+    if (result.status == statusOk)
+        sequences.erase(sequences.begin(), sequences.lower_bound(sequence));
+    sequences.erase(sequence);
+    if (sequences.empty())
+        this->outstanding.erase(found);
+}
+
 void HostAgentService::callWorker(const WorkerCall &call)
 {
     this->worker.call(call, [this, call](const WorkerAnswer &answer) {
@@ -99,14 +140,27 @@
     });
 }
 
-void HostAgentService::sendReport()
+bool HostAgentService::leaderIsStale() const
 {
-    if (this->entries.empty())
+    return this->leaderStoreSilentMs > this->options.staleLeaderMs;
+}
+
+// Asks an entry other than the leader; one that follows the log knows a successor at once.
+void HostAgentService::askForSuccessor()
+{
+    this->lastAskAt = Loop::now();
+    if (this->entries.size() < 2)
         return;
+    const std::size_t other =
+        (this->current + 1 + this->random() % (this->entries.size() - 1)) % this->entries.size();
+    this->sendReport(this->entries[other]);
+}
+
+void HostAgentService::sendReport(const std::string &address)
+{
     const TimeMs now = Loop::now();
     HostReport report = makeReport(this->agent);
     report.lostLeader = this->leaderKnown ? 0 : this->agent.epoch;
-    const std::string address = this->entries[this->current];
     HttpCall call;
     call.address = address;
     call.method = "POST";
@@ -114,11 +168,12 @@
     call.body = encode(report);
     call.timeoutMs = this->options.reportTimeoutMs;
     call.keepAlive = true;
-    ++this->outstandingReports;
+    this->outstanding[address].insert(report.sequence);
+    this->lastReportAt = now;
     this->nextReportAt = now + minReportIntervalMs;
     this->client.call(call,
                       [this, address, now, sequence = report.sequence](const HttpResult &result) {
-                          --this->outstandingReports;
+                          this->noteResult(result, address, sequence);
                           this->takeResult(result, address, now, sequence);
                           this->step();
                       });
@@ -127,32 +182,21 @@
 void HostAgentService::takeResult(const HttpResult &result, const std::string &address,
                                   TimeMs sentAt, std::uint64_t sequence)
 {
-    const bool current = this->entries[this->current] == address;
     Reason reason;
     const auto orders =
         result.status == statusOk ? decodeHostOrders(result.body, reason) : std::nullopt;
     if (!orders) {
-        if (!current)
-            return;
-        if (std::exchange(this->leaderKnown, false))
-            this->decisions.write("event=leader_lost address=" + address + " reason=\""
-                                  + (result.error.empty() ? reason.text : result.error) + "\"");
-        this->tryNextEntry();
+        this->takeRefusal(result, address, sentAt, reason);
         return;
     }
     if (orders->epoch == 0) {
-        if (!current)
-            return;
-        if (!orders->leaderAddress.empty() && orders->leaderAddress != address)
-            this->follow(orders->leaderAddress);
-        else
-            this->tryNextEntry();
-        this->nextReportAt = Loop::now() + this->options.redirectMs;
+        this->takeRedirect(*orders, address);
         return;
     }
     if (orders->epoch >= this->agent.epoch) {
         this->leaderAnsweredAt = Loop::now();
         this->leaderStoreSilentMs = orders->storeSilentMs;
+        this->choose(address);
         if (!std::exchange(this->leaderKnown, true))
             this->decisions.write("event=leader_found address=" + address
                                   + " epoch=" + std::to_string(orders->epoch));
@@ -160,6 +204,39 @@
     takeOrders(this->agent, *orders, sentAt, sequence, Loop::now());
 }
 
+void HostAgentService::takeRefusal(const HttpResult &result, const std::string &address,
+                                   TimeMs sentAt, const Reason &reason)
+{
+    // A call that was sent before the leader's last answer says nothing about it now.
+    const bool outdated = this->leaderKnown && sentAt < this->leaderAnsweredAt;
+    if (outdated || this->entries[this->current] != address)
+        return;
+    if (std::exchange(this->leaderKnown, false))
+        this->decisions.write("event=leader_lost address=" + address + " reason=\""
+                              + (result.error.empty() ? reason.text : result.error) + "\"");
+    this->tryNextEntry();
+}
+
+void HostAgentService::takeRedirect(const HostOrders &orders, const std::string &address)
+{
+    const bool current = this->entries[this->current] == address;
+    const std::string &leader = orders.leaderAddress;
+    const bool newer = orders.leaderEpoch > this->agent.epoch;
+    if (!current && this->leaderKnown && !newer)
+        return;
+    // An entry that is behind names a former leader.
+    const bool named =
+        !leader.empty() && leader != address && orders.leaderEpoch >= this->agent.epoch;
+    if (named) {
+        // Calls to it from before may hang: it may have been without power then.
+        this->outstanding.erase(leader);
+        this->follow(leader);
+    } else if (current) {
+        this->tryNextEntry();
+    }
+    this->nextReportAt = Loop::now() + this->options.redirectMs;
+}
+
 void HostAgentService::learnEntry(const std::string &address)
 {
     if (std::find(this->entries.begin(), this->entries.end(), address) != this->entries.end())
@@ -170,20 +247,30 @@
     this->current = std::min(this->current, this->entries.size() - 1);
 }
 
-void HostAgentService::follow(const std::string &address)
+void HostAgentService::choose(const std::string &address)
 {
     this->learnEntry(address);
     const auto found = std::find(this->entries.begin(), this->entries.end(), address);
     this->current = static_cast<std::size_t>(found - this->entries.begin());
+}
+
+void HostAgentService::follow(const std::string &address)
+{
+    this->choose(address);
     this->agent.reportNeeded = true;
 }
 
-void HostAgentService::tryNextEntry()
+// At random, so that each entry hears of a lost leader.
+void HostAgentService::chooseNextEntry()
 {
-    // At random, so that each entry hears of a lost leader.
     if (this->entries.size() > 1)
         this->current = (this->current + 1 + this->random() % (this->entries.size() - 1))
             % this->entries.size();
+}
+
+void HostAgentService::tryNextEntry()
+{
+    this->chooseNextEntry();
     this->nextReportAt = Loop::now() + this->options.redirectMs;
 }
 
--- a/flamingo/adapters/host_agent_service.h
+++ b/flamingo/adapters/host_agent_service.h
@@ -4,8 +4,9 @@
 // The agent beside one worker: moves calls, answers, reports and orders between the decisions in
 // flamingo/scheduler/host_agent.h, the worker and the leading entry.
 //
-// The leader is found by asking entries: each names the leader that it knows of. When no entry that
-// is known answers, the newest leader record of the job log names one.
+// The leader is found by asking entries: each names the leader that it knows of. A machine without
+// power does not refuse a connection, so the next entry is asked while the last one is still
+// silent. When no entry that is known answers, the newest leader record of the job log names one.
 
 #include "flamingo/adapters/decision_log.h"
 #include "flamingo/adapters/http_client.h"
@@ -13,6 +14,8 @@
 #include "flamingo/scheduler/job_log.h"
 #include "flamingo/scheduler/worker_port.h"
 
+#include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -27,6 +30,9 @@
     std::vector<std::string> entries; // addresses to begin with, "IP:port"
     TimeMs reportTimeoutMs = 1300; // an entry answers within its reportWaitMs of 600 ms
     TimeMs redirectMs = 100; // before the next entry is asked
+    TimeMs searchAfterMs = 250; // a silent entry is waited for this long while no leader is known
+    std::size_t maxSearchReports =
+        5; // unanswered at a time; as many as searchAfterMs fit into a timeout
     TimeMs lookUpAfterMs = 1500; // without a leader, the job log is asked
     TimeMs lookUpEveryMs = 400;
     TimeMs staleLeaderMs = 900; // a leader that has not reached the log this long may be deposed
@@ -54,10 +60,20 @@
 private:
     void step();
     void callWorker(const scheduler::WorkerCall &call);
-    void sendReport();
+    void sendReport(const std::string &address);
+    bool leaderIsStale() const;
+    void askForSuccessor();
+    std::size_t outstandingAtCurrent() const;
+    bool searchesOn(TimeMs now) const;
+    void noteResult(const HttpResult &result, const std::string &address, std::uint64_t sequence);
     void takeResult(const HttpResult &result, const std::string &address, TimeMs sentAt,
                     std::uint64_t sequence);
+    void choose(const std::string &address);
     void follow(const std::string &address);
+    void takeRefusal(const HttpResult &result, const std::string &address, TimeMs sentAt,
+                     const Reason &reason);
+    void takeRedirect(const scheduler::HostOrders &orders, const std::string &address);
+    void chooseNextEntry();
     void tryNextEntry();
     void lookUpLeader();
     void learnEntry(const std::string &address);
@@ -72,8 +88,10 @@
     scheduler::HostAgent agent;
     std::vector<std::string> entries;
     std::size_t current = 0; // index in `entries` of the one that is asked
-    int outstandingReports = 0;
+    std::map<std::string, std::set<std::uint64_t>> outstanding; // reports, by entry; see noteResult
     TimeMs nextReportAt = 0;
+    TimeMs lastReportAt = 0;
+    TimeMs lastAskAt = 0; // for a successor of the leader
     TimeMs leaderAnsweredAt = 0;
     TimeMs leaderStoreSilentMs = 0;
     TimeMs lastLookUpAt = 0;
--- /dev/null
+++ b/flamingo/adapters/log_history.cc
@@ -0,0 +1,200 @@
+// Two passes: the first finds the lines of the job, and with them the time span and the workers;
+// the second adds the lines about these workers and about the processes within that span.
+
+#include "flamingo/adapters/log_history.h"
+
+#include <absl/strings/ascii.h>
+#include <absl/strings/numbers.h>
+#include <absl/strings/str_format.h>
+#include <absl/strings/str_split.h>
+
+#include <algorithm>
+#include <set>
+
+namespace flamingo::adapters {
+namespace {
+
+constexpr std::string_view timeField = "unix_ms=";
+
+// Events that explain a wait without naming a job.
+constexpr std::string_view processEvents[] = {
+    "start",   "stop",        "reload",    "store_lost",  "store_regained", "campaign",
+    "leading", "leader_seen", "step_down", "leader_lost", "leader_found",   "job_log_expired"};
+
+std::string_view take(std::string_view &rest, std::size_t count)
+{
+    const std::string_view taken = rest.substr(0, count);
+    rest.remove_prefix(std::min(rest.size(), count));
+    return taken;
+}
+
+// The next name=value of `rest`; values in quotes may hold blanks.
+bool takeField(std::string_view &rest, std::string &name, std::string &value)
+{
+    rest.remove_prefix(std::min(rest.size(), rest.find_first_not_of(' ')));
+    const std::size_t equals = rest.find('=');
+    if (equals == std::string_view::npos)
+        return false;
+    name = std::string(take(rest, equals));
+    rest.remove_prefix(1);
+    const bool quoted = !rest.empty() && rest.front() == '"';
+    if (quoted)
+        rest.remove_prefix(1);
+    value = std::string(take(rest, std::min(rest.size(), rest.find(quoted ? '"' : ' '))));
+    if (quoted && !rest.empty())
+        rest.remove_prefix(1);
+    return true;
+}
+
+std::string_view fieldOf(const LogLine &line, std::string_view name)
+{
+    const auto found = line.fields.find(name);
+    return found == line.fields.end() ? std::string_view() : std::string_view(found->second);
+}
+
+bool startsWith(std::string_view text, std::string_view prefix)
+{
+    return text.substr(0, prefix.size()) == prefix;
+}
+
+bool isAbout(const LogLine &line, std::string_view jobId)
+{
+    const std::string_view task = fieldOf(line, "task");
+    return fieldOf(line, "job") == jobId
+        || (startsWith(task, jobId) && task.substr(jobId.size(), 1) == ".");
+}
+
+// Reasons and causes name jobs as well: the work that took room back, for example.
+bool mentions(const LogLine &line, std::string_view jobId)
+{
+    for (std::size_t at = line.text.find(jobId); at != std::string::npos;
+         at = line.text.find(jobId, at + 1)) {
+        const std::size_t end = at + jobId.size();
+        if (end == line.text.size() || !absl::ascii_isalnum(line.text[end]))
+            return true;
+    }
+    return false;
+}
+
+bool isContext(const LogLine &line, const std::set<std::string, std::less<>> &workers)
+{
+    const std::string_view worker = fieldOf(line, "worker");
+    if (fieldOf(line, "task").empty() && !worker.empty() && workers.count(worker) > 0)
+        return true;
+    return !fieldOf(line, "left_out_before").empty()
+        || std::find(std::begin(processEvents), std::end(processEvents), line.event)
+        != std::end(processEvents);
+}
+
+std::vector<LogLine> parseAll(absl::Span<const std::string> logs)
+{
+    std::vector<LogLine> lines;
+    for (const std::string &log : logs) {
+        for (const absl::string_view text : absl::StrSplit(log, '\n')) {
+            auto line = parseLogLine({text.data(), text.size()});
+            if (line)
+                lines.push_back(std::move(*line));
+        }
+    }
+    std::stable_sort(lines.begin(), lines.end(),
+                     [](const LogLine &a, const LogLine &b) { return a.unixMs < b.unixMs; });
+    return lines;
+}
+
+// Milliseconds from the first line to the first (or last) line of an event; -1: there is none.
+std::int64_t timeOf(absl::Span<const LogLine> history, std::string_view event, bool last)
+{
+    std::int64_t result = -1;
+    for (const LogLine &line : history) {
+        if (line.event != event || (result >= 0 && !last))
+            continue;
+        result = static_cast<std::int64_t>(line.unixMs - history.front().unixMs);
+    }
+    return result;
+}
+
+} // namespace
+
+std::optional<LogLine> parseLogLine(std::string_view text)
+{
+    const std::size_t begin = text.find(timeField);
+    if (begin == std::string_view::npos)
+        return std::nullopt;
+    std::string_view rest = text.substr(begin);
+    LogLine line;
+    std::string name;
+    std::string value;
+    if (!takeField(rest, name, value) || !absl::SimpleAtoi(value, &line.unixMs))
+        return std::nullopt;
+    while (!rest.empty()) {
+        const std::size_t at = text.size() - rest.size();
+        if (!takeField(rest, name, value))
+            break;
+        if (name == "process") {
+            line.process = value;
+        } else if (name == "event") {
+            line.event = value;
+            line.text = std::string(text.substr(text.find("event=", at)));
+        } else {
+            line.fields[name] = value;
+        }
+    }
+    if (line.event.empty())
+        return std::nullopt;
+    return line;
+}
+
+std::vector<LogLine> historyOf(absl::Span<const std::string> logs, std::string_view jobId)
+{
+    const std::vector<LogLine> lines = parseAll(logs);
+    std::set<std::string, std::less<>> workers;
+    std::uint64_t first = 0;
+    std::uint64_t last = 0;
+    for (const LogLine &line : lines) {
+        if (!isAbout(line, jobId))
+            continue;
+        first = first == 0 ? line.unixMs : first;
+        last = line.unixMs;
+        if (!fieldOf(line, "worker").empty())
+            workers.insert(std::string(fieldOf(line, "worker")));
+    }
+    std::vector<LogLine> history;
+    for (const LogLine &line : lines) {
+        const bool within = first != 0 && line.unixMs >= first && line.unixMs <= last;
+        if (isAbout(line, jobId) || (within && (mentions(line, jobId) || isContext(line, workers))))
+            history.push_back(line);
+    }
+    return history;
+}
+
+std::string renderHistory(absl::Span<const LogLine> history)
+{
+    if (history.empty())
+        return {};
+    struct Mark
+    {
+        std::string_view event;
+        bool last;
+        std::string_view label;
+    };
+    constexpr Mark marks[] = {{"job_known", false, "known to a leader"},
+                              {"task_assigned", false, "first task assigned"},
+                              {"task_assigned", true, "last task assigned"},
+                              {"run_ended", true, "last run ended"},
+                              {"job_completed", true, "completed"},
+                              {"job_failed", true, "failed"},
+                              {"job_cancelled", true, "cancelled"}};
+    std::string result;
+    for (const Mark &mark : marks) {
+        const std::int64_t at = timeOf(history, mark.event, mark.last);
+        if (at >= 0)
+            result += absl::StrFormat("%-20s after %8d ms\n", mark.label, at);
+    }
+    result += "\n";
+    for (const LogLine &line : history)
+        result += absl::StrFormat("%8d ms  %-20s  %s\n", line.unixMs - history.front().unixMs,
+                                  line.process, line.text);
+    return result;
+}
+
+} // namespace flamingo::adapters
--- a/flamingo/adapters/scheduler_service.cc
+++ b/flamingo/adapters/scheduler_service.cc
@@ -476,6 +476,7 @@
     if (!this->leading()) {
         HostOrders orders;
         orders.leaderAddress = this->scheduling.table.leader.address;
+        orders.leaderEpoch = this->scheduling.table.leader.epoch;
         return orders;
     }
     HostOrders orders = scheduler::ordersFor(this->scheduling, host);
--- a/flamingo/scheduler/host_messages.h
+++ b/flamingo/scheduler/host_messages.h
@@ -85,7 +85,8 @@
 struct HostOrders
 {
     std::uint64_t epoch = 0; // of the answering leader; 0: the answering process does not lead
-    std::string leaderAddress; // where the leader is, as far as the answering process knows
+    std::string leaderAddress; // where the leader is, as far as the answering process knows ...
+    std::uint64_t leaderEpoch = 0; // ... and under which epoch it leads
     std::string workerKey; // the incarnation that the orders are meant for
     std::uint64_t fencingToken = 0;
     TimeMs grantMs = 0; // lease of the worker, from the moment when the report was sent
--- a/flamingo/scheduler/records.cc
+++ b/flamingo/scheduler/records.cc
@@ -30,8 +30,8 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(ReportedEnd, number, task, run, how, checkpoint)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(StartOrder, task, run, payload, checkpoint)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(StopOrder, task, run)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(HostOrders, epoch, leaderAddress, workerKey,
-                                                fencingToken, grantMs, acknowledgedEnd,
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(HostOrders, epoch, leaderAddress, leaderEpoch,
+                                                workerKey, fencingToken, grantMs, acknowledgedEnd,
                                                 storeSilentMs, starts, stops)
 
 namespace {
--- a/tests/ctl_test.cc
+++ b/tests/ctl_test.cc
@@ -170,6 +170,22 @@
     CHECK_EQUAL(0, f.run({"explain", "a b"}));
 }
 
+// The processes that wrote the logs may be gone; a missing file must not look like a missing job.
+TEST(Ctl, jobIsExplainedFromLogsWithoutAnEntry)
+{
+    std::ofstream(fileName) << "unix_ms=1000 process=e1 event=job_known job=aa11 priority=0\n"
+                               "unix_ms=1500 process=e1 event=job_completed job=aa11\n";
+    f.options.entries = {deadAddress};
+    f.options.logFiles = {fileName};
+    CHECK_EQUAL(0, f.run({"explain", "aa11"}));
+    CHECK(f.out.str().find("completed            after      500 ms") != std::string::npos);
+    CHECK_EQUAL(1, f.run({"explain", "bb22"}));
+    f.options.logFiles = {"no-such-file"};
+    CHECK_EQUAL(1, f.run({"explain", "aa11"}));
+    CHECK(f.err.str().find("cannot read no-such-file") != std::string::npos);
+    std::remove(fileName);
+}
+
 TEST(Ctl, verdictsBecomeExitCodes)
 {
     const std::pair<HttpResponse, int> cases[] = {
--- /dev/null
+++ b/tests/host_agent_service_test.cc
@@ -0,0 +1,225 @@
+// Guards the search for the leader: an agent that waits for machines without power, or gives up a
+// leader that answers, leaves its worker idle after every loss of power.
+
+#include "fake_job_log.h"
+
+#include "flamingo/adapters/host_agent_service.h"
+#include "flamingo/adapters/http_server.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <netinet/in.h>
+#include <unistd.h>
+
+using namespace flamingo;
+using namespace flamingo::adapters;
+using flamingo::tests::FakeJobLog;
+using flamingo::tests::FakeLogState;
+
+namespace {
+
+constexpr std::uint16_t silentPort = 18721;
+constexpr const char *silentAddress = "127.0.0.1:18721";
+constexpr const char *leaderAddress = "127.0.0.1:18722";
+constexpr const char *formerAddress = "127.0.0.1:18723";
+constexpr const char *followerAddress = "127.0.0.1:18724";
+constexpr std::uint64_t leaderEpoch = 5;
+
+// Takes connections and never answers, like a machine that has lost power.
+class SilentListener
+{
+public:
+    SilentListener()
+        : descriptor(socket(AF_INET, SOCK_STREAM, 0))
+    {
+        const int on = 1;
+        setsockopt(this->descriptor, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+        sockaddr_in address = {};
+        address.sin_family = AF_INET;
+        address.sin_port = htons(silentPort);
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        CHECK_EQUAL(0,
+                    bind(this->descriptor, reinterpret_cast<sockaddr *>(&address), sizeof address));
+        CHECK_EQUAL(0, listen(this->descriptor, 16));
+    }
+    ~SilentListener()
+    {
+        close(this->descriptor);
+    }
+    SilentListener(const SilentListener &) = delete;
+    SilentListener &operator=(const SilentListener &) = delete;
+
+private:
+    int descriptor;
+};
+
+class IdleWorker : public scheduler::WorkerPort
+{
+public:
+    explicit IdleWorker(Loop &loop)
+        : loop(loop)
+    {
+    }
+
+    void call(const scheduler::WorkerCall & /*call*/,
+              std::function<void(scheduler::WorkerAnswer)> done) override
+    {
+        this->loop.after(50, [done = std::move(done)] {
+            scheduler::WorkerAnswer answer;
+            answer.result = scheduler::CallResult::Done;
+            answer.clockMs = Loop::now();
+            done(answer);
+        });
+    }
+
+private:
+    Loop &loop;
+};
+
+struct Fixture
+{
+    Loop loop;
+    FakeLogState logState;
+    FakeJobLog log{this->loop, this->logState};
+    DecisionLog decisions{"test", 0};
+    Metrics metrics;
+    IdleWorker worker{this->loop};
+    std::unique_ptr<HttpServer> leader;
+    std::unique_ptr<HttpServer> former;
+    std::unique_ptr<HttpServer> follower;
+    std::vector<scheduler::HostReport> reports; // taken by the leader
+    std::size_t formerReports = 0;
+    std::size_t unanswered = 0; // the leader stays silent on this many reports
+
+    Fixture()
+    {
+        this->leader = this->listen(leaderAddress,
+                                    [this](const HttpRequest &request) { this->take(request); });
+    }
+
+    void take(const HttpRequest &request)
+    {
+        Reason reason;
+        this->reports.push_back(*scheduler::decodeHostReport(request.body, reason));
+        if (this->reports.size() <= this->unanswered)
+            return;
+        scheduler::HostOrders orders;
+        orders.epoch = leaderEpoch;
+        orders.leaderAddress = leaderAddress;
+        this->loop.after(20, [this, id = request.id, text = encode(orders)] {
+            this->leader->respond(id, {200, text});
+        });
+    }
+
+    std::unique_ptr<HttpServer> listen(const char *address, HttpServer::Handler handler)
+    {
+        Reason reason;
+        HttpServerOptions options;
+        options.address = address;
+        auto server = HttpServer::listen(this->loop, options, std::move(handler), nullptr, reason);
+        CHECK(server != nullptr);
+        return server;
+    }
+
+    // A former leader that has lost the log, and an entry that knows its successor.
+    void addFormerLeaderAndFollower()
+    {
+        this->former = this->listen(formerAddress, [this](const HttpRequest &request) {
+            ++this->formerReports;
+            scheduler::HostOrders orders;
+            orders.epoch = leaderEpoch - 1;
+            orders.leaderAddress = formerAddress;
+            orders.storeSilentMs = 5000;
+            this->former->respond(request.id, {200, encode(orders)});
+        });
+        this->follower = this->listen(followerAddress, [this](const HttpRequest &request) {
+            scheduler::HostOrders orders;
+            orders.leaderAddress = leaderAddress;
+            orders.leaderEpoch = leaderEpoch;
+            this->follower->respond(request.id, {200, encode(orders)});
+        });
+    }
+
+    static HostAgentServiceOptions options(std::vector<std::string> entries)
+    {
+        HostAgentServiceOptions options;
+        options.agent.host = "h1";
+        options.agent.agentStart = 1;
+        options.entries = std::move(entries);
+        return options;
+    }
+
+    static scheduler::WorkerInfo workerInfo()
+    {
+        scheduler::WorkerInfo info;
+        info.id = "w1";
+        info.bornUnixMs = 1;
+        info.service = "s";
+        return info;
+    }
+
+    void runFor(TimeMs ms)
+    {
+        this->loop.after(ms, [this] { this->loop.stop(); });
+        this->loop.run();
+        this->loop.resume();
+    }
+};
+
+} // namespace
+
+TEST_GROUP(HostAgentService)
+{
+    Fixture fixture;
+};
+
+// All machines lose power at once: agents are back before the entries that they know of, and each
+// call to an entry that is not back yet took its whole timeout.
+TEST(HostAgentService, nextEntryIsAskedWhileTheLastOneIsSilent)
+{
+    const SilentListener silent;
+    HostAgentServiceOptions options = Fixture::options({silentAddress, leaderAddress});
+    options.reportTimeoutMs = 5000;
+    HostAgentService service(fixture.loop, fixture.worker, fixture.log, fixture.decisions,
+                             fixture.metrics, options);
+    service.start();
+    service.takeHeartbeat(Fixture::workerInfo(), 1);
+    fixture.runFor(options.searchAfterMs + 300);
+    CHECK_FALSE(fixture.reports.empty());
+    const std::size_t before = fixture.reports.size();
+    fixture.runFor(500);
+    CHECK(fixture.reports.size() > before + 3); // it is followed
+}
+
+// The first call to a leader that was just starting timed out after later ones had been answered,
+// and the agent looked for another leader.
+TEST(HostAgentService, callFromBeforeTheLeadersLastAnswerDoesNotLoseIt)
+{
+    HostAgentServiceOptions options = Fixture::options({leaderAddress});
+    options.reportTimeoutMs = 600;
+    fixture.unanswered = 1;
+    HostAgentService service(fixture.loop, fixture.worker, fixture.log, fixture.decisions,
+                             fixture.metrics, options);
+    service.start();
+    service.takeHeartbeat(Fixture::workerInfo(), 1);
+    fixture.runFor(1500);
+    CHECK(fixture.reports.size() > 10);
+    for (const scheduler::HostReport &report : fixture.reports)
+        CHECK_EQUAL(0, report.lostLeader);
+}
+
+// A leader that is cut from the log goes on answering; its hosts started nothing until the job log
+// named its successor to each of them.
+TEST(HostAgentService, successorOfALeaderThatHasLostTheLogIsAskedFor)
+{
+    fixture.addFormerLeaderAndFollower();
+    HostAgentServiceOptions options = Fixture::options({formerAddress, followerAddress});
+    fixture.log.silent = true;
+    HostAgentService service(fixture.loop, fixture.worker, fixture.log, fixture.decisions,
+                             fixture.metrics, options);
+    service.start();
+    service.takeHeartbeat(Fixture::workerInfo(), 1);
+    fixture.runFor(options.searchAfterMs + 300);
+    CHECK(fixture.formerReports > 0);
+    CHECK_FALSE(fixture.reports.empty());
+}
--- /dev/null
+++ b/tests/log_history_test.cc
@@ -0,0 +1,94 @@
+// Guards against a history that leaves out what explains a wait, or that mixes in other jobs.
+
+#include "flamingo/adapters/log_history.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace flamingo::adapters;
+
+namespace {
+
+// Two entries and an agent; the second entry leads from 1,500 ms on.
+const std::vector<std::string> logs = {
+    "unix_ms=1000 process=e1 event=request method=POST job=aa11 status=200 cause=\"stored\" "
+    "took_ms=12\n"
+    "unix_ms=1400 process=e1 event=step_down epoch=7 cause=\"fenced\"\n"
+    "unix_ms=9000 process=e1 event=store_lost reason=\"timeout\"\n",
+    "   2.5 e2 unix_ms=1500 process=e2 event=leading epoch=9 jobs=3 offset=40\n"
+    "unix_ms=1510 process=e2 event=job_known job=aa11 priority=0 tasks=2\n"
+    "unix_ms=1520 process=e2 event=run_stopping task=bb22.0.0.1 run=1 worker=h1/w1@5 "
+    "cause=\"urgent work aa11\"\n"
+    "unix_ms=1700 process=e2 event=task_assigned task=aa11.0.0.0 run=1 worker=h1/w1@5\n"
+    "unix_ms=1705 process=e2 event=task_assigned task=aa111.0.0.0 run=1 worker=h1/w1@5\n"
+    "unix_ms=1900 process=e2 event=worker_lost worker=h1/w1@5 cause=\"its process has ended\"\n"
+    "unix_ms=1901 process=e2 event=worker_lost worker=h2/w2@5 cause=\"its process has ended\"\n"
+    "unix_ms=2500 process=e2 event=job_completed job=aa11\n",
+    "not a line of ours\nunix_ms=x process=h1 event=start\nunix_ms=5 process=h1\n"
+    "unix_ms=1800 process=h1 event=start_unanswered task=aa11.0.0.0 run=1 reason=\"timeout\"\n"};
+
+bool names(const std::vector<LogLine> &history, const std::string &event, const std::string &part)
+{
+    for (const LogLine &line : history) {
+        if (line.event == event && line.text.find(part) != std::string::npos)
+            return true;
+    }
+    return false;
+}
+
+} // namespace
+
+TEST_GROUP(LogHistory){};
+
+TEST(LogHistory, holdsTheJobAndWhatBefellItsWorkersAndProcesses)
+{
+    const std::vector<LogLine> history = historyOf(logs, "aa11");
+    CHECK_EQUAL(9, history.size());
+    STRCMP_EQUAL("request", history.front().event.c_str());
+    STRCMP_EQUAL("job_completed", history.back().event.c_str());
+    CHECK(names(history, "step_down", "fenced"));
+    CHECK(names(history, "leading", "epoch=9"));
+    CHECK(names(history, "run_stopping", "bb22"));
+    CHECK(names(history, "start_unanswered", "timeout"));
+    CHECK(names(history, "worker_lost", "h1/w1@5"));
+}
+
+// Another worker, an outage after the end, and a job whose id begins alike.
+TEST(LogHistory, leavesOutWhatIsNotConcerned)
+{
+    const std::vector<LogLine> history = historyOf(logs, "aa11");
+    CHECK_FALSE(names(history, "worker_lost", "h2/w2@5"));
+    CHECK_FALSE(names(history, "store_lost", ""));
+    CHECK_FALSE(names(history, "task_assigned", "aa111"));
+    CHECK(historyOf(logs, "cc33").empty());
+    STRCMP_EQUAL("", renderHistory({}).c_str());
+}
+
+TEST(LogHistory, linesAreOrderedByTimeAcrossFiles)
+{
+    std::uint64_t before = 0;
+    for (const LogLine &line : historyOf(logs, "aa11")) {
+        CHECK(line.unixMs >= before);
+        before = line.unixMs;
+    }
+}
+
+TEST(LogHistory, summaryNamesTheWaits)
+{
+    const std::string text = renderHistory(historyOf(logs, "aa11"));
+    CHECK(text.find("known to a leader    after      510 ms") != std::string::npos);
+    CHECK(text.find("first task assigned  after      700 ms") != std::string::npos);
+    CHECK(text.find("completed            after     1500 ms") != std::string::npos);
+    CHECK(text.find("     900 ms  e2                    event=worker_lost") != std::string::npos);
+}
+
+TEST(LogHistory, valuesInQuotesHoldBlanks)
+{
+    const auto line = parseLogLine(
+        "unix_ms=7 process=p event=worker_lost cause=\"its process has ended\" runs=4");
+    CHECK(line.has_value());
+    STRCMP_EQUAL("its process has ended", line->fields.at("cause").c_str());
+    STRCMP_EQUAL("4", line->fields.at("runs").c_str());
+    CHECK_FALSE(parseLogLine("").has_value());
+    CHECK_FALSE(parseLogLine("unix_ms=7 process=\"p").has_value());
+    CHECK_FALSE(parseLogLine("unix_ms=").has_value());
+}
