--- a/tests/host_speed_test.cc
+++ b/tests/host_speed_test.cc
@@ -24,8 +24,8 @@
 
 TEST(HostSpeed, slowHostIsFoundAndOthersStayNearTheUsual)
 {
-    for (int i = 0; i < 5; ++i)
-        this->note({{"a", 1000 * (i + 1)}, {"b", 1000 * (i + 1)}, {"slow", 1300 * (i + 1)}}, 1000);
+    for (const TimeMs usual : {1000, 2000, 3000, 4000, 5000})
+        this->note({{"a", usual}, {"b", usual}, {"slow", usual * 13 / 10}}, 1000);
     CHECK(slowness(speeds, "slow", 1000) > 1.1);
     CHECK(slowness(speeds, "slow", 1000) < 1.3);
     CHECK(slowness(speeds, "a", 1000) < 1.02);
