--- a/flamingo/adapters/scheduler_service.cc
+++ b/flamingo/adapters/scheduler_service.cc
@@ -175,6 +175,8 @@
         if (stored.record.key == last.key && stored.record.value == last.value)
             this->noteFlushStored(stored.offset + 1);
     }
+    if (stored.record.value.empty())
+        return; // the key of an old job was dropped
     const auto waiting = this->open.extract(stored.record.key);
     if (waiting.empty())
         return;
--- a/tests/fake_job_log.h
+++ b/tests/fake_job_log.h
@@ -35,6 +35,7 @@
     bool silent = false; // calls are not answered before they time out
     bool refuses = false; // calls are answered with a refusal
     bool losesAnswers = false; // appends are carried out; their answers do not arrive
+    bool losesAppends = false; // appends are neither carried out nor answered; reads are
     TimeMs delayMs = 2;
     TimeMs timeoutMs = 300;
     int appends = 0;
@@ -149,10 +150,12 @@
             this->loop.after(this->timeoutMs, [done = std::move(done)] { done({}); });
             return;
         }
-        if (this->losesAnswers && std::is_same_v<Result, scheduler::AppendResult>) {
-            this->loop.after(this->delayMs, [fill] {
+        if ((this->losesAnswers || this->losesAppends)
+            && std::is_same_v<Result, scheduler::AppendResult>) {
+            this->loop.after(this->delayMs, [fill, lost = this->losesAppends] {
                 Result ignored;
-                fill(ignored);
+                if (!lost)
+                    fill(ignored);
             });
             this->loop.after(this->timeoutMs, [done = std::move(done)] { done({}); });
             return;
--- a/tests/scheduler_service_test.cc
+++ b/tests/scheduler_service_test.cc
@@ -353,3 +353,18 @@
     CHECK(*verdict == Verdict::NotRun);
     CHECK(Loop::now() - sentAt < 2000);
 }
+
+// The record that drops the key of an old job says nothing about a new submission under its id.
+TEST(SchedulerService, droppedKeyIsNotTakenForAnAcceptance)
+{
+    Entry &entry = fixture.add("a", 1);
+    fixture.start();
+    fixture.runUntil([&entry] { return entry.service.fresh(); });
+    entry.log.losesAppends = true;
+    std::optional<Verdict> verdict;
+    entry.service.submit(smallJob(), [&verdict](Verdict result) { verdict = result; });
+    const scheduler::Record accepted = acceptanceRecord(smallJob());
+    fixture.state.records.push_back({fixture.state.records.size(), {accepted.key, ""}});
+    fixture.runUntil([&verdict] { return verdict.has_value(); });
+    CHECK(*verdict == Verdict::MayHaveRun);
+}
