Leave the leader's processor to reports between two plans

Ruled out: the store (0.001 GB, no outage after 2.4 s). A plan now leaves three times its duration, at most 0.2 s.

--- a/flamingo/adapters/scheduler_service.cc
+++ b/flamingo/adapters/scheduler_service.cc
@@ -269,7 +269,7 @@
             : std::next(item);
     if (this->leading()) {
         this->tellStale(now);
-        this->planNow();
+        this->planSoon();
         if (!this->flushing && now - this->lastAppendAt >= this->leadership.options.keepAliveMs) {
             this->flushRecords.clear();
             this->flushNumber = 0;
@@ -376,7 +376,7 @@
 {
     if (std::exchange(this->planPending, true))
         return;
-    this->loop.after(0, [this] {
+    this->loop.after(untilPlan(this->planPace, Loop::now()), [this] {
         this->planPending = false;
         this->planNow();
     });
@@ -386,10 +386,12 @@
 {
     if (!this->leading() || this->resigning)
         return;
-    plan(this->scheduling, Loop::now(), Loop::unixNow());
+    const TimeMs began = Loop::now();
+    plan(this->scheduling, began, Loop::unixNow());
     this->writeDecisions();
     this->flush();
     this->answerReports();
+    notePlan(this->planPace, began, Loop::now());
 }
 
 void SchedulerService::writeDecisions()
--- a/flamingo/adapters/scheduler_service.h
+++ b/flamingo/adapters/scheduler_service.h
@@ -13,6 +13,7 @@
 #include "flamingo/scheduler/answer_times.h"
 #include "flamingo/scheduler/job_log.h"
 #include "flamingo/scheduler/leadership.h"
+#include "flamingo/scheduler/plan_pace.h"
 #include "flamingo/scheduler/scheduler.h"
 
 #include <functional>
@@ -197,6 +198,7 @@
     std::vector<scheduler::Record> flushRecords;
     TimeMs lastAppendAt = 0;
     bool planPending = false;
+    scheduler::PlanPace planPace;
     std::map<std::string, WaitingReport> waiting; // by host
     Relay relay;
     std::vector<std::shared_ptr<Attempt>> queued; // wait for the outstanding append
