--- a/flamingo/adapters/host_agent_service.cc
+++ b/flamingo/adapters/host_agent_service.cc
@@ -153,7 +153,9 @@
         return;
     const std::size_t other =
         (this->current + 1 + this->random() % (this->entries.size() - 1)) % this->entries.size();
+    const bool needed = this->agent.reportNeeded; // by the leader, which this report does not reach
     this->sendReport(this->entries[other]);
+    this->agent.reportNeeded = needed;
 }
 
 void HostAgentService::sendReport(const std::string &address)
