Take only members below 100% for stalled, and measure progress on the worker's clock

Cause: the members of a gang advance independently and end together.

Change: run_progress.h decides by gang. Agents report the worker's clock of the list from which they took the percentages, and progress is measured on that clock. A gang's timers start when all members run. A member below 100% that stands still is stalled, the complete ones wait for it, and only its worker is quarantined; if all members stand still on several workers, none is. The limit also grows with the run's own pace and, for a run that resumes, with the time to restore, so slow workers and estimates that are off by 90% are not taken for stalls.

--- a/flamingo/scheduler/host_agent.cc
+++ b/flamingo/scheduler/host_agent.cc
@@ -14,6 +14,8 @@
 
 #include "flamingo/scheduler/host_agent.h"
 
+#include "flamingo/scheduler/run_progress.h"
+
 #include <algorithm>
 #include <set>
 
@@ -440,11 +442,14 @@
     report.worker = agent.worker;
     report.workerGone = agent.workerGone;
     report.fencingToken = agent.tokenInForce;
+    report.listClockMs = agent.listClockMs;
     for (auto &[key, run] : agent.runs) {
         if (run.state == RunState::Gone && run.goneReportSequence == 0)
             run.goneReportSequence = report.sequence;
-        report.runs.push_back(
-            {key.first, key.second, run.state, run.percent, run.checkpoint, run.reason});
+        // The start was answered after the newest list was read.
+        const bool listed = run.confirmedClockMs <= agent.listClockMs;
+        report.runs.push_back({key.first, key.second, run.state,
+                               listed ? run.percent : unknownPercent, run.checkpoint, run.reason});
     }
     report.ends = agent.ends;
     agent.reportNeeded = false;
--- a/flamingo/scheduler/host_messages.h
+++ b/flamingo/scheduler/host_messages.h
@@ -42,7 +42,7 @@
     std::string task;
     std::uint32_t run = 0;
     RunState state = RunState::Unknown;
-    std::int64_t percent = 0; // progress
+    std::int64_t percent = 0; // progress; unknownPercent: the worker has not listed the run yet
     std::string checkpoint;
     std::string reason; // why the run is being stopped or is gone
 };
@@ -75,6 +75,8 @@
     bool workerGone = false; // no worker process exists on the host
     std::uint64_t lostLeader = 0; // epoch of the leader that the agent cannot reach; 0: none
     std::uint64_t fencingToken = 0; // in force at the worker; `runs` and `ends` were read under it
+    // The worker's clock when it listed `runs`; 0: they have not been listed.
+    std::int64_t listClockMs = 0;
     std::vector<ReportedRun> runs;
     std::vector<ReportedEnd> ends;
 };
--- a/flamingo/scheduler/planner.cc
+++ b/flamingo/scheduler/planner.cc
@@ -378,6 +378,7 @@
         run.need = allocationFor(step);
         run.flush = scheduler.flush;
         run.assignedAt = now;
+        run.resumed = !task.checkpoint.empty();
         worker.freeCapacity -= run.need;
         const std::string name = taskName(*row.job, taskPosition(*row.job, number));
         logDecision(scheduler,
@@ -510,27 +511,70 @@
     }
 }
 
-// Stops runs that occupy resources without making progress, and quarantines their workers, which
-// must have stalled.
+// The runs of one gang, or the only run of a task outside a gang, on workers that report.
+struct ReportedGang
+{
+    std::size_t size = 1; // number of members of the gang
+    bool allRunning = true; // none of `runs` is still being started
+    std::vector<MemberProgress> progress;
+    std::vector<std::pair<Worker *, RunKey>> runs;
+};
+
+using GangKey = std::tuple<std::string_view, std::size_t, std::uint32_t>; // job, first task, run
+
+void addReportedRun(const Scheduler &scheduler, Worker &worker, std::size_t workerNumber,
+                    const RunKey &key, const Run &run, std::map<GangKey, ReportedGang> &gangs)
+{
+    const auto found = scheduler.table.jobs.find(run.jobId);
+    if (found == scheduler.table.jobs.end() || !found->second.job
+        || !shouldRun(scheduler, worker, run))
+        return;
+    const TaskPosition position = taskPosition(*found->second.job, run.taskNumber);
+    const Step &step = found->second.job->steps[position.step];
+    if (step.longRunning)
+        return;
+    const std::size_t first = run.taskNumber - (step.gang ? position.index : 0);
+    ReportedGang &gang = gangs[{found->first, first, run.run}];
+    gang.size = step.gang ? step.count : 1;
+    gang.allRunning = gang.allRunning && run.reported == RunState::Running;
+    gang.progress.push_back(
+        {workerNumber, run.progress.percent,
+         stillness(run.progress, step.estimateMs, run.resumed, scheduler.options.stall)});
+    gang.runs.emplace_back(&worker, key);
+}
+
+// Stops runs that occupy resources without making progress, and quarantines the workers that
+// stalled them. A gang begins to work when all its members run, so their stall timers start then.
 void stopStalledRuns(Scheduler &scheduler, TimeMs now)
 {
+    std::map<GangKey, ReportedGang> gangs;
+    std::size_t workerNumber = 0;
     for (auto &[key, worker] : scheduler.workers) {
+        ++workerNumber;
         if (!worker.fenced || now - worker.lastReport > scheduler.options.reportTimeoutMs)
             continue;
-        for (const auto &[runKey, run] : worker.runs) {
-            const auto found = scheduler.table.jobs.find(run.jobId);
-            if (found == scheduler.table.jobs.end() || !found->second.job
-                || !shouldRun(scheduler, worker, run) || run.runningSince == 0)
-                continue;
-            const Step &step =
-                found->second.job->steps[taskPosition(*found->second.job, run.taskNumber).step];
-            const TimeMs limit = scheduler.options.stallMs
-                + static_cast<TimeMs>(scheduler.options.stallShare * double(step.estimateMs));
-            // Counts up to the last report: missing reports do not show a lack of progress.
-            if (step.longRunning || worker.lastReport - run.progressAt <= limit)
-                continue;
-            stopRun(scheduler, key, runKey, "no progress");
-            worker.quarantinedUntil = now + scheduler.options.quarantineMs;
+        for (const auto &[runKey, run] : worker.runs)
+            addReportedRun(scheduler, worker, workerNumber, runKey, run, gangs);
+    }
+    for (auto &[gangKey, gang] : gangs) {
+        const bool begun =
+            std::any_of(gang.progress.begin(), gang.progress.end(),
+                        [](const MemberProgress &member) { return member.percent > 0; });
+        const bool complete = gang.allRunning && gang.runs.size() == gang.size;
+        if (!begun && !complete) {
+            for (const auto &[worker, runKey] : gang.runs)
+                restartStallTimer(worker->runs.at(runKey).progress);
+            continue;
+        }
+        // The others may wait for members that are not reported or are being stopped, and nothing
+        // shows that these advance.
+        gang.progress.resize(gang.size, {0, 0, 1.0});
+        const StalledMembers stalled = findStalled(gang.progress);
+        for (const std::size_t member : stalled.members) {
+            const auto &[worker, runKey] = gang.runs[member];
+            stopRun(scheduler, worker->key, runKey, "no progress");
+            if (stalled.workersAtFault)
+                worker->quarantinedUntil = now + scheduler.options.quarantineMs;
         }
     }
 }
--- a/flamingo/scheduler/records.cc
+++ b/flamingo/scheduler/records.cc
@@ -90,6 +90,7 @@
             {"workerGone", report.workerGone},
             {"lostLeader", report.lostLeader},
             {"fencingToken", report.fencingToken},
+            {"listClockMs", report.listClockMs},
             {"runs", report.runs},
             {"ends", report.ends}};
     if (report.worker)
@@ -104,6 +105,7 @@
     report.workerGone = json.value("workerGone", false);
     report.lostLeader = json.value("lostLeader", std::uint64_t(0));
     report.fencingToken = json.value("fencingToken", std::uint64_t(0));
+    report.listClockMs = json.value("listClockMs", std::int64_t(0));
     report.runs = json.value("runs", std::vector<ReportedRun>());
     report.ends = json.value("ends", std::vector<ReportedEnd>());
     if (json.contains("worker"))
@@ -209,7 +211,7 @@
             runs.push_back({{"task", runKey.first},
                             {"run", runKey.second},
                             {"state", run.reported},
-                            {"percent", run.percent}});
+                            {"percent", run.progress.percent}});
         workers[key] = {{"info", worker.info},
                         {"fenced", worker.fenced},
                         {"token", worker.fencingToken},
--- /dev/null
+++ b/flamingo/scheduler/run_progress.cc
@@ -0,0 +1,88 @@
+// The limit of a run is the sum of a base, of a share of its estimate or of its own pace, whichever
+// is larger, and of the time to restore a checkpoint. Its own pace is the mean time between two
+// changes of the percentage so far; before the first change only the estimate is known.
+
+#include "flamingo/scheduler/run_progress.h"
+
+#include <algorithm>
+
+namespace flamingo::scheduler {
+namespace {
+
+// Below this stillness a member is taken to advance. Members of a gang that stand still together
+// reach the limit up to one report interval (600 ms) apart.
+constexpr double advancingStillness = 0.5;
+
+// Mean time that one percent has taken; 0 before the first change.
+double paceMs(const RunProgress &progress)
+{
+    const std::int64_t done = progress.percent - progress.firstPercent;
+    return done > 0 ? double(progress.changedAt - progress.firstListedAt) / double(done) : 0;
+}
+
+} // namespace
+
+void recordProgress(RunProgress &progress, std::int64_t percent, std::int64_t clockMs)
+{
+    if (clockMs <= progress.listedAt || percent == unknownPercent)
+        return;
+    if (progress.firstListedAt == 0) {
+        progress.firstListedAt = clockMs;
+        progress.firstPercent = percent;
+        progress.changedAt = clockMs;
+    }
+    if (percent != progress.percent)
+        progress.changedAt = clockMs;
+    progress.percent = percent;
+    progress.listedAt = clockMs;
+}
+
+void restartStallTimer(RunProgress &progress)
+{
+    progress.changedAt = progress.listedAt;
+}
+
+double stillness(const RunProgress &progress, TimeMs estimateMs, bool resumed,
+                 const StallOptions &options)
+{
+    if (progress.firstListedAt == 0)
+        return 0;
+    const double expectedMs =
+        std::max(options.estimateShare * double(estimateMs), options.paceFactor * paceMs(progress));
+    const double limitMs =
+        double(options.baseMs) + expectedMs + (resumed ? double(options.restoreMs) : 0);
+    return double(progress.listedAt - progress.changedAt) / limitMs;
+}
+
+StalledMembers findStalled(absl::Span<const MemberProgress> members)
+{
+    StalledMembers result;
+    bool anyIncomplete = false;
+    bool anyAdvances = false;
+    bool severalWorkers = false;
+    for (std::size_t i = 0; i < members.size(); ++i) {
+        const MemberProgress &member = members[i];
+        const bool incomplete = member.percent < completePercent;
+        anyIncomplete = anyIncomplete || incomplete;
+        anyAdvances = anyAdvances || !incomplete || member.stillness < advancingStillness;
+        severalWorkers = severalWorkers || member.worker != members[0].worker;
+        if (member.stillness > 1)
+            result.members.push_back(i);
+    }
+    if (anyIncomplete) {
+        // Complete members wait for the others.
+        result.members.erase(std::remove_if(result.members.begin(), result.members.end(),
+                                            [&members](std::size_t member) {
+                                                return members[member].percent >= completePercent;
+                                            }),
+                             result.members.end());
+        result.workersAtFault = anyAdvances || !severalWorkers;
+        return result;
+    }
+    if (result.members.size() < members.size())
+        result.members.clear();
+    result.workersAtFault = !severalWorkers;
+    return result;
+}
+
+} // namespace flamingo::scheduler
--- a/flamingo/scheduler/scheduler.cc
+++ b/flamingo/scheduler/scheduler.cc
@@ -233,6 +233,7 @@
             run.taskNumber = i;
             run.run = task.run;
             run.need = allocationFor(row.job->steps[position.step]);
+            run.resumed = !task.checkpoint.empty();
             worker.runs[{taskName(*row.job, position), task.run}] = run;
         }
     }
@@ -254,7 +255,9 @@
     return worker;
 }
 
-void applyReportedRun(Scheduler &scheduler, Worker &worker, const ReportedRun &reported, TimeMs now)
+// `listClockMs` is HostReport::listClockMs.
+void applyReportedRun(Scheduler &scheduler, Worker &worker, const ReportedRun &reported,
+                      std::int64_t listClockMs, TimeMs now)
 {
     const RunKey key = {reported.task, reported.run};
     auto found = worker.runs.find(key);
@@ -285,14 +288,9 @@
         return;
     }
     run.reported = reported.state;
-    if (reported.state == RunState::Running && run.runningSince == 0) {
+    if (reported.state == RunState::Running && run.runningSince == 0)
         run.runningSince = now;
-        run.progressAt = now;
-    }
-    if (reported.percent != run.percent) {
-        run.percent = reported.percent;
-        run.progressAt = now;
-    }
+    recordProgress(run.progress, reported.percent, listClockMs);
     const auto job = scheduler.table.jobs.find(run.jobId);
     if (!reported.checkpoint.empty() && job != scheduler.table.jobs.end()
         && isCurrentRun(job->second, run.taskNumber, run.run))
@@ -304,7 +302,7 @@
     std::map<RunKey, bool> listed;
     for (const ReportedRun &reported : report.runs) {
         listed[{reported.task, reported.run}] = true;
-        applyReportedRun(scheduler, worker, reported, now);
+        applyReportedRun(scheduler, worker, reported, report.listClockMs, now);
     }
     for (auto run = worker.runs.begin(); run != worker.runs.end();) {
         if (listed.count(run->first) > 0 || run->second.reported == RunState::Unknown) {
--- a/flamingo/scheduler/scheduler.h
+++ b/flamingo/scheduler/scheduler.h
@@ -31,6 +31,7 @@
 #include "flamingo/scheduler/host_speed.h"
 #include "flamingo/scheduler/placement.h"
 #include "flamingo/scheduler/records.h"
+#include "flamingo/scheduler/run_progress.h"
 
 #include <functional>
 #include <map>
@@ -96,10 +97,9 @@
     TimeMs failureBackoffMs = 200; // before a task whose run was dropped is placed again
     TimeMs suspectMs = 5000; // after a failed run, a worker is the last choice for this long
     TimeMs quarantineMs = 8000; // after two failed runs in a row, it gets no work for this long
-    // A run without progress for `stallMs` plus `stallShare` of its estimate is stopped, and its
-    // task is placed again. Workers report progress in hundredths, at least every 600 ms.
-    TimeMs stallMs = 1400;
-    double stallShare = 0.1;
+    // When a run counts as stalled: it is stopped, its task is placed again, and its worker gets no
+    // work for `quarantineMs`.
+    StallOptions stall;
 };
 
 // A run that occupies resources of a worker.
@@ -113,8 +113,8 @@
     std::uint64_t flush = 0; // the start is ordered only after this flush is stored
     TimeMs assignedAt = 0; // 0: not assigned by this leader
     TimeMs runningSince = 0; // 0: not yet reported as running
-    std::int64_t percent = 0;
-    TimeMs progressAt = 0; // last change of `percent`
+    RunProgress progress;
+    bool resumed = false; // it was started from a checkpoint
 };
 
 using RunKey = std::pair<std::string, std::uint32_t>; // task name and run number
--- a/tests/scheduler_rig.h
+++ b/tests/scheduler_rig.h
@@ -15,6 +15,7 @@
     TimeMs now = 1000;
     std::uint64_t unixNow = 1700000000000;
     std::uint64_t reportCount = 0;
+    std::int64_t workerClockOffsetMs = 7000; // workers' clocks start at different times
     // The next report of each host, which shows the effect of the orders received so far.
     std::map<std::string, scheduler::HostReport> nextReports;
 
@@ -105,6 +106,7 @@
     {
         scheduler::HostReport &report = this->nextReports.at(host);
         report.sequence = ++this->reportCount;
+        report.listClockMs = this->now + this->workerClockOffsetMs;
         applyReport(this->scheduler, report, this->now);
         this->planAndStore();
         scheduler::HostOrders orders = ordersFor(this->scheduler, host);
