Do not refuse a submission as not run while one of its appends is unanswered

Cause: an attempt whose append was outstanding could end as NotRun in two ways. The relay's refusal ran retryOrEnd() beside the outstanding append when the log had become unreachable meanwhile; and an attempt, or a caller's repetition of it, expired in the queue behind the append of the first one.

Ruled out: a 503 of the log that was not true (its page says that nothing was done), and the relay's own verdicts (an unanswered relay already counts as unresolved).

Change: an attempt records whether it is queued, has an unanswered append or a retry pending; it is never queued twice, and the verdict covers all attempts of the same record at this entry.

Both new tests fail on the former code with NotRun.

--- a/flamingo/adapters/scheduler_service.cc
+++ b/flamingo/adapters/scheduler_service.cc
@@ -601,7 +601,7 @@
 // instead: an append sent then could only have an unknown outcome.
 void SchedulerService::runAttempt(const std::shared_ptr<Attempt> &attempt)
 {
-    if (attempt->ended)
+    if (attempt->ended || attempt->queued || attempt->appendPending)
         return;
     if (!this->logReachable) {
         this->relayAttempt(attempt);
@@ -617,6 +617,7 @@
         if (Loop::now() - this->logAnsweredAt >= relayMs)
             this->relayAttempt(attempt);
     });
+    attempt->queued = true;
     this->queuedAttempts.push_back(attempt);
     this->loop.after(this->options.queueTimeoutMs,
                      [this, attempt] { this->expireQueued(attempt); });
@@ -631,8 +632,8 @@
     if (found == this->queuedAttempts.end())
         return;
     this->queuedAttempts.erase(found);
-    const bool unresolved = attempt->mayBeStored || attempt->relayPending;
-    endAttempt(*attempt, unresolved ? Verdict::MayHaveRun : Verdict::NotRun);
+    attempt->queued = false;
+    endAttempt(*attempt, this->mayStillBeStored(*attempt) ? Verdict::MayHaveRun : Verdict::NotRun);
 }
 
 // Sends the queued attempts in one append unless another one is outstanding. Attempts that arrive
@@ -653,8 +654,11 @@
                                this->queuedAttempts.begin() + static_cast<long>(count));
     std::vector<Record> records;
     records.reserve(sent.size());
-    for (const auto &attempt : sent)
+    for (const auto &attempt : sent) {
+        attempt->queued = false;
+        attempt->appendPending = true;
         records.push_back(attempt->record);
+    }
     const TimeMs sentAt = Loop::now();
     this->appendOutstanding = true;
     this->log.append(records, [this, sent = std::move(sent), sentAt](const AppendResult &result) {
@@ -674,6 +678,7 @@
 void SchedulerService::handleAppendResult(const std::shared_ptr<Attempt> &attempt,
                                           const AppendResult &result)
 {
+    attempt->appendPending = false;
     if (result.status == AppendStatus::Stored) {
         endAttempt(*attempt, Verdict::Ran);
         return;
@@ -734,15 +739,34 @@
     const bool timeLeft = now + this->options.submitRetryMs - attempt->startedAt < window;
     // An attempt that may be stored is retried, because an early answer "may have run" does not
     // help the caller.
-    const bool unresolved = attempt->mayBeStored || attempt->relayPending;
+    const bool unresolved = this->mayStillBeStored(*attempt);
     if (timeLeft && (unresolved || now - this->logLostAt < window)) {
-        this->loop.after(this->options.submitRetryMs,
-                         [this, attempt] { this->runAttempt(attempt); });
+        if (!std::exchange(attempt->retryPending, true))
+            this->loop.after(this->options.submitRetryMs, [this, attempt] {
+                attempt->retryPending = false;
+                this->runAttempt(attempt);
+            });
         return;
     }
     endAttempt(*attempt, unresolved ? Verdict::MayHaveRun : Verdict::NotRun);
 }
 
+// True when the record of an attempt may be stored, now or later, by any append or relay that this
+// entry has begun for it. A caller that repeats a submission has several attempts.
+bool SchedulerService::mayStillBeStored(const Attempt &attempt) const
+{
+    const auto unresolved = [](const Attempt &each) {
+        return each.mayBeStored || each.relayPending || each.appendPending;
+    };
+    const auto found = this->openAttempts.find(attempt.record.key);
+    if (unresolved(attempt) || found == this->openAttempts.end())
+        return unresolved(attempt);
+    return std::any_of(found->second.begin(), found->second.end(), [&](const auto &weak) {
+        const auto other = weak.lock();
+        return other != nullptr && unresolved(*other);
+    });
+}
+
 void SchedulerService::cancel(const std::string &jobId, std::function<void(CancelOutcome)> done)
 {
     const auto found = this->scheduling.table.jobs.find(jobId);
--- a/flamingo/adapters/scheduler_service.h
+++ b/flamingo/adapters/scheduler_service.h
@@ -167,6 +167,9 @@
         TimeMs startedAt = 0;
         bool relayed = false;
         bool relayPending = false; // the other entry has not answered yet
+        bool queued = false; // in `queuedAttempts`
+        bool appendPending = false; // its append has not been answered yet
+        bool retryPending = false; // a timer for the next retry is running
         bool ended = false; // `done` has been called
         bool mayBeStored = false; // the outcome of an earlier append is unknown
         std::function<void(Verdict)> done;
@@ -209,6 +212,7 @@
     static void endAttempt(Attempt &attempt, Verdict verdict);
     void expireQueued(const std::shared_ptr<Attempt> &attempt);
     void retryOrEnd(const std::shared_ptr<Attempt> &attempt);
+    bool mayStillBeStored(const Attempt &attempt) const;
     std::shared_ptr<Attempt> beginAttempt(const scheduler::Record &record);
     void writeDecisions();
 
--- a/tests/scheduler_service_test.cc
+++ b/tests/scheduler_service_test.cc
@@ -183,6 +183,43 @@
     CHECK(*second == Verdict::MayHaveRun);
 }
 
+// Guards against a "not run" verdict while the entry's own append is unanswered. The log became
+// unreachable meanwhile, and the entry that the submission was relayed to refused it: nine jobs of
+// one append ran after all their submissions had been rejected.
+TEST(SchedulerService, refusedRelayBesideAnUnansweredAppendMayHaveRun)
+{
+    Entry &entry = fixture.add("a", 1);
+    fixture.start();
+    fixture.waitUntil([&entry] { return entry.service.logReadIsRecent(); });
+    entry.service.setRelay(
+        [this](const scheduler::Record & /*record*/, SchedulerService::SubmitCallback done) {
+            fixture.loop.after(900, [done = std::move(done)] { done(Verdict::NotRun); });
+        });
+    entry.log.delayMs = 2500; // appends are carried out that late
+    std::optional<Verdict> verdict;
+    entry.service.submit(smallJob(), [&verdict](Verdict result) { verdict = result; });
+    entry.log.delayMs = 2;
+    entry.log.rejectsCalls = true; // reads fail
+    fixture.waitUntil([&verdict] { return verdict.has_value(); });
+    CHECK(*verdict == Verdict::MayHaveRun);
+}
+
+// A caller that repeats its submission on another connection has two attempts at one entry. The
+// second one may not be refused as not run while the append of the first one is unanswered.
+TEST(SchedulerService, refusedRepetitionBesideAnUnansweredAppendMayHaveRun)
+{
+    Entry &entry = fixture.add("a", 1);
+    fixture.start();
+    fixture.waitUntil([&entry] { return entry.service.logReadIsRecent(); });
+    entry.log.unresponsive = true;
+    entry.log.timeoutMs = 4000;
+    entry.service.submit(smallJob(), [](Verdict /*ignored*/) {});
+    std::optional<Verdict> verdict;
+    entry.service.submit(smallJob(), [&verdict](Verdict result) { verdict = result; });
+    fixture.waitUntil([&verdict] { return verdict.has_value(); });
+    CHECK(*verdict == Verdict::MayHaveRun);
+}
+
 // During a longer outage of the log a submission is refused at once, without an append.
 TEST(SchedulerService, submissionFailsAtOnceDuringALongOutage)
 {
