No malformed message ends a process

The 400 for a submission with an invalid byte quotes that byte, so one POST ended the entry. - An answer of a worker or of the store with a "Reason", "HasMore", "Key" or "Value" of another type threw outside of the decoder: the agent or the entry ended. - An acceptance record with an absurd number of tasks allocated them all: each entry that reads the log ended. - Negative amounts, negative or huge durations of a submission were taken (capacity grew by a negative need).

Ruled out by the mutation tests: heartbeats, configurations, reports, orders, relayed records, progress and leader records.

--- a/flamingo/adapters/agent_service.cc
+++ b/flamingo/adapters/agent_service.cc
@@ -5,6 +5,7 @@
 
 #include "flamingo/adapters/service.h"
 #include "flamingo/adapters/traffic_json.h"
+#include "flamingo/json_text.h"
 
 #include <glog/logging.h>
 #include <nlohmann/json.hpp>
@@ -141,7 +142,7 @@
                          {"peers", connectedPeersJson(*this->peers)},
                          {"traffic", trafficJson(*this->peers)},
                          {"node", Json::parse(dumpNode(this->node, Loop::now()))}};
-    return result.dump(2) + "\n";
+    return jsonText(result, 2) + "\n";
 }
 
 std::string AgentService::metricsText()
--- a/flamingo/adapters/ctl.cc
+++ b/flamingo/adapters/ctl.cc
@@ -8,6 +8,7 @@
 #include "flamingo/adapters/ctl_table.h"
 #include "flamingo/adapters/http_client.h"
 #include "flamingo/adapters/log_history.h"
+#include "flamingo/json_text.h"
 #include "flamingo/settings.h"
 
 #include <absl/strings/numbers.h>
@@ -349,7 +350,7 @@
 void Ctl::print(const Json &document)
 {
     if (this->options.output == CtlOutput::Json)
-        this->out << document.dump(2, ' ', false, Json::error_handler_t::replace) << std::endl;
+        this->out << jsonText(document, 2) << std::endl;
     else
         this->out << renderText(document) << std::flush;
 }
--- a/flamingo/adapters/ctl_output.cc
+++ b/flamingo/adapters/ctl_output.cc
@@ -1,5 +1,7 @@
 #include "flamingo/adapters/ctl_output.h"
 
+#include "flamingo/json_text.h"
+
 #include <algorithm>
 #include <vector>
 
@@ -14,8 +16,7 @@
 
 std::string scalarText(const Json &value)
 {
-    return value.is_string() ? value.get<std::string>()
-                             : value.dump(-1, ' ', false, Json::error_handler_t::replace);
+    return value.is_string() ? value.get<std::string>() : jsonText(value);
 }
 
 bool isListOfObjects(const Json &value)
--- a/flamingo/adapters/entry_relay.cc
+++ b/flamingo/adapters/entry_relay.cc
@@ -3,6 +3,7 @@
 #include "flamingo/adapters/entry_relay.h"
 
 #include "flamingo/adapters/http_status.h"
+#include "flamingo/json_text.h"
 
 #include <nlohmann/json.hpp>
 
@@ -36,7 +37,7 @@
 
 std::string encodeRecord(const scheduler::Record &record)
 {
-    return nlohmann::json{{"key", record.key}, {"value", record.value}}.dump();
+    return jsonText(nlohmann::json{{"key", record.key}, {"value", record.value}});
 }
 
 std::optional<scheduler::Record> decodeRecord(std::string_view text, Reason &reason)
--- a/flamingo/adapters/entry_service.cc
+++ b/flamingo/adapters/entry_service.cc
@@ -7,6 +7,7 @@
 #include "flamingo/adapters/job_json.h"
 #include "flamingo/adapters/service.h"
 #include "flamingo/adapters/traffic_json.h"
+#include "flamingo/json_text.h"
 
 #include <glog/logging.h>
 #include <nlohmann/json.hpp>
@@ -304,7 +305,7 @@
                          {"peers", connectedPeersJson(*this->peers)},
                          {"traffic", trafficJson(*this->peers)},
                          {"entry", Json::parse(dumpEntry(this->entry, Loop::now()))}};
-    return result.dump(2) + "\n";
+    return jsonText(result, 2) + "\n";
 }
 
 std::string EntryService::metricsText()
--- a/flamingo/adapters/job_json.cc
+++ b/flamingo/adapters/job_json.cc
@@ -3,6 +3,8 @@
 
 #include "flamingo/adapters/job_json.h"
 
+#include "flamingo/json_text.h"
+
 #include <algorithm>
 #include <array>
 #include <functional>
@@ -208,14 +210,12 @@
     constexpr TimeMs msPerSecond = 1000;
     HttpResponse response;
     response.status = httpStatus(reply);
-    const auto replace = Json::error_handler_t::replace;
-    response.body = Json({{"job", reply.job},
-                          {"verdict", verdictName(reply.verdict)},
-                          {"reason", reasonName(reply.reason.code)},
-                          {"detail", reply.reason.text},
-                          {"answer", reply.answer},
-                          {"accepted", reply.accepted}})
-                        .dump(-1, ' ', false, replace)
+    response.body = jsonText(Json({{"job", reply.job},
+                                   {"verdict", verdictName(reply.verdict)},
+                                   {"reason", reasonName(reply.reason.code)},
+                                   {"detail", reply.reason.text},
+                                   {"answer", reply.answer},
+                                   {"accepted", reply.accepted}}))
         + "\n";
     if (reply.retryAfterMs > 0)
         response.retryAfterSeconds =
--- a/flamingo/adapters/log_client.cc
+++ b/flamingo/adapters/log_client.cc
@@ -5,6 +5,8 @@
 
 #include "flamingo/adapters/log_client.h"
 
+#include "flamingo/json_text.h"
+
 #include <glog/logging.h>
 #include <nlohmann/json.hpp>
 
@@ -107,7 +109,7 @@
     call.address = this->options.address;
     call.method = "POST";
     call.target = "/log/" + append.stream;
-    call.body = nlohmann::json({{"lines", append.lines}}).dump();
+    call.body = jsonText(nlohmann::json({{"lines", append.lines}}));
     call.timeoutMs = this->options.appendTimeoutMs;
     const std::uint64_t id = append.id;
     this->http.call(call, [this, id](const HttpResult &result) {
--- a/flamingo/adapters/worker_client.cc
+++ b/flamingo/adapters/worker_client.cc
@@ -4,6 +4,8 @@
 
 #include "flamingo/adapters/worker_client.h"
 
+#include "flamingo/json_text.h"
+
 #include <glog/logging.h>
 #include <nlohmann/json.hpp>
 
@@ -93,7 +95,7 @@
                        {"memoryMib", command.memoryMib},
                        {"checkpoint", command.checkpoint},
                        {"leaseMs", this->options.leaseMs}};
-    this->post("/tasks", body.dump(), [this, command](const HttpResult &result) {
+    this->post("/tasks", jsonText(body), [this, command](const HttpResult &result) {
         if (!isFinalResponse(result)) {
             this->loop.after(this->options.retryMs, [this, command] { this->runTask(command); });
             return;
@@ -131,7 +133,7 @@
 void WorkerClient::renewLeases()
 {
     const Json body = {{"leaseMs", this->options.leaseMs}};
-    this->post("/lease", body.dump(), [this](const HttpResult &result) {
+    this->post("/lease", jsonText(body), [this](const HttpResult &result) {
         LOG_IF_EVERY_N(WARNING, result.status != statusOk, 10)
             << "lease renewal at worker " << this->options.worker << " failed: status "
             << result.status << " " << result.error;
--- a/flamingo/agent_node.cc
+++ b/flamingo/agent_node.cc
@@ -5,6 +5,8 @@
 
 #include "flamingo/agent_node.h"
 
+#include "flamingo/json_text.h"
+
 #include <nlohmann/json.hpp>
 
 #include <iterator>
@@ -106,7 +108,7 @@
                          {"table", Json::parse(tableJson(node.table))},
                          {"entries", node.entries},
                          {"malformedTableLines", node.malformedTableLines}};
-    return result.dump();
+    return jsonText(result);
 }
 
 } // namespace flamingo
--- a/flamingo/entry_json.cc
+++ b/flamingo/entry_json.cc
@@ -23,6 +23,7 @@
 
 #include "flamingo/entry.h"
 #include "flamingo/jobs.h"
+#include "flamingo/json_text.h"
 
 #include <nlohmann/json.hpp>
 
@@ -37,7 +38,7 @@
 
 std::string formatJson(const Json &json)
 {
-    return json.dump(2, ' ', false, Json::error_handler_t::replace);
+    return jsonText(json, 2);
 }
 
 Json reasonJson(const Reason &reason)
--- a/flamingo/gang.cc
+++ b/flamingo/gang.cc
@@ -1,5 +1,7 @@
 #include "flamingo/agent_step.h"
 
+#include "flamingo/json_text.h"
+
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -112,8 +114,7 @@
     auto answers = nlohmann::json::array();
     for (const auto &member : gang.members)
         answers.push_back(member.done.answer);
-    return {
-        Verdict::Ran, {}, answers.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace)};
+    return {Verdict::Ran, {}, jsonText(answers)};
 }
 
 // The outcome of the whole gang; agent.h defines when it may be NotRun. Answers of members that
--- a/flamingo/range_map.cc
+++ b/flamingo/range_map.cc
@@ -14,6 +14,8 @@
 
 #include "flamingo/owner.h"
 
+#include "flamingo/json_text.h"
+
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -45,7 +47,7 @@
 
 std::string serializeLine(const Json &json)
 {
-    return json.dump(-1, ' ', false, Json::error_handler_t::replace);
+    return jsonText(json);
 }
 
 // Reads members of a JSON object. A missing member is empty or 0; a member of the wrong type is
--- a/flamingo/scheduler/job.cc
+++ b/flamingo/scheduler/job.cc
@@ -119,11 +119,18 @@
 {
     if (job.steps.empty() || job.steps.size() > maxSteps)
         return invalidJob("a job must have 1 to " + std::to_string(maxSteps) + " steps");
+    if (job.intervalMs < 0)
+        return invalidJob("the interval is negative or too large");
     std::uint64_t tasks = 0;
     for (std::uint32_t step = 0; step < job.steps.size(); ++step) {
         const Step &checked = job.steps[step];
         if (checked.count == 0)
             return invalidJob("step " + std::to_string(step) + " has no tasks");
+        if (checked.need.cpuMilli < 0 || checked.need.memoryMb < 0 || checked.need.accelerators < 0)
+            return invalidJob("step " + std::to_string(step) + " needs a negative amount");
+        if (checked.estimateMs < 0)
+            return invalidJob("the estimate of step " + std::to_string(step)
+                              + " is negative or too large");
         tasks += checked.count;
         for (const std::uint32_t dependency : checked.after) {
             if (dependency >= step)
--- a/flamingo/scheduler/records.cc
+++ b/flamingo/scheduler/records.cc
@@ -3,6 +3,7 @@
 
 #include "flamingo/scheduler/records.h"
 
+#include "flamingo/json_text.h"
 #include "flamingo/scheduler/host_messages.h"
 #include "flamingo/scheduler/scheduler.h"
 
@@ -118,12 +119,12 @@
 
 Record acceptanceRecord(const Job &job)
 {
-    return {recordKey(acceptancePrefix, job.id), nlohmann::json(job).dump()};
+    return {recordKey(acceptancePrefix, job.id), jsonText(nlohmann::json(job))};
 }
 
 Record progressRecord(std::string_view jobId, const JobProgress &progress)
 {
-    return {recordKey(progressPrefix, jobId), nlohmann::json(progress).dump()};
+    return {recordKey(progressPrefix, jobId), jsonText(nlohmann::json(progress))};
 }
 
 Record cancellationRecord(std::string_view jobId)
@@ -133,7 +134,7 @@
 
 Record leaderRecord(const Leader &leader)
 {
-    return {std::string(leaderKey), nlohmann::json(leader).dump()};
+    return {std::string(leaderKey), jsonText(nlohmann::json(leader))};
 }
 
 std::optional<ParsedKey> parseKey(std::string_view key)
@@ -153,7 +154,14 @@
 
 std::optional<Job> decodeJob(std::string_view value, Reason &reason)
 {
-    return decode<Job>(value, reason);
+    auto job = decode<Job>(value, reason);
+    if (!job)
+        return std::nullopt;
+    if (const auto problem = validate(*job)) {
+        reason = *problem;
+        return std::nullopt;
+    }
+    return job;
 }
 
 std::optional<JobProgress> decodeProgress(std::string_view value, Reason &reason)
@@ -178,12 +186,12 @@
 
 std::string encode(const HostReport &report)
 {
-    return nlohmann::json(report).dump();
+    return jsonText(nlohmann::json(report));
 }
 
 std::string encode(const HostOrders &orders)
 {
-    return nlohmann::json(orders).dump();
+    return jsonText(nlohmann::json(orders));
 }
 
 std::optional<HostReport> decodeHostReport(std::string_view text, Reason &reason)
@@ -218,11 +226,11 @@
                         {"lastReport", worker.lastReport},
                         {"runs", runs}};
     }
-    return nlohmann::json{{"epoch", scheduler.epoch},
-                          {"leader", scheduler.table.leader},
-                          {"jobs", jobs},
-                          {"workers", workers}}
-        .dump(1);
+    return jsonText(nlohmann::json{{"epoch", scheduler.epoch},
+                                   {"leader", scheduler.table.leader},
+                                   {"jobs", jobs},
+                                   {"workers", workers}},
+                    1);
 }
 
 } // namespace flamingo::scheduler
--- a/flamingo/settings.cc
+++ b/flamingo/settings.cc
@@ -4,6 +4,8 @@
 
 #include "flamingo/settings.h"
 
+#include "flamingo/json_text.h"
+
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -233,7 +235,7 @@
     if (std::holds_alternative<Secret>(field.binding) && value.is_string())
         return "a string of " + std::to_string(value.get_ref<const std::string &>().size())
             + " bytes";
-    const std::string text = value.dump(-1, ' ', false, Json::error_handler_t::replace);
+    const std::string text = jsonText(value);
     return text.size() <= maxQuotedValueBytes ? text : text.substr(0, maxQuotedValueBytes) + "...";
 }
 
--- a/flamingo/table.cc
+++ b/flamingo/table.cc
@@ -1,5 +1,7 @@
 #include "flamingo/table.h"
 
+#include "flamingo/json_text.h"
+
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -122,7 +124,8 @@
         }
     }
     const bool isShort = value.is_string() && value.get_ref<const std::string &>().size() <= 32;
-    const auto shown = value.is_number() || isShort ? value.dump() : std::string(value.type_name());
+    const auto shown =
+        value.is_number() || isShort ? jsonText(value) : std::string(value.type_name());
     addProblem(problems, path, concat({"is ", shown, ", must be ", rangeText(range)}));
     return false;
 }
@@ -517,11 +520,6 @@
     return list;
 }
 
-std::string dump(const OrderedJson &json, int indent = -1)
-{
-    return json.dump(indent, ' ', false, OrderedJson::error_handler_t::replace);
-}
-
 // ---- Application of records ----
 
 using Rows = std::map<std::string, Organisation, std::less<>>;
@@ -1078,7 +1076,7 @@
                           {"changedAnchorsOnly", edit.changedGuaranteedBlocksOnly},
                           {"anchors", toJson(edit.guaranteedBlocks)},
                           {"shortages", toJson(edit.shortages)}};
-    return dump(record);
+    return jsonText(record);
 }
 
 std::string snapshotLine(const Table &table)
@@ -1099,7 +1097,7 @@
                           {"shortages", toJson(table.shortages)},
                           {"history", toJson(table.history)},
                           {"writers", std::move(writers)}};
-    return dump(record);
+    return jsonText(record);
 }
 
 std::string tableJson(const Table &table)
@@ -1109,7 +1107,7 @@
                             {"anchors", toJson(table.guaranteedBlocks)},
                             {"shortages", toJson(table.shortages)},
                             {"history", toJson(table.history)}};
-    return dump(document, 2);
+    return jsonText(document, 2);
 }
 
 namespace {
--- a/tests/platform_test.cc
+++ b/tests/platform_test.cc
@@ -243,6 +243,18 @@
     LONGS_EQUAL(1, other.startedRuns());
 }
 
+// The error message quotes the invalid bytes of the request; to write it as JSON ended the process.
+TEST(Platform, submissionWithInvalidTextIsRefusedAndTheEntryServesOn)
+{
+    Fixture fixture;
+    fixture.addEntry("e1", "127.0.0.2");
+    CHECK(fixture.waitForLeader());
+    const std::string id = "00000000000000ff";
+    LONGS_EQUAL(400,
+                fixture.call("127.0.0.2", "POST", "/q/" + id, "{\"TaskSpec\":\"\xff\"}").status);
+    LONGS_EQUAL(200, fixture.call("127.0.0.2", "POST", "/q/" + id, job("10")).status);
+}
+
 TEST(Platform, settingsReportEveryError)
 {
     std::vector<std::string> errors;
