Do not take a read that returned a part of the records for a confirmation of the log's state

Cause: the store limits an answer to 1 MB. An entry that was cut off from the store for 8.7 s read the missed records in several answers, and each one set the time up to which its table is current to the time at which that read was sent. The same held for the configuration.

Ruled out: a lost record (the leader ran the job and later reads show it), a load in pages (the entry did not load), a stale answer of the store (its read positions advance without gaps).

Change: confirmedAt() returns nothing when the last record of an answer is not the newest one of the log.

Test: entryThatLagsBehindTheLogKnowsThatItsTableIsOld, fails on the former code.

--- a/flamingo/scheduler/job_log.h
+++ b/flamingo/scheduler/job_log.h
@@ -73,8 +73,12 @@
 // Returns the latest time at which the log is known to have had the state that an answered read
 // returned. That is the time of sending, unless the read found nothing and waited `waitMs`: the log
 // answers such a read only after the whole wait, so its state was unchanged until then.
+// A read that returned only a part of the records, because an answer is limited in size, shows
+// nothing about the state of the log: 0.
 inline TimeMs confirmedAt(const ReadResult &result, TimeMs sentAt, TimeMs waitMs, TimeMs now)
 {
+    if (!result.records.empty() && result.records.back().offset + 1 < result.end)
+        return 0;
     return result.records.empty() && now - sentAt >= waitMs ? sentAt + waitMs : sentAt;
 }
 
--- a/tests/fake_job_log.h
+++ b/tests/fake_job_log.h
@@ -9,6 +9,7 @@
 #include "flamingo/scheduler/job_log.h"
 
 #include <algorithm>
+#include <limits>
 #include <map>
 #include <type_traits>
 
@@ -39,6 +40,7 @@
     bool dropsAppends = false; // appends are lost; reads work
     TimeMs delayMs = 2; // until a call is answered
     TimeMs timeoutMs = 300; // until an unanswered call fails
+    std::size_t maxRecordsPerRead = std::numeric_limits<std::size_t>::max();
     int appends = 0; // number of append calls
 
     void append(absl::Span<const scheduler::Record> records,
@@ -79,7 +81,10 @@
             result.answered = true;
             result.end = this->end();
             result.deleted = from < this->state.firstKept;
-            for (std::uint64_t i = from; i < this->end() && !result.deleted; ++i)
+            const std::uint64_t last = this->end() - from > this->maxRecordsPerRead
+                ? from + this->maxRecordsPerRead
+                : this->end();
+            for (std::uint64_t i = from; i < last && !result.deleted; ++i)
                 result.records.push_back(this->state.records[i]);
         });
     }
--- a/tests/scheduler_service_test.cc
+++ b/tests/scheduler_service_test.cc
@@ -271,6 +271,31 @@
     });
 }
 
+// The log limits the size of an answer, so an entry that has fallen behind gets the records in
+// several reads. Until it has caught up, a job that is missing from its table may have been
+// accepted long ago: a caller was told that an accepted job does not exist.
+TEST(SchedulerService, entryThatLagsBehindTheLogKnowsThatItsTableIsOld)
+{
+    Entry &entry = fixture.add("a", 1);
+    entry.service.resign([] {}); // does not lead, so that it writes nothing
+    fixture.start();
+    fixture.waitUntil([&entry] { return entry.service.logReadIsRecent(); });
+    entry.log.maxRecordsPerRead = 1;
+    entry.log.delayMs = 100;
+    scheduler::Job job = smallJob();
+    for (int i = 0; i < 30; ++i) {
+        job.id.back() = static_cast<char>('0' + i % 10);
+        const scheduler::Record record = acceptanceRecord(job);
+        fixture.state.records.push_back({fixture.state.records.size(), record});
+    }
+    fixture.state.records.push_back({fixture.state.records.size(), acceptanceRecord(smallJob())});
+    fixture.runFor(SchedulerServiceOptions().recentReadMs + 500);
+    CHECK(!callerVisibleState(entry.service.table(), smallJob().id).has_value());
+    CHECK(!entry.service.logReadIsRecent());
+    fixture.waitUntil([&entry] { return entry.service.logReadIsRecent(); });
+    CHECK(callerVisibleState(entry.service.table(), smallJob().id).has_value());
+}
+
 // An entry that cannot reach the log relays the submission to another entry instead of refusing it.
 TEST(SchedulerService, entryThatCannotReachTheLogRelaysToAnother)
 {
