Announce a campaign in the log, and let larger entries lead first

Entries replaced a leader whose appends waited behind those of 55 entries (no record for 1.4 s; the timeout followed only the appends that a follower itself had made, so 1.3 s). A campaign left no trace in the log until it was won: 28 entries campaigned within 2 s, each fenced the others off, their appends filled the log's queue (503 "try later"), and the first fence that was stored belonged to an entry that had given up after a lost answer. No leader for 2.9 s.

Ruled out: an unreachable store (appends were answered), the random delay (100 ms is shorter than the answer of the slow store, so it ordered nothing).

Change: a campaign begins with a candidate record; entries that read it wait. An append of a campaign without an answer is repeated under its epoch, and its record counts when it is read back. The random delay grows with the log's answer times. The leader timeout is at least 2.5 times the longest recent time between two of the leader's records.

Tests: leadership_test, and in scheduler_service_test fewEntriesCampaignWhenTheLeaderIsLostAtASlowLog and campaignWhoseAnswersAreLostSucceeds, which both fail on the former code.

--- a/flamingo/adapters/scheduler_service.cc
+++ b/flamingo/adapters/scheduler_service.cc
@@ -21,8 +21,11 @@
 using namespace flamingo::scheduler;
 
 constexpr TimeMs tickMs = 100;
-// Sequence number of the append that claims leadership, the first one with records of its epoch.
-constexpr std::uint64_t claimSequence = 0;
+// Sequence numbers of the first two appends of an epoch.
+constexpr std::uint64_t candidateSequence = 0;
+constexpr std::uint64_t claimSequence = 1;
+// A campaign whose appends are not answered ends after this long; the entry may begin another.
+constexpr TimeMs campaignTimeoutMs = 4000;
 // An append is relayed when its answer takes longer than `relayAfterMs` and this many times as long
 // as the slowest recent answer.
 constexpr TimeMs relayDelayFactor = 2;
@@ -170,8 +173,11 @@
                               + " offset=" + std::to_string(stored.offset));
     if (key->kind == RecordKind::Leader)
         this->handleLeaderRecord();
+    if (key->kind == RecordKind::Candidate)
+        this->handleCandidateRecord(stored.offset);
     if (key->kind == RecordKind::Progress)
-        recordLeaderContact(this->leadership, this->scheduling.table.leader.resigned, Loop::now());
+        recordLeaderContact(this->leadership, this->scheduling.table.leader.epoch,
+                            this->scheduling.table.leader.resigned, Loop::now());
     this->completeReadBack(stored);
 }
 
@@ -215,6 +221,7 @@
     leader.address = this->options.agentAddress;
     leader.hosts = reportingHosts(this->scheduling, Loop::now());
     leader.resigned = this->resigning;
+    leader.processorShare = this->options.leadership.processorShare;
     return leader;
 }
 
@@ -226,7 +233,9 @@
     // A record of an earlier incarnation of this entry means that there is no leader.
     const bool earlierIncarnation =
         leader.process == this->options.process && !this->isThisEntry(leader);
-    recordLeaderContact(this->leadership, leader.resigned || earlierIncarnation, Loop::now());
+    recordLeaderContact(this->leadership, leader.epoch, leader.resigned || earlierIncarnation,
+                        Loop::now());
+    this->leadership.leaderShare = leader.processorShare;
     if (this->role == Role::Claiming && leader.epoch >= this->campaignEpoch) {
         if (this->isThisEntry(leader))
             this->becomeLeader();
@@ -310,58 +319,101 @@
         this->answerReport(this->waitingReports.begin()->first);
 }
 
+// Handles the newest candidate record. The own record, once read, is stored, also if the answer to
+// its append was lost. Records of former campaigns, which a load returns, have no effect.
+void SchedulerService::handleCandidateRecord(std::uint64_t offset)
+{
+    const Leader &candidate = this->scheduling.table.candidate;
+    if (!this->logLoaded || candidate.epoch <= this->scheduling.table.leader.epoch)
+        return;
+    if (!this->isThisEntry(candidate))
+        recordCandidate(this->leadership, Loop::now());
+    else if (this->role == Role::Campaigning && candidate.epoch == this->campaignEpoch)
+        this->beginCatchingUp(offset + 1);
+}
+
 void SchedulerService::campaign()
 {
     this->role = Role::Campaigning;
-    this->campaignEpoch =
-        nextEpoch(std::max(this->scheduling.table.leader.epoch, this->campaignEpoch), this->random);
+    const std::uint64_t former =
+        std::max(this->scheduling.table.leader.epoch, this->scheduling.table.candidate.epoch);
+    this->campaignEpoch = nextEpoch(std::max(former, this->campaignEpoch), this->random);
+    this->campaignStartedAt = Loop::now();
     drawCampaignDelay(this->leadership, this->random);
     this->decisions.write("event=campaign epoch=" + std::to_string(this->campaignEpoch)
                           + " former=" + std::to_string(this->scheduling.table.leader.epoch)
                           + " last_sign_age_ms="
                           + std::to_string(Loop::now() - this->leadership.lastLeaderContact));
+    this->sendCampaignAppend(candidateRecord(this->ownLeader(this->campaignEpoch)),
+                             candidateSequence);
+}
+
+// Appends the candidate record or the claim. An append without an answer is repeated: it may be
+// stored, and a new campaign would only add to the load of a slow log.
+void SchedulerService::sendCampaignAppend(const Record &record, std::uint64_t sequence)
+{
     const TimeMs sentAt = Loop::now();
+    const Fence fence = {this->campaignEpoch, sequence};
     this->log.appendFenced(
-        {}, {this->campaignEpoch, 0}, [this, sentAt](const AppendResult &result) {
-            this->leadership.roundTripMs = Loop::now() - sentAt;
-            if (result.status != AppendStatus::Stored) {
-                this->decisions.write("event=campaign_failed reason=\"" + result.error + "\"");
-                this->role = Role::Following;
-                // Restarts the wait for a leader before the next campaign.
-                this->leadership.readableSince = Loop::now();
-                return;
-            }
-            this->campaignEnd = result.end;
-            this->role = Role::CatchingUp;
-            if (this->logLoaded && this->nextOffset >= this->campaignEnd)
-                this->claim();
+        {&record, 1}, fence, [this, record, fence, sentAt](const AppendResult &result) {
+            const Role expected =
+                fence.sequence == claimSequence ? Role::Claiming : Role::Campaigning;
+            if (fence.epoch != this->campaignEpoch || this->role != expected)
+                return; // the record has been read back, or the campaign has ended
+            if (result.status == AppendStatus::Stored)
+                this->leadership.roundTripMs = Loop::now() - sentAt;
+            this->handleCampaignResult(record, fence.sequence, result);
         });
 }
 
-// Claims leadership with a leader record. Called when all records of earlier leaders have been
-// read; the claim becomes valid when its record is read back.
-void SchedulerService::claim()
+void SchedulerService::handleCampaignResult(const Record &record, std::uint64_t sequence,
+                                            const AppendResult &result)
 {
-    if (this->scheduling.table.leader.epoch >= this->campaignEpoch) {
-        this->role = Role::Following;
+    if (result.status == AppendStatus::Stored) {
+        if (sequence == candidateSequence)
+            this->beginCatchingUp(result.end);
         return;
     }
-    this->role = Role::Claiming;
-    const Record record = leaderRecord(this->ownLeader(this->campaignEpoch));
-    this->log.appendFenced({&record, 1}, {this->campaignEpoch, claimSequence},
-                           [this](const AppendResult &result) { this->handleClaimResult(result); });
+    const bool mayBeStored = result.status == AppendStatus::Unknown;
+    if (!mayBeStored || Loop::now() - this->campaignStartedAt > campaignTimeoutMs) {
+        this->endCampaign(result.error);
+        return;
+    }
+    this->loop.after(this->options.retryMs,
+                     [this, record, sequence, epoch = this->campaignEpoch, role = this->role] {
+                         if (epoch == this->campaignEpoch && role == this->role)
+                             this->sendCampaignAppend(record, sequence);
+                     });
 }
 
-void SchedulerService::handleClaimResult(const AppendResult &result)
+void SchedulerService::endCampaign(const std::string &cause)
 {
-    if (result.status == AppendStatus::Stored || this->role != Role::Claiming)
-        return;
-    this->decisions.write("event=campaign_failed reason=\"" + result.error + "\"");
+    this->decisions.write("event=campaign_failed reason=\"" + cause + "\"");
     this->role = Role::Following;
     // Restarts the wait for a leader before the next campaign.
     this->leadership.readableSince = Loop::now();
 }
 
+void SchedulerService::beginCatchingUp(std::uint64_t end)
+{
+    this->campaignEnd = end;
+    this->role = Role::CatchingUp;
+    if (this->logLoaded && this->nextOffset >= this->campaignEnd)
+        this->claim();
+}
+
+// Claims leadership with a leader record. Called when all records of earlier leaders have been
+// read; the claim becomes valid when its record is read back.
+void SchedulerService::claim()
+{
+    if (this->scheduling.table.leader.epoch >= this->campaignEpoch) {
+        this->role = Role::Following;
+        return;
+    }
+    this->role = Role::Claiming;
+    this->sendCampaignAppend(leaderRecord(this->ownLeader(this->campaignEpoch)), claimSequence);
+}
+
 void SchedulerService::becomeLeader()
 {
     this->role = Role::Leading;
@@ -386,7 +438,7 @@
     this->role = Role::Following;
     this->flushing = false;
     endLeading(this->scheduling);
-    recordLeaderContact(this->leadership, false, Loop::now());
+    recordLeaderContact(this->leadership, this->scheduling.table.leader.epoch, false, Loop::now());
     this->answerReadyReports();
     this->load("");
 }
--- a/flamingo/adapters/scheduler_service.h
+++ b/flamingo/adapters/scheduler_service.h
@@ -149,9 +149,9 @@
     }
 
 private:
-    // Campaigning: an empty append with a new epoch, which fences off the previous leader, is
-    // outstanding. CatchingUp: it is stored, and the log is being read up to it. Claiming: the
-    // leader record of this entry is appended but not yet read back.
+    // Campaigning: the append of the candidate record under a new epoch, which fences off the
+    // previous leader, is outstanding. CatchingUp: it is stored, and the log is being read up to
+    // it. Claiming: the leader record of this entry is appended but not yet read back.
     enum class Role : std::uint8_t { Following, Campaigning, CatchingUp, Claiming, Leading };
 
     struct WaitingReport
@@ -189,9 +189,14 @@
     void recordStoreFailure(const std::string &error, bool timedOut);
     void tick();
     void notifyStaleLog(TimeMs now);
+    void handleCandidateRecord(std::uint64_t offset);
     void campaign();
+    void sendCampaignAppend(const scheduler::Record &record, std::uint64_t sequence);
+    void handleCampaignResult(const scheduler::Record &record, std::uint64_t sequence,
+                              const scheduler::AppendResult &result);
+    void endCampaign(const std::string &cause);
+    void beginCatchingUp(std::uint64_t end);
     void claim();
-    void handleClaimResult(const scheduler::AppendResult &result);
     void becomeLeader();
     void stepDown(std::string_view cause);
     void schedulePlan();
@@ -239,6 +244,7 @@
     bool logReachable = false;
     TimeMs logLostAt = 0; // when the log last became unreachable
     std::uint64_t campaignEpoch = 0; // of the current or last campaign
+    TimeMs campaignStartedAt = 0;
     std::uint64_t campaignEnd = 0; // leadership is claimed when the log is read up to this offset
     std::uint64_t nextSequence = 0; // sequence number of the next fenced append
     bool flushing = false; // a fenced append is outstanding
--- a/flamingo/scheduler/leadership.cc
+++ b/flamingo/scheduler/leadership.cc
@@ -13,15 +13,50 @@
 // epoch followed by 18 more bits (tokensPerEpoch in scheduler.cc), which leaves 19 bits for terms.
 constexpr int randomBits = 16;
 
+// Time by which a slow log delays a record of the leader: its append and the read.
+TimeMs answerDelayMs(const Leadership &leadership)
+{
+    return static_cast<TimeMs>(leadership.options.answerTimeFactor
+                               * double(leadership.slowestAnswerMs));
+}
+
+// Delay that puts the campaigns of the entries in an order.
+TimeMs orderingDelayMs(const Leadership &leadership)
+{
+    const LeadershipOptions &options = leadership.options;
+    const double leaderShare =
+        leadership.leaderShare > 0 ? leadership.leaderShare : options.fullLeaderShare;
+    const TimeMs capacityDelay =
+        options.processorShare < leaderShare ? options.smallEntryDelayMs : 0;
+    const double randomDelay =
+        std::max(double(options.randomDelayMs),
+                 options.randomDelayPerAnswer * double(leadership.slowestAnswerMs));
+    return capacityDelay + static_cast<TimeMs>(leadership.randomShare * randomDelay);
+}
+
 } // namespace
 
-void recordLeaderContact(Leadership &leadership, bool resigned, TimeMs now)
+void recordLeaderContact(Leadership &leadership, std::uint64_t epoch, bool resigned, TimeMs now)
 {
+    // Time in which this entry could not read the log is not the leader's.
+    const bool continued = epoch == leadership.leaderEpoch && leadership.leaderActive
+        && leadership.readableSince != 0
+        && leadership.readableSince <= leadership.lastLeaderContact;
+    if (epoch != leadership.leaderEpoch)
+        leadership.heartbeatGaps.slowestMs = 0;
+    if (continued)
+        recordAnswerTime(leadership.heartbeatGaps, now - leadership.lastLeaderContact, now);
+    leadership.leaderEpoch = epoch;
     leadership.leaderActive = !resigned;
     leadership.leaderEverSeen = true;
     leadership.lastLeaderContact = now;
 }
 
+void recordCandidate(Leadership &leadership, TimeMs now)
+{
+    leadership.candidateSeenAt = now;
+}
+
 void recordLogRead(Leadership &leadership, bool succeeded, TimeMs now)
 {
     if (!succeeded)
@@ -57,23 +92,34 @@
 {
     if (leadership.readableSince == 0)
         return false;
+    const LeadershipOptions &options = leadership.options;
+    const TimeMs candidateTimeoutMs = options.candidateTimeoutMs + 2 * answerDelayMs(leadership);
+    if (leadership.candidateSeenAt != 0 && now - leadership.candidateSeenAt < candidateTimeoutMs)
+        return false;
     if (leadership.unreachableSince != 0
         && now - leadership.unreachableSince
-            >= leadership.options.unreachableTimeoutMs + leadership.extraDelayMs)
+            >= options.unreachableTimeoutMs + orderingDelayMs(leadership))
         return true;
     const TimeMs noLeaderSince = std::max(leadership.lastLeaderContact, leadership.readableSince);
-    // A slow log delays the leader's heartbeats by as much as its answers.
-    TimeMs timeout = leadership.options.leaderTimeoutMs
-        + static_cast<TimeMs>(leadership.options.answerTimeFactor
-                              * double(leadership.slowestAnswerMs));
+    return now - noLeaderSince >= campaignDelayMs(leadership, now);
+}
+
+TimeMs campaignDelayMs(const Leadership &leadership, TimeMs now)
+{
+    const LeadershipOptions &options = leadership.options;
+    const auto gapTimeout = static_cast<TimeMs>(
+        options.heartbeatGapFactor
+        * double(slowestRecentAnswerMs(leadership.heartbeatGaps,
+                                       std::min(now, leadership.lastLeaderContact))));
+    TimeMs timeout = std::max(options.leaderTimeoutMs + answerDelayMs(leadership), gapTimeout);
     if (!leadership.leaderEverSeen)
-        timeout = leadership.options.firstLeaderTimeoutMs;
+        timeout = options.firstLeaderTimeoutMs;
     else if (!leadership.leaderActive)
         timeout = 0;
-    const auto distanceDelay = std::min(
-        static_cast<TimeMs>(double(leadership.roundTripMs) * leadership.options.delayPerRoundTrip),
-        leadership.options.maxRoundTripDelayMs);
-    return now - noLeaderSince >= timeout + distanceDelay + leadership.extraDelayMs;
+    const auto distanceDelay =
+        std::min(static_cast<TimeMs>(double(leadership.roundTripMs) * options.delayPerRoundTrip),
+                 options.maxRoundTripDelayMs);
+    return timeout + distanceDelay + orderingDelayMs(leadership);
 }
 
 std::uint64_t nextEpoch(std::uint64_t last, Random &random)
@@ -84,8 +130,8 @@
 
 void drawCampaignDelay(Leadership &leadership, Random &random)
 {
-    leadership.extraDelayMs = static_cast<TimeMs>(
-        random() % static_cast<std::uint64_t>(leadership.options.randomDelayMs + 1));
+    constexpr std::uint64_t steps = 1 << 16;
+    leadership.randomShare = double(random() % steps) / double(steps);
 }
 
 } // namespace flamingo::scheduler
--- a/flamingo/scheduler/leadership.h
+++ b/flamingo/scheduler/leadership.h
@@ -10,10 +10,15 @@
 // leader to the entries that they do reach. When an entry has such reports from more hosts than the
 // leader states that it receives reports from, it campaigns after `unreachableTimeoutMs`.
 //
-// Two entries may campaign at once: the higher epoch wins, because the log accepts only the
+// A campaign begins with a candidate record, which keeps the entries that read it from campaigning
+// too. Before an entry campaigns it waits for a delay that is shorter for entries with more
+// processor time and near the log, and that has a random part, so that one of them comes first.
+//
+// Two entries may still campaign at once: the higher epoch wins, because the log accepts only the
 // highest; a random part makes equal epochs unlikely. A leader learns of its successor from its
 // next append or read.
 
+#include "flamingo/scheduler/answer_times.h"
 #include "flamingo/types.h"
 
 #include <map>
@@ -29,6 +34,9 @@
     // by two answers: to its append and to its read.
     TimeMs leaderTimeoutMs = 1300;
     double answerTimeFactor = 2;
+    // The timeout is at least this multiple of the longest recent time between two records of the
+    // leader. Only the leader knows how long its appends wait at a slow log.
+    double heartbeatGapFactor = 2.5;
     TimeMs unreachableTimeoutMs = 1500; // lets agents retry reports that a partition delayed
     // An agent that does not reach the leader reports to another entry at least this often.
     TimeMs unreachableReportMaxAgeMs = 3000;
@@ -37,9 +45,19 @@
     // so that entries near the log campaign first.
     double delayPerRoundTrip = 10;
     TimeMs maxRoundTripDelayMs = 300;
-    // Maximum of the additional random delay, which keeps entries at the same distance from
-    // campaigning at the same time.
-    TimeMs randomDelayMs = 100;
+    // Delay of an entry with less processor time than the leader had, so that it leads only if no
+    // larger one can. Before a leader is known, `fullLeaderShare` stands for the leader's.
+    TimeMs smallEntryDelayMs = 300;
+    double processorShare = 0.5; // cores of this entry
+    double fullLeaderShare = 0.5;
+    // Maximum of the additional random delay, which keeps similar entries from campaigning at the
+    // same time. It is long compared with the time until a candidate record is read: an append and
+    // a read. While the log is slow, it is `randomDelayPerAnswer` times its answer time.
+    TimeMs randomDelayMs = 200;
+    double randomDelayPerAnswer = 8;
+    // After a candidate was seen, no other entry campaigns for this long plus `answerTimeFactor`
+    // times the slowest recent answer, twice over: for its claim and for the leader's first record.
+    TimeMs candidateTimeoutMs = 400;
 };
 
 struct Leadership
@@ -51,16 +69,22 @@
     TimeMs readableSince = 0; // all reads since then have succeeded; 0: the last one failed
     TimeMs roundTripMs = 0; // of the log, measured at the last campaign
     TimeMs slowestAnswerMs = 0; // slowest recent answer of the log
+    std::uint64_t leaderEpoch = 0; // of the leader in contact
+    double leaderShare = 0; // its cores; 0: unknown
+    AnswerTimes heartbeatGaps; // times between two records of this leader
+    TimeMs candidateSeenAt = 0; // when the newest record of another candidate was read; 0: never
     std::uint64_t unreachableEpoch = 0; // the leader that is reported as unreachable ...
     std::map<std::string, TimeMs> unreachableReports; // ... by these hosts, and when last
     // Since when more hosts report the leader as unreachable than report to it; 0: not the case.
     TimeMs unreachableSince = 0;
-    TimeMs extraDelayMs = 0; // random, drawn again for each campaign
+    double randomShare = 0; // of the random delay, 0 to 1; drawn again for each campaign
 };
 
-// Records that a record of a leader was read, or that this entry has stopped leading. `resigned`:
-// no entry leads any more as far as is known.
-void recordLeaderContact(Leadership &leadership, bool resigned, TimeMs now);
+// Records that a record of the leader of `epoch` was read, or that this entry has stopped leading.
+// `resigned`: no entry leads any more as far as is known.
+void recordLeaderContact(Leadership &leadership, std::uint64_t epoch, bool resigned, TimeMs now);
+// Records that a record of another candidate was read.
+void recordCandidate(Leadership &leadership, TimeMs now);
 // Records whether a read of the log succeeded.
 void recordLogRead(Leadership &leadership, bool succeeded, TimeMs now);
 
@@ -81,7 +105,10 @@
 // the same time choose the same epoch.
 std::uint64_t nextEpoch(std::uint64_t last, Random &random);
 
-// Sets `extraDelayMs` to a new random value.
+// Time for which the log has shown no leader after which this entry campaigns.
+TimeMs campaignDelayMs(const Leadership &leadership, TimeMs now);
+
+// Sets `randomShare` to a new random value.
 void drawCampaignDelay(Leadership &leadership, Random &random);
 
 } // namespace flamingo::scheduler
--- a/flamingo/scheduler/records.cc
+++ b/flamingo/scheduler/records.cc
@@ -23,7 +23,7 @@
                                                 targetLatencyMs, acceptedUnixMs, firstRunUnixMs,
                                                 intervalMs, repeatCount)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(Leader, epoch, process, start, address, hosts,
-                                                resigned)
+                                                resigned, processorShare)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(WorkerInfo, id, bornUnixMs, service, capacity,
                                                 labels, draining, remainingMs)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(ReportedRun, task, run, state, percent, checkpoint,
@@ -116,6 +116,7 @@
 // NOLINTEND(readability-identifier-naming)
 
 const std::string_view leaderKey = "~leader";
+const std::string_view candidateKey = "~candidate";
 
 Record acceptanceRecord(const Job &job)
 {
@@ -137,8 +138,15 @@
     return {std::string(leaderKey), jsonText(nlohmann::json(leader))};
 }
 
+Record candidateRecord(const Leader &candidate)
+{
+    return {std::string(candidateKey), jsonText(nlohmann::json(candidate))};
+}
+
 std::optional<ParsedKey> parseKey(std::string_view key)
 {
+    if (key == candidateKey)
+        return ParsedKey{RecordKind::Candidate, ""};
     if (key == leaderKey)
         return ParsedKey{RecordKind::Leader, ""};
     const std::string_view prefix = key.substr(0, 2);
--- a/flamingo/scheduler/records.h
+++ b/flamingo/scheduler/records.h
@@ -14,7 +14,7 @@
 
 namespace flamingo::scheduler {
 
-enum class RecordKind : std::uint8_t { Acceptance, Progress, Cancellation, Leader };
+enum class RecordKind : std::uint8_t { Acceptance, Progress, Cancellation, Candidate, Leader };
 
 struct Record
 {
@@ -31,12 +31,15 @@
     std::string address; // agents send their reports to it
     std::uint32_t hosts = 0; // number of hosts that it has recently received reports from
     bool resigned = false; // it has stopped leading; a successor may start at once
+    double processorShare = 0; // cores of its host; 0: unknown
 };
 
 Record acceptanceRecord(const Job &job);
 Record progressRecord(std::string_view jobId, const JobProgress &progress);
 Record cancellationRecord(std::string_view jobId);
 Record leaderRecord(const Leader &leader);
+// Announces that an entry is about to lead.
+Record candidateRecord(const Leader &candidate);
 
 // Key of the leader record. It sorts after the keys of all jobs, so that JobLog::newest() can be
 // asked for this record alone.
@@ -45,7 +48,7 @@
 struct ParsedKey
 {
     RecordKind kind = RecordKind::Acceptance;
-    std::string jobId; // empty for Leader
+    std::string jobId; // empty for Candidate and Leader
 };
 
 // Returns nullopt for a key of unknown kind.
--- a/flamingo/scheduler/scheduler.cc
+++ b/flamingo/scheduler/scheduler.cc
@@ -345,6 +345,12 @@
             table.leader = *leader;
         return true;
     }
+    if (parsed->kind == RecordKind::Candidate) {
+        const auto candidate = decodeLeader(value, reason);
+        if (candidate && candidate->epoch >= table.candidate.epoch)
+            table.candidate = *candidate;
+        return candidate.has_value();
+    }
     if (value.empty()) {
         if (parsed->kind == RecordKind::Acceptance)
             table.jobs.erase(parsed->jobId);
--- a/flamingo/scheduler/scheduler.h
+++ b/flamingo/scheduler/scheduler.h
@@ -66,6 +66,7 @@
 {
     std::map<std::string, JobRow> jobs;
     Leader leader; // the leader record with the highest epoch that was read
+    Leader candidate; // the candidate record with the highest epoch that was read
 };
 
 // Applies one record to the table. An empty value (a deletion) of an acceptance removes the job; an
--- a/tests/answer_times_test.cc
+++ b/tests/answer_times_test.cc
@@ -46,7 +46,7 @@
 {
     Leadership leadership;
     recordLogRead(leadership, true, 1000);
-    recordLeaderContact(leadership, false, 2000);
+    recordLeaderContact(leadership, 1, false, 2000);
     const TimeMs campaignAt = 2000 + leadership.options.leaderTimeoutMs;
     CHECK_FALSE(shouldCampaign(leadership, campaignAt - 1));
     CHECK_TRUE(shouldCampaign(leadership, campaignAt));
--- a/tests/scheduler_service_test.cc
+++ b/tests/scheduler_service_test.cc
@@ -8,6 +8,7 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <algorithm>
 #include <list>
 
 using namespace flamingo;
@@ -134,6 +135,46 @@
     CHECK(other.service.leading());
 }
 
+// Pattern: machines stopped in turn while the log is 63 times slower than usual. 28 entries
+// campaigned when the leader was lost; each fenced the others off, and their appends filled the
+// log's queue: no entry led for 2.9 s.
+TEST(SchedulerService, fewEntriesCampaignWhenTheLeaderIsLostAtASlowLog)
+{
+    for (std::uint64_t i = 0; i < 20; ++i)
+        fixture.add("e" + std::to_string(i), i);
+    fixture.start();
+    fixture.waitUntil([this] { return fixture.leaderCount() == 1; });
+    Entry *leader = nullptr;
+    for (Entry &entry : fixture.entries) {
+        entry.log.delayMs = 60;
+        leader = entry.service.leading() ? &entry : leader;
+    }
+    fixture.runFor(400);
+    int before = 0;
+    for (const Entry &entry : fixture.entries)
+        before += &entry == leader ? 0 : entry.log.appends;
+    leader->log.unresponsive = true;
+    fixture.waitUntil([&] {
+        return std::any_of(fixture.entries.begin(), fixture.entries.end(), [&](const Entry &each) {
+            return &each != leader && each.service.leading();
+        });
+    });
+    int campaigns = 0;
+    for (const Entry &entry : fixture.entries)
+        campaigns += &entry == leader ? 0 : entry.log.appends;
+    CHECK(campaigns - before <= 10); // two appends each
+}
+
+// The answers to the appends of a campaign are lost, but the records are read.
+TEST(SchedulerService, campaignWhoseAnswersAreLostSucceeds)
+{
+    Entry &entry = fixture.add("a", 1);
+    entry.log.dropsAnswers = true;
+    entry.log.timeoutMs = 3000;
+    fixture.start();
+    fixture.waitUntil([&entry] { return entry.service.leading(); });
+}
+
 TEST(SchedulerService, resignedLeaderIsReplacedAtOnce)
 {
     fixture.add("a", 1);
