--help of the platform's programs, unknown arguments, and ranges as whole numbers

--help said "No flags matched", and a bare path was ignored, so the program ran with the settings of the environment. A range reads "from 1000 to 3600000" instead of "1000.000000".

--- a/daemons/hostagentd.cc
+++ b/daemons/hostagentd.cc
@@ -5,5 +5,8 @@
 
 int main(int argc, char **argv)
 {
-    return flamingo::daemons::runOnPlatform<flamingo::platform::AgentProcess>(argc, argv);
+    return flamingo::daemons::runOnPlatform<flamingo::platform::AgentProcess>(
+        argc, argv,
+        "Runs beside each worker: carries out the leading scheduler's orders and reports the\n"
+        "worker's state to it.");
 }
--- a/daemons/platform_daemon.h
+++ b/daemons/platform_daemon.h
@@ -8,15 +8,17 @@
 #include "platform/node.h"
 
 #include <iostream>
+#include <string_view>
 
 namespace flamingo::daemons {
 
 // Reads the settings, runs a `Process` until a signal shuts it down, and returns the exit code.
+// `purpose` is shown by --help.
 template <typename Process>
-int runOnPlatform(int argc, char **argv)
+int runOnPlatform(int argc, char **argv, std::string_view purpose)
 {
     int exitCode = platform::exitDone;
-    const auto settings = platform::readNodeSettings(argc, argv, exitCode);
+    const auto settings = platform::readNodeSettings(argc, argv, purpose, exitCode);
     if (!settings)
         return exitCode;
     adapters::Loop loop;
--- a/daemons/schedulerd.cc
+++ b/daemons/schedulerd.cc
@@ -5,5 +5,8 @@
 
 int main(int argc, char **argv)
 {
-    return flamingo::daemons::runOnPlatform<flamingo::platform::EntryProcess>(argc, argv);
+    return flamingo::daemons::runOnPlatform<flamingo::platform::EntryProcess>(
+        argc, argv,
+        "Serves callers on a front machine of the platform. One of these processes leads and\n"
+        "schedules all tasks; the others take over when it is lost.");
 }
--- a/tests/platform_test.cc
+++ b/tests/platform_test.cc
@@ -9,6 +9,7 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <algorithm>
 #include <list>
 
 using namespace flamingo;
@@ -261,6 +262,9 @@
     CHECK(!parseNodeSettings("Node=n\nInternalPorts=7\nBounds.RevokeMs=soon\nnonsense\n", errors)
                .has_value());
     LONGS_EQUAL(5, errors.size()); // Ip, platform.Address, InternalPorts, RevokeMs, the last line
+    CHECK(std::count(errors.begin(), errors.end(),
+                     "Bounds.RevokeMs=soon is not a number from 1000 to 3600000")
+          == 1);
     errors.clear();
     const auto settings = parseNodeSettings(
         "Node=n\nIp=10.0.0.1\nplatform.Address=10.0.0.2:80\nInternalPorts=7000,7015\nNew.Field=1\n"
