Stop work for urgent jobs beyond their guarantee only while they can still end in time

Urgent units beyond their guarantee reclaimed also after their latest start, so the work of others was stopped for results that were late anyway; and among the late ones, a job of no more use to its caller went before one that could still end within three times its objective.

Ruled out: more reclaims than one urgent job needs (in the next plan the runs that are being stopped count as free, so the same placement costs nothing).

Change: a unit in time, late or too late, in this order within a priority; beyond a guarantee only a unit in time reclaims. Within a guarantee nothing changes.

Tests, pattern bursts of urgent jobs on full workers: two of the three new ones fail on the former code (urgentWorkBeyondItsGuaranteeStopsOthersOnlyWhileItCanEndInTime, jobThatIsTooLateGoesLast).

--- a/flamingo/scheduler/planner.cc
+++ b/flamingo/scheduler/planner.cc
@@ -2,13 +2,15 @@
 //
 // A placement unit is what one search places: a whole gang, or the waiting tasks of a step. Units
 // are sorted by priority; within one priority, guaranteed ones come first, then those that can
-// still meet their objective, in the order in which they must start for it. A unit that does not
-// fit is handled by its priority:
+// still meet their objective, then those that can still end within three times the objective, each
+// in the order in which they must start for it. A unit that does not fit is handled by its
+// priority:
 //
 //   * urgent work (priority 0) waits for free capacity while its slack allows, then reclaims
 //     resources from lower priorities. Within its organisation's guarantee it may stop any of their
-//     work, beyond it only work up to a bounded cost. The resources that it will get are reserved,
-//     so that nothing else is placed on them meanwhile;
+//     work, beyond it only work up to a bounded cost, and only while it can still meet its
+//     objective: a late result is worth little to its caller. The resources that it will get are
+//     reserved, so that nothing else is placed on them meanwhile;
 //   * of the other units that do not fit, including urgent ones that may not stop enough work, the
 //     first `maxReservations` of each service reserve the capacity that becomes free first. Without
 //     that, small tasks would fill each gap and a large gang would never start;
@@ -58,6 +60,16 @@
 constexpr double reclaimBaseCost = 400;
 constexpr double reclaimCostPerWork = 3;
 
+// Whether a unit that starts now can end within its objective, by its estimate.
+enum class Lateness : std::uint8_t {
+    InTime,
+    Late, // within `lateObjectives` times the objective
+    TooLate,
+};
+
+// After this multiple of its objective a job's result is of no use to the caller.
+constexpr int lateObjectives = 3;
+
 // The tasks that one search places, with the values by which units are sorted.
 struct PlacementUnit
 {
@@ -68,7 +80,7 @@
     std::uint32_t priority = 0;
     bool guaranteed = false;
     TimeMs reclaimTimeoutMs = 0; // urgent work may wait this long before it reclaims
-    bool cannotMeetObjective = false;
+    Lateness lateness = Lateness::InTime;
     std::int64_t latestStart = 0; // to meet the objective; Unix time in ms
 };
 
@@ -283,6 +295,15 @@
     return timeout - scheduler.options.stopMs;
 }
 
+// `objectiveMs` is the length of the objective. All times are Unix times in ms.
+Lateness latenessOf(std::int64_t latestStart, std::int64_t objectiveMs, std::int64_t now)
+{
+    if (now <= latestStart)
+        return Lateness::InTime;
+    return now <= latestStart + (lateObjectives - 1) * objectiveMs ? Lateness::Late
+                                                                   : Lateness::TooLate;
+}
+
 void addUnits(const Scheduler &scheduler, JobRow &row, bool guaranteed, std::uint64_t unixNow,
               std::vector<PlacementUnit> &units)
 {
@@ -308,7 +329,9 @@
             unit.guaranteed = guaranteed;
             unit.reclaimTimeoutMs = reclaimTimeoutMs(scheduler, job, unit, begin, unixNow);
             unit.latestStart = deadline - job.steps[step].estimateMs;
-            unit.cannotMeetObjective = unit.latestStart < static_cast<std::int64_t>(unixNow);
+            unit.lateness =
+                latenessOf(unit.latestStart, deadline - static_cast<std::int64_t>(begin),
+                           static_cast<std::int64_t>(unixNow));
             units.push_back(std::move(unit));
         }
     }
@@ -317,8 +340,7 @@
 bool precedes(const PlacementUnit &a, const PlacementUnit &b)
 {
     const auto rank = [](const PlacementUnit &unit) {
-        return std::make_tuple(unit.priority, !unit.guaranteed, unit.cannotMeetObjective,
-                               unit.latestStart);
+        return std::make_tuple(unit.priority, !unit.guaranteed, unit.lateness, unit.latestStart);
     };
     return rank(a) < rank(b);
 }
@@ -437,7 +459,7 @@
         reserveCapacity(reservation.placement, remaining.need, capacity);
         return;
     }
-    if (unit.priority == 0) {
+    if (unit.priority == 0 && (unit.guaranteed || unit.lateness == Lateness::InTime)) {
         const Reclaim reclaim = findReclaim(remaining, capacity.workers, maxReclaimCost(unit));
         if (!reclaim.placement.empty()) {
             for (const std::size_t stopped : reclaim.runGroups) {
--- a/tests/scheduler_test.cc
+++ b/tests/scheduler_test.cc
@@ -243,6 +243,51 @@
     CHECK_EQUAL(std::string("b.0.0.0"), orders.starts[0].task);
 }
 
+// Pattern: bursts of urgent jobs on workers that are full. Work was stopped for urgent jobs that
+// could not end in time any more, and both were late.
+TEST(Scheduler, urgentWorkBeyondItsGuaranteeStopsOthersOnlyWhileItCanEndInTime)
+{
+    rig.addWorker("h1");
+    rig.accept(rig.makeJob("a", 1, 8, 2));
+    rig.sendReport("h1");
+    rig.advance(1000);
+    Job late = rig.makeJob("late", 1, 8, 0);
+    late.acceptedUnixMs -= 7000; // it must start within 6 s for its objective
+    rig.accept(late);
+    CHECK_EQUAL(0, rig.sendReport("h1").stops.size());
+    rig.accept(rig.makeJob("soon", 1, 8, 0));
+    CHECK_EQUAL(1, rig.sendReport("h1").stops.size());
+    const HostOrders orders = rig.sendReport("h1");
+    CHECK_EQUAL(1, orders.starts.size());
+    CHECK_EQUAL(std::string("soon.0.0.0"), orders.starts[0].task);
+}
+
+TEST(Scheduler, lateUrgentWorkWithinItsGuaranteeReclaimsCapacity)
+{
+    rig.scheduler.guarantees["lots"] = 8;
+    rig.addWorker("h1");
+    rig.accept(rig.makeJob("a", 1, 8, 2));
+    rig.sendReport("h1");
+    Job late = rig.makeJob("late", 1, 8, 0);
+    late.acceptedUnixMs -= 7000;
+    rig.accept(late);
+    CHECK_EQUAL(1, rig.sendReport("h1").stops.size());
+}
+
+// A job whose result is of no use any more goes after one that can still end within three times its
+// objective.
+TEST(Scheduler, jobThatIsTooLateGoesLast)
+{
+    Job tooLate = rig.makeJob("a", 1, 8);
+    tooLate.acceptedUnixMs -= 60000;
+    Job late = rig.makeJob("b", 1, 8);
+    late.acceptedUnixMs -= 20000;
+    rig.accept(tooLate);
+    rig.accept(late);
+    rig.addWorker("h1");
+    CHECK_EQUAL(std::string("b.0.0.0"), rig.nextReports.at("h1").runs.at(0).task);
+}
+
 TEST(Scheduler, recordsRoundTripThroughTheirEncoding)
 {
     Job job = rig.makeJob("a", 3, 2);
