Start guaranteed work across racks when no preferred rack can be reclaimed

Cause: a gang that prefers one rack, and a step that prefers the rack of its data, searched only racks that could hold it when empty. When each of them held urgent work, which is never stopped, a unit within its guarantee waited, although it runs on several racks too, only slower.

Change: a guaranteed unit that can neither wait nor reclaim in its preferred racks is placed on any.

Test: guaranteedGangStartsAcrossRacksWhenNoRackCanBeReclaimed, fails on the former code.

--- a/flamingo/scheduler/planner.cc
+++ b/flamingo/scheduler/planner.cc
@@ -441,6 +441,39 @@
     return reclaimBaseCost + reclaimCostPerWork * work;
 }
 
+// Stops the runs of lower priorities that cost least to make room for `demand`, and reserves the
+// room. Returns false when that is not possible within the unit's limit on lost work.
+bool reclaimFor(Scheduler &scheduler, const PlacementUnit &unit, const Demand &demand,
+                ServiceCapacity &capacity)
+{
+    const Reclaim reclaim = findReclaim(demand, capacity.workers, maxReclaimCost(unit));
+    if (reclaim.placement.empty())
+        return false;
+    for (const std::size_t stopped : reclaim.runGroups) {
+        for (const auto &[worker, key] : capacity.groupRuns[stopped])
+            stopRun(scheduler, worker, key, "reclaimed for urgent job " + unit.row->job->id);
+    }
+    reserveCapacity(reclaim.placement, demand.need, capacity);
+    return true;
+}
+
+// Places a guaranteed unit for which no rack that it prefers has room or can be reclaimed: a
+// guarantee holds on any rack, where the tasks run slower.
+bool placeOnAnyRack(Scheduler &scheduler, const PlacementUnit &unit, ServiceCapacity &capacity,
+                    TimeMs now)
+{
+    Demand demand = demandOf(unit, capacity);
+    if (!demand.sameRack && demand.dataRack.empty())
+        return false;
+    demand.sameRack = false;
+    demand.dataRack.clear();
+    const Placement placement = findPlacement(demand, capacity.workers);
+    if (placement.size() < demand.count)
+        return reclaimFor(scheduler, unit, demand, capacity);
+    assignTasks(scheduler, unit, placement, capacity, now);
+    return true;
+}
+
 void placeUnit(Scheduler &scheduler, const PlacementUnit &unit, ServiceCapacity &capacity,
                int &reservations, TimeMs now)
 {
@@ -460,16 +493,13 @@
         return;
     }
     if (unit.priority == 0 && (unit.guaranteed || unit.lateness == Lateness::InTime)) {
-        const Reclaim reclaim = findReclaim(remaining, capacity.workers, maxReclaimCost(unit));
-        if (!reclaim.placement.empty()) {
-            for (const std::size_t stopped : reclaim.runGroups) {
-                for (const auto &[worker, key] : capacity.groupRuns[stopped])
-                    stopRun(scheduler, worker, key,
-                            "reclaimed for urgent job " + unit.row->job->id);
-            }
-            reserveCapacity(reclaim.placement, remaining.need, capacity);
+        if (reclaimFor(scheduler, unit, remaining, capacity))
+            return;
+        PlacementUnit rest = unit;
+        rest.tasks.erase(rest.tasks.begin(),
+                         rest.tasks.begin() + static_cast<std::ptrdiff_t>(placement.size()));
+        if (unit.guaranteed && placeOnAnyRack(scheduler, rest, capacity, now))
             return;
-        }
     }
     if (reservations >= maxReservations || reservation.placement.empty())
         return;
--- a/tests/scheduler_test.cc
+++ b/tests/scheduler_test.cc
@@ -288,6 +288,39 @@
     CHECK_EQUAL(std::string("b.0.0.0"), rig.nextReports.at("h1").runs.at(0).task);
 }
 
+// A gang that prefers one rack may run on several, only slower. When every rack holds urgent work
+// that may not be stopped, a guaranteed gang has to start across racks: it waited for a rack and
+// began after the time that the guarantee allows.
+TEST(Scheduler, guaranteedGangStartsAcrossRacksWhenNoRackCanBeReclaimed)
+{
+    rig.scheduler.guarantees["lots"] = 16;
+    for (const std::string rack : {"r1", "r2"}) {
+        rig.addWorker(rack + "a", rack);
+        Job urgent = rig.makeJob("u" + rack, 1, 8, 0);
+        urgent.organisation = "other";
+        rig.accept(urgent);
+        rig.sendReport(rack + "a");
+        rig.addWorker(rack + "b", rack);
+        rig.accept(rig.makeJob("low" + rack, 1, 8, 2));
+        rig.sendReport(rack + "b");
+        CHECK_EQUAL(1, rig.runCount(rack + "a"));
+        CHECK_EQUAL(1, rig.runCount(rack + "b"));
+    }
+    Job gang = rig.makeJob("gang", 2, 8, 0);
+    gang.steps[0].gang = true;
+    gang.steps[0].sameRack = true;
+    rig.accept(gang);
+    rig.advance(rig.scheduler.options.guaranteeMs);
+    for (int i = 0; i < 3; ++i) {
+        for (const char *host : {"r1a", "r2a", "r1b", "r2b"})
+            rig.sendReport(host);
+    }
+    CHECK_EQUAL(1, rig.runCount("r1b"));
+    CHECK_EQUAL(1, rig.runCount("r2b"));
+    CHECK_EQUAL(std::string("gang.0.0.0"), rig.nextReports.at("r1b").runs.at(0).task);
+    CHECK_EQUAL(std::string("gang.0.0.1"), rig.nextReports.at("r2b").runs.at(0).task);
+}
+
 TEST(Scheduler, recordsRoundTripThroughTheirEncoding)
 {
     Job job = rig.makeJob("a", 3, 2);
