--- a/tests/host_agent_test.cc
+++ b/tests/host_agent_test.cc
@@ -290,6 +290,26 @@
     CHECK(std::get<PollCall>(calls.at(0)).fencingToken > leaderToken);
 }
 
+// An agent that was restarted knows nothing of workers that have left. A delayed heartbeat of one
+// of them may be the first that it receives; the process that listens there now rejects calls to
+// it.
+TEST(HostAgent, workerThatHasLeftIsNotUsedAfterARestartOfTheAgent)
+{
+    CHECK(fixture.heartbeat(1, 7)); // of the worker that has left
+    for (int i = 0; i < 20; ++i) {
+        for (const WorkerCall &call : dueCalls(fixture.agent, fixture.now)) {
+            CHECK(std::holds_alternative<PollCall>(call));
+            applyAnswer(fixture.agent, call, fixture.answer(CallResult::NoAnswer), fixture.now);
+        }
+        fixture.advance(100);
+        HostAgent copy = fixture.agent;
+        CHECK_EQUAL(0,
+                    makeReport(copy).fencingToken); // the leader uses no worker without its token
+    }
+    CHECK(fixture.heartbeat(2, 1));
+    CHECK_EQUAL(2, fixture.agent.worker->bornUnixMs);
+}
+
 TEST(HostAgent, missingWorkerProcessIsReportedAfterATimeout)
 {
     fixture.fenceWorker();
