Start the stall timers of a resumed gang when all its members run

Cause: a gang counted as begun when a member showed more than 0%. Members that resume from a checkpoint show its percentage before they begin, so members that waited for a late one were taken for stalled.

Change: a gang has begun when a member has advanced since it was first listed.

Test: resumedMembersThatWaitForALateMemberAreNotStopped, fails on the former code.

--- a/flamingo/scheduler/planner.cc
+++ b/flamingo/scheduler/planner.cc
@@ -568,6 +568,7 @@
 {
     std::size_t size = 1; // number of members of the gang
     bool allRunning = true; // none of `runs` is still being started
+    bool begun = false; // a member has advanced since it was first listed
     std::vector<MemberProgress> progress;
     std::vector<std::pair<Worker *, RunKey>> runs;
 };
@@ -589,6 +590,7 @@
     ReportedGang &gang = gangs[{found->first, first, run.run}];
     gang.size = step.gang ? step.count : 1;
     gang.allRunning = gang.allRunning && run.reported == RunState::Running;
+    gang.begun = gang.begun || run.progress.percent > run.progress.firstPercent;
     gang.progress.push_back(
         {workerNumber, run.progress.percent,
          stillness(run.progress, step.estimateMs, run.resumed, scheduler.options.stall)});
@@ -609,11 +611,8 @@
             addReportedRun(scheduler, worker, workerNumber, runKey, run, gangs);
     }
     for (auto &[gangKey, gang] : gangs) {
-        const bool begun =
-            std::any_of(gang.progress.begin(), gang.progress.end(),
-                        [](const MemberProgress &member) { return member.percent > 0; });
         const bool complete = gang.allRunning && gang.runs.size() == gang.size;
-        if (!begun && !complete) {
+        if (!gang.begun && !complete) {
             for (const auto &[worker, runKey] : gang.runs)
                 restartStallTimer(worker->runs.at(runKey).progress);
             continue;
--- a/tests/stalled_runs_test.cc
+++ b/tests/stalled_runs_test.cc
@@ -171,6 +171,17 @@
     CHECK_EQUAL(0, stops);
 }
 
+// A gang that resumes shows the percentage of its checkpoint before it begins to work.
+TEST(StalledRuns, resumedMembersThatWaitForALateMemberAreNotStopped)
+{
+    start({0, 0, 0}, true);
+    rig.nextReports.at("h2").runs[0].state = RunState::Starting;
+    for (SimulatedHost &host : hosts)
+        host.percent = 40;
+    pass(4800);
+    CHECK_EQUAL(0, stops);
+}
+
 // The first report after a freeze was made before it: it is new to the leader, but shows the
 // progress of several seconds ago.
 TEST(StalledRuns, reportThatWasDelayedShowsNoStall)
