Write progress records without what follows from the rest

Change: workers are listed once in a record; only tasks that may be running refer to one; tasks that are done have no checkpoint; fields at the end that are 0 or empty are left out. Records of the former version are still read; a former version cannot read the new ones, so entries are updated together.

Tests: progressRecordOfAWideJobIsSmall (15 bytes a task; fails on the former code), two round trips.

--- a/flamingo/scheduler/records.cc
+++ b/flamingo/scheduler/records.cc
@@ -9,8 +9,16 @@
 
 #include <nlohmann/json.hpp>
 
-// A task's progress is encoded as an array without field names, to keep records small: a job may
-// have hundreds of tasks, and each change writes the progress of all of them.
+#include <map>
+
+// Progress records are small: a job may have hundreds of tasks, each change writes the progress of
+// all of them, and every entry reads it, over links that the regions share. A task is an array
+// without field names,
+//
+//     [phase, run, failures, failedRun, number of the worker, checkpoint]
+//
+// without the fields at its end that are 0 or empty. Workers are listed once in a record and
+// numbered from 1; only tasks that may be running have one. Tasks that are done have no checkpoint.
 
 namespace flamingo::scheduler {
 
@@ -37,6 +45,7 @@
 
 namespace {
 
+constexpr std::size_t workerField = 4; // of a task in a progress record
 constexpr std::string_view acceptancePrefix = "a/";
 constexpr std::string_view cancellationPrefix = "c/";
 constexpr std::string_view progressPrefix = "p/";
@@ -66,22 +75,61 @@
 
 // nlohmann::json requires these function names.
 // NOLINTBEGIN(readability-identifier-naming)
-void to_json(nlohmann::json &json, const TaskProgress &task)
+// Removes the fields at the end of `fields` that have their default value.
+nlohmann::json trimmedFields(nlohmann::json fields)
 {
-    json = {task.phase, task.run, task.failures, task.failedRun, task.worker, task.checkpoint};
+    while (!fields.empty() && (fields.back() == 0 || fields.back() == ""))
+        fields.erase(fields.size() - 1);
+    return fields;
 }
 
-void from_json(const nlohmann::json &json, TaskProgress &task)
+void to_json(nlohmann::json &json, const JobProgress &progress)
 {
-    json.at(0).get_to(task.phase);
-    json.at(1).get_to(task.run);
-    json.at(2).get_to(task.failures);
-    json.at(3).get_to(task.failedRun);
-    json.at(4).get_to(task.worker);
-    json.at(5).get_to(task.checkpoint);
+    std::map<std::string_view, std::size_t> workerNumbers;
+    auto workers = nlohmann::json::array();
+    auto tasks = nlohmann::json::array();
+    for (const TaskProgress &task : progress.tasks) {
+        const bool done = task.phase == TaskPhase::Done;
+        std::size_t worker = 0;
+        if (!done && task.phase != TaskPhase::Waiting) {
+            const auto [found, added] =
+                workerNumbers.emplace(task.worker, workerNumbers.size() + 1);
+            if (added)
+                workers.push_back(task.worker);
+            worker = found->second;
+        }
+        tasks.push_back(trimmedFields({task.phase, task.run, task.failures, task.failedRun, worker,
+                                       done ? std::string() : task.checkpoint}));
+    }
+    json = {{"outcome", progress.outcome}, {"workers", workers}, {"tasks", tasks}};
+    if (!progress.reason.empty())
+        json["reason"] = progress.reason;
 }
 
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(JobProgress, outcome, tasks, reason)
+void from_json(const nlohmann::json &json, JobProgress &progress)
+{
+    progress.outcome = json.value("outcome", Outcome::Open);
+    progress.reason = json.value("reason", std::string());
+    const auto workers = json.value("workers", nlohmann::json::array());
+    for (const nlohmann::json &fields : json.value("tasks", nlohmann::json::array())) {
+        const auto field = [&fields](std::size_t index, auto &target) {
+            if (index < fields.size())
+                fields.at(index).get_to(target);
+        };
+        TaskProgress task;
+        field(0, task.phase);
+        field(1, task.run);
+        field(2, task.failures);
+        field(3, task.failedRun);
+        field(5, task.checkpoint);
+        // Processes of the former version wrote the worker itself.
+        if (fields.size() > workerField && fields[workerField].is_string())
+            field(workerField, task.worker);
+        else if (fields.size() > workerField && fields[workerField] != 0)
+            workers.at(fields[workerField].get<std::size_t>() - 1).get_to(task.worker);
+        progress.tasks.push_back(std::move(task));
+    }
+}
 
 void to_json(nlohmann::json &json, const HostReport &report)
 {
--- a/tests/scheduler_test.cc
+++ b/tests/scheduler_test.cc
@@ -334,6 +334,61 @@
     CHECK(!reason.text.empty());
 }
 
+TEST(Scheduler, progressRoundTripsThroughItsEncoding)
+{
+    JobProgress progress;
+    progress.outcome = Outcome::Failed;
+    progress.reason = "reason";
+    progress.tasks.resize(5);
+    progress.tasks[1] = {TaskPhase::Assigned, 1, 0, 0, "h1/w@1", ""};
+    progress.tasks[2] = {TaskPhase::Stopping, 3, 2, 2, "h2/w@1", "checkpoint"};
+    progress.tasks[3] = {TaskPhase::Assigned, 1, 0, 0, "h1/w@1", "checkpoint"};
+    progress.tasks[4] = {TaskPhase::Waiting, 2, 1, 2, "", "checkpoint"};
+    Reason reason;
+    const auto decoded = decodeProgress(progressRecord("a", progress).value, reason);
+    CHECK(decoded.has_value());
+    CHECK(decoded->outcome == Outcome::Failed);
+    STRCMP_EQUAL("reason", decoded->reason.c_str());
+    CHECK_EQUAL(progress.tasks.size(), decoded->tasks.size());
+    for (std::size_t i = 0; i < progress.tasks.size(); ++i) {
+        const TaskProgress &expected = progress.tasks[i];
+        const TaskProgress &actual = decoded->tasks[i];
+        CHECK(expected.phase == actual.phase);
+        CHECK_EQUAL(expected.run, actual.run);
+        CHECK_EQUAL(expected.failures, actual.failures);
+        CHECK_EQUAL(expected.failedRun, actual.failedRun);
+        CHECK_EQUAL(expected.worker, actual.worker);
+        CHECK_EQUAL(expected.checkpoint, actual.checkpoint);
+    }
+}
+
+TEST(Scheduler, progressOfTheFormerVersionIsDecoded)
+{
+    Reason reason;
+    const auto decoded = decodeProgress(
+        R"({"outcome":0,"reason":"","tasks":[[1,2,1,1,"h1/w@1","c"],[0,0,0,0,"",""]]})", reason);
+    CHECK(decoded.has_value());
+    CHECK_EQUAL(std::string("h1/w@1"), decoded->tasks.at(0).worker);
+    CHECK_EQUAL(std::string("c"), decoded->tasks.at(0).checkpoint);
+    CHECK(decoded->tasks.at(1).phase == TaskPhase::Waiting);
+    CHECK(!decodeProgress(R"({"workers":["h"],"tasks":[[1,1,0,0,2]]})", reason).has_value());
+}
+
+// Pattern: wide jobs on hundreds of machines. Every entry reads each change of a job, over a link
+// that its region shares; at 75 bytes a task the link was full and orders arrived seconds late.
+TEST(Scheduler, progressRecordOfAWideJobIsSmall)
+{
+    JobProgress progress;
+    progress.tasks.resize(470);
+    for (std::size_t i = 0; i < progress.tasks.size(); ++i) {
+        TaskProgress &task = progress.tasks[i];
+        task.phase = i < 200 ? TaskPhase::Done : i < 360 ? TaskPhase::Assigned : TaskPhase::Waiting;
+        task.run = task.phase == TaskPhase::Waiting ? 0 : 1;
+        task.worker = "side-trond-a-" + std::to_string(i / 8) + "/i-8412bfc3d3@1784478238388";
+    }
+    CHECK(progressRecord("a", progress).value.size() < progress.tasks.size() * 15);
+}
+
 // An acceptance of the same id that arrives seconds later must not reset the job.
 TEST(Scheduler, repeatedAcceptanceChangesNothing)
 {
