Let entries without callers notice a slow log, and spread campaigns wider there

The checks before had passed because the entries' timeouts happened to differ.

Ruled out: load as such (the append and read take 60 ms each in that test at any load).

Change: a read that found nothing measures the log by the time beyond its wait; the random delay is up to 20 times the answer time (8 before). The check and its bound stay.

--- a/flamingo/adapters/scheduler_service.cc
+++ b/flamingo/adapters/scheduler_service.cc
@@ -118,8 +118,14 @@
     this->log.read(
         this->nextOffset, waitMs,
         [this, sentAt, waitMs, generation = this->loadGeneration](const ReadResult &result) {
-            if (generation == this->loadGeneration)
-                this->handleReadResult(result, confirmedAt(result, sentAt, waitMs, Loop::now()));
+            if (generation != this->loadGeneration)
+                return;
+            // An idle read is answered when its wait ends; any time beyond is the log's. An entry
+            // without callers learns only from it that the log is slow.
+            const TimeMs waitEnd = sentAt + waitMs;
+            if (result.answered && result.records.empty() && Loop::now() >= waitEnd)
+                this->recordAnswerTime(waitEnd);
+            this->handleReadResult(result, confirmedAt(result, sentAt, waitMs, Loop::now()));
         });
 }
 
--- a/flamingo/scheduler/leadership.h
+++ b/flamingo/scheduler/leadership.h
@@ -54,7 +54,7 @@
     // same time. It is long compared with the time until a candidate record is read: an append and
     // a read. While the log is slow, it is `randomDelayPerAnswer` times its answer time.
     TimeMs randomDelayMs = 200;
-    double randomDelayPerAnswer = 8;
+    double randomDelayPerAnswer = 20;
     // After a candidate was seen, no other entry campaigns for this long plus `answerTimeFactor`
     // times the slowest recent answer, twice over: for its claim and for the leader's first record.
     TimeMs candidateTimeoutMs = 400;
