--- a/flamingo/scheduler/records.cc
+++ b/flamingo/scheduler/records.cc
@@ -78,7 +78,10 @@
 // Removes the fields at the end of `fields` that have their default value.
 nlohmann::json trimmedFields(nlohmann::json fields)
 {
-    while (!fields.empty() && (fields.back() == 0 || fields.back() == ""))
+    const auto isDefault = [](const nlohmann::json &field) {
+        return field.is_string() ? field.get_ref<const std::string &>().empty() : field == 0;
+    };
+    while (!fields.empty() && isDefault(fields.back()))
         fields.erase(fields.size() - 1);
     return fields;
 }
