Tests: start the only entry, and a gang with a late member, in one place

Eleven tests of scheduler_service_test began with the same three lines, two of stalled_runs_test with the same two. No assertion changes; two test comments say host instead of machine.

--- a/tests/scheduler_service_test.cc
+++ b/tests/scheduler_service_test.cc
@@ -73,6 +73,15 @@
         CHECK(condition());
     }
 
+    // Adds the only entry and waits until it has read the log.
+    Entry &startEntry()
+    {
+        Entry &entry = this->add("a", 1);
+        this->start();
+        this->waitUntil([&entry] { return entry.service.logReadIsRecent(); });
+        return entry;
+    }
+
     void runFor(TimeMs ms)
     {
         const TimeMs end = Loop::now() + ms;
@@ -135,7 +144,7 @@
     CHECK(other.service.leading());
 }
 
-// Pattern: machines stopped in turn while the log is 63 times slower than usual. 28 entries
+// Pattern: hosts stopped in turn while the log is 63 times slower than usual. 28 entries
 // campaigned when the leader was lost; each fenced the others off, and their appends filled the
 // log's queue: no entry led for 2.9 s.
 TEST(SchedulerService, fewEntriesCampaignWhenTheLeaderIsLostAtASlowLog)
@@ -194,9 +203,7 @@
 // may be carried out late.
 TEST(SchedulerService, unansweredAppendIsNeverReportedAsNotRun)
 {
-    Entry &entry = fixture.add("a", 1);
-    fixture.start();
-    fixture.waitUntil([&entry] { return entry.service.logReadIsRecent(); });
+    Entry &entry = fixture.startEntry();
     entry.log.unresponsive = true;
     std::optional<Verdict> verdict;
     entry.service.submit(smallJob(), [&verdict](Verdict result) { verdict = result; });
@@ -208,9 +215,7 @@
 // the verdict covers all attempts, and the first one may be stored.
 TEST(SchedulerService, refusedRetryOfAnUnansweredSubmissionMayHaveRun)
 {
-    Entry &entry = fixture.add("a", 1);
-    fixture.start();
-    fixture.waitUntil([&entry] { return entry.service.logReadIsRecent(); });
+    Entry &entry = fixture.startEntry();
     entry.log.unresponsive = true;
     std::optional<Verdict> first;
     entry.service.submit(smallJob(), [&first](Verdict result) { first = result; });
@@ -229,9 +234,7 @@
 // one append ran after all their submissions had been rejected.
 TEST(SchedulerService, refusedRelayBesideAnUnansweredAppendMayHaveRun)
 {
-    Entry &entry = fixture.add("a", 1);
-    fixture.start();
-    fixture.waitUntil([&entry] { return entry.service.logReadIsRecent(); });
+    Entry &entry = fixture.startEntry();
     entry.service.setRelay(
         [this](const scheduler::Record & /*record*/, SchedulerService::SubmitCallback done) {
             fixture.loop.after(900, [done = std::move(done)] { done(Verdict::NotRun); });
@@ -249,9 +252,7 @@
 // second one may not be refused as not run while the append of the first one is unanswered.
 TEST(SchedulerService, refusedRepetitionBesideAnUnansweredAppendMayHaveRun)
 {
-    Entry &entry = fixture.add("a", 1);
-    fixture.start();
-    fixture.waitUntil([&entry] { return entry.service.logReadIsRecent(); });
+    Entry &entry = fixture.startEntry();
     entry.log.unresponsive = true;
     entry.log.timeoutMs = 4000;
     entry.service.submit(smallJob(), [](Verdict /*ignored*/) {});
@@ -264,9 +265,7 @@
 // During a longer outage of the log a submission is refused at once, without an append.
 TEST(SchedulerService, submissionFailsAtOnceDuringALongOutage)
 {
-    Entry &entry = fixture.add("a", 1);
-    fixture.start();
-    fixture.waitUntil([&entry] { return entry.service.logReadIsRecent(); });
+    Entry &entry = fixture.startEntry();
     entry.log.rejectsCalls = true;
     fixture.runFor(1200);
     std::optional<Verdict> verdict;
@@ -279,9 +278,7 @@
 // A short failure of the log must not refuse the submission: callers make only a few attempts.
 TEST(SchedulerService, submissionIsRetriedDuringAShortLogFailure)
 {
-    Entry &entry = fixture.add("a", 1);
-    fixture.start();
-    fixture.waitUntil([&entry] { return entry.service.logReadIsRecent(); });
+    Entry &entry = fixture.startEntry();
     entry.log.rejectsCalls = true;
     std::optional<Verdict> verdict;
     entry.service.submit(smallJob(), [&verdict](Verdict result) { verdict = result; });
@@ -362,9 +359,7 @@
 // job.
 TEST(SchedulerService, unansweredRelayIsNeverReportedAsNotRun)
 {
-    Entry &entry = fixture.add("a", 1);
-    fixture.start();
-    fixture.waitUntil([&entry] { return entry.service.logReadIsRecent(); });
+    Entry &entry = fixture.startEntry();
     entry.service.setRelay(
         [](const scheduler::Record &, const SchedulerService::SubmitCallback &) {});
     entry.log.rejectsCalls = true;
@@ -396,9 +391,7 @@
 // the callers wait.
 TEST(SchedulerService, burstToASlowLogIsBatched)
 {
-    Entry &entry = fixture.add("a", 1);
-    fixture.start();
-    fixture.waitUntil([&entry] { return entry.service.logReadIsRecent(); });
+    Entry &entry = fixture.startEntry();
     entry.log.delayMs = 100;
     const int appendsBefore = entry.log.appends;
     int stored = 0;
@@ -415,9 +408,7 @@
 // When the answer to an append is lost, the caller is answered as soon as the record has been read.
 TEST(SchedulerService, acceptanceReadBackIsReportedAsStored)
 {
-    Entry &entry = fixture.add("a", 1);
-    fixture.start();
-    fixture.waitUntil([&entry] { return entry.service.logReadIsRecent(); });
+    Entry &entry = fixture.startEntry();
     entry.log.dropsAnswers = true;
     entry.log.timeoutMs = 3000;
     const TimeMs sentAt = Loop::now();
@@ -449,9 +440,7 @@
 // before its caller gives up waiting.
 TEST(SchedulerService, submissionQueuedBehindAnUnansweredAppendIsRefusedInTime)
 {
-    Entry &entry = fixture.add("a", 1);
-    fixture.start();
-    fixture.waitUntil([&entry] { return entry.service.logReadIsRecent(); });
+    Entry &entry = fixture.startEntry();
     entry.log.unresponsive = true;
     entry.log.timeoutMs = 4000;
     entry.service.submit(smallJob(), [](Verdict /*ignored*/) {});
@@ -469,9 +458,7 @@
 // new submission with the same id.
 TEST(SchedulerService, deletedKeyIsNotReportedAsStored)
 {
-    Entry &entry = fixture.add("a", 1);
-    fixture.start();
-    fixture.waitUntil([&entry] { return entry.service.logReadIsRecent(); });
+    Entry &entry = fixture.startEntry();
     entry.log.dropsAppends = true;
     std::optional<Verdict> verdict;
     entry.service.submit(smallJob(), [&verdict](Verdict result) { verdict = result; });
--- a/tests/scheduler_test.cc
+++ b/tests/scheduler_test.cc
@@ -374,7 +374,7 @@
     CHECK(!decodeProgress(R"({"workers":["h"],"tasks":[[1,1,0,0,2]]})", reason).has_value());
 }
 
-// Pattern: wide jobs on hundreds of machines. Every entry reads each change of a job, over a link
+// Pattern: wide jobs on hundreds of hosts. Every entry reads each change of a job, over a link
 // that its region shares; at 75 bytes a task the link was full and orders arrived seconds late.
 TEST(Scheduler, progressRecordOfAWideJobIsSmall)
 {
--- a/tests/stalled_runs_test.cc
+++ b/tests/stalled_runs_test.cc
@@ -58,6 +58,13 @@
             this->report(i);
     }
 
+    // The member on h2 is still being started, so none of them works.
+    void startGangWithALateMember()
+    {
+        this->start({0, 0, 0}, true);
+        rig.nextReports.at("h2").runs[0].state = RunState::Starting;
+    }
+
     void report(std::size_t host)
     {
         HostReport &report = rig.nextReports.at(name(host));
@@ -160,8 +167,7 @@
 // A gang begins to work when its last member has started.
 TEST(StalledRuns, membersThatWaitForALateMemberAreNotStopped)
 {
-    start({0, 0, 0}, true);
-    rig.nextReports.at("h2").runs[0].state = RunState::Starting;
+    startGangWithALateMember();
     pass(4800);
     CHECK_EQUAL(0, stops);
     rig.nextReports.at("h2").runs[0].state = RunState::Running;
@@ -174,8 +180,7 @@
 // A gang that resumes shows the percentage of its checkpoint before it begins to work.
 TEST(StalledRuns, resumedMembersThatWaitForALateMemberAreNotStopped)
 {
-    start({0, 0, 0}, true);
-    rig.nextReports.at("h2").runs[0].state = RunState::Starting;
+    startGangWithALateMember();
     for (SimulatedHost &host : hosts)
         host.percent = 40;
     pass(4800);
