--- a/daemons/schedulerd.cc
+++ b/daemons/schedulerd.cc
@@ -7,6 +7,6 @@
 {
     return flamingo::daemons::runOnPlatform<flamingo::platform::EntryProcess>(
         argc, argv,
-        "Serves callers on a front machine of the platform. One of these processes leads and\n"
-        "schedules all tasks; the others take over when it is lost.");
+        "Serves callers. One of these processes leads and schedules all tasks; another takes over\n"
+        "when it is lost.");
 }
--- a/flamingo/adapters/scheduler_service.cc
+++ b/flamingo/adapters/scheduler_service.cc
@@ -350,33 +350,33 @@
                           + " former=" + std::to_string(this->scheduling.table.leader.epoch)
                           + " last_sign_age_ms="
                           + std::to_string(Loop::now() - this->leadership.lastLeaderContact));
-    this->sendCampaignAppend(candidateRecord(this->ownLeader(this->campaignEpoch)),
-                             candidateSequence);
+    this->sendCampaignAppend(candidateRecord(this->ownLeader(this->campaignEpoch)));
 }
 
-// Appends the candidate record or the claim. An append without an answer is repeated: it may be
-// stored, and a new campaign would only add to the load of a slow log.
-void SchedulerService::sendCampaignAppend(const Record &record, std::uint64_t sequence)
+// Appends the candidate record while campaigning, the leader record while claiming. An append
+// without an answer is repeated: it may be stored, and a new campaign would only add to the load of
+// a slow log.
+void SchedulerService::sendCampaignAppend(const Record &record)
 {
     const TimeMs sentAt = Loop::now();
-    const Fence fence = {this->campaignEpoch, sequence};
+    const Role sentAs = this->role;
+    const Fence fence = {this->campaignEpoch,
+                         sentAs == Role::Claiming ? claimSequence : candidateSequence};
     this->log.appendFenced(
-        {&record, 1}, fence, [this, record, fence, sentAt](const AppendResult &result) {
-            const Role expected =
-                fence.sequence == claimSequence ? Role::Claiming : Role::Campaigning;
-            if (fence.epoch != this->campaignEpoch || this->role != expected)
+        {&record, 1}, fence,
+        [this, record, sentAt, sentAs, epoch = fence.epoch](const AppendResult &result) {
+            if (epoch != this->campaignEpoch || this->role != sentAs)
                 return; // the record has been read back, or the campaign has ended
             if (result.status == AppendStatus::Stored)
                 this->leadership.roundTripMs = Loop::now() - sentAt;
-            this->handleCampaignResult(record, fence.sequence, result);
+            this->handleCampaignResult(record, result);
         });
 }
 
-void SchedulerService::handleCampaignResult(const Record &record, std::uint64_t sequence,
-                                            const AppendResult &result)
+void SchedulerService::handleCampaignResult(const Record &record, const AppendResult &result)
 {
     if (result.status == AppendStatus::Stored) {
-        if (sequence == candidateSequence)
+        if (this->role == Role::Campaigning)
             this->beginCatchingUp(result.end);
         return;
     }
@@ -386,9 +386,9 @@
         return;
     }
     this->loop.after(this->options.retryMs,
-                     [this, record, sequence, epoch = this->campaignEpoch, role = this->role] {
+                     [this, record, epoch = this->campaignEpoch, role = this->role] {
                          if (epoch == this->campaignEpoch && role == this->role)
-                             this->sendCampaignAppend(record, sequence);
+                             this->sendCampaignAppend(record);
                      });
 }
 
@@ -417,7 +417,7 @@
         return;
     }
     this->role = Role::Claiming;
-    this->sendCampaignAppend(leaderRecord(this->ownLeader(this->campaignEpoch)), claimSequence);
+    this->sendCampaignAppend(leaderRecord(this->ownLeader(this->campaignEpoch)));
 }
 
 void SchedulerService::becomeLeader()
--- a/flamingo/adapters/scheduler_service.h
+++ b/flamingo/adapters/scheduler_service.h
@@ -191,8 +191,8 @@
     void notifyStaleLog(TimeMs now);
     void handleCandidateRecord(std::uint64_t offset);
     void campaign();
-    void sendCampaignAppend(const scheduler::Record &record, std::uint64_t sequence);
-    void handleCampaignResult(const scheduler::Record &record, std::uint64_t sequence,
+    void sendCampaignAppend(const scheduler::Record &record);
+    void handleCampaignResult(const scheduler::Record &record,
                               const scheduler::AppendResult &result);
     void endCampaign(const std::string &cause);
     void beginCatchingUp(std::uint64_t end);
--- a/flamingo/scheduler/records.cc
+++ b/flamingo/scheduler/records.cc
@@ -71,10 +71,6 @@
     return std::string(prefix) + std::string(jobId);
 }
 
-} // namespace
-
-// nlohmann::json requires these function names.
-// NOLINTBEGIN(readability-identifier-naming)
 // Removes the fields at the end of `fields` that have their default value.
 nlohmann::json trimmedFields(nlohmann::json fields)
 {
@@ -86,6 +82,18 @@
     return fields;
 }
 
+// Returns the field `name` of the object `json`; `fallback` if there is none.
+const nlohmann::json &memberOr(const nlohmann::json &json, const char *name,
+                               const nlohmann::json &fallback)
+{
+    const auto found = json.find(name);
+    return found == json.end() ? fallback : *found;
+}
+
+} // namespace
+
+// nlohmann::json requires these function names.
+// NOLINTBEGIN(readability-identifier-naming)
 void to_json(nlohmann::json &json, const JobProgress &progress)
 {
     std::map<std::string_view, std::size_t> workerNumbers;
@@ -113,8 +121,10 @@
 {
     progress.outcome = json.value("outcome", Outcome::Open);
     progress.reason = json.value("reason", std::string());
-    const auto workers = json.value("workers", nlohmann::json::array());
-    for (const nlohmann::json &fields : json.value("tasks", nlohmann::json::array())) {
+    // References, because a copy of all tasks would cost as much as decoding them.
+    const auto none = nlohmann::json::array();
+    const nlohmann::json &workers = memberOr(json, "workers", none);
+    for (const nlohmann::json &fields : memberOr(json, "tasks", none)) {
         const auto field = [&fields](std::size_t index, auto &target) {
             if (index < fields.size())
                 fields.at(index).get_to(target);
--- a/flamingo/scheduler/records.h
+++ b/flamingo/scheduler/records.h
@@ -42,7 +42,7 @@
 Record candidateRecord(const Leader &candidate);
 
 // Key of the leader record. It sorts after the keys of all jobs, so that JobLog::newest() can be
-// asked for this record alone.
+// asked for it, and with it the candidate record, alone.
 extern const std::string_view leaderKey;
 
 struct ParsedKey
--- a/flamingo/scheduler/run_progress.cc
+++ b/flamingo/scheduler/run_progress.cc
@@ -56,32 +56,28 @@
 
 StalledMembers findStalled(absl::Span<const MemberProgress> members)
 {
+    const auto incomplete = [](const MemberProgress &member) {
+        return member.percent < completePercent;
+    };
+    const bool anyIncomplete = std::any_of(members.begin(), members.end(), incomplete);
+    const bool allStandStill =
+        std::all_of(members.begin(), members.end(),
+                    [](const MemberProgress &member) { return member.stillness > 1; });
+    if (!anyIncomplete && !allStandStill)
+        return {};
     StalledMembers result;
-    bool anyIncomplete = false;
     bool anyAdvances = false;
     bool severalWorkers = false;
     for (std::size_t i = 0; i < members.size(); ++i) {
         const MemberProgress &member = members[i];
-        const bool incomplete = member.percent < completePercent;
-        anyIncomplete = anyIncomplete || incomplete;
-        anyAdvances = anyAdvances || !incomplete || member.stillness < advancingStillness;
         severalWorkers = severalWorkers || member.worker != members[0].worker;
-        if (member.stillness > 1)
-            result.members.push_back(i);
-    }
-    if (anyIncomplete) {
         // Complete members wait for the others.
-        result.members.erase(std::remove_if(result.members.begin(), result.members.end(),
-                                            [&members](std::size_t member) {
-                                                return members[member].percent >= completePercent;
-                                            }),
-                             result.members.end());
-        result.workersAtFault = anyAdvances || !severalWorkers;
-        return result;
+        const bool waits = anyIncomplete && !incomplete(member);
+        anyAdvances = anyAdvances || waits || member.stillness < advancingStillness;
+        if (member.stillness > 1 && !waits)
+            result.members.push_back(i);
     }
-    if (result.members.size() < members.size())
-        result.members.clear();
-    result.workersAtFault = !severalWorkers;
+    result.workersAtFault = anyAdvances || !severalWorkers;
     return result;
 }
 
