Log why waiting tasks are not placed

event=tasks_waiting names the restriction without which the tasks would fit, whether they hold a reservation, and the room for them with and without reservations. It is logged after 0.5 s and when the cause changes. No decision changes: the searches use copies of the capacity.

--- a/flamingo/scheduler/placement.cc
+++ b/flamingo/scheduler/placement.cc
@@ -212,6 +212,18 @@
     return result;
 }
 
+// Number of tasks that `available` has room for, at most the whole demand.
+std::uint64_t placesIn(const Demand &demand, Resources available)
+{
+    std::uint64_t places = 0;
+    while (fits(demand.need, available) && places < demand.count
+           && (demand.maxPerWorker == 0 || places < demand.maxPerWorker)) {
+        available -= demand.need;
+        ++places;
+    }
+    return places;
+}
+
 // True when the workers of one rack, if empty, could hold the demand.
 bool rackCanHold(const Demand &demand, absl::Span<const WorkerResources> workers,
                  const std::string &rack)
@@ -220,14 +232,7 @@
     for (const WorkerResources &worker : workers) {
         if (worker.rack != rack || !isEligible(demand, worker))
             continue;
-        Resources available = worker.capacity;
-        std::uint32_t here = 0;
-        while (fits(demand.need, available) && here < demand.count
-               && (demand.maxPerWorker == 0 || here < demand.maxPerWorker)) {
-            available -= demand.need;
-            ++here;
-        }
-        places += here;
+        places += placesIn(demand, worker.capacity);
     }
     return places >= demand.count;
 }
@@ -302,6 +307,16 @@
     return {found.placement, found.freeInMs};
 }
 
+std::uint64_t countPlaces(const Demand &demand, absl::Span<const WorkerResources> workers)
+{
+    std::uint64_t places = 0;
+    for (const WorkerResources &worker : workers) {
+        if (isEligible(demand, worker))
+            places += placesIn(demand, worker.freeCapacity);
+    }
+    return places;
+}
+
 bool canEverFit(const Demand &demand, absl::Span<const WorkerResources> workers)
 {
     std::vector<WorkerResources> emptyWorkers(workers.begin(), workers.end());
--- a/flamingo/scheduler/placement.h
+++ b/flamingo/scheduler/placement.h
@@ -95,6 +95,10 @@
 // Places tasks where capacity becomes free first when nothing is stopped.
 Reservation findReservation(const Demand &demand, absl::Span<const WorkerResources> workers);
 
+// Number of tasks like those of `demand` for which the workers have free capacity now, at most the
+// whole demand on each worker. Racks and tasks that are placed already are not considered.
+std::uint64_t countPlaces(const Demand &demand, absl::Span<const WorkerResources> workers);
+
 // True when the workers, if empty, could hold the whole demand of a gang, or at least one task of
 // any other demand.
 bool canEverFit(const Demand &demand, absl::Span<const WorkerResources> workers);
--- a/flamingo/scheduler/planner.cc
+++ b/flamingo/scheduler/planner.cc
@@ -131,7 +131,9 @@
 // or a single run).
 struct ServiceCapacity
 {
-    std::vector<WorkerResources> workers;
+    std::vector<WorkerResources> workers; // free capacity less reservations
+    std::vector<Resources> reserved; // by worker index
+    std::vector<WorkerResources> unusable; // quarantined or draining; without allocations
     // Worker key and run of each run in a group, by group number.
     std::vector<std::vector<std::pair<std::string, RunKey>>> groupRuns;
 };
@@ -149,9 +151,19 @@
     ServiceCapacity build(std::string_view service)
     {
         for (const auto &[key, worker] : this->scheduler.workers) {
-            if (worker.info.service == service && usable(this->scheduler, worker, this->now))
-                this->add(worker);
+            if (worker.info.service != service)
+                continue;
+            WorkerResources resources = this->resourcesOf(worker);
+            if (usable(this->scheduler, worker, this->now)) {
+                this->addAllocations(worker, resources);
+                this->result.workers.push_back(std::move(resources));
+            } else if (worker.fenced
+                       && this->now - worker.lastReport
+                           <= this->scheduler.options.reportTimeoutMs) {
+                this->result.unusable.push_back(std::move(resources));
+            }
         }
+        this->result.reserved.resize(this->result.workers.size());
         // Stopping one member of a gang loses the work of all members.
         for (WorkerResources &worker : this->result.workers) {
             for (Allocation &allocation : worker.allocations) {
@@ -164,7 +176,7 @@
     }
 
 private:
-    void add(const Worker &worker)
+    WorkerResources resourcesOf(const Worker &worker)
     {
         WorkerResources resources;
         resources.key = worker.key;
@@ -174,11 +186,15 @@
         resources.freeCapacity = worker.info.capacity;
         resources.suspect = this->now < worker.suspectUntil;
         resources.slowness = slowness(this->scheduler.speeds, worker.host, this->now);
-        for (const auto &[key, run] : worker.runs) {
+        for (const auto &[key, run] : worker.runs)
             resources.freeCapacity -= run.need;
+        return resources;
+    }
+
+    void addAllocations(const Worker &worker, WorkerResources &resources)
+    {
+        for (const auto &[key, run] : worker.runs)
             resources.allocations.push_back(this->makeAllocation(worker, key, run));
-        }
-        this->result.workers.push_back(std::move(resources));
     }
 
     Allocation makeAllocation(const Worker &worker, const RunKey &key, const Run &run)
@@ -413,8 +429,10 @@
 
 void reserveCapacity(const Placement &placement, const Resources &need, ServiceCapacity &capacity)
 {
-    for (const std::size_t worker : placement)
+    for (const std::size_t worker : placement) {
         capacity.workers[worker].freeCapacity -= need;
+        capacity.reserved[worker] += need;
+    }
 }
 
 void stopRun(Scheduler &scheduler, const std::string &workerKey, const RunKey &key,
@@ -474,6 +492,64 @@
     return true;
 }
 
+std::size_t firstTaskNumber(const PlacementUnit &unit)
+{
+    return *taskNumber(*unit.row->job, {unit.occurrence, unit.step, 0});
+}
+
+void logWait(Scheduler &scheduler, const PlacementUnit &unit, const WaitState &wait,
+             const Reservation &reservation, const WaitPlaces &places, TimeMs now)
+{
+    const Job &job = *unit.row->job;
+    const Resources &need = job.steps[unit.step].need;
+    const std::pair<std::string_view, std::string> fields[] = {
+        {"job", job.id},
+        {"occurrence", std::to_string(unit.occurrence)},
+        {"step", std::to_string(unit.step)},
+        {"priority", std::to_string(unit.priority)},
+        {"tasks", std::to_string(unit.tasks.size())},
+        {"cpu_milli", std::to_string(need.cpuMilli)},
+        {"memory_mb", std::to_string(need.memoryMb)},
+        {"accelerators", std::to_string(need.accelerators)},
+        {"waited_ms", std::to_string(now - wait.since)},
+        {"cause", "\"" + std::string(waitCauseName(*wait.cause)) + "\""},
+        {"reserving", wait.reserving ? "true" : "false"},
+        {"expected_ms", std::to_string(reservation.freeInMs)},
+        {"places_free", std::to_string(places.free)},
+        {"places_after_reservations", std::to_string(places.afterReservations)},
+        {"places_unusable", std::to_string(places.unusable)},
+    };
+    std::string line = "event=tasks_waiting";
+    for (const auto &[name, value] : fields)
+        line.append(" ").append(name).append("=").append(value);
+    logDecision(scheduler, std::move(line));
+}
+
+// Logs why a unit, or the rest of one, has not been placed when the cause has changed. The cause is
+// searched for at intervals, because the search costs as much as a placement.
+void recordWait(Scheduler &scheduler, const PlacementUnit &unit, const Demand &demand,
+                const ServiceCapacity &capacity, const Reservation &reservation, bool reserving,
+                TimeMs now)
+{
+    WaitState &wait = unit.row->waits[firstTaskNumber(unit)];
+    if (wait.plan == 0 || wait.plan + 1 != scheduler.plans)
+        wait = {now, now, std::nullopt, false, 0};
+    wait.plan = scheduler.plans;
+    if (now - wait.checkedAt < scheduler.options.waitCheckMs)
+        return;
+    wait.checkedAt = now;
+    std::vector<WorkerResources> unreserved = capacity.workers;
+    for (std::size_t i = 0; i < unreserved.size(); ++i)
+        unreserved[i].freeCapacity += capacity.reserved[i];
+    const WaitCause cause = findWaitCause(demand, unreserved, capacity.unusable);
+    if (wait.cause == cause && wait.reserving == reserving)
+        return;
+    wait.cause = cause;
+    wait.reserving = reserving;
+    logWait(scheduler, unit, wait, reservation,
+            countWaitPlaces(demand, unreserved, capacity.workers, capacity.unusable), now);
+}
+
 void placeUnit(Scheduler &scheduler, const PlacementUnit &unit, ServiceCapacity &capacity,
                int &reservations, TimeMs now)
 {
@@ -488,8 +564,12 @@
     const Reservation reservation = findReservation(remaining, capacity.workers);
     const bool mayWait =
         !reservation.placement.empty() && reservation.freeInMs <= unit.reclaimTimeoutMs;
+    const auto waits = [&](bool reserving) {
+        recordWait(scheduler, unit, remaining, capacity, reservation, reserving, now);
+    };
     if (unit.priority == 0 && mayWait) {
         reserveCapacity(reservation.placement, remaining.need, capacity);
+        waits(true);
         return;
     }
     if (unit.priority == 0 && (unit.guaranteed || unit.lateness == Lateness::InTime)) {
@@ -501,10 +581,12 @@
         if (unit.guaranteed && placeOnAnyRack(scheduler, rest, capacity, now))
             return;
     }
-    if (reservations >= maxReservations || reservation.placement.empty())
-        return;
-    ++reservations;
-    reserveCapacity(reservation.placement, remaining.need, capacity);
+    const bool reserving = reservations < maxReservations && !reservation.placement.empty();
+    if (reserving) {
+        ++reservations;
+        reserveCapacity(reservation.placement, remaining.need, capacity);
+    }
+    waits(reserving);
 }
 
 void applyCancellations(Scheduler &scheduler, TimeMs now)
@@ -654,6 +736,7 @@
 
 void plan(Scheduler &scheduler, TimeMs now, std::uint64_t unixNow)
 {
+    ++scheduler.plans;
     dropLapsedWorkers(scheduler, now);
     releaseOrphanedTasks(scheduler, now);
     applyCancellations(scheduler, now);
--- a/flamingo/scheduler/scheduler.cc
+++ b/flamingo/scheduler/scheduler.cc
@@ -494,6 +494,7 @@
         row.cancellationHandled = false;
         row.acceptanceLogged = false;
         row.durations.clear();
+        row.waits.clear();
         row.endedAt = now;
         row.notBefore = 0;
     }
--- a/flamingo/scheduler/scheduler.h
+++ b/flamingo/scheduler/scheduler.h
@@ -32,6 +32,7 @@
 #include "flamingo/scheduler/placement.h"
 #include "flamingo/scheduler/records.h"
 #include "flamingo/scheduler/run_progress.h"
+#include "flamingo/scheduler/wait_cause.h"
 
 #include <functional>
 #include <map>
@@ -41,6 +42,16 @@
 
 namespace flamingo::scheduler {
 
+// Why the waiting tasks of a step have not been placed.
+struct WaitState
+{
+    TimeMs since = 0; // when a plan first failed to place them
+    TimeMs checkedAt = 0; // when the cause was last searched for
+    std::optional<WaitCause> cause; // nullopt: not searched for yet
+    bool reserving = false; // they hold a reservation
+    std::uint64_t plan = 0; // the last plan that did not place them
+};
+
 // A job's row in the job table.
 struct JobRow
 {
@@ -60,6 +71,7 @@
     // Run times of the tasks completed under this leader, by the number of their step's first task.
     // Removed when all tasks of the step are done.
     std::map<std::size_t, std::vector<TaskDuration>> durations;
+    std::map<std::size_t, WaitState> waits; // by the number of the step's first task
 };
 
 struct JobTable
@@ -98,6 +110,9 @@
     TimeMs failureBackoffMs = 200; // before a task whose run was dropped is placed again
     TimeMs suspectMs = 5000; // after a failed run, a worker is the last choice for this long
     TimeMs quarantineMs = 8000; // after two failed runs in a row, it gets no work for this long
+    // The cause of a wait is searched for and logged after this time, and again after each such
+    // time.
+    TimeMs waitCheckMs = 500;
     // When a run counts as stalled: it is stopped, its task is placed again, and its worker gets no
     // work for `quarantineMs`.
     StallOptions stall;
@@ -161,6 +176,7 @@
     std::uint64_t issuedTokens = 0; // number of fencing tokens issued in this epoch
     std::uint64_t flush = 1; // number of the flush that will store changes made now
     std::uint64_t storedFlush = 0; // all flushes up to this number are stored
+    std::uint64_t plans = 0; // number of plans under this leader
     std::vector<std::string> decisions; // log lines; cleared by the caller
 };
 
