Take the remaining time of a run from its progress

Callers of urgent work saw runs stopped for it that were about to end, and gangs waited for workers whose runs went on for long: the remaining time of a run was its estimate less the time so far, at least 30% of the estimate, and estimates are off by up to 90%. Workers report progress in percent, and members of a gang end together.

A run that has advanced by 5% is now expected to end at its own pace, and all runs of a group with the slowest. Before that, and for workers that report no progress, the estimate counts as before. reservation_test urgentWorkWaitsForARunThatIsAboutToEndByItsProgress failed before.

--- a/flamingo/scheduler/planner.cc
+++ b/flamingo/scheduler/planner.cc
@@ -120,8 +120,11 @@
     return cores * (seconds + 0.1) * restartFactor * (job.priority <= 1 ? 1.5 : 1.0);
 }
 
+// By the run's own pace, or by its estimate until that is known.
 TimeMs estimatedRemainingMs(const Step &step, const Run &run, TimeMs now)
 {
+    if (const auto remaining = remainingAtPaceMs(run.progress))
+        return *remaining;
     const TimeMs since = run.runningSince == 0 ? run.assignedAt : run.runningSince;
     const TimeMs left = since + step.estimateMs - now;
     return std::max<TimeMs>(left, TimeMs(minRemainingShare * double(step.estimateMs)));
@@ -164,10 +167,13 @@
             }
         }
         this->result.reserved.resize(this->result.workers.size());
-        // Stopping one member of a gang loses the work of all members.
+        // Stopping one member of a gang loses the work of all members, and the members end
+        // together.
         for (WorkerResources &worker : this->result.workers) {
             for (Allocation &allocation : worker.allocations) {
                 allocation.cost = this->groupCost[allocation.runGroup];
+                if (!allocation.stopping)
+                    allocation.freeInMs = this->groupFreeInMs[allocation.runGroup];
                 allocation.reclaimable =
                     allocation.reclaimable && this->urgentGroups.count(allocation.runGroup) == 0;
             }
@@ -221,6 +227,8 @@
         if (job.priority == 0)
             this->urgentGroups.insert(allocation.runGroup);
         this->groupCost[allocation.runGroup] += stopCost(job, step, run, this->now);
+        TimeMs &groupFreeInMs = this->groupFreeInMs[allocation.runGroup];
+        groupFreeInMs = std::max(groupFreeInMs, allocation.freeInMs);
         return allocation;
     }
 
@@ -238,6 +246,7 @@
     ServiceCapacity result;
     std::map<std::string, std::size_t> groupNumbers;
     std::map<std::size_t, double> groupCost;
+    std::map<std::size_t, TimeMs> groupFreeInMs;
     std::set<std::size_t> urgentGroups;
 };
 
--- a/flamingo/scheduler/run_progress.cc
+++ b/flamingo/scheduler/run_progress.cc
@@ -13,6 +13,9 @@
 // reach the limit up to one report interval (600 ms) apart.
 constexpr double advancingStillness = 0.5;
 
+// A run's pace is taken for known when it has advanced by this much.
+constexpr std::int64_t minAdvancePercent = 5;
+
 // Mean time that one percent has taken; 0 before the first change.
 double paceMs(const RunProgress &progress)
 {
@@ -54,6 +57,13 @@
     return double(progress.listedAt - progress.changedAt) / limitMs;
 }
 
+std::optional<TimeMs> remainingAtPaceMs(const RunProgress &progress)
+{
+    if (progress.percent - progress.firstPercent < minAdvancePercent)
+        return std::nullopt;
+    return static_cast<TimeMs>(paceMs(progress) * double(completePercent - progress.percent));
+}
+
 StalledMembers findStalled(absl::Span<const MemberProgress> members)
 {
     const auto incomplete = [](const MemberProgress &member) {
--- a/flamingo/scheduler/run_progress.h
+++ b/flamingo/scheduler/run_progress.h
@@ -16,6 +16,7 @@
 
 #include <absl/types/span.h>
 
+#include <optional>
 #include <vector>
 
 namespace flamingo::scheduler {
@@ -58,6 +59,10 @@
 double stillness(const RunProgress &progress, TimeMs estimateMs, bool resumed,
                  const StallOptions &options);
 
+// Returns the time until the run is complete if it goes on at its own pace so far; nullopt while it
+// has advanced too little to tell.
+std::optional<TimeMs> remainingAtPaceMs(const RunProgress &progress);
+
 // One member of a gang, or the only run of a task outside a gang.
 struct MemberProgress
 {
--- a/tests/reservation_test.cc
+++ b/tests/reservation_test.cc
@@ -156,3 +156,18 @@
     cluster.advance(5000);
     CHECK_EQUAL(4, cluster.runCount("wide"));
 }
+
+// Estimates are off by up to 90%: by its estimate this run has 18 s left, by its progress 2 s.
+TEST(Reservation, urgentWorkWaitsForARunThatIsAboutToEndByItsProgress)
+{
+    Cluster cluster(1);
+    cluster.accept(cluster.gang("running", 1), 20000, 4000);
+    cluster.advance(2000);
+    Job urgent = cluster.rig.makeJob("urgent", 1, 8, 0);
+    cluster.accept(urgent, 5000, 5000);
+    cluster.advance(1000);
+    CHECK_EQUAL(1, cluster.runCount("running"));
+    cluster.advance(1500);
+    CHECK_EQUAL(std::string("completed"), cluster.rig.jobState("running"));
+    CHECK_EQUAL(1, cluster.runCount("urgent"));
+}
