Let waiting work use reserved capacity that would stay idle

Cause: what a reservation takes is idle until its holder fits, and nothing bounds that time or asks whether another unit would have left in time. The class of fault: capacity held on an expectation, without a limit on how long the expectation may be wrong.

Units now use reserved capacity when they are estimated to end before the holder is expected to fit, and, after a wait of 2 s, also when they delay the holder: by at most the holder's own amount of work in all, and not if the holder then misses an objective that it would meet.

Failed trials: with the expected time computed anew in each plan, short runs extend the reservation and take it for ever (placement_test largeTaskIsNotStarvedBySmallOnes), so it only decreases. Without the condition on the objective, wideGangStartsAmongAStreamOfSmallOnes failed: a gang that has become late goes behind all that can be in time, and did not start within 60 s.

--- a/flamingo/scheduler/planner.cc
+++ b/flamingo/scheduler/planner.cc
@@ -15,6 +15,11 @@
 //     first `maxReservations` of each service reserve the capacity that becomes free first. Without
 //     that, small tasks would fill each gap and a large gang would never start;
 //   * all other units wait.
+//
+// Capacity that is free but reserved is used by units that are estimated to end before the
+// reservation is complete, and by units that have waited for `maxHeldBackMs`. The latter delay the
+// holder of the reservation by at most its own amount of work, and not if it then misses an
+// objective that it would meet.
 
 #include "flamingo/scheduler/scheduler_parts.h"
 
@@ -82,6 +87,7 @@
     TimeMs reclaimTimeoutMs = 0; // urgent work may wait this long before it reclaims
     Lateness lateness = Lateness::InTime;
     std::int64_t latestStart = 0; // to meet the objective; Unix time in ms
+    TimeMs slackMs = 0; // time until `latestStart`; negative: the objective cannot be met
 };
 
 void logDecision(Scheduler &scheduler, std::string text)
@@ -130,6 +136,18 @@
     return std::max<TimeMs>(left, TimeMs(minRemainingShare * double(step.estimateMs)));
 }
 
+// Capacity that a unit which does not fit yet keeps from units that come later in the plan.
+struct HeldReservation
+{
+    Placement placement;
+    Resources need; // of one task
+    WaitState *holder = nullptr;
+    double holderWork = 0; // core-seconds
+    // The holder meets its objective if no other unit uses the capacity for longer than this; 0: it
+    // misses it in any case.
+    TimeMs spareMs = 0;
+};
+
 // Resources of one service's usable workers, and the runs of each run group (the runs of one gang,
 // or a single run).
 struct ServiceCapacity
@@ -137,6 +155,7 @@
     std::vector<WorkerResources> workers; // free capacity less reservations
     std::vector<Resources> reserved; // by worker index
     std::vector<WorkerResources> unusable; // quarantined or draining; without allocations
+    std::vector<HeldReservation> held; // a part of `reserved`; urgent units that may wait hold none
     // Worker key and run of each run in a group, by group number.
     std::vector<std::vector<std::pair<std::string, RunKey>>> groupRuns;
 };
@@ -354,6 +373,7 @@
             unit.guaranteed = guaranteed;
             unit.reclaimTimeoutMs = reclaimTimeoutMs(scheduler, job, unit, begin, unixNow);
             unit.latestStart = deadline - job.steps[step].estimateMs;
+            unit.slackMs = unit.latestStart - static_cast<std::int64_t>(unixNow);
             unit.lateness =
                 latenessOf(unit.latestStart, deadline - static_cast<std::int64_t>(begin),
                            static_cast<std::int64_t>(unixNow));
@@ -458,14 +478,18 @@
                     + " worker=" + workerKey + " cause=\"" + std::string(cause) + "\"");
 }
 
+// Estimated work of the unit, in core-seconds.
+double workOf(const PlacementUnit &unit)
+{
+    const Step &step = unit.row->job->steps[unit.step];
+    return equivalentCores(step.need) * double(unit.tasks.size()) * double(step.estimateMs) / 1000;
+}
+
 double maxReclaimCost(const PlacementUnit &unit)
 {
     if (unit.guaranteed)
         return std::numeric_limits<double>::infinity();
-    const Step &step = unit.row->job->steps[unit.step];
-    const double work =
-        equivalentCores(step.need) * double(unit.tasks.size()) * double(step.estimateMs) / 1000;
-    return reclaimBaseCost + reclaimCostPerWork * work;
+    return reclaimBaseCost + reclaimCostPerWork * workOf(unit);
 }
 
 // Stops the runs of lower priorities that cost least to make room for `demand`, and reserves the
@@ -534,16 +558,27 @@
     logDecision(scheduler, std::move(line));
 }
 
+// Returns the state of the unit's wait. Waiting begins with the first plan that does not place it.
+WaitState &waitOf(const Scheduler &scheduler, const PlacementUnit &unit, TimeMs now)
+{
+    WaitState &wait = unit.row->waits[firstTaskNumber(unit)];
+    const bool continued = wait.plan != 0 && wait.plan + 1 >= scheduler.plans;
+    if (!continued) {
+        wait = {};
+        wait.since = now;
+        wait.checkedAt = now;
+    }
+    wait.plan = scheduler.plans;
+    return wait;
+}
+
 // Logs why a unit, or the rest of one, has not been placed when the cause has changed. The cause is
 // searched for at intervals, because the search costs as much as a placement.
 void recordWait(Scheduler &scheduler, const PlacementUnit &unit, const Demand &demand,
                 const ServiceCapacity &capacity, const Reservation &reservation, bool reserving,
                 TimeMs now)
 {
-    WaitState &wait = unit.row->waits[firstTaskNumber(unit)];
-    if (wait.plan == 0 || wait.plan + 1 != scheduler.plans)
-        wait = {now, now, std::nullopt, false, 0};
-    wait.plan = scheduler.plans;
+    WaitState &wait = waitOf(scheduler, unit, now);
     if (now - wait.checkedAt < scheduler.options.waitCheckMs)
         return;
     wait.checkedAt = now;
@@ -559,6 +594,86 @@
             countWaitPlaces(demand, unreserved, capacity.workers, capacity.unusable), now);
 }
 
+// True when the unit is estimated to end before the holder of the reservation is expected to fit.
+bool endsBefore(const PlacementUnit &unit, const WaitState &holder, TimeMs now)
+{
+    return now + unit.row->job->steps[unit.step].estimateMs <= *holder.expectedAt;
+}
+
+// Reserves capacity for a unit that does not fit, or the rest of one. The time when it is expected
+// to fit only decreases: with each run that is placed on the reserved capacity the reservation
+// would move back, and short runs could take it for ever.
+void holdReservation(const Scheduler &scheduler, const PlacementUnit &unit,
+                     const Reservation &reservation, const Resources &need,
+                     ServiceCapacity &capacity, TimeMs now)
+{
+    WaitState &wait = waitOf(scheduler, unit, now);
+    const TimeMs expectedAt = now + reservation.freeInMs;
+    wait.expectedAt = std::min(wait.expectedAt.value_or(expectedAt), expectedAt);
+    reserveCapacity(reservation.placement, need, capacity);
+    const bool inTime = unit.slackMs >= reservation.freeInMs;
+    capacity.held.push_back(
+        {reservation.placement, need, &wait, workOf(unit), inTime ? unit.slackMs : 0});
+}
+
+// True when the unit may be placed on capacity that is reserved for the holder and delay it: the
+// holder still meets its objective or misses it in any case, and has not been delayed by more than
+// its own amount of work.
+bool mayDelay(const PlacementUnit &unit, const HeldReservation &held)
+{
+    const TimeMs estimateMs = unit.row->job->steps[unit.step].estimateMs;
+    return (held.spareMs == 0 || estimateMs <= held.spareMs)
+        && held.holder->delayingWork + workOf(unit) <= held.holderWork;
+}
+
+bool overlaps(const Placement &a, const Placement &b)
+{
+    return std::any_of(a.begin(), a.end(), [&b](std::size_t worker) {
+        return std::find(b.begin(), b.end(), worker) != b.end();
+    });
+}
+
+// Places a unit, or the rest of one, also on capacity that is reserved for others (see the top of
+// this file), and adds its work to what delays their holders.
+Placement placeOnReservedCapacity(Scheduler &scheduler, const PlacementUnit &unit,
+                                  const Demand &demand, ServiceCapacity &capacity, TimeMs now)
+{
+    const bool heldBack =
+        now - waitOf(scheduler, unit, now).since >= scheduler.options.maxHeldBackMs;
+    std::vector<WorkerResources> workers = capacity.workers;
+    std::vector<HeldReservation *> delayed;
+    bool anyUsable = false;
+    for (HeldReservation &held : capacity.held) {
+        const bool harmless = endsBefore(unit, *held.holder, now);
+        if (!harmless && !(heldBack && mayDelay(unit, held)))
+            continue;
+        anyUsable = true;
+        if (!harmless)
+            delayed.push_back(&held);
+        for (const std::size_t worker : held.placement)
+            workers[worker].freeCapacity += held.need;
+    }
+    if (!anyUsable)
+        return {};
+    Placement placement = findPlacement(demand, workers);
+    if (placement.empty())
+        return {};
+    assignTasks(scheduler, unit, placement, capacity, now);
+    for (HeldReservation *held : delayed) {
+        if (overlaps(held->placement, placement))
+            held->holder->delayingWork += workOf(unit);
+    }
+    return placement;
+}
+
+// The part of the unit without its first `placed` tasks.
+PlacementUnit restOf(const PlacementUnit &unit, std::size_t placed)
+{
+    PlacementUnit rest = unit;
+    rest.tasks.erase(rest.tasks.begin(), rest.tasks.begin() + static_cast<std::ptrdiff_t>(placed));
+    return rest;
+}
+
 void placeUnit(Scheduler &scheduler, const PlacementUnit &unit, ServiceCapacity &capacity,
                int &reservations, TimeMs now)
 {
@@ -568,13 +683,20 @@
         assignTasks(scheduler, unit, placement, capacity, now);
     if (placement.size() == demand.count)
         return;
+    PlacementUnit rest = restOf(unit, placement.size());
     Demand remaining = demand;
-    remaining.count -= static_cast<std::uint32_t>(placement.size());
+    remaining.count = static_cast<std::uint32_t>(rest.tasks.size());
+    const std::size_t onReserved =
+        placeOnReservedCapacity(scheduler, rest, remaining, capacity, now).size();
+    if (onReserved == remaining.count)
+        return;
+    rest = restOf(rest, onReserved);
+    remaining.count = static_cast<std::uint32_t>(rest.tasks.size());
     const Reservation reservation = findReservation(remaining, capacity.workers);
     const bool mayWait =
         !reservation.placement.empty() && reservation.freeInMs <= unit.reclaimTimeoutMs;
     const auto waits = [&](bool reserving) {
-        recordWait(scheduler, unit, remaining, capacity, reservation, reserving, now);
+        recordWait(scheduler, rest, remaining, capacity, reservation, reserving, now);
     };
     if (unit.priority == 0 && mayWait) {
         reserveCapacity(reservation.placement, remaining.need, capacity);
@@ -584,16 +706,13 @@
     if (unit.priority == 0 && (unit.guaranteed || unit.lateness == Lateness::InTime)) {
         if (reclaimFor(scheduler, unit, remaining, capacity))
             return;
-        PlacementUnit rest = unit;
-        rest.tasks.erase(rest.tasks.begin(),
-                         rest.tasks.begin() + static_cast<std::ptrdiff_t>(placement.size()));
         if (unit.guaranteed && placeOnAnyRack(scheduler, rest, capacity, now))
             return;
     }
     const bool reserving = reservations < maxReservations && !reservation.placement.empty();
     if (reserving) {
         ++reservations;
-        reserveCapacity(reservation.placement, remaining.need, capacity);
+        holdReservation(scheduler, rest, reservation, remaining.need, capacity, now);
     }
     waits(reserving);
 }
--- a/flamingo/scheduler/scheduler.h
+++ b/flamingo/scheduler/scheduler.h
@@ -49,6 +49,11 @@
     TimeMs checkedAt = 0; // when the cause was last searched for
     std::optional<WaitCause> cause; // nullopt: not searched for yet
     bool reserving = false; // they hold a reservation
+    // When they were expected to fit, by the earliest of their reservations; nullopt: before the
+    // first one.
+    std::optional<TimeMs> expectedAt;
+    // Core-seconds of other work that was placed on capacity reserved for them and delays them.
+    double delayingWork = 0;
     std::uint64_t plan = 0; // the last plan that did not place them
 };
 
@@ -110,6 +115,8 @@
     TimeMs failureBackoffMs = 200; // before a task whose run was dropped is placed again
     TimeMs suspectMs = 5000; // after a failed run, a worker is the last choice for this long
     TimeMs quarantineMs = 8000; // after two failed runs in a row, it gets no work for this long
+    // Tasks that have waited for this long may be placed on capacity that is reserved for others.
+    TimeMs maxHeldBackMs = 2000;
     // The cause of a wait is searched for and logged after this time, and again after each such
     // time.
     TimeMs waitCheckMs = 500;
