Simulation: a replaced leader reads the claim of its successor

Trace: the hosts still report to the leader of epoch 8, which another entry (epoch 9) has replaced; all its workers are full by its own view, so it plans nothing, appends nothing, and never learns that its appends would be refused.

The product is not concerned: each entry reads the log, and a leader that reads a newer claim steps down (SchedulerService::applyRecords, "another entry leads"). The simulation had no claims. It now lets a replaced leader step down after it has read the log for 2 s, which leaves it that long to act on an epoch that has ended.

--- a/tests/scheduler_simulation.cc
+++ b/tests/scheduler_simulation.cc
@@ -19,6 +19,9 @@
 constexpr std::size_t hostCount = 4;
 constexpr std::uint64_t epochStep = 1 << 20;
 
+// A replaced leader that is not paused reads the claim of its successor after this time.
+constexpr TimeMs claimReadMs = 2000;
+
 // A worker caps a requested lease at `leaseMaxMs` and never shortens the lease that it has.
 void extendLease(FakeWorker &worker, std::int64_t until, std::int64_t clock)
 {
@@ -116,6 +119,7 @@
         if (this->now < entry.pausedUntil || this->now < this->logDownUntil)
             continue;
         this->followLog(entry);
+        this->stepDownIfReplaced(entry);
     }
     for (std::size_t i = 0; i < this->entries.size(); ++i) {
         Entry &entry = this->entries[i];
@@ -228,6 +232,18 @@
     }
 }
 
+// A replaced leader that has nothing to append learns of its successor by the claim in the log.
+void SchedulerSimulation::stepDownIfReplaced(Entry &entry)
+{
+    if (entry.scheduler.epoch == 0 || entry.scheduler.epoch == this->logEpoch)
+        return;
+    entry.replacedForMs += stepMs;
+    if (entry.replacedForMs < claimReadMs)
+        return;
+    endLeading(entry.scheduler);
+    entry.offset = 0;
+}
+
 void SchedulerSimulation::takeOver(Entry &entry)
 {
     this->logEpoch += epochStep;
@@ -243,6 +259,7 @@
 {
     beginLeading(entry.scheduler, this->logEpoch, this->now);
     entry.flushing = false;
+    entry.replacedForMs = 0;
 }
 
 void SchedulerSimulation::flush(std::size_t index)
--- a/tests/scheduler_simulation.h
+++ b/tests/scheduler_simulation.h
@@ -95,6 +95,7 @@
         std::uint64_t sequence = 0;
         bool flushing = false;
         TimeMs pausedUntil = 0;
+        TimeMs replacedForMs = 0; // how long it has led, unpaused, after another entry took over
     };
     struct Host
     {
@@ -122,6 +123,7 @@
     void injectFaults();
     void submitJobs();
     void followLog(Entry &entry);
+    void stepDownIfReplaced(Entry &entry);
     void takeOver(Entry &entry);
     void beginTerm(Entry &entry);
     void flush(std::size_t index);
