Count the tasks just placed against the limit per worker

A step of independent tasks can be placed in two parts of one plan, on free and on reserved capacity, and the demand of the second part still had the numbers of placed tasks from before the first. The demand is computed anew for the rest.

reservation_test limitPerWorkerHoldsOnReservedCapacity failed before (4 tasks on two workers, allowed: 2).

--- a/flamingo/scheduler/planner.cc
+++ b/flamingo/scheduler/planner.cc
@@ -636,7 +636,7 @@
 // Places a unit, or the rest of one, also on capacity that is reserved for others (see the top of
 // this file), and adds its work to what delays their holders.
 Placement placeOnReservedCapacity(Scheduler &scheduler, const PlacementUnit &unit,
-                                  const Demand &demand, ServiceCapacity &capacity, TimeMs now)
+                                  ServiceCapacity &capacity, TimeMs now)
 {
     const bool heldBack =
         now - waitOf(scheduler, unit, now).since >= scheduler.options.maxHeldBackMs;
@@ -655,7 +655,7 @@
     }
     if (!anyUsable)
         return {};
-    Placement placement = findPlacement(demand, workers);
+    Placement placement = findPlacement(demandOf(unit, capacity), workers);
     if (placement.empty())
         return {};
     assignTasks(scheduler, unit, placement, capacity, now);
@@ -684,14 +684,10 @@
     if (placement.size() == demand.count)
         return;
     PlacementUnit rest = restOf(unit, placement.size());
-    Demand remaining = demand;
-    remaining.count = static_cast<std::uint32_t>(rest.tasks.size());
-    const std::size_t onReserved =
-        placeOnReservedCapacity(scheduler, rest, remaining, capacity, now).size();
-    if (onReserved == remaining.count)
+    rest = restOf(rest, placeOnReservedCapacity(scheduler, rest, capacity, now).size());
+    if (rest.tasks.empty())
         return;
-    rest = restOf(rest, onReserved);
-    remaining.count = static_cast<std::uint32_t>(rest.tasks.size());
+    const Demand remaining = demandOf(rest, capacity);
     const Reservation reservation = findReservation(remaining, capacity.workers);
     const bool mayWait =
         !reservation.placement.empty() && reservation.freeInMs <= unit.reclaimTimeoutMs;
--- a/tests/reservation_test.cc
+++ b/tests/reservation_test.cc
@@ -171,3 +171,21 @@
     CHECK_EQUAL(std::string("completed"), cluster.rig.jobState("running"));
     CHECK_EQUAL(1, cluster.runCount("urgent"));
 }
+
+// Guards against more tasks of a step on one worker than its caller allows: a part of them is
+// placed on free capacity, and the rest on capacity that is reserved for others.
+TEST(Reservation, limitPerWorkerHoldsOnReservedCapacity)
+{
+    Cluster cluster(3);
+    cluster.accept(cluster.gang("running", 1), 9000, 9000);
+    cluster.advance(1000);
+    Job wide = cluster.rig.makeJob("wide", 3, 6);
+    wide.steps[0].gang = true;
+    cluster.accept(wide, 5000, 5000);
+    Job limited = cluster.rig.makeJob("limited", 4, 1);
+    limited.stretch = 20; // it is less pressing
+    limited.steps[0].maxPerWorker = 1;
+    cluster.accept(limited, 500, 30000);
+    cluster.advance(1000);
+    CHECK_EQUAL(2, cluster.runCount("limited"));
+}
