Place tasks on any rack when they have waited for one for as long as they would lose

Cause: a preferred rack was a condition whenever it could hold the tasks when empty. Only guaranteed work fell back to any rack. Off the rack tasks take three times as long, so a unit now waits for twice its estimate and is then placed, or reserves, on any rack. By then it has lost as much as the run on another rack would have cost.

--- a/flamingo/scheduler/planner.cc
+++ b/flamingo/scheduler/planner.cc
@@ -20,6 +20,9 @@
 // reservation is complete, and by units that have waited for `maxHeldBackMs`. The latter delay the
 // holder of the reservation by at most its own amount of work, and not if it then misses an
 // objective that it would meet.
+//
+// A unit waits for a preferred rack as long as its tasks would lose on another one, then it is
+// placed on any rack.
 
 #include "flamingo/scheduler/scheduler_parts.h"
 
@@ -84,6 +87,7 @@
     std::vector<std::size_t> tasks; // task numbers
     std::uint32_t priority = 0;
     bool guaranteed = false;
+    bool anyRack = false; // preferred racks are ignored
     TimeMs reclaimTimeoutMs = 0; // urgent work may wait this long before it reclaims
     Lateness lateness = Lateness::InTime;
     std::int64_t latestStart = 0; // to meet the objective; Unix time in ms
@@ -398,9 +402,11 @@
     demand.need = allocationFor(step);
     demand.count = static_cast<std::uint32_t>(unit.tasks.size());
     demand.allOrNothing = step.gang;
-    demand.sameRack = step.sameRack;
     demand.requiredLabel = step.requiredLabel;
-    demand.dataRack = step.dataRack;
+    if (!unit.anyRack) {
+        demand.sameRack = step.sameRack;
+        demand.dataRack = step.dataRack;
+    }
     demand.maxPerWorker = step.maxPerWorker;
     if (unit.priority == 0)
         demand.slownessWeight = urgentSlownessWeight;
@@ -508,16 +514,22 @@
     return true;
 }
 
+bool prefersRack(const PlacementUnit &unit)
+{
+    const Step &step = unit.row->job->steps[unit.step];
+    return step.sameRack || !step.dataRack.empty();
+}
+
 // Places a guaranteed unit for which no rack that it prefers has room or can be reclaimed: a
 // guarantee holds on any rack, where the tasks run slower.
 bool placeOnAnyRack(Scheduler &scheduler, const PlacementUnit &unit, ServiceCapacity &capacity,
                     TimeMs now)
 {
-    Demand demand = demandOf(unit, capacity);
-    if (!demand.sameRack && demand.dataRack.empty())
+    if (!prefersRack(unit))
         return false;
-    demand.sameRack = false;
-    demand.dataRack.clear();
+    PlacementUnit anywhere = unit;
+    anywhere.anyRack = true;
+    const Demand demand = demandOf(anywhere, capacity);
     const Placement placement = findPlacement(demand, capacity.workers);
     if (placement.size() < demand.count)
         return reclaimFor(scheduler, unit, demand, capacity);
@@ -674,11 +686,26 @@
     return rest;
 }
 
-void placeUnit(Scheduler &scheduler, const PlacementUnit &unit, ServiceCapacity &capacity,
+// True when the unit has waited for its preferred rack for as long as its tasks lose on another.
+bool hasWaitedForRack(const Scheduler &scheduler, const PlacementUnit &unit, TimeMs now)
+{
+    if (!prefersRack(unit))
+        return false;
+    const TimeMs estimateMs = unit.row->job->steps[unit.step].estimateMs;
+    const double lossMs = (scheduler.options.offRackFactor - 1) * double(estimateMs);
+    return double(now - waitOf(scheduler, unit, now).since) >= lossMs;
+}
+
+void placeUnit(Scheduler &scheduler, PlacementUnit unit, ServiceCapacity &capacity,
                int &reservations, TimeMs now)
 {
-    const Demand demand = demandOf(unit, capacity);
-    const Placement placement = findPlacement(demand, capacity.workers);
+    Demand demand = demandOf(unit, capacity);
+    Placement placement = findPlacement(demand, capacity.workers);
+    if (placement.empty() && hasWaitedForRack(scheduler, unit, now)) {
+        unit.anyRack = true;
+        demand = demandOf(unit, capacity);
+        placement = findPlacement(demand, capacity.workers);
+    }
     if (!placement.empty())
         assignTasks(scheduler, unit, placement, capacity, now);
     if (placement.size() == demand.count)
--- a/flamingo/scheduler/scheduler.h
+++ b/flamingo/scheduler/scheduler.h
@@ -115,6 +115,8 @@
     TimeMs failureBackoffMs = 200; // before a task whose run was dropped is placed again
     TimeMs suspectMs = 5000; // after a failed run, a worker is the last choice for this long
     TimeMs quarantineMs = 8000; // after two failed runs in a row, it gets no work for this long
+    // Run time off the preferred rack, as a multiple of the usual one.
+    double offRackFactor = 3;
     // Tasks that have waited for this long may be placed on capacity that is reserved for others.
     TimeMs maxHeldBackMs = 2000;
     // The cause of a wait is searched for and logged after this time, and again after each such
