--- a/flamingo/scheduler/planner.cc
+++ b/flamingo/scheduler/planner.cc
@@ -15,6 +15,14 @@
 //     first `maxReservations` of each service reserve the capacity that becomes free first. Without
 //     that, small tasks would fill each gap and a large gang would never start;
 //   * all other units wait.
+//
+// Capacity that is free but reserved is used by units that are estimated to end before the
+// reservation is complete, and by units that have waited for `maxHeldBackMs`. The latter delay the
+// holder of the reservation by at most its own amount of work, and not if it then misses an
+// objective that it would meet.
+//
+// A unit waits for a preferred rack as long as its tasks would lose on another one, then it is
+// placed on any rack.
 
 #include "flamingo/scheduler/scheduler_parts.h"
 
@@ -79,9 +87,11 @@
     std::vector<std::size_t> tasks; // task numbers
     std::uint32_t priority = 0;
     bool guaranteed = false;
+    bool anyRack = false; // preferred racks are ignored
     TimeMs reclaimTimeoutMs = 0; // urgent work may wait this long before it reclaims
     Lateness lateness = Lateness::InTime;
     std::int64_t latestStart = 0; // to meet the objective; Unix time in ms
+    TimeMs slackMs = 0; // time until `latestStart`; negative: the objective cannot be met
 };
 
 void logDecision(Scheduler &scheduler, std::string text)
@@ -120,18 +130,36 @@
     return cores * (seconds + 0.1) * restartFactor * (job.priority <= 1 ? 1.5 : 1.0);
 }
 
+// By the run's own pace, or by its estimate until that is known.
 TimeMs estimatedRemainingMs(const Step &step, const Run &run, TimeMs now)
 {
+    if (const auto remaining = remainingAtPaceMs(run.progress))
+        return *remaining;
     const TimeMs since = run.runningSince == 0 ? run.assignedAt : run.runningSince;
     const TimeMs left = since + step.estimateMs - now;
     return std::max<TimeMs>(left, TimeMs(minRemainingShare * double(step.estimateMs)));
 }
 
+// Capacity that a unit which does not fit yet keeps from units that come later in the plan.
+struct HeldReservation
+{
+    Placement placement;
+    Resources need; // of one task
+    WaitState *holder = nullptr;
+    double holderWork = 0; // core-seconds
+    // The holder meets its objective if no other unit uses the capacity for longer than this; 0: it
+    // misses it in any case.
+    TimeMs spareMs = 0;
+};
+
 // Resources of one service's usable workers, and the runs of each run group (the runs of one gang,
 // or a single run).
 struct ServiceCapacity
 {
-    std::vector<WorkerResources> workers;
+    std::vector<WorkerResources> workers; // free capacity less reservations
+    std::vector<Resources> reserved; // by worker index
+    std::vector<WorkerResources> unusable; // quarantined or draining; without allocations
+    std::vector<HeldReservation> held; // a part of `reserved`; urgent units that may wait hold none
     // Worker key and run of each run in a group, by group number.
     std::vector<std::vector<std::pair<std::string, RunKey>>> groupRuns;
 };
@@ -149,13 +177,26 @@
     ServiceCapacity build(std::string_view service)
     {
         for (const auto &[key, worker] : this->scheduler.workers) {
-            if (worker.info.service == service && usable(this->scheduler, worker, this->now))
-                this->add(worker);
+            if (worker.info.service != service)
+                continue;
+            WorkerResources resources = this->resourcesOf(worker);
+            if (usable(this->scheduler, worker, this->now)) {
+                this->addAllocations(worker, resources);
+                this->result.workers.push_back(std::move(resources));
+            } else if (worker.fenced
+                       && this->now - worker.lastReport
+                           <= this->scheduler.options.reportTimeoutMs) {
+                this->result.unusable.push_back(std::move(resources));
+            }
         }
-        // Stopping one member of a gang loses the work of all members.
+        this->result.reserved.resize(this->result.workers.size());
+        // Stopping one member of a gang loses the work of all members, and the members end
+        // together.
         for (WorkerResources &worker : this->result.workers) {
             for (Allocation &allocation : worker.allocations) {
                 allocation.cost = this->groupCost[allocation.runGroup];
+                if (!allocation.stopping)
+                    allocation.freeInMs = this->groupFreeInMs[allocation.runGroup];
                 allocation.reclaimable =
                     allocation.reclaimable && this->urgentGroups.count(allocation.runGroup) == 0;
             }
@@ -164,7 +205,7 @@
     }
 
 private:
-    void add(const Worker &worker)
+    WorkerResources resourcesOf(const Worker &worker)
     {
         WorkerResources resources;
         resources.key = worker.key;
@@ -174,11 +215,15 @@
         resources.freeCapacity = worker.info.capacity;
         resources.suspect = this->now < worker.suspectUntil;
         resources.slowness = slowness(this->scheduler.speeds, worker.host, this->now);
-        for (const auto &[key, run] : worker.runs) {
+        for (const auto &[key, run] : worker.runs)
             resources.freeCapacity -= run.need;
+        return resources;
+    }
+
+    void addAllocations(const Worker &worker, WorkerResources &resources)
+    {
+        for (const auto &[key, run] : worker.runs)
             resources.allocations.push_back(this->makeAllocation(worker, key, run));
-        }
-        this->result.workers.push_back(std::move(resources));
     }
 
     Allocation makeAllocation(const Worker &worker, const RunKey &key, const Run &run)
@@ -205,6 +250,8 @@
         if (job.priority == 0)
             this->urgentGroups.insert(allocation.runGroup);
         this->groupCost[allocation.runGroup] += stopCost(job, step, run, this->now);
+        TimeMs &groupFreeInMs = this->groupFreeInMs[allocation.runGroup];
+        groupFreeInMs = std::max(groupFreeInMs, allocation.freeInMs);
         return allocation;
     }
 
@@ -222,6 +269,7 @@
     ServiceCapacity result;
     std::map<std::string, std::size_t> groupNumbers;
     std::map<std::size_t, double> groupCost;
+    std::map<std::size_t, TimeMs> groupFreeInMs;
     std::set<std::size_t> urgentGroups;
 };
 
@@ -329,6 +377,7 @@
             unit.guaranteed = guaranteed;
             unit.reclaimTimeoutMs = reclaimTimeoutMs(scheduler, job, unit, begin, unixNow);
             unit.latestStart = deadline - job.steps[step].estimateMs;
+            unit.slackMs = unit.latestStart - static_cast<std::int64_t>(unixNow);
             unit.lateness =
                 latenessOf(unit.latestStart, deadline - static_cast<std::int64_t>(begin),
                            static_cast<std::int64_t>(unixNow));
@@ -353,9 +402,11 @@
     demand.need = allocationFor(step);
     demand.count = static_cast<std::uint32_t>(unit.tasks.size());
     demand.allOrNothing = step.gang;
-    demand.sameRack = step.sameRack;
     demand.requiredLabel = step.requiredLabel;
-    demand.dataRack = step.dataRack;
+    if (!unit.anyRack) {
+        demand.sameRack = step.sameRack;
+        demand.dataRack = step.dataRack;
+    }
     demand.maxPerWorker = step.maxPerWorker;
     if (unit.priority == 0)
         demand.slownessWeight = urgentSlownessWeight;
@@ -413,8 +464,10 @@
 
 void reserveCapacity(const Placement &placement, const Resources &need, ServiceCapacity &capacity)
 {
-    for (const std::size_t worker : placement)
+    for (const std::size_t worker : placement) {
         capacity.workers[worker].freeCapacity -= need;
+        capacity.reserved[worker] += need;
+    }
 }
 
 void stopRun(Scheduler &scheduler, const std::string &workerKey, const RunKey &key,
@@ -431,14 +484,18 @@
                     + " worker=" + workerKey + " cause=\"" + std::string(cause) + "\"");
 }
 
+// Estimated work of the unit, in core-seconds.
+double workOf(const PlacementUnit &unit)
+{
+    const Step &step = unit.row->job->steps[unit.step];
+    return equivalentCores(step.need) * double(unit.tasks.size()) * double(step.estimateMs) / 1000;
+}
+
 double maxReclaimCost(const PlacementUnit &unit)
 {
     if (unit.guaranteed)
         return std::numeric_limits<double>::infinity();
-    const Step &step = unit.row->job->steps[unit.step];
-    const double work =
-        equivalentCores(step.need) * double(unit.tasks.size()) * double(step.estimateMs) / 1000;
-    return reclaimBaseCost + reclaimCostPerWork * work;
+    return reclaimBaseCost + reclaimCostPerWork * workOf(unit);
 }
 
 // Stops the runs of lower priorities that cost least to make room for `demand`, and reserves the
@@ -457,16 +514,22 @@
     return true;
 }
 
+bool prefersRack(const PlacementUnit &unit)
+{
+    const Step &step = unit.row->job->steps[unit.step];
+    return step.sameRack || !step.dataRack.empty();
+}
+
 // Places a guaranteed unit for which no rack that it prefers has room or can be reclaimed: a
 // guarantee holds on any rack, where the tasks run slower.
 bool placeOnAnyRack(Scheduler &scheduler, const PlacementUnit &unit, ServiceCapacity &capacity,
                     TimeMs now)
 {
-    Demand demand = demandOf(unit, capacity);
-    if (!demand.sameRack && demand.dataRack.empty())
+    if (!prefersRack(unit))
         return false;
-    demand.sameRack = false;
-    demand.dataRack.clear();
+    PlacementUnit anywhere = unit;
+    anywhere.anyRack = true;
+    const Demand demand = demandOf(anywhere, capacity);
     const Placement placement = findPlacement(demand, capacity.workers);
     if (placement.size() < demand.count)
         return reclaimFor(scheduler, unit, demand, capacity);
@@ -474,37 +537,207 @@
     return true;
 }
 
-void placeUnit(Scheduler &scheduler, const PlacementUnit &unit, ServiceCapacity &capacity,
+std::size_t firstTaskNumber(const PlacementUnit &unit)
+{
+    return *taskNumber(*unit.row->job, {unit.occurrence, unit.step, 0});
+}
+
+void logWait(Scheduler &scheduler, const PlacementUnit &unit, const WaitState &wait,
+             const Reservation &reservation, const WaitPlaces &places, TimeMs now)
+{
+    const Job &job = *unit.row->job;
+    const Resources &need = job.steps[unit.step].need;
+    const std::pair<std::string_view, std::string> fields[] = {
+        {"job", job.id},
+        {"occurrence", std::to_string(unit.occurrence)},
+        {"step", std::to_string(unit.step)},
+        {"priority", std::to_string(unit.priority)},
+        {"tasks", std::to_string(unit.tasks.size())},
+        {"cpu_milli", std::to_string(need.cpuMilli)},
+        {"memory_mb", std::to_string(need.memoryMb)},
+        {"accelerators", std::to_string(need.accelerators)},
+        {"waited_ms", std::to_string(now - wait.since)},
+        {"cause", "\"" + std::string(waitCauseName(*wait.cause)) + "\""},
+        {"reserving", wait.reserving ? "true" : "false"},
+        {"expected_ms", std::to_string(reservation.freeInMs)},
+        {"places_free", std::to_string(places.free)},
+        {"places_after_reservations", std::to_string(places.afterReservations)},
+        {"places_unusable", std::to_string(places.unusable)},
+    };
+    std::string line = "event=tasks_waiting";
+    for (const auto &[name, value] : fields)
+        line.append(" ").append(name).append("=").append(value);
+    logDecision(scheduler, std::move(line));
+}
+
+// Returns the state of the unit's wait. Waiting begins with the first plan that does not place it.
+WaitState &waitOf(const Scheduler &scheduler, const PlacementUnit &unit, TimeMs now)
+{
+    WaitState &wait = unit.row->waits[firstTaskNumber(unit)];
+    const bool continued = wait.plan != 0 && wait.plan + 1 >= scheduler.plans;
+    if (!continued) {
+        wait = {};
+        wait.since = now;
+        wait.checkedAt = now;
+    }
+    wait.plan = scheduler.plans;
+    return wait;
+}
+
+// Logs why a unit, or the rest of one, has not been placed when the cause has changed. The cause is
+// searched for at intervals, because the search costs as much as a placement.
+void recordWait(Scheduler &scheduler, const PlacementUnit &unit, const Demand &demand,
+                const ServiceCapacity &capacity, const Reservation &reservation, bool reserving,
+                TimeMs now)
+{
+    WaitState &wait = waitOf(scheduler, unit, now);
+    if (now - wait.checkedAt < scheduler.options.waitCheckMs)
+        return;
+    wait.checkedAt = now;
+    std::vector<WorkerResources> unreserved = capacity.workers;
+    for (std::size_t i = 0; i < unreserved.size(); ++i)
+        unreserved[i].freeCapacity += capacity.reserved[i];
+    const WaitCause cause = findWaitCause(demand, unreserved, capacity.unusable);
+    if (wait.cause == cause && wait.reserving == reserving)
+        return;
+    wait.cause = cause;
+    wait.reserving = reserving;
+    logWait(scheduler, unit, wait, reservation,
+            countWaitPlaces(demand, unreserved, capacity.workers, capacity.unusable), now);
+}
+
+// True when the unit is estimated to end before the holder of the reservation is expected to fit.
+bool endsBefore(const PlacementUnit &unit, const WaitState &holder, TimeMs now)
+{
+    return now + unit.row->job->steps[unit.step].estimateMs <= *holder.expectedAt;
+}
+
+// Reserves capacity for a unit that does not fit, or the rest of one. The time when it is expected
+// to fit only decreases: with each run that is placed on the reserved capacity the reservation
+// would move back, and short runs could take it for ever.
+void holdReservation(const Scheduler &scheduler, const PlacementUnit &unit,
+                     const Reservation &reservation, const Resources &need,
+                     ServiceCapacity &capacity, TimeMs now)
+{
+    WaitState &wait = waitOf(scheduler, unit, now);
+    const TimeMs expectedAt = now + reservation.freeInMs;
+    wait.expectedAt = std::min(wait.expectedAt.value_or(expectedAt), expectedAt);
+    reserveCapacity(reservation.placement, need, capacity);
+    const bool inTime = unit.slackMs >= reservation.freeInMs;
+    capacity.held.push_back(
+        {reservation.placement, need, &wait, workOf(unit), inTime ? unit.slackMs : 0});
+}
+
+// True when the unit may be placed on capacity that is reserved for the holder and delay it: the
+// holder still meets its objective or misses it in any case, and has not been delayed by more than
+// its own amount of work.
+bool mayDelay(const PlacementUnit &unit, const HeldReservation &held)
+{
+    const TimeMs estimateMs = unit.row->job->steps[unit.step].estimateMs;
+    return (held.spareMs == 0 || estimateMs <= held.spareMs)
+        && held.holder->delayingWork + workOf(unit) <= held.holderWork;
+}
+
+bool overlaps(const Placement &a, const Placement &b)
+{
+    return std::any_of(a.begin(), a.end(), [&b](std::size_t worker) {
+        return std::find(b.begin(), b.end(), worker) != b.end();
+    });
+}
+
+// Places a unit, or the rest of one, also on capacity that is reserved for others (see the top of
+// this file), and adds its work to what delays their holders.
+Placement placeOnReservedCapacity(Scheduler &scheduler, const PlacementUnit &unit,
+                                  ServiceCapacity &capacity, TimeMs now)
+{
+    const bool heldBack =
+        now - waitOf(scheduler, unit, now).since >= scheduler.options.maxHeldBackMs;
+    std::vector<WorkerResources> workers = capacity.workers;
+    std::vector<HeldReservation *> delayed;
+    bool anyUsable = false;
+    for (HeldReservation &held : capacity.held) {
+        const bool harmless = endsBefore(unit, *held.holder, now);
+        if (!harmless && !(heldBack && mayDelay(unit, held)))
+            continue;
+        anyUsable = true;
+        if (!harmless)
+            delayed.push_back(&held);
+        for (const std::size_t worker : held.placement)
+            workers[worker].freeCapacity += held.need;
+    }
+    if (!anyUsable)
+        return {};
+    Placement placement = findPlacement(demandOf(unit, capacity), workers);
+    if (placement.empty())
+        return {};
+    assignTasks(scheduler, unit, placement, capacity, now);
+    for (HeldReservation *held : delayed) {
+        if (overlaps(held->placement, placement))
+            held->holder->delayingWork += workOf(unit);
+    }
+    return placement;
+}
+
+// The part of the unit without its first `placed` tasks.
+PlacementUnit restOf(const PlacementUnit &unit, std::size_t placed)
+{
+    PlacementUnit rest = unit;
+    rest.tasks.erase(rest.tasks.begin(), rest.tasks.begin() + static_cast<std::ptrdiff_t>(placed));
+    return rest;
+}
+
+// True when the unit has waited for its preferred rack for as long as its tasks lose on another.
+bool hasWaitedForRack(const Scheduler &scheduler, const PlacementUnit &unit, TimeMs now)
+{
+    if (!prefersRack(unit))
+        return false;
+    const TimeMs estimateMs = unit.row->job->steps[unit.step].estimateMs;
+    const double lossMs = (scheduler.options.offRackFactor - 1) * double(estimateMs);
+    return double(now - waitOf(scheduler, unit, now).since) >= lossMs;
+}
+
+void placeUnit(Scheduler &scheduler, PlacementUnit unit, ServiceCapacity &capacity,
                int &reservations, TimeMs now)
 {
-    const Demand demand = demandOf(unit, capacity);
-    const Placement placement = findPlacement(demand, capacity.workers);
+    Demand demand = demandOf(unit, capacity);
+    Placement placement = findPlacement(demand, capacity.workers);
+    if (placement.empty() && hasWaitedForRack(scheduler, unit, now)) {
+        unit.anyRack = true;
+        demand = demandOf(unit, capacity);
+        placement = findPlacement(demand, capacity.workers);
+    }
     if (!placement.empty())
         assignTasks(scheduler, unit, placement, capacity, now);
     if (placement.size() == demand.count)
         return;
-    Demand remaining = demand;
-    remaining.count -= static_cast<std::uint32_t>(placement.size());
+    PlacementUnit rest = restOf(unit, placement.size());
+    rest = restOf(rest, placeOnReservedCapacity(scheduler, rest, capacity, now).size());
+    if (rest.tasks.empty())
+        return;
+    const Demand remaining = demandOf(rest, capacity);
     const Reservation reservation = findReservation(remaining, capacity.workers);
     const bool mayWait =
         !reservation.placement.empty() && reservation.freeInMs <= unit.reclaimTimeoutMs;
+    const auto waits = [&](bool reserving) {
+        recordWait(scheduler, rest, remaining, capacity, reservation, reserving, now);
+    };
     if (unit.priority == 0 && mayWait) {
         reserveCapacity(reservation.placement, remaining.need, capacity);
+        waits(true);
         return;
     }
     if (unit.priority == 0 && (unit.guaranteed || unit.lateness == Lateness::InTime)) {
         if (reclaimFor(scheduler, unit, remaining, capacity))
             return;
-        PlacementUnit rest = unit;
-        rest.tasks.erase(rest.tasks.begin(),
-                         rest.tasks.begin() + static_cast<std::ptrdiff_t>(placement.size()));
         if (unit.guaranteed && placeOnAnyRack(scheduler, rest, capacity, now))
             return;
     }
-    if (reservations >= maxReservations || reservation.placement.empty())
-        return;
-    ++reservations;
-    reserveCapacity(reservation.placement, remaining.need, capacity);
+    const bool reserving = reservations < maxReservations && !reservation.placement.empty();
+    if (reserving) {
+        ++reservations;
+        holdReservation(scheduler, rest, reservation, remaining.need, capacity, now);
+    }
+    waits(reserving);
 }
 
 void applyCancellations(Scheduler &scheduler, TimeMs now)
@@ -654,6 +887,7 @@
 
 void plan(Scheduler &scheduler, TimeMs now, std::uint64_t unixNow)
 {
+    ++scheduler.plans;
     dropLapsedWorkers(scheduler, now);
     releaseOrphanedTasks(scheduler, now);
     applyCancellations(scheduler, now);
