--- a/tests/platform_test.cc
+++ b/tests/platform_test.cc
@@ -11,6 +11,7 @@
 
 #include <algorithm>
 #include <list>
+#include <sstream>
 
 using namespace flamingo;
 using namespace flamingo::adapters;
@@ -277,6 +278,29 @@
     STRCMP_EQUAL("10.0.0.1:7001", internalAddress(*settings, settings->ip, 1).c_str());
 }
 
+TEST(Platform, rangesInErrorsAreThoseOfTheHelp)
+{
+    int ranges = 0;
+    std::istringstream help{std::string(settingsHelp)};
+    for (std::string line; std::getline(help, line);) {
+        const std::size_t begin = line.rfind("; ");
+        const std::size_t end = line.rfind(" (");
+        if (line.find(" to ", begin) >= end)
+            continue;
+        ++ranges;
+        const std::string name = line.substr(2, line.find(' ', 2) - 2);
+        std::vector<std::string> errors;
+        parseNodeSettings("Node=n\nIp=10.0.0.1\nplatform.Address=10.0.0.2:80\n"
+                          "InternalPorts=7000,7015\n"
+                              + name + "=-1\n",
+                          errors);
+        LONGS_EQUAL(1, errors.size());
+        CHECK_EQUAL(name + "=-1 is not a number from " + line.substr(begin + 2, end - begin - 2),
+                    errors.front());
+    }
+    LONGS_EQUAL(7, ranges);
+}
+
 TEST(Platform, submissionFieldsAreDecoded)
 {
     Reason reason;
