Log the status with which an entry refuses an agent's report

Cause: leader_lost gave the error of the connection or of the decoded orders. An answer with another status than 200 has neither, so the reason was empty and an operator could not tell a refused report from anything else.

Test: HostAgentService.statusOfARefusedReportIsLogged, reason="" on the former code.

--- a/flamingo/adapters/host_agent_service.cc
+++ b/flamingo/adapters/host_agent_service.cc
@@ -221,9 +221,14 @@
     const bool outdated = this->leaderKnown && sentAt < this->leaderAnsweredAt;
     if (outdated || this->entries[this->currentEntry] != address)
         return;
-    if (std::exchange(this->leaderKnown, false))
-        this->decisions.write("event=leader_lost address=" + address + " reason=\""
-                              + (result.error.empty() ? reason.text : result.error) + "\"");
+    if (std::exchange(this->leaderKnown, false)) {
+        std::string cause = result.error;
+        if (cause.empty() && result.status != statusOk)
+            cause = "status " + std::to_string(result.status) + " " + result.body.substr(0, 100);
+        else if (cause.empty())
+            cause = reason.text;
+        this->decisions.write("event=leader_lost address=" + address + " reason=\"" + cause + "\"");
+    }
     this->tryNextEntry();
 }
 
--- a/tests/host_agent_service_test.cc
+++ b/tests/host_agent_service_test.cc
@@ -8,9 +8,13 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <fcntl.h>
 #include <netinet/in.h>
 #include <unistd.h>
 
+#include <algorithm>
+#include <array>
+
 using namespace flamingo;
 using namespace flamingo::adapters;
 using flamingo::tests::FakeJobLog;
@@ -54,6 +58,42 @@
     int descriptor;
 };
 
+// Collects what is written to standard output.
+class CapturedOutput
+{
+public:
+    CapturedOutput()
+        : output(dup(STDOUT_FILENO))
+    {
+        std::array<int, 2> ends = {};
+        CHECK_EQUAL(0, pipe2(ends.data(), O_NONBLOCK));
+        this->readEnd = ends[0];
+        dup2(ends[1], STDOUT_FILENO);
+        close(ends[1]);
+    }
+    ~CapturedOutput()
+    {
+        dup2(this->output, STDOUT_FILENO);
+        close(this->output);
+        close(this->readEnd);
+    }
+    CapturedOutput(const CapturedOutput &) = delete;
+    CapturedOutput &operator=(const CapturedOutput &) = delete;
+
+    // What was written since the last call, at most 64 KiB.
+    std::string read() const
+    {
+        std::string text(65536, '\0');
+        text.resize(
+            std::size_t(std::max<ssize_t>(::read(this->readEnd, text.data(), text.size()), 0)));
+        return text;
+    }
+
+private:
+    int output;
+    int readEnd = -1;
+};
+
 class IdleWorker : public scheduler::WorkerPort
 {
 public:
@@ -91,6 +131,7 @@
     std::vector<scheduler::HostReport> reports; // received by the leader
     std::size_t formerLeaderReports = 0;
     std::size_t unansweredReports = 0; // the leader leaves the first N reports unanswered
+    bool reportsAreRefused = false;
 
     Fixture()
     {
@@ -100,6 +141,10 @@
 
     void handleReport(const HttpRequest &request)
     {
+        if (this->reportsAreRefused) {
+            this->leader->respond(request.id, {400, "unknown field", "text/plain"});
+            return;
+        }
         Reason reason;
         this->reports.push_back(*scheduler::decodeHostReport(request.body, reason));
         if (this->reports.size() <= this->unansweredReports)
@@ -226,3 +271,24 @@
     CHECK(fixture.formerLeaderReports > 0);
     CHECK_FALSE(fixture.reports.empty());
 }
+
+// Guards against a loss of the leader whose cause an operator cannot find: a refused report has
+// neither a connection error nor a decoding error.
+TEST(HostAgentService, statusOfARefusedReportIsLogged)
+{
+    DecisionLog decisions("test", 100);
+    HostAgentService service(fixture.loop, fixture.worker, fixture.log, decisions, fixture.metrics,
+                             Fixture::options({leaderAddress}));
+    service.start();
+    service.handleHeartbeat(Fixture::workerInfo(), 1);
+    fixture.runFor(300);
+    fixture.reportsAreRefused = true;
+    std::string text;
+    {
+        const CapturedOutput output;
+        fixture.runFor(1000);
+        text = output.read();
+    }
+    STRCMP_CONTAINS("event=leader_lost address=127.0.0.1:18722 reason=\"status 400 unknown field\"",
+                    text.c_str());
+}
