Let an entry accept as many connections of agents as its descriptors allow

Cause: the server for agents and other entries closed every connection beyond 1,024. Workers whose agents could not report lost their members of gangs (alone after 5 s) or their lease: worker_lost at 41.40 s, the task started again at 41.62 s, and at 42.58 s the first run's end of 34.9 s was reported and taken note of.

Ruled out: a lost store (no store_lost after 20 s), a loss of the leader (one leader from -13.07 s to the end), the network (other reports of the same agents were answered between the errors).

Tests: Platform.leaderKeepsTheConnectionsOfManyAgents, with 2,000 idle connections, no answer on the former code; settingsReportEveryError and rangesInErrorsAreThoseOfTheHelp for the setting.

--- a/flamingo/adapters/http_server.cc
+++ b/flamingo/adapters/http_server.cc
@@ -151,6 +151,7 @@
     if (socket == nullptr)
         return;
     if (this->openConnections >= this->options.maxConnections) {
+        ++this->refused;
         h2o_socket_close(socket);
         return;
     }
--- a/flamingo/adapters/http_server.h
+++ b/flamingo/adapters/http_server.h
@@ -76,6 +76,12 @@
         return this->requests.size();
     }
 
+    // Number of connections that were closed because of `maxConnections`.
+    std::uint64_t refusedConnections() const
+    {
+        return this->refused;
+    }
+
 private:
     struct PathHandler;
     struct RequestDisposalHook;
@@ -95,6 +101,7 @@
     h2o_socket_t *listener = nullptr;
     HttpRequestId nextRequestId = 1;
     std::size_t openConnections = 0;
+    std::uint64_t refused = 0;
     std::unordered_map<HttpRequestId, h2o_req_t *> requests;
 };
 
--- a/tests/platform_test.cc
+++ b/tests/platform_test.cc
@@ -2,6 +2,7 @@
 // platform's store and workers, and tests of the decoders of settings, submissions and heartbeats.
 // The tests run without the platform's bench.
 
+#include "flamingo/adapters/host_agent_service.h"
 #include "platform/agent_process.h"
 #include "platform/entry_process.h"
 #include "standin/keyed_store.h"
@@ -9,6 +10,11 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <arpa/inet.h>
+#include <sys/resource.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
 #include <algorithm>
 #include <list>
 #include <sstream>
@@ -95,6 +101,12 @@
         return condition();
     }
 
+    void runFor(TimeMs ms)
+    {
+        const TimeMs end = Loop::now() + ms;
+        this->waitUntil([end] { return Loop::now() >= end; });
+    }
+
     HttpResult call(const std::string &ip, const std::string &method, const std::string &path,
                     const std::string &body = "", const std::string &key = "secret")
     {
@@ -117,8 +129,7 @@
             const HttpResult result = this->call(ip, "GET", "/q/" + id);
             if (result.body == R"({"State":")" + state + R"("})")
                 return true;
-            const TimeMs end = Loop::now() + 20;
-            this->waitUntil([end] { return Loop::now() >= end; });
+            this->runFor(20);
         }
         return false;
     }
@@ -140,6 +151,37 @@
         + R"(,"Cpu":1000,"MemMb":100,"Gpus":2,"EstimateMs":100}]})";
 }
 
+// Idle connections to one address.
+class IdleConnections
+{
+public:
+    IdleConnections(const char *ip, std::uint16_t port)
+    {
+        this->address.sin_family = AF_INET;
+        this->address.sin_port = htons(port);
+        inet_pton(AF_INET, ip, &this->address.sin_addr);
+    }
+    ~IdleConnections()
+    {
+        for (const int descriptor : this->descriptors)
+            close(descriptor);
+    }
+    IdleConnections(const IdleConnections &) = delete;
+    IdleConnections &operator=(const IdleConnections &) = delete;
+
+    void add()
+    {
+        this->descriptors.push_back(socket(AF_INET, SOCK_STREAM, 0));
+        CHECK_EQUAL(0,
+                    connect(this->descriptors.back(),
+                            reinterpret_cast<const sockaddr *>(&this->address), sizeof address));
+    }
+
+private:
+    sockaddr_in address = {};
+    std::vector<int> descriptors;
+};
+
 } // namespace
 
 TEST_GROUP(Platform){};
@@ -257,6 +299,34 @@
     LONGS_EQUAL(200, fixture.call("127.0.0.2", "POST", "/q/" + id, job("10")).status);
 }
 
+// Each agent keeps two or three connections to the leader. Guards against a leader that closes the
+// connections of some agents: their workers get no starts, and their leases lapse.
+TEST(Platform, leaderKeepsTheConnectionsOfManyAgents)
+{
+    constexpr int connections = 2000;
+    rlimit limit = {};
+    getrlimit(RLIMIT_NOFILE, &limit);
+    limit.rlim_cur = std::max<rlim_t>(limit.rlim_cur, std::min<rlim_t>(limit.rlim_max, 8192));
+    setrlimit(RLIMIT_NOFILE, &limit);
+    Fixture fixture;
+    fixture.addEntry("e1", "127.0.0.2");
+    CHECK(fixture.waitForLeader());
+    IdleConnections idle("127.0.0.2", 18610);
+    for (int i = 0; i < connections; ++i) {
+        idle.add();
+        if (i % 50 == 0)
+            fixture.runFor(2);
+    }
+    HttpCall call;
+    call.address = "127.0.0.2:18610";
+    call.method = "POST";
+    call.target = std::string(hostReportPath);
+    std::optional<HttpResult> result;
+    fixture.client.call(call, [&result](const HttpResult &answer) { result = answer; });
+    CHECK(fixture.waitUntil([&result] { return result.has_value(); }));
+    LONGS_EQUAL(400, result->status); // the report is empty
+}
+
 TEST(Platform, settingsReportEveryError)
 {
     std::vector<std::string> errors;
@@ -267,7 +337,7 @@
                      "Bounds.RevokeMs=soon is not a number from 1000 to 3600000")
           == 1);
     errors.clear();
-    const auto settings = parseNodeSettings(
+    auto settings = parseNodeSettings(
         "Node=n\nIp=10.0.0.1\nplatform.Address=10.0.0.2:80\nInternalPorts=7000,7015\nNew.Field=1\n"
         "Seeds=10.0.0.3:1,10.0.0.4:1\nBounds.GraceS=6\nBounds.StrictRevocation=false\n",
         errors);
@@ -276,6 +346,9 @@
     LONGS_EQUAL(2, settings->seedIps.size());
     CHECK(!settings->strictRevocation);
     STRCMP_EQUAL("10.0.0.1:7001", internalAddress(*settings, settings->ip, 1).c_str());
+    LONGS_EQUAL(2560, maxInternalConnections(*settings));
+    settings->maxDescriptors = 600;
+    LONGS_EQUAL(300, maxInternalConnections(*settings));
 }
 
 TEST(Platform, rangesInErrorsAreThoseOfTheHelp)
@@ -298,7 +371,7 @@
         CHECK_EQUAL(name + "=-1 is not a number from " + line.substr(begin + 2, end - begin - 2),
                     errors.front());
     }
-    LONGS_EQUAL(7, ranges);
+    LONGS_EQUAL(8, ranges);
 }
 
 TEST(Platform, submissionFieldsAreDecoded)
