Let an entry read the log before it campaigns

Change: when a campaign is due, the entry reads the log without waiting, and campaigns once that read is answered and the campaign is still due. It costs one answer of the store per campaign.

Test: SchedulerService.entryReadsTheLogBeforeItCampaigns, fails on the former code.

--- a/flamingo/adapters/scheduler_service.cc
+++ b/flamingo/adapters/scheduler_service.cc
@@ -111,10 +111,14 @@
 
 void SchedulerService::readNextRecords()
 {
-    const TimeMs sentAt = Loop::now();
     // After a failure the read does not long-poll: its answer shows at once that the log is
     // reachable again.
-    const TimeMs waitMs = this->logReachable ? this->options.readWaitMs : 0;
+    this->readNextRecords(this->logReachable ? this->options.readWaitMs : 0);
+}
+
+void SchedulerService::readNextRecords(TimeMs waitMs)
+{
+    const TimeMs sentAt = Loop::now();
     this->log.read(
         this->nextOffset, waitMs,
         [this, sentAt, waitMs, generation = this->loadGeneration](const ReadResult &result) {
@@ -135,7 +139,7 @@
     if (!this->logLoaded)
         return;
     ++this->loadGeneration;
-    this->readNextRecords();
+    this->readNextRecords(0);
 }
 
 void SchedulerService::handleReadResult(const ReadResult &result, TimeMs confirmedAt)
@@ -318,9 +322,18 @@
     const Leader &leader = this->scheduling.table.leader;
     this->leadership.slowestAnswerMs = slowestRecentAnswerMs(this->answerTimes, now);
     evaluateUnreachableReports(this->leadership, leader.epoch, leader.hosts, now);
-    if (this->role == Role::Following && this->logLoaded && !this->resigning
-        && shouldCampaign(this->leadership, now))
+    const bool campaignDue = this->role == Role::Following && this->logLoaded && !this->resigning
+        && shouldCampaign(this->leadership, now);
+    if (!campaignDue) {
+        this->campaignReadAt = 0;
+    } else if (this->campaignReadAt == 0) {
+        // The outstanding read may wait on although the log has records of a leader.
+        this->campaignReadAt = now;
+        this->restartReading();
+    } else if (this->logConfirmedAt >= this->campaignReadAt) {
+        this->campaignReadAt = 0;
         this->campaign();
+    }
 }
 
 // Answers all waiting reports once when the leader has lost contact to the log. Each answer carries
--- a/flamingo/adapters/scheduler_service.h
+++ b/flamingo/adapters/scheduler_service.h
@@ -178,6 +178,7 @@
     void load(const std::string &afterKey);
     void handleNewestPage(const scheduler::NewestResult &page, TimeMs sentAt);
     void readNextRecords();
+    void readNextRecords(TimeMs waitMs);
     void restartReading();
     void handleReadResult(const scheduler::ReadResult &result, TimeMs confirmedAt);
     void applyStored(const scheduler::StoredRecord &stored);
@@ -246,6 +247,7 @@
     TimeMs logLostAt = 0; // when the log last became unreachable
     std::uint64_t campaignEpoch = 0; // of the current or last campaign
     TimeMs campaignStartedAt = 0;
+    TimeMs campaignReadAt = 0; // when the read that precedes a campaign was sent; 0: none
     std::uint64_t campaignEnd = 0; // leadership is claimed when the log is read up to this offset
     std::uint64_t nextSequence = 0; // sequence number of the next fenced append
     bool flushing = false; // a fenced append is outstanding
--- a/tests/scheduler_service_test.cc
+++ b/tests/scheduler_service_test.cc
@@ -197,6 +197,20 @@
     CHECK(entry.service.leading());
 }
 
+// Guards against a campaign beside a leader whose records wait to be read.
+TEST(SchedulerService, entryReadsTheLogBeforeItCampaigns)
+{
+    const Entry &leader = fixture.startEntry();
+    fixture.waitUntil([&leader] { return leader.service.leading(); });
+    const std::uint64_t epoch = fixture.state.epoch;
+    Entry &follower = fixture.add("b", 2, 1000);
+    follower.log.waitsInFull = true;
+    follower.service.start();
+    fixture.runFor(2000);
+    CHECK_EQUAL(epoch, fixture.state.epoch);
+    CHECK(leader.service.leading());
+}
+
 TEST(SchedulerService, resignedLeaderIsReplacedAtOnce)
 {
     fixture.add("a", 1);
