Do not quarantine a worker for two failed runs of one job

Change: a worker is quarantined after failed runs of two jobs in a row, or after four failed runs of one. The leader logs worker_quarantined; before, a quarantine left no trace in the log.

Test: Placement.twoFailuresOfOneJobDoNotQuarantineItsWorker, fails on the former code.

--- a/flamingo/scheduler/scheduler.cc
+++ b/flamingo/scheduler/scheduler.cc
@@ -98,6 +98,7 @@
                    TimeMs now)
 {
     worker.consecutiveFailures = 0;
+    worker.failedJobs.clear();
     worker.suspectUntil = 0;
     worker.quarantinedUntil = 0;
     const MemberRange members = memberRange(*row.job, taskNumber);
@@ -108,13 +109,25 @@
         completeJobIfDone(scheduler, row, now);
 }
 
+void quarantine(Scheduler &scheduler, Worker &worker, TimeMs now)
+{
+    worker.quarantinedUntil = now + scheduler.options.quarantineMs;
+    logDecision(scheduler,
+                "event=worker_quarantined worker=" + worker.key + " cause=\""
+                    + std::to_string(worker.consecutiveFailures) + " failed runs of "
+                    + std::to_string(worker.failedJobs.size())
+                    + " jobs in a row\" for_ms=" + std::to_string(scheduler.options.quarantineMs));
+}
+
 void recordFailure(Scheduler &scheduler, Worker &worker, JobRow &row, std::size_t taskNumber,
                    std::uint32_t run, TimeMs now)
 {
-    ++worker.consecutiveFailures;
     worker.suspectUntil = now + scheduler.options.suspectMs;
-    if (worker.consecutiveFailures > 1)
-        worker.quarantinedUntil = now + scheduler.options.quarantineMs;
+    ++worker.consecutiveFailures;
+    worker.failedJobs.insert(row.job->id);
+    if (worker.failedJobs.size() > 1
+        || worker.consecutiveFailures >= scheduler.options.quarantineAfterFailures)
+        quarantine(scheduler, worker, now);
     row.lastFailedWorker[taskNumber] = worker.key;
     // A gang's run counts as one failure, however many of its members report it.
     const MemberRange members = memberRange(*row.job, taskNumber);
--- a/flamingo/scheduler/scheduler.h
+++ b/flamingo/scheduler/scheduler.h
@@ -35,6 +35,7 @@
 
 #include <functional>
 #include <map>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -97,7 +98,10 @@
     TimeMs retainMs = 300000; // ended jobs are kept this long
     TimeMs failureBackoffMs = 200; // before a task whose run was dropped is placed again
     TimeMs suspectMs = 5000; // after a failed run, a worker is the last choice for this long
-    TimeMs quarantineMs = 8000; // after two failed runs in a row, it gets no work for this long
+    // After this many failed runs in a row, or after failed runs of two jobs, a worker gets no work
+    // for `quarantineMs`. Runs of one job may fail because of the job.
+    std::uint32_t quarantineAfterFailures = 4;
+    TimeMs quarantineMs = 8000;
     // When a run counts as stalled: it is stopped, its task is placed again, and its worker gets no
     // work for `quarantineMs`.
     StallOptions stall;
@@ -134,6 +138,7 @@
     std::map<std::uint64_t, std::uint64_t> endFlush; // flush that stores an end, by end number
     std::uint64_t storedEnd = 0; // ends up to this number are stored and may be acknowledged
     std::uint32_t consecutiveFailures = 0;
+    std::set<std::string> failedJobs; // jobs of these failures
     TimeMs suspectUntil = 0; // see SchedulerOptions::suspectMs
     TimeMs quarantinedUntil = 0; // see SchedulerOptions::quarantineMs
 };
--- a/tests/placement_test.cc
+++ b/tests/placement_test.cc
@@ -236,6 +236,27 @@
     CHECK_EQUAL(0, rig.sendReport(failing).starts.size());
 }
 
+// A job whose data are bad fails on every worker. Guards against healthy workers that get no work
+// because two tasks of one job failed there.
+TEST(Placement, twoFailuresOfOneJobDoNotQuarantineItsWorker)
+{
+    SchedulerRig rig;
+    rig.addWorker("h1");
+    rig.accept(rig.makeJob("a", 4, 2));
+    rig.sendReport("h1");
+    rig.endRun("h1", "a.0.0.0", 1, EndKind::Failed);
+    rig.endRun("h1", "a.0.0.1", 1, EndKind::Failed);
+    rig.sendReport("h1");
+    rig.accept(rig.makeJob("b", 1, 1));
+    CHECK_EQUAL(1, rig.sendReport("h1").starts.size());
+    rig.endRun("h1", "a.0.0.2", 1, EndKind::Failed);
+    rig.endRun("h1", "a.0.0.3", 1, EndKind::Failed);
+    rig.sendReport("h1");
+    rig.accept(rig.makeJob("c", 1, 1));
+    // Quarantined after four failures in a row.
+    CHECK_EQUAL(0, rig.sendReport("h1").starts.size());
+}
+
 // A stream of urgent jobs beyond their guarantee must not stop the same cheap runs again and again;
 // the jobs of these runs must end as well.
 TEST(Placement, repeatedlyStoppedRunsAreReclaimedLast)
