Show failed campaigns and refused connections in the history of a job

`flamingoctl explain` left out campaign_failed, so a candidate that gave up looked like one that still campaigned. connections_refused is new and may explain why a host got no orders.

Test: LogHistory.includesTheJobAndEventsOfItsWorkersAndProcesses, with two more lines.

--- a/flamingo/adapters/log_history.cc
+++ b/flamingo/adapters/log_history.cc
@@ -18,8 +18,10 @@
 
 // Events that may explain a wait although they name no job.
 constexpr std::string_view contextEvents[] = {
-    "start",   "stop",        "reload",    "store_lost",  "store_regained", "campaign",
-    "leading", "leader_seen", "step_down", "leader_lost", "leader_found",   "job_log_expired"};
+    "start",          "stop",           "reload",          "store_lost",
+    "store_regained", "campaign",       "campaign_failed", "connections_refused",
+    "leading",        "leader_seen",    "step_down",       "leader_lost",
+    "leader_found",   "job_log_expired"};
 
 // Removes the first `count` characters from `rest` and returns them.
 std::string_view consume(std::string_view &rest, std::size_t count)
--- a/tests/log_history_test.cc
+++ b/tests/log_history_test.cc
@@ -13,6 +13,8 @@
     "unix_ms=1000 process=e1 event=request method=POST job=aa11 status=200 cause=\"stored\" "
     "took_ms=12\n"
     "unix_ms=1400 process=e1 event=step_down epoch=7 cause=\"fenced\"\n"
+    "unix_ms=1410 process=e1 event=campaign_failed reason=\"timeout\"\n"
+    "unix_ms=1420 process=e1 event=connections_refused count=3 limit=2564\n"
     "unix_ms=9000 process=e1 event=store_lost reason=\"timeout\"\n",
     "   2.5 e2 unix_ms=1500 process=e2 event=leading epoch=9 jobs=3 offset=40\n"
     "unix_ms=1510 process=e2 event=job_known job=aa11 priority=0 tasks=2\n"
@@ -43,10 +45,12 @@
 TEST(LogHistory, includesTheJobAndEventsOfItsWorkersAndProcesses)
 {
     const std::vector<LogLine> history = jobHistory(logs, "aa11");
-    CHECK_EQUAL(9, history.size());
+    CHECK_EQUAL(11, history.size());
     STRCMP_EQUAL("request", history.front().event.c_str());
     STRCMP_EQUAL("job_completed", history.back().event.c_str());
     CHECK(containsEvent(history, "step_down", "fenced"));
+    CHECK(containsEvent(history, "campaign_failed", "timeout"));
+    CHECK(containsEvent(history, "connections_refused", "2564"));
     CHECK(containsEvent(history, "leading", "epoch=9"));
     CHECK(containsEvent(history, "run_stopping", "bb22"));
     CHECK(containsEvent(history, "start_unanswered", "timeout"));
