--- a/flamingo/adapters/scheduler_service.cc
+++ b/flamingo/adapters/scheduler_service.cc
@@ -111,10 +111,14 @@
 
 void SchedulerService::readNextRecords()
 {
-    const TimeMs sentAt = Loop::now();
     // After a failure the read does not long-poll: its answer shows at once that the log is
     // reachable again.
-    const TimeMs waitMs = this->logReachable ? this->options.readWaitMs : 0;
+    this->readNextRecords(this->logReachable ? this->options.readWaitMs : 0);
+}
+
+void SchedulerService::readNextRecords(TimeMs waitMs)
+{
+    const TimeMs sentAt = Loop::now();
     this->log.read(
         this->nextOffset, waitMs,
         [this, sentAt, waitMs, generation = this->loadGeneration](const ReadResult &result) {
@@ -129,6 +133,15 @@
         });
 }
 
+// Reads again from the same offset and ignores the answer to the outstanding read.
+void SchedulerService::restartReading()
+{
+    if (!this->logLoaded)
+        return;
+    ++this->loadGeneration;
+    this->readNextRecords(0);
+}
+
 void SchedulerService::handleReadResult(const ReadResult &result, TimeMs confirmedAt)
 {
     if (!result.answered) {
@@ -309,9 +322,18 @@
     const Leader &leader = this->scheduling.table.leader;
     this->leadership.slowestAnswerMs = slowestRecentAnswerMs(this->answerTimes, now);
     evaluateUnreachableReports(this->leadership, leader.epoch, leader.hosts, now);
-    if (this->role == Role::Following && this->logLoaded && !this->resigning
-        && shouldCampaign(this->leadership, now))
+    const bool campaignDue = this->role == Role::Following && this->logLoaded && !this->resigning
+        && shouldCampaign(this->leadership, now);
+    if (!campaignDue) {
+        this->campaignReadAt = 0;
+    } else if (this->campaignReadAt == 0) {
+        // The outstanding read may wait on although the log has records of a leader.
+        this->campaignReadAt = now;
+        this->restartReading();
+    } else if (this->logConfirmedAt >= this->campaignReadAt) {
+        this->campaignReadAt = 0;
         this->campaign();
+    }
 }
 
 // Answers all waiting reports once when the leader has lost contact to the log. Each answer carries
@@ -378,6 +400,9 @@
     if (result.status == AppendStatus::Stored) {
         if (this->role == Role::Campaigning)
             this->beginCatchingUp(result.end);
+        // The outstanding read may wait on although the record is stored.
+        if (this->nextOffset < result.end)
+            this->restartReading();
         return;
     }
     const bool mayBeStored = result.status == AppendStatus::Unknown;
