Test: a wrong not_run after an outage of the log can be seen

process_log_outage checked that a settlement that has run is not answered not_run by looking for the key in the ids of the jobs that the workers counted. Entries choose these ids, and they never contain the key, so the count was always 0 and the check could not fail.

The test now keeps the job id of each settlement from its first reply and counts the runs of that job. It requires exactly one run, so that a pattern that matches nothing fails, repeats each key at entries of both regions instead of one, and accepts nothing but the three verdicts. It also gives the check a wrong history, the verdict not_run for a settlement that has run, and requires that it fails.

Tried first: a job id in the request. The HTTP interface takes none.

--- a/tests/process/log_outage.sh
+++ b/tests/process/log_outage.sh
@@ -7,19 +7,31 @@
 clusterInit "$1" 20600
 startSmallInstallation
 createOrganisations entry-v
-submitSettlement() { # KEY
-    submit entry-v "{\"organisation\":\"lots\",\"key\":\"$1\",\"idempotent\":false,\"deadlineMs\":30000,
-        \"payload\":\"{\\\"runMs\\\":50,\\\"answer\\\":\\\"paid $1\\\"}\"}"
+submitSettlement() { # KEY [ENTRY]
+    submit "${2:-entry-v}" "{\"organisation\":\"lots\",\"homeRegion\":\"vestland\",\"key\":\"$1\",\"idempotent\":false,
+        \"deadlineMs\":30000,\"payload\":\"{\\\"runMs\\\":50,\\\"answer\\\":\\\"paid $1\\\"}\"}"
+}
+declare -A jobOf # id of the job of each settlement; the workers count runs by job id
+paySettlement() { # DESCRIPTION KEY
+    local reply
+    reply=$(submitSettlement "$2")
+    expectEqual "$1" "$(jq -r .answer <<< "$reply")" "paid $2"
+    jobOf[$2]=$(jq -r .job <<< "$reply")
+}
+# A settlement that a worker has run must not be answered not_run.
+expectPossibleVerdict() { # KEY VERDICT
+    [[ $2 =~ ^(ran|may_have_run|not_run)$ ]] || fail "settlement $1 has the verdict '$2'"
+    [ "$2" != not_run ] || [ "$(runCount "^${jobOf[$1]}\$")" = 0 ] || fail "settlement $1 has run, but was answered not_run"
 }
 # While the log is down, only owners with a Clean record in the log may grant claims.
 waitFor 20 rangesReady vestland worker-v1 worker-v2
-expectEqual "settlement before the outage" "$(submitSettlement a | jq -r .answer)" "paid a"
+paySettlement "settlement before the outage" a
 
 setFaults '{"log":"down"}'
 expectEqual "idempotent job during the outage" \
     "$(submit entry-v '{"organisation":"lots","payload":"{\"answer\":\"score\"}"}' | jq -r .answer)" score
 for key in b c d; do
-    expectEqual "settlement $key during the outage" "$(submitSettlement $key | jq -r .answer)" "paid $key"
+    paySettlement "settlement $key during the outage" $key
 done
 expectEqual "verdict of the repeated settlement a" "$(submitSettlement a | jq -r .verdict)" ran
 version=$(curl -fsS "http://${httpAddressOf[entry-v]}/v1/table" | jq .version)
@@ -30,9 +42,14 @@
 
 setFaults '{"log":"up","loseAnswers":2}'
 waitFor 20 tableEditSucceeds entry-v new
-for key in b c d; do
-    [ "$(submitSettlement $key | jq -r .verdict)" != not_run ] || [ "$(runCount "$key")" = 0 ] || fail "settlement $key has run, but was answered not_run"
+for key in a b c d; do
+    expectEqual "runs of settlement $key" "$(runCount "^${jobOf[$key]}\$")" 1
+    for entry in entry-v entry-t; do
+        expectPossibleVerdict $key "$(submitSettlement $key $entry | jq -r .verdict)"
+    done
 done
+# The check fails on a wrong history.
+if (expectPossibleVerdict b not_run) 2> /dev/null; then fail "a settlement that has run passes as not_run"; fi
 perJob=$(curl -fsS "http://$standinAddress/runs" | jq '[.[]] | max')
 expectEqual "most runs of one settlement" "$perJob" 1
 expectEqual "new organisation in the table of the other region" \
