Let a keyed request wait for the connection to its home region

Cause: an entry without a connection to the home region finished the request at once. Peers redial every 300 to 600 ms, so "not connected" does not show that the region is unreachable.

Ruled out: a wait in the test only. The answer was safe, but it served the caller badly and is seen outside of the test too.

Change: such a job now waits (new state WaitingForRegion, "waiting_for_region" in the operators' documents) for regionWaitMs, 2 s, at most until its deadline. When an entry of the region connects, the job is forwarded; when the time has passed, it ends with the verdicts as before: not_run only if it is the caller's first attempt and was never forwarded. The key's owner still decides whether it may run, so that a second run is as impossible as before. Nothing was sent to any target while it waits. A job that was cancelled while it was forwarded is not forwarded again when its connection breaks; it ends as may_have_run.

--- a/flamingo/entry.cc
+++ b/flamingo/entry.cc
@@ -121,6 +121,7 @@
         return;
     }
     entry.edits.versions.erase(up.peer.process);
+    onEntryUp(context);
     if (up.peer.region != entry.options.region)
         sendAllSites(context, up.peer.process);
     // An entry without a table obtains one from the connected process.
--- a/flamingo/entry.h
+++ b/flamingo/entry.h
@@ -70,6 +70,9 @@
     TimeMs cancelTimeoutMs = 10000;
     // A job for which no capacity was found for this time may be forwarded to another region.
     TimeMs forwardAfterMs = 2000;
+    // A keyed job of a region of which no entry is connected waits this long for a connection
+    // before it is refused. Longer than the redial delay of the peers (flamingo/adapters/peers.h).
+    TimeMs regionWaitMs = 2000;
     std::size_t maxLookups = 1000; // in progress
 };
 
@@ -196,6 +199,7 @@
     std::unordered_map<std::string, std::uint64_t> byAttempt;
     std::unordered_map<std::string, std::uint64_t> byRequest; // of callers that wait
     std::unordered_map<std::string, std::uint64_t> byForward; // Job::forwardRequest
+    std::set<std::uint64_t> waitingForRegion; // serials of jobs in JobState::WaitingForRegion
     Queue queue;
     // Pairs of a time and the serial of a job, earliest first.
     std::set<std::pair<TimeMs, std::uint64_t>> timers; // Job::timerAt
--- a/flamingo/jobs.cc
+++ b/flamingo/jobs.cc
@@ -181,6 +181,7 @@
     setTimer(entry, job, 0);
     if (!job.forwardRequest.empty())
         entry.byForward.erase(job.forwardRequest);
+    entry.waitingForRegion.erase(job.serial);
     job.state = JobState::Finished;
     job.verdict = verdict;
     job.reason = std::move(reason);
@@ -381,16 +382,40 @@
     return true;
 }
 
-// Forwards the job to a connected entry of its home region, or finishes it if there is none.
+// Ends a job that cannot be forwarded to its home region. Its key may have run in an earlier
+// submission, unless the caller marked this one as the first and it was never forwarded.
+void finishUnreachable(EntryContext context, Job &job, Reason reason)
+{
+    const bool neverStarted = job.spec.firstAttempt && job.forwardRequest.empty();
+    finishJob(context, job, neverStarted ? Verdict::NotRun : Verdict::MayHaveRun,
+              std::move(reason));
+}
+
+// Forwards the job to a connected entry of its home region. If there is none, the job waits for one
+// for EntryOptions::regionWaitMs, at most until its deadline. A cancelled job is not forwarded
+// again.
 void forwardToHomeRegion(EntryContext context, Job &job)
 {
-    if (forwardTo(context, job, connectedEntryOf(context, job.spec.homeRegion)))
+    auto &entry = context.entry;
+    if (job.cancelled) {
+        finishUnreachable(
+            context, job,
+            makeReason(ReasonCode::Cancelled, "cancelled, but the other region did not confirm"));
         return;
-    const bool neverStarted = job.spec.firstAttempt && job.forwardRequest.empty();
-    finishJob(
-        context, job, neverStarted ? Verdict::NotRun : Verdict::MayHaveRun,
+    }
+    if (forwardTo(context, job, connectedEntryOf(context, job.spec.homeRegion))) {
+        entry.waitingForRegion.erase(job.serial);
+        return;
+    }
+    if (job.state == JobState::WaitingForRegion)
+        return;
+    job.state = JobState::WaitingForRegion;
+    job.waitReason =
         makeReason(ReasonCode::RegionUnreachable,
-                   "homeRegion: no entry of region " + job.spec.homeRegion + " is connected"));
+                   "homeRegion: no entry of region " + job.spec.homeRegion + " is connected");
+    entry.waitingForRegion.insert(job.serial);
+    const auto until = context.now + entry.options.regionWaitMs;
+    setTimer(entry, job, job.deadlineAt == 0 ? until : std::min(until, job.deadlineAt));
 }
 
 // Offers a job that has waited for capacity for forwardAfterMs to an entry of another region, once.
@@ -1028,6 +1053,9 @@
     case JobState::QueryingOwner:
         onOwnerQueryTimer(context, job);
         return;
+    case JobState::WaitingForRegion:
+        finishUnreachable(context, job, job.waitReason);
+        return;
     case JobState::Forwarded:
         onForwardTimer(context, job);
         return;
@@ -1368,6 +1396,13 @@
                   reply.answer);
 }
 
+void onEntryUp(EntryContext context)
+{
+    const auto waiting = context.entry.waitingForRegion;
+    for (const auto serial : waiting)
+        forwardToHomeRegion(context, *context.entry.jobs.at(serial));
+}
+
 void onEntryDown(EntryContext context, std::string_view process)
 {
     std::vector<std::uint64_t> forwardedJobs;
@@ -1431,6 +1466,10 @@
     if (job.state == JobState::Finished || job.state == JobState::Cancelling)
         return;
     job.cancelled = true;
+    if (job.state == JobState::WaitingForRegion) {
+        finishUnreachable(context, job, makeReason(ReasonCode::Cancelled, "cancelled by request"));
+        return;
+    }
     if (!mayBeRunning) {
         const auto verdict =
             job.state == JobState::QueryingOwner ? Verdict::MayHaveRun : Verdict::NotRun;
--- a/flamingo/jobs.h
+++ b/flamingo/jobs.h
@@ -6,12 +6,13 @@
 //   Queued -> Starting -> Running -> Finished
 //
 // Starting ends with the StartReply or a timeout. A job that an agent evicted, or refused for a
-// reason that may pass, returns to the queue. In three further states a job waits for other
+// reason that may pass, returns to the queue. In four further states a job waits for other
 // processes:
 //
-//   QueryingOwner  for the result of a keyed job, from the owner of its key
-//   Forwarded      for the reply of an entry of another region
-//   Cancelling     for the agents that may still run an attempt of a cancelled job
+//   QueryingOwner     for the result of a keyed job, from the owner of its key
+//   WaitingForRegion  for a connection to an entry of its home region, at most regionWaitMs
+//   Forwarded         for the reply of an entry of another region
+//   Cancelling        for the agents that may still run an attempt of a cancelled job
 //
 // An attempt stays open until its end is reported, its agent restarts or its job finishes. A job
 // with an open attempt may still run, so its verdict is never NotRun.
@@ -51,6 +52,9 @@
 // that has ended there, and forwards one again that `from` does not have.
 void onForwardedJobReply(EntryContext context, std::string_view from, const JobReply &reply);
 
+// An entry is connected: forwards the jobs that wait for an entry of its region.
+void onEntryUp(EntryContext context);
+
 // The connection to an entry closed: jobs forwarded to it are forwarded to another entry of their
 // home region, or requeued if they were offered for lack of capacity.
 void onEntryDown(EntryContext context, std::string_view process);
--- a/flamingo/queue.cc
+++ b/flamingo/queue.cc
@@ -109,6 +109,8 @@
         return "running";
     case JobState::QueryingOwner:
         return "asking_owner"; // published name; differs from the name of the enumerator
+    case JobState::WaitingForRegion:
+        return "waiting_for_region";
     case JobState::Forwarded:
         return "forwarded";
     case JobState::Cancelling:
--- a/flamingo/queue.h
+++ b/flamingo/queue.h
@@ -44,7 +44,16 @@
 };
 
 // flamingo/jobs.h describes the states and their order.
-enum class JobState { Queued, Starting, Running, QueryingOwner, Forwarded, Cancelling, Finished };
+enum class JobState {
+    Queued,
+    Starting,
+    Running,
+    QueryingOwner,
+    WaitingForRegion,
+    Forwarded,
+    Cancelling,
+    Finished
+};
 
 // Name of a job state in the operators' JSON documents and in replies, for example "queued".
 std::string_view jobStateName(JobState state);
--- a/tests/entry_test.cc
+++ b/tests/entry_test.cc
@@ -432,13 +432,18 @@
 TEST(Entry, aJobForAnUnreachableRegionHasVerdictNotRunOnlyIfItWasNeverSent)
 {
     auto rig = rigWithAgents(1);
+    const auto wait = rig.entry.options.regionWaitMs;
     auto remoteSpec = keyed("k", true);
     remoteSpec.homeRegion = "east";
     rig.submit("first", remoteSpec);
+    rig.advance(wait - 100);
+    CHECK(rig.takeReplies().empty());
+    rig.advance(100);
     CHECK(rig.takeReplies().at(0).verdict == Verdict::NotRun);
     remoteSpec.key = "k2";
     remoteSpec.firstAttempt = false;
     rig.submit("again", remoteSpec);
+    rig.advance(wait);
     CHECK(rig.takeReplies().at(0).verdict == Verdict::MayHaveRun);
     rig.connectPeer("entry-2", ProcessKind::Entry, "east");
     remoteSpec.key = "k3";
@@ -446,11 +451,69 @@
     rig.submit("sent", remoteSpec);
     CHECK_EQUAL(1U, rig.takeSent<Forward>().size());
     rig.handle(PeerDown{"entry-2"});
+    rig.advance(wait);
     const auto replies = rig.takeReplies();
     CHECK(replies.at(0).verdict == Verdict::MayHaveRun);
     CHECK(replies.at(0).reason.code == ReasonCode::RegionUnreachable);
 }
 
+TEST(Entry, aJobForARegionThatIsReachableAgainSoonIsForwardedOnce)
+{
+    auto rig = rigWithAgents(1);
+    auto remoteSpec = keyed("k");
+    remoteSpec.homeRegion = "east";
+    rig.submit("r", remoteSpec);
+    rig.submit("joined", remoteSpec);
+    rig.advance(400);
+    rig.connectPeer("entry-3", ProcessKind::Entry, "north");
+    CHECK(rig.takeSent<Forward>().empty());
+    rig.connectPeer("entry-2", ProcessKind::Entry, "east");
+    auto forwards = rig.takeSent<Forward>();
+    CHECK_EQUAL(1U, forwards.size());
+    CHECK_EQUAL(std::string("entry-2"), forwards[0].first);
+    rig.connectPeer("entry-4", ProcessKind::Entry, "east");
+    rig.advance(rig.entry.options.regionWaitMs);
+    CHECK(rig.takeSent<Forward>().empty());
+    CHECK(rig.takeReplies().empty());
+    ForwardReply reply;
+    reply.request = forwards[0].second.request;
+    reply.verdict = Verdict::Ran;
+    reply.answer = "paid";
+    rig.handleFrom("entry-2", reply);
+    CHECK_EQUAL(2U, rig.takeReplies().size());
+}
+
+TEST(Entry, aJobThatWaitsForItsRegionEndsAtItsDeadlineOrWhenItIsCancelled)
+{
+    auto rig = rigWithAgents(1);
+    auto remoteSpec = keyed("k");
+    remoteSpec.homeRegion = "east";
+    remoteSpec.deadlineMs = 300;
+    rig.submit("short", remoteSpec);
+    rig.advance(300);
+    CHECK(rig.takeReplies().at(0).verdict == Verdict::MayHaveRun);
+    remoteSpec.key = "k2";
+    remoteSpec.deadlineMs = 0;
+    remoteSpec.job = "waits";
+    rig.submit("cancelled", remoteSpec);
+    rig.handle(CancelJob{"c", "waits"});
+    const auto replies = rig.takeReplies();
+    CHECK_EQUAL(2U, replies.size());
+    CHECK(replies[0].reason.code == ReasonCode::Cancelled);
+    CHECK(replies[0].verdict == Verdict::MayHaveRun);
+    rig.connectPeer("entry-2", ProcessKind::Entry, "east");
+    CHECK(rig.takeSent<Forward>().empty());
+    remoteSpec.key = "k3";
+    remoteSpec.job = "forwarded";
+    rig.submit("r3", remoteSpec);
+    rig.handle(CancelJob{"c3", "forwarded"});
+    rig.takeSent<Forward>();
+    rig.handle(PeerDown{"entry-2"});
+    CHECK(rig.takeReplies().at(0).verdict == Verdict::MayHaveRun);
+    rig.connectPeer("entry-2", ProcessKind::Entry, "east");
+    CHECK(rig.takeSent<Forward>().empty());
+}
+
 TEST(Entry, copiesOfAForwardedRequestStartTheJobOnlyOnce)
 {
     auto rig = rigWithRangeOwner(1);
