Report an edit as accepted only when each entry of a rejoined region has it

Trace: the regions are cut off from 90.7 s to 124.9 s. w1-entry records version 11 at 120.1 s. After the rejoin it is connected to e1-entry first, which reports version 11, and accepts the edit at 125.27 s. Its connection to e2-entry, which has version 9, is not yet redialled.

Cause: an entry counted a disconnected entry of another region only through its region, and the region counted as reachable as soon as one of its entries was connected. For entries of its own region it had waited ownerSilentAfterMs.

Ruled out: the simulation and the check. e2-entry was alive and known, and the promise is that an accepted edit is in force everywhere.

An edit that is made while an entry that ended is still listed is answered as pending.

Measured: the new test of entry_test failed first and passes now.

--- a/flamingo/edits.cc
+++ b/flamingo/edits.cc
@@ -500,8 +500,8 @@
 }
 
 // Adds the entries that have not reported the version, and agents of which entries reported that
-// they lack it. A disconnected entry is listed for ownerSilentAfterMs if it is of this region;
-// otherwise processesWithoutVersion() lists its region if no entry of that is connected.
+// they lack it. A disconnected entry is listed for ownerSilentAfterMs after Peer::missingSince;
+// while no entry of its region is connected, processesWithoutVersion() lists the region.
 void addEntriesWithoutVersion(const Entry &entry, std::uint64_t version, TimeMs now,
                               std::vector<std::string> &names)
 {
@@ -509,8 +509,7 @@
         if (peer.info.kind != ProcessKind::Entry)
             continue;
         if (!peer.connected) {
-            if (peer.info.region == entry.options.region
-                && now - peer.disconnectedAt < entry.options.ownerSilentAfterMs)
+            if (now - peer.missingSince < entry.options.ownerSilentAfterMs)
                 names.push_back(name);
             continue;
         }
--- a/flamingo/entry.cc
+++ b/flamingo/entry.cc
@@ -109,9 +109,27 @@
 
 // ---- Peers ----
 
+// An entry of a region connects. If none was connected, the region may have been cut off and the
+// others need time to connect as well.
+void expectEntriesOfRegion(EntryContext context, const std::string &region)
+{
+    std::vector<Peer *> entries;
+    for (auto &[name, peer] : context.entry.peers) {
+        if (peer.info.kind != ProcessKind::Entry || peer.info.region != region)
+            continue;
+        if (peer.connected)
+            return;
+        entries.push_back(&peer);
+    }
+    for (auto *peer : entries)
+        peer->missingSince = context.now;
+}
+
 void onPeerUp(EntryContext context, const PeerUp &up)
 {
     auto &entry = context.entry;
+    if (up.peer.kind == ProcessKind::Entry)
+        expectEntriesOfRegion(context, up.peer.region);
     auto &peer = entry.peers[up.peer.process];
     peer.info = up.peer;
     peer.connected = true;
@@ -139,7 +157,7 @@
     const auto peer = entry.peers.find(down.process);
     if (peer != entry.peers.end()) {
         peer->second.connected = false;
-        peer->second.disconnectedAt = context.now;
+        peer->second.disconnectedAt = peer->second.missingSince = context.now;
     }
     setConnected(entry.view, down.process, false);
     const auto agent = findAgent(entry.view, down.process);
--- a/flamingo/entry.h
+++ b/flamingo/entry.h
@@ -142,6 +142,9 @@
     PeerInfo info;
     bool connected = false;
     TimeMs disconnectedAt = 0;
+    // Since when a disconnected entry could have connected again: its disconnection, or a later
+    // moment at which an entry of its region connected after none was connected.
+    TimeMs missingSince = 0;
 };
 
 // A query or cancellation of a job that this entry does not have (flamingo/lookup.h).
--- a/tests/entry_test.cc
+++ b/tests/entry_test.cc
@@ -801,6 +801,34 @@
     CHECK(statusJson(rig.entry, rig.now).find("region east") != std::string::npos);
 }
 
+TEST(Entry, anEditAfterAPartitionIsPendingUntilEachEntryOfTheRegionIsConnected)
+{
+    auto rig = rigWithAgents(1);
+    rig.connectPeer("entry-2", ProcessKind::Entry, "east");
+    rig.connectPeer("entry-3", ProcessKind::Entry, "east");
+    rig.handle(PeerDown{"entry-2"});
+    rig.handle(PeerDown{"entry-3"});
+    rig.advance(60000);
+    rig.connectPeer("entry-2", ProcessKind::Entry, "east");
+    const auto version = rig.entry.table.version;
+    VersionSummary summary;
+    summary.entry = "entry-2";
+    summary.versions.resize(1);
+    summary.versions[0].process = "entry-2";
+    summary.versions[0].version = version;
+    rig.handleFrom("entry-2", summary);
+    rig.handleFrom("w0", rig.report("w0"));
+    auto missing = processesWithoutVersion(rig.entry, version, rig.now);
+    CHECK_EQUAL(1U, missing.size());
+    CHECK_EQUAL(std::string("entry-3"), missing[0]);
+    rig.connectPeer("entry-3", ProcessKind::Entry, "east");
+    CHECK_EQUAL(1U, processesWithoutVersion(rig.entry, version, rig.now).size());
+    rig.handle(PeerDown{"entry-3"});
+    rig.advance(rig.entry.options.ownerSilentAfterMs); // then the entry counts as ended
+    rig.handleFrom("w0", rig.report("w0"));
+    CHECK(processesWithoutVersion(rig.entry, version, rig.now).empty());
+}
+
 TEST(Entry, anEditIsAppliedOnceWhenItsAppendIsRepeated)
 {
     auto rig = rigWithAgents(1);
