Stop a gang in time also when the messages about a failed worker are late

Cause: a member renewed although nothing showed that its worker was alive, so that the only sign of a dead worker was a message, and the lease that the leader gave did not depend on the workers.

Ruled out: a shorter interval of the repeated GangStop, because links keep the order of messages, so that a late one delays those after it; a longer bound, which is the stated one.

Change: GangRenew reports how long ago the member's worker confirmed its lease (workerAgeMs). The leader stops the gang when a worker was not seen for gangLeaseMs, and gives no lease that ends more than gangLeaseMs + gangRenewMs after a worker was last seen (leaseMs in GangRenewReply). A member renews again within a third of a short lease, and at the next tick when its worker confirms after half of the lease. Processes of the version before send and read neither field, which means a worker seen just now and a full lease, as before.

Measured: the two tests of gang_test that reproduce the cases failed first and pass now; a third one shows that a gang runs on when every other renewal of a worker's lease fails.

--- a/flamingo/agent.cc
+++ b/flamingo/agent.cc
@@ -227,7 +227,10 @@
         return;
     if (!leaseCurrent(step))
         step.agent.changeCount += 1;
+    const bool late = workerAgeMs(step) > step.agent.options.workerLeaseMs / 2;
     step.agent.leaseUntil = step.now + step.agent.options.workerLeaseMs;
+    if (late)
+        handleLateLeaseRenewal(step);
 }
 
 struct Dispatch
--- a/flamingo/agent.h
+++ b/flamingo/agent.h
@@ -215,6 +215,7 @@
     bool ended = false; // reported its end, or all its leases have certainly expired
     bool doneReceived = false; // GangMemberDone was received, see `done`
     TimeMs leaseGivenAt = 0; // last time the leader gave it a lease
+    TimeMs workerSeenAt = 0; // its worker confirmed its lease then or later
     GangMemberDone done;
     Resend send; // resends Hold, GangStart or GangStop, depending on the gang's phase
 };
--- a/flamingo/agent_step.h
+++ b/flamingo/agent_step.h
@@ -98,6 +98,8 @@
 void dropTask(const AgentStep &step, std::string_view id);
 // True while the worker's lease, as last acknowledged, has not lapsed.
 bool leaseCurrent(const AgentStep &step);
+// Time since the worker last confirmed its lease.
+TimeMs workerAgeMs(const AgentStep &step);
 // When the worker's lease has lapsed, stops the tasks for which RunTask was sent. After a pause of
 // this process so long that the worker must have stopped them, ends them at once. Called before
 // every event.
@@ -161,6 +163,9 @@
 // Member: its task ended. Reports the end to the leader until the leader confirms it.
 void handleMemberEnded(const AgentStep &step, std::string_view gang, const Ending &ending);
 // Stops gangs in phase Holding and members in Reclaiming or Held. Running ones may finish.
+// The worker confirmed its lease after a renewal had failed: the members that run renew at the next
+// tick, so that their leaders count the confirmation in time.
+void handleLateLeaseRenewal(const AgentStep &step);
 void drainMembers(const AgentStep &step);
 void stepGangs(const AgentStep &step);
 void handleGangMessage(const AgentStep &step, std::string_view from, const Message &message);
--- a/flamingo/gang.cc
+++ b/flamingo/gang.cc
@@ -8,9 +8,10 @@
 
 // Leader: Holding -> (Claiming ->) Running -> Stopping -> erased. The leader starts the gang when
 // every member has confirmed its hold and the claim, if the job needs one, is granted, both before
-// decideUntil. From then on every GangRenewReply renews a member's lease. When a member has not
-// renewed for the length of a lease, the leader stops the others. It reports one outcome, when
-// every member has reported its end or can certainly no longer be running.
+// decideUntil. From then on every GangRenewReply renews a member's lease. When the worker of a
+// member is not known to have confirmed its own lease for the length of a lease, the leader stops
+// the others; a member reports with each GangRenew how long ago that was. It reports one outcome,
+// when every member has reported its end or can certainly no longer be running.
 //
 // Member: Reclaiming -> Held -> Running -> Done. A hold expires by itself. A running member stops
 // when its lease ends. A member that is Done repeats GangMemberDone until the leader answers that
@@ -79,13 +80,15 @@
     sendGangMessage(step, agent, std::move(stop));
 }
 
+// `leaseMs`: duration of the renewed lease if `alive`.
 void sendGangRenewReply(const AgentStep &step, std::string_view gang, std::string_view agent,
-                        std::uint32_t index, bool alive)
+                        std::uint32_t index, bool alive, TimeMs leaseMs = 0)
 {
     GangRenewReply reply;
     reply.gang = std::string(gang);
     reply.member = index;
     reply.alive = alive;
+    reply.leaseMs = static_cast<std::uint32_t>(leaseMs);
     sendGangMessage(step, agent, std::move(reply));
 }
 
@@ -177,7 +180,7 @@
     gang.payload.clear();
     for (std::uint32_t index = 0; index < gang.members.size(); ++index) {
         auto &member = gang.members[index];
-        member.leaseGivenAt = step.now;
+        member.leaseGivenAt = member.workerSeenAt = step.now;
         armResend(step, member.send);
         sendGangStart(step, gang, index);
     }
@@ -219,10 +222,10 @@
         sendGangStop(step, gang.id, member.agent, index, gang.stopReason);
 }
 
-// Stops the gang and returns false when its holds were not confirmed in time, or when a member has
-// not renewed for gangLeaseMs. A member that has not confirmed its start is given up after the
-// shorter gangStartMs: the other members already run without it, and one whose agent fails in this
-// time keeps running until its worker's lease ends.
+// Stops the gang and returns false when its holds were not confirmed in time, or when no renewal of
+// a member shows that its worker was alive less than gangLeaseMs ago. A member that has not
+// confirmed its start is given up after the shorter gangStartMs: the other members already run
+// without it, and one whose agent fails in this time keeps running until its worker's lease ends.
 bool checkGangTimeouts(const AgentStep &step, const Gang &gang)
 {
     const auto &options = step.agent.options;
@@ -235,7 +238,7 @@
         return true;
     for (const auto &member : gang.members) {
         const auto timeoutMs = member.running ? options.gangLeaseMs : options.gangStartMs;
-        if (member.ended || step.now - member.leaseGivenAt < timeoutMs)
+        if (member.ended || step.now - member.workerSeenAt < timeoutMs)
             continue;
         stopGang(step, std::string(gang.id),
                  {ReasonCode::TargetUnreachable, "member " + member.agent + " is unreachable"});
@@ -291,6 +294,21 @@
     decideIfAllHeld(step, *gang);
 }
 
+// Duration of a lease that the leader gives now. It ends gangLeaseMs + gangRenewMs after the moment
+// at which the last worker of a running member was seen alive, so that the members stop without a
+// message when one of their workers fails.
+TimeMs memberLeaseMs(const AgentStep &step, const Gang &gang)
+{
+    const auto &options = step.agent.options;
+    auto lease = options.gangLeaseMs;
+    for (const auto &member : gang.members) {
+        if (!member.ended)
+            lease = std::min(
+                lease, member.workerSeenAt + options.gangLeaseMs + options.gangRenewMs - step.now);
+    }
+    return std::max<TimeMs>(lease, 1);
+}
+
 void handleGangRenew(const AgentStep &step, std::string_view from, const GangRenew &message)
 {
     auto *gang = findGang(step.agent, message.gang);
@@ -307,9 +325,12 @@
         state->running = true;
         state->send.pending = false;
         state->leaseGivenAt = step.now;
+        state->workerSeenAt =
+            std::max(state->workerSeenAt, step.now - static_cast<TimeMs>(message.workerAgeMs));
     }
     if (message.running)
-        sendGangRenewReply(step, message.gang, from, message.member, alive);
+        sendGangRenewReply(step, message.gang, from, message.member, alive,
+                           alive ? memberLeaseMs(step, *gang) : 0);
     else if (gang->phase == GangPhase::Stopping)
         state->ended = true; // the member has no record of the gang, or no longer has one
     if (gang->phase == GangPhase::Stopping)
@@ -374,6 +395,7 @@
     renew.gang = member.gang;
     renew.member = member.index;
     renew.running = true;
+    renew.workerAgeMs = static_cast<std::uint32_t>(workerAgeMs(step));
     member.nextRenew = step.now + step.agent.options.gangRenewMs;
     sendGangMessage(step, member.leader, std::move(renew));
 }
@@ -530,8 +552,14 @@
         return;
     }
     // A lapsed lease is not renewed: the task is being stopped.
-    if (step.now < member->leaseUntil)
-        member->leaseUntil = step.now + step.agent.options.gangLeaseMs;
+    if (step.now >= member->leaseUntil)
+        return;
+    const auto full = step.agent.options.gangLeaseMs;
+    const auto lease =
+        message.leaseMs == 0 ? full : std::min(full, static_cast<TimeMs>(message.leaseMs));
+    member->leaseUntil = std::max(member->leaseUntil, step.now + lease);
+    // A short lease also leaves time for a second and a third renewal.
+    member->nextRenew = std::min(member->nextRenew, step.now + lease / 3);
 }
 
 void handleGangStop(const AgentStep &step, std::string_view from, const GangStop &message)
@@ -691,6 +719,14 @@
     sendMemberDone(step, *member);
 }
 
+void handleLateLeaseRenewal(const AgentStep &step)
+{
+    for (auto &[id, member] : step.agent.members) {
+        if (member.phase == MemberPhase::Running)
+            member.nextRenew = step.now;
+    }
+}
+
 void drainMembers(const AgentStep &step)
 {
     const Reason reason{ReasonCode::Draining, "the target is draining"};
--- a/flamingo/tasks.cc
+++ b/flamingo/tasks.cc
@@ -310,6 +310,11 @@
     return step.now <= step.agent.leaseUntil;
 }
 
+TimeMs workerAgeMs(const AgentStep &step)
+{
+    return std::max<TimeMs>(0, step.now - step.agent.leaseUntil + step.agent.options.workerLeaseMs);
+}
+
 void checkLease(const AgentStep &step)
 {
     auto &agent = step.agent;
--- a/flamingo/wire/messages_generated.h
+++ b/flamingo/wire/messages_generated.h
@@ -3180,6 +3180,7 @@
   std::string gang{};
   uint32_t member = 0;
   bool running = false;
+  uint32_t workerAgeMs = 0;
 };
 
 struct GangRenew FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -3189,7 +3190,8 @@
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_GANG = 4,
     VT_MEMBER = 6,
-    VT_RUNNING = 8
+    VT_RUNNING = 8,
+    VT_WORKERAGEMS = 10
   };
   const flatbuffers::String *gang() const {
     return GetPointer<const flatbuffers::String *>(VT_GANG);
@@ -3200,12 +3202,16 @@
   bool running() const {
     return GetField<uint8_t>(VT_RUNNING, 0) != 0;
   }
+  uint32_t workerAgeMs() const {
+    return GetField<uint32_t>(VT_WORKERAGEMS, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_GANG) &&
            verifier.VerifyString(gang()) &&
            VerifyField<uint32_t>(verifier, VT_MEMBER, 4) &&
            VerifyField<uint8_t>(verifier, VT_RUNNING, 1) &&
+           VerifyField<uint32_t>(verifier, VT_WORKERAGEMS, 4) &&
            verifier.EndTable();
   }
   GangRenewT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -3226,6 +3232,9 @@
   void add_running(bool running) {
     fbb_.AddElement<uint8_t>(GangRenew::VT_RUNNING, static_cast<uint8_t>(running), 0);
   }
+  void add_workerAgeMs(uint32_t workerAgeMs) {
+    fbb_.AddElement<uint32_t>(GangRenew::VT_WORKERAGEMS, workerAgeMs, 0);
+  }
   explicit GangRenewBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -3241,8 +3250,10 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     flatbuffers::Offset<flatbuffers::String> gang = 0,
     uint32_t member = 0,
-    bool running = false) {
+    bool running = false,
+    uint32_t workerAgeMs = 0) {
   GangRenewBuilder builder_(_fbb);
+  builder_.add_workerAgeMs(workerAgeMs);
   builder_.add_member(member);
   builder_.add_gang(gang);
   builder_.add_running(running);
@@ -3258,13 +3269,15 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     const char *gang = nullptr,
     uint32_t member = 0,
-    bool running = false) {
+    bool running = false,
+    uint32_t workerAgeMs = 0) {
   auto gang__ = gang ? _fbb.CreateString(gang) : 0;
   return flamingo::wire::CreateGangRenew(
       _fbb,
       gang__,
       member,
-      running);
+      running,
+      workerAgeMs);
 }
 
 flatbuffers::Offset<GangRenew> CreateGangRenew(flatbuffers::FlatBufferBuilder &_fbb, const GangRenewT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -3274,6 +3287,7 @@
   std::string gang{};
   uint32_t member = 0;
   bool alive = false;
+  uint32_t leaseMs = 0;
 };
 
 struct GangRenewReply FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -3283,7 +3297,8 @@
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_GANG = 4,
     VT_MEMBER = 6,
-    VT_ALIVE = 8
+    VT_ALIVE = 8,
+    VT_LEASEMS = 10
   };
   const flatbuffers::String *gang() const {
     return GetPointer<const flatbuffers::String *>(VT_GANG);
@@ -3294,12 +3309,16 @@
   bool alive() const {
     return GetField<uint8_t>(VT_ALIVE, 0) != 0;
   }
+  uint32_t leaseMs() const {
+    return GetField<uint32_t>(VT_LEASEMS, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_GANG) &&
            verifier.VerifyString(gang()) &&
            VerifyField<uint32_t>(verifier, VT_MEMBER, 4) &&
            VerifyField<uint8_t>(verifier, VT_ALIVE, 1) &&
+           VerifyField<uint32_t>(verifier, VT_LEASEMS, 4) &&
            verifier.EndTable();
   }
   GangRenewReplyT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -3320,6 +3339,9 @@
   void add_alive(bool alive) {
     fbb_.AddElement<uint8_t>(GangRenewReply::VT_ALIVE, static_cast<uint8_t>(alive), 0);
   }
+  void add_leaseMs(uint32_t leaseMs) {
+    fbb_.AddElement<uint32_t>(GangRenewReply::VT_LEASEMS, leaseMs, 0);
+  }
   explicit GangRenewReplyBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -3335,8 +3357,10 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     flatbuffers::Offset<flatbuffers::String> gang = 0,
     uint32_t member = 0,
-    bool alive = false) {
+    bool alive = false,
+    uint32_t leaseMs = 0) {
   GangRenewReplyBuilder builder_(_fbb);
+  builder_.add_leaseMs(leaseMs);
   builder_.add_member(member);
   builder_.add_gang(gang);
   builder_.add_alive(alive);
@@ -3352,13 +3376,15 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     const char *gang = nullptr,
     uint32_t member = 0,
-    bool alive = false) {
+    bool alive = false,
+    uint32_t leaseMs = 0) {
   auto gang__ = gang ? _fbb.CreateString(gang) : 0;
   return flamingo::wire::CreateGangRenewReply(
       _fbb,
       gang__,
       member,
-      alive);
+      alive,
+      leaseMs);
 }
 
 flatbuffers::Offset<GangRenewReply> CreateGangRenewReply(flatbuffers::FlatBufferBuilder &_fbb, const GangRenewReplyT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -7202,6 +7228,7 @@
   { auto _e = gang(); if (_e) _o->gang = _e->str(); }
   { auto _e = member(); _o->member = _e; }
   { auto _e = running(); _o->running = _e; }
+  { auto _e = workerAgeMs(); _o->workerAgeMs = _e; }
 }
 
 inline flatbuffers::Offset<GangRenew> GangRenew::Pack(flatbuffers::FlatBufferBuilder &_fbb, const GangRenewT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -7215,11 +7242,13 @@
   auto _gang = _o->gang.empty() ? 0 : _fbb.CreateString(_o->gang);
   auto _member = _o->member;
   auto _running = _o->running;
+  auto _workerAgeMs = _o->workerAgeMs;
   return flamingo::wire::CreateGangRenew(
       _fbb,
       _gang,
       _member,
-      _running);
+      _running,
+      _workerAgeMs);
 }
 
 inline GangRenewReplyT *GangRenewReply::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
@@ -7234,6 +7263,7 @@
   { auto _e = gang(); if (_e) _o->gang = _e->str(); }
   { auto _e = member(); _o->member = _e; }
   { auto _e = alive(); _o->alive = _e; }
+  { auto _e = leaseMs(); _o->leaseMs = _e; }
 }
 
 inline flatbuffers::Offset<GangRenewReply> GangRenewReply::Pack(flatbuffers::FlatBufferBuilder &_fbb, const GangRenewReplyT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -7247,11 +7277,13 @@
   auto _gang = _o->gang.empty() ? 0 : _fbb.CreateString(_o->gang);
   auto _member = _o->member;
   auto _alive = _o->alive;
+  auto _leaseMs = _o->leaseMs;
   return flamingo::wire::CreateGangRenewReply(
       _fbb,
       _gang,
       _member,
-      _alive);
+      _alive,
+      _leaseMs);
 }
 
 inline GangMemberDoneT *GangMemberDone::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
--- a/tests/gang_test.cc
+++ b/tests/gang_test.cc
@@ -48,6 +48,7 @@
         std::vector<Pause> pauses;
         bool crashed = false;
         bool workerCrashed = false; // runs no task and sends no reply
+        bool everyOtherRenewalFails = false; // of the worker's lease
         TimeMs workerLeaseUntil = 0;
         std::map<std::string, TimeMs> running; // start time by task
         std::map<std::string, TimeMs> finishAt;
@@ -70,6 +71,8 @@
     std::map<std::string, std::set<std::string>> nodesThatRan; // nodes by task
     TimeMs taskDurationMs = 2000;
     bool acknowledgeOutcomes = true;
+    std::string nodeWithoutStops; // its GangStop messages are lost
+    std::string muteNode; // all its messages are lost
     bool ranTwice = false;
     std::map<std::string, std::set<std::string>> nodesThatFinished; // nodes by task
 
@@ -119,7 +122,8 @@
 
     void transmit(std::string_view from, const Send &send)
     {
-        if (this->chance(this->faults.dropPercent))
+        if (this->chance(this->faults.dropPercent) || from == this->muteNode
+            || (from == this->nodeWithoutStops && std::holds_alternative<GangStop>(send.message)))
             return;
         const auto copies = this->chance(this->faults.duplicatePercent) ? 2 : 1;
         for (int copy = 0; copy < copies; ++copy)
@@ -244,8 +248,10 @@
         if (this->unavailable(node))
             return;
         if (this->now % 1000 == 0) {
-            node.workerLeaseUntil = this->now + this->options.workerLeaseMs;
-            this->handle(name, LeaseRenewed{!node.workerCrashed});
+            const bool fails = node.everyOtherRenewalFails && this->now % 2000 == 0;
+            if (!fails)
+                node.workerLeaseUntil = this->now + this->options.workerLeaseMs;
+            this->handle(name, LeaseRenewed{!node.workerCrashed && !fails});
         }
         if (this->now % tickMs == 0)
             this->handle(name, Tick{});
@@ -454,6 +460,49 @@
     CHECK_EQUAL(0U, net.runningMembers("g1"));
 }
 
+// Guards against members that run on because the message that reports the crash of another member's
+// worker is lost. Found by system_fuzz_test, seed 1000012.
+TEST(Gang, stopsWithinTheLeaseWhenTheWorkerOfAMemberDiesAndItsStopIsLost)
+{
+    SimulatedNetwork net(3, 1);
+    net.taskDurationMs = 60000;
+    net.nodeWithoutStops = "a1";
+    net.start(makeGangStart("g1", 3, 4));
+    net.advance(1000);
+    net.nodes["a1"].workerCrashed = true;
+    net.advance(net.options.workerLeaseMs + net.options.stopBoundMs + slackMs);
+    CHECK_EQUAL(0U, net.runningMembers("g1"));
+}
+
+// Guards against members that run on because the leader, whose own worker crashed, does not reach
+// them in time. Found by system_fuzz_test, seed 63.
+TEST(Gang, stopsWithinTheBoundWhenTheWorkerOfTheLeaderDiesAndItsMessagesAreLost)
+{
+    SimulatedNetwork net(3, 1);
+    net.taskDurationMs = 60000;
+    net.advance(800); // the members renew shortly before the lease of the leader's worker lapses
+    net.start(makeGangStart("g1", 3, 4));
+    net.advance(1000);
+    net.nodes["a0"].workerCrashed = true;
+    net.advance(2150);
+    net.muteNode = "a0";
+    net.advance(net.options.gangLeaseMs + net.options.gangRenewMs + net.options.stopBoundMs
+                + slackMs - 2150);
+    CHECK_EQUAL(0U, net.runningMembers("g1"));
+}
+
+// Guards against gangs that are stopped because one renewal of a worker's lease failed.
+TEST(Gang, runsOnWhenOneRenewalOfAWorkersLeaseFails)
+{
+    SimulatedNetwork net(3, 1);
+    net.taskDurationMs = 60000;
+    net.start(makeGangStart("g1", 3, 4));
+    net.advance(1000);
+    net.nodes["a1"].everyOtherRenewalFails = true;
+    net.advance(10000);
+    CHECK_EQUAL(3U, net.runningMembers("g1"));
+}
+
 // Guards against members that run on after others stopped, under network faults, paused agents and
 // cancellation.
 TEST(Gang, membersStopWithinTheBoundWhenOthersDoNotRun)
