Keep the rest of a guaranteed block in one piece

What was seen: place_bench counted 2 late starts of 5,353 guaranteed jobs at fragmentationWeight 0.5 and 1; the target is 0.

Cause: for a job of the owner, the entry's prediction, the bench's model of an agent and the agent itself chose the position with the fewest evictions. A position in the middle of the block costs no eviction, but leaves two pieces that are too small.

Ruled out: the fair-sharing order and the reservation of data centres; both jobs were the first of their queue and no block of their organisation could hold them.

Change: the position that leaves the longest run of free or lent accelerators in the block is chosen, and of equal ones the cheapest eviction.

--- a/bench/place_bench.cc
+++ b/bench/place_bench.cc
@@ -583,10 +583,9 @@
             for (std::size_t i = 0; i < task.workers.size(); ++i)
                 evictable |= task.lent && task.workers[i] == worker ? task.masks[i] : 0;
         }
-        const auto candidates = start.guaranteed
-            ? std::vector<std::uint64_t>{free & own, (free | evictable) & own}
-            : std::vector<std::uint64_t>{free & ~own & ~others, free & ~others, free};
-        for (const auto mask : candidates) {
+        if (start.guaranteed)
+            return bestReclaimableBlock((free | evictable) & own, free, start.spec->accelerators);
+        for (const auto mask : {free & ~own & ~others, free & ~others, free}) {
             const auto block = bestBlock(mask, start.spec->accelerators);
             if (block != 0)
                 return block;
--- a/flamingo/allocation.cc
+++ b/flamingo/allocation.cc
@@ -1,5 +1,7 @@
 #include "flamingo/allocation.h"
 
+#include "flamingo/view.h"
+
 #include <algorithm>
 #include <limits>
 #include <tuple>
@@ -165,10 +167,24 @@
     std::vector<const LocalTask *> evict;
 };
 
+// The part of a guaranteed block that is free or whose tasks can be evicted.
+std::uint64_t reclaimablePart(const Agent &agent, const GuaranteedBlock &guaranteedBlock)
+{
+    auto mask = blockMask(guaranteedBlock.first, guaranteedBlock.count);
+    for (const auto &[id, task] : agent.tasks) {
+        if (!taskEvictable(task) && !taskStopping(task))
+            mask &= ~task.mask;
+    }
+    return mask;
+}
+
+// Chooses the smallest guaranteed block that can hold the request, in it the position that leaves
+// the longest run of reclaimable accelerators, so that the organisation's next job also fits, and
+// of equal ones the cheapest eviction.
 std::optional<ReclaimableBlock> bestReclaimableBlock(const Agent &agent, const Table &table,
                                                      const AllocationRequest &request, TimeMs now)
 {
-    using Score = std::pair<std::uint32_t, EvictionCost>;
+    using Score = std::tuple<std::uint32_t, int, EvictionCost>;
     std::optional<Score> bestScore;
     std::optional<ReclaimableBlock> best;
     for (const auto &guaranteedBlock : table.guaranteedBlocks) {
@@ -177,18 +193,20 @@
             || guaranteedBlock.count < request.accelerators)
             continue;
         const auto spare = guaranteedBlock.count - request.accelerators;
+        const auto reclaimable = reclaimablePart(agent, guaranteedBlock);
         for (std::uint32_t shift = 0; shift <= spare; ++shift) {
             const auto block = blockMask(guaranteedBlock.first + shift, request.accelerators);
             auto borrowingTasks = evictableTasksIn(agent, block);
             if (!borrowingTasks)
                 continue;
-            Score score{spare, {}};
+            EvictionCost total;
             for (const auto *borrowingTask : *borrowingTasks) {
                 const auto cost = evictionCost(*borrowingTask, now);
-                score.second.unrepeatable += cost.unrepeatable;
-                score.second.tasks += cost.tasks;
-                score.second.lostMs += cost.lostMs;
+                total.unrepeatable += cost.unrepeatable;
+                total.tasks += cost.tasks;
+                total.lostMs += cost.lostMs;
             }
+            const Score score{spare, -largestRun(reclaimable & ~block), total};
             if (bestScore && !(score < *bestScore))
                 continue;
             bestScore = score;
--- a/flamingo/view.cc
+++ b/flamingo/view.cc
@@ -326,16 +326,13 @@
     return noAgent;
 }
 
-// The accelerators to use in a guaranteed block of the job's own organisation: free ones if
-// possible, else with eviction of borrowing tasks. 0 when the block cannot hold the job.
+// The accelerators to use in a guaranteed block of the job's own organisation, also with eviction
+// of borrowing tasks. 0 when the block cannot hold the job.
 std::uint64_t blockOnOwnGuaranteedBlock(const AgentCapacity &capacity,
                                         std::uint64_t guaranteedBlock, const JobSpec &spec)
 {
-    const auto free = bestBlock(capacity.freeMask & guaranteedBlock, spec.accelerators);
-    if (free != 0 && fitsCoresMemoryAndSlots(capacity, spec))
-        return free;
-    return bestBlock((capacity.freeMask | capacity.evictableMask) & guaranteedBlock,
-                     spec.accelerators);
+    return bestReclaimableBlock((capacity.freeMask | capacity.evictableMask) & guaranteedBlock,
+                                capacity.freeMask, spec.accelerators);
 }
 
 const std::vector<GuaranteedCopy> *guaranteedCopiesOf(const View &view, const JobSpec &spec)
@@ -582,6 +579,25 @@
     return best;
 }
 
+std::uint64_t bestReclaimableBlock(std::uint64_t reclaimable, std::uint64_t free,
+                                   std::uint32_t count)
+{
+    std::uint64_t best = 0;
+    std::pair<int, int> bestScore;
+    for (std::uint32_t first = 0; count > 0 && first + count <= 64; ++first) {
+        const auto block = lowBits(count) << first;
+        if ((block & ~reclaimable) != 0)
+            continue;
+        const std::pair<int, int> score{-largestRun(reclaimable & ~block),
+                                        __builtin_popcountll(block & ~free)};
+        if (best != 0 && !(score < bestScore))
+            continue;
+        best = block;
+        bestScore = score;
+    }
+    return best;
+}
+
 ReportResult applyReport(View &view, const Report &report, TimeMs now)
 {
     auto id = findAgent(view, report.agent);
--- a/flamingo/view.h
+++ b/flamingo/view.h
@@ -244,6 +244,12 @@
 // `count`; 0 if there is no such run.
 std::uint64_t bestBlock(std::uint64_t mask, std::uint32_t count);
 
+// A mask of `count` adjacent bits of `reclaimable`, the part of a guaranteed block that is free or
+// lent, for a job of the block's organisation; 0 if there is no such run. It leaves the longest run
+// for the organisation's next job, and of equal ones it has the fewest bits that are not in `free`.
+std::uint64_t bestReclaimableBlock(std::uint64_t reclaimable, std::uint64_t free,
+                                   std::uint32_t count);
+
 } // namespace flamingo
 
 #endif
--- a/tests/agent_test.cc
+++ b/tests/agent_test.cc
@@ -653,6 +653,26 @@
     CHECK(outcome.reason == ReasonCode::Evicted && outcome.verdict == Verdict::NotRun);
 }
 
+// Guards against jobs of the owner that split its guaranteed block, so that its next job does not
+// fit although the rest of the block is free or lent.
+TEST(Agent, jobsOfTheOwnerLeaveTheRestOfItsGuaranteedBlockInOnePiece)
+{
+    Fixture f;
+    f.table.guaranteedBlocks = {{"owner", 0, 0, 0, "a1", 0, 8}};
+    auto lent = makeStart("lent", "borrower", 2);
+    f.message("e1", lent);
+    f.event(TaskStarted{"lent", true, {}});
+    for (const auto *id : {"own1", "own2"}) {
+        auto own = makeStart(id, "owner", 4);
+        own.guaranteed = true;
+        f.message("e1", own);
+        CHECK(f.sent<StartReply>().back().accepted);
+        f.advance(1000);
+    }
+    f.event(TaskStopped{"lent"});
+    CHECK_EQUAL(0xffU, f.commands<RunTask>()[1].mask | f.commands<RunTask>()[2].mask);
+}
+
 // Guards against accelerators that are allocated again while a stopped task may still use them.
 TEST(Agent, keepsTheAllocationOfATaskUntilTheWorkerConfirmsItsStop)
 {
--- a/tests/view_test.cc
+++ b/tests/view_test.cc
@@ -187,6 +187,11 @@
             RC_ASSERT((block != 0) == (count <= longest));
             RC_ASSERT((block & ~mask) == 0U);
             RC_ASSERT(block == 0 || largestRun(block) == count);
+            const auto reclaimable =
+                bestReclaimableBlock(mask, 0, static_cast<std::uint32_t>(count));
+            RC_ASSERT((reclaimable == 0) == (block == 0) && (reclaimable & ~mask) == 0);
+            RC_ASSERT(reclaimable == 0 || largestRun(reclaimable) == count);
+            RC_ASSERT(largestRun(mask & ~reclaimable) >= largestRun(mask & ~block));
         }
     }));
 }
