Test: count the runs of the settlements, not of evicted jobs, in region_cut and log_outage

Cause: the test looked at the runs of all jobs. The logs show that the job with three runs was one of the idempotent borrowing jobs, which was evicted for the urgent job, started again and evicted once more. Such a job may run more than once; a settlement may not.

The old check was also too weak for settlements: a second run of a key under the job id of another request would have counted as one run of each job.

--- a/tools/cluster.sh
+++ b/tools/cluster.sh
@@ -157,6 +157,11 @@
         | jq "[to_entries[] | select(.key | test(\"$1\")) | .value] | add // 0"
 }
 
+runCountWithout() { # JOB_ID...: prints the number of runs that the workers counted for all other jobs
+    curl -fsS "http://$standinAddress/runs" \
+        | jq '[to_entries[] | select(.key | IN($ARGS.positional[]) | not) | .value] | add // 0' --args "$@"
+}
+
 expectEqual() { # DESCRIPTION ACTUAL EXPECTED
     [ "$2" = "$3" ] || fail "$1: expected '$3', got '$2'"
     echo "ok: $1"
