Log the objective and the steps of a job

Operators saw in event=job_known only the sum of a job's accelerators and its longest chain. The cores that a discarded run had held, and whether a job ended within its objective, could not be told from the logs.

job_known now has objective_ms, last_due_unix_ms (0 unless the job repeats) and steps, which lists TASKS:CPU_MILLI:MEMORY_MB:ACCELERATORS:PROPERTIES for the first 20 steps. The line stays below the length at which it is cut off.

--- a/flamingo/scheduler/planner.cc
+++ b/flamingo/scheduler/planner.cc
@@ -712,6 +712,25 @@
     }
 }
 
+// The steps as TASKS:CPU_MILLI:MEMORY_MB:ACCELERATORS:PROPERTIES, separated by commas. Properties
+// are letters: g gang, c checkpointing, l long-running, - none. Only the first steps are described,
+// because the length of a log line is limited.
+std::string describeSteps(const Job &job)
+{
+    constexpr std::size_t maxDescribedSteps = 20;
+    std::string text;
+    for (std::size_t i = 0; i < std::min(job.steps.size(), maxDescribedSteps); ++i) {
+        const Step &step = job.steps[i];
+        const Resources need = allocationFor(step);
+        const std::string properties = std::string(step.gang ? "g" : "")
+            + (step.checkpointing ? "c" : "") + (step.longRunning ? "l" : "");
+        text += (i == 0 ? "" : ",") + std::to_string(step.count) + ":"
+            + std::to_string(need.cpuMilli) + ":" + std::to_string(need.memoryMb) + ":"
+            + std::to_string(need.accelerators) + ":" + (properties.empty() ? "-" : properties);
+    }
+    return text;
+}
+
 void logAcceptance(Scheduler &scheduler, JobRow &row, bool guaranteed)
 {
     if (std::exchange(row.acceptanceLogged, true))
@@ -720,6 +739,8 @@
     std::int64_t accelerators = 0;
     for (const Step &step : job.steps)
         accelerators += step.count * step.need.accelerators;
+    const TimeMs objectiveMs =
+        static_cast<TimeMs>(job.stretch * double(longestChainMs(job))) + job.targetLatencyMs;
     logDecision(
         scheduler,
         "event=job_known job=" + job.id + " queue=" + job.queue + " organisation="
@@ -728,8 +749,10 @@
             + " occurrences=" + std::to_string(occurrences(job)) + " accelerators="
             + std::to_string(accelerators) + " gang=" + (job.steps[0].gang ? "true" : "false")
             + " checkpointing=" + (job.steps[0].checkpointing ? "true" : "false")
-            + " chain_ms=" + std::to_string(longestChainMs(job))
-            + " accepted_unix_ms=" + std::to_string(job.acceptedUnixMs));
+            + " chain_ms=" + std::to_string(longestChainMs(job)) + " accepted_unix_ms="
+            + std::to_string(job.acceptedUnixMs) + " objective_ms=" + std::to_string(objectiveMs)
+            + " last_due_unix_ms=" + std::to_string(dueUnixMs(job, occurrences(job) - 1))
+            + " steps=" + describeSteps(job));
 }
 
 } // namespace
