--- a/daemons/ctl.cc
+++ b/daemons/ctl.cc
@@ -20,7 +20,11 @@
 ABSL_FLAG(bool, wait, true, "wait for the end of a job, or until an edit is in force");
 ABSL_FLAG(std::string, author, "", "author of a table edit; $USER when empty");
 ABSL_FLAG(std::string, address, "", "process to dump as IP:PORT; an entry when empty");
-ABSL_FLAG(std::vector<std::string>, log, {}, "comma-separated log files to explain a job from");
+ABSL_FLAG(std::vector<std::string>, log, {}, "comma-separated log files for explain and account");
+ABSL_FLAG(std::string, job, "", "job of which account lists the waits and runs");
+ABSL_FLAG(std::uint64_t, from_ms, 0, "begin of the period of account, Unix time; 0: of the log");
+ABSL_FLAG(std::uint64_t, to_ms, 0, "end of the period of account, Unix time; 0: of the log");
+ABSL_FLAG(std::string, plot, "", "file to which account writes an SVG image");
 
 namespace {
 
@@ -67,6 +71,10 @@
     options.author = authorOrUser(absl::GetFlag(FLAGS_author));
     options.address = absl::GetFlag(FLAGS_address);
     options.logFiles = absl::GetFlag(FLAGS_log);
+    options.job = absl::GetFlag(FLAGS_job);
+    options.fromMs = absl::GetFlag(FLAGS_from_ms);
+    options.toMs = absl::GetFlag(FLAGS_to_ms);
+    options.plotFile = absl::GetFlag(FLAGS_plot);
     const std::vector<std::string> words(positional.begin() + 1, positional.end());
     Loop loop;
     return static_cast<int>(runCtl(loop, options, words, std::cin, std::cout, std::cerr));
--- a/flamingo/adapters/ctl.cc
+++ b/flamingo/adapters/ctl.cc
@@ -6,6 +6,7 @@
 
 #include "flamingo/adapters/ctl_output.h"
 #include "flamingo/adapters/ctl_table.h"
+#include "flamingo/adapters/day_report.h"
 #include "flamingo/adapters/http_client.h"
 #include "flamingo/adapters/log_history.h"
 #include "flamingo/json_text.h"
@@ -214,6 +215,7 @@
     CtlExit jobAnswer(absl::Span<const std::string> words);
     CtlExit explain(absl::Span<const std::string> words);
     CtlExit explainFromLogs(const std::string &jobId);
+    CtlExit account(absl::Span<const std::string> words);
     CtlExit targetList(absl::Span<const std::string> words);
     CtlExit targetDrain(absl::Span<const std::string> words);
     CtlExit targetUndrain(absl::Span<const std::string> words);
@@ -692,6 +694,57 @@
                                true, false, "the explanation"});
 }
 
+CtlExit Ctl::account(absl::Span<const std::string> /*words*/)
+{
+    if (this->options.logFiles.empty()) {
+        this->err << "--log=FILE,FILE is missing" << std::endl;
+        return CtlExit::BadInput;
+    }
+    if (this->options.toMs != 0 && this->options.toMs < this->options.fromMs) {
+        this->err << "--to_ms is before --from_ms" << std::endl;
+        return CtlExit::BadInput;
+    }
+    DayLog day;
+    for (const std::string &name : this->options.logFiles) {
+        std::ifstream file(name);
+        const std::uint64_t linesBefore = day.lines;
+        if (file)
+            readDayLog(file, day);
+        if (!file.is_open() || file.bad()) {
+            this->err << "cannot read " << name << std::endl;
+            return CtlExit::BadInput;
+        }
+        if (day.lines == linesBefore) {
+            this->err << name << " has no log lines (unix_ms=... event=...)" << std::endl;
+            return CtlExit::BadInput;
+        }
+    }
+    if (day.events.empty()) {
+        this->err << "the log files have no decisions of a leader" << std::endl;
+        return CtlExit::BadInput;
+    }
+    DayPeriod period;
+    period.fromMs = this->options.fromMs;
+    period.toMs = this->options.toMs;
+    const DayAccount account = makeDayAccount(day.events, period);
+    const auto job = account.jobs.find(this->options.job);
+    if (!this->options.job.empty() && job == account.jobs.end()) {
+        this->err << "the log files have no decision about job " << this->options.job
+                  << " in this period" << std::endl;
+        return CtlExit::BadInput;
+    }
+    if (!this->options.plotFile.empty()) {
+        std::ofstream plot(this->options.plotFile);
+        plot << renderDayPlot(account) << std::flush;
+        if (!plot) {
+            this->err << "cannot write " << this->options.plotFile << std::endl;
+            return CtlExit::BadInput;
+        }
+    }
+    this->print(job == account.jobs.end() ? accountSummary(account, day) : jobSummary(job->second));
+    return CtlExit::Done;
+}
+
 // ---- Targets and state ----
 
 CtlExit Ctl::targetList(absl::Span<const std::string> /*words*/)
@@ -812,6 +865,15 @@
      "from the logs of its processes; needs no entry.",
      "flamingoctl explain j-42\n"
      "flamingoctl explain 7a54f7980f875eda --log=entry-1.log,entry-2.log,agent-1.log"},
+    {"account", 0, 0, &Ctl::account, "",
+     "Sums the waits and the discarded work of jobs on the platform by cause, from the logs of "
+     "its\n"
+     "processes; with --job, lists the waits and runs of one job. Needs no entry. --plot writes "
+     "an\n"
+     "SVG image.",
+     "flamingoctl account --log=entry-1.log,entry-2.log --plot=day.svg\n"
+     "flamingoctl account --log=day.log --job=7a54f7980f875eda\n"
+     "flamingoctl account --log=day.log --from_ms=1778042828000 --to_ms=1778042861000"},
     {"target list", 0, 0, &Ctl::targetList, "", "Prints all targets and their state.",
      "flamingoctl target list --output=json"},
     {"target drain", 1, 1, &Ctl::targetDrain, "AGENT",
--- a/flamingo/adapters/ctl.h
+++ b/flamingo/adapters/ctl.h
@@ -40,6 +40,10 @@
     std::string author; // of table edits
     std::string address; // of the process to dump; empty: an entry
     std::vector<std::string> logFiles; // of processes; `explain` reads them instead of an entry
+    std::string job; // of which `account` lists the waits and runs; empty: sums over all jobs
+    std::uint64_t fromMs = 0; // begin of the period of `account`, Unix time; 0: of the log
+    std::uint64_t toMs = 0; // end of the period of `account`, Unix time; 0: of the log
+    std::string plotFile; // to which `account` writes an SVG image; empty: none
     TimeMs readTimeoutMs = 5000;
     // Above the highest maxWaitMs of an entry, 100 s, and below the 120 s of HttpClient.
     TimeMs waitTimeoutMs = 110000;
--- a/tests/ctl_test.cc
+++ b/tests/ctl_test.cc
@@ -188,6 +188,56 @@
     std::remove(fileName);
 }
 
+TEST(Ctl, logsAreSummedWithoutAnEntry)
+{
+    const char *plotName = "ctl_test_plot.svg";
+    std::ofstream(fileName)
+        << "unix_ms=1000 process=e1 event=task_assigned task=aa11.0.0.0 run=1 worker=w epoch=1\n"
+           "unix_ms=3000 process=e1 event=run_ended task=aa11.0.0.0 run=1 how=failed epoch=1\n";
+    f.options.entries = {unusedAddress};
+    CHECK_EQUAL(1, f.run({"account"}));
+    CHECK(f.err.str().find("--log=FILE,FILE is missing") != std::string::npos);
+    f.options.logFiles = {fileName};
+    f.options.plotFile = plotName;
+    CHECK_EQUAL(0, f.run({"account"}));
+    CHECK(f.out.str().find("runs_without_end: 0") != std::string::npos);
+    CHECK(std::ifstream(plotName).good());
+    std::remove(plotName);
+    f.options.plotFile = "no-such-directory/plot.svg";
+    CHECK_EQUAL(1, f.run({"account"}));
+    f.options.plotFile.clear();
+    f.options.job = "aa11";
+    CHECK_EQUAL(0, f.run({"account"}));
+    f.options.job = "bb22";
+    CHECK_EQUAL(1, f.run({"account"}));
+    f.options.job.clear();
+    f.options.fromMs = 2000;
+    f.options.toMs = 1000;
+    CHECK_EQUAL(1, f.run({"account"}));
+    std::remove(fileName);
+}
+
+// A file without decisions must not be reported as a day without losses.
+TEST(Ctl, filesWithoutDecisionsAreReported)
+{
+    const std::pair<std::string, std::string> cases[] = {
+        {"", "has no log lines"},
+        {"# A page\n\nevent=leading is a field.\n", "has no log lines"},
+        {"unix_ms=1000 process=h1 event=start role=agent\n", "no decisions of a leader"},
+        {"unix_ms=1000 process=e1 event=job_completed epoch=1\n", "no decisions of a leader"},
+    };
+    f.options.entries = {unusedAddress};
+    f.options.logFiles = {fileName};
+    for (const auto &[text, error] : cases) {
+        std::ofstream(fileName) << text;
+        CHECK_EQUAL(1, f.run({"account"}));
+        CHECK(f.err.str().find(error) != std::string::npos);
+    }
+    std::remove(fileName);
+    CHECK_EQUAL(1, f.run({"account"}));
+    CHECK(f.err.str().find("cannot read") != std::string::npos);
+}
+
 TEST(Ctl, verdictsBecomeExitCodes)
 {
     const std::pair<HttpResponse, int> cases[] = {
