Call back sockets that timers wrote to before the loop waits

Seen: after a pause (SIGSTOP, SIGCONT) an entry, and in another run an agent, used a whole processor and answered nothing until it was killed; its jobs did not end.

Cause: a timer of the loop that starts a call writes to a pooled connection. The socket then waits in h2o's list to be called back, and h2o calls it back only after its next wait for events. When a signal ends that wait, as the continuation of a paused process does, h2o_evloop_run returns without that. The pause has made the call's own timeout due: its timer closes the socket, h2o frees it at the next run while it is still in the list, a new connection gets the same memory, and the list leads from that connection to itself. Seen in gdb: the loop visits one freshly accepted connection again and again, in the list of outgoing connections.

Ruled out: messages and the scheduler's decisions (no frame of the program above h2o), memory errors without a pause (valgrind: nothing but accesses at the end of the process), pauses without calls in progress (43 pauses of eight entries without hosts and callers: none).

Change: Loop::run() lets h2o call back these sockets before each wait, so that the list is empty when the wait is interrupted, as h2o requires. Firing the timers from a timeout of h2o would do the same, but h2o's timeouts follow the wall clock.

Test: connectionClosedByATimerAfterAnInterruptedWaitIsNotUsedAgain does not return without the change (ended after 10 s) and passes with it (three runs).

--- a/flamingo/adapters/loop.cc
+++ b/flamingo/adapters/loop.cc
@@ -130,6 +130,10 @@
 void Loop::run()
 {
     while (!this->stopped) {
+        // Calls back sockets that were written to outside of h2o's callbacks. h2o does not do that
+        // when a signal ends its wait, and frees a closed socket that still waits to be called
+        // back.
+        h2o_timeout__do_post_callback(this->loop);
         h2o_evloop_run(this->loop, this->pollTimeoutMs());
         this->fireDueTimers();
         if (reloadRequested != 0 && this->reloadCallback) {
--- a/tests/http_test.cc
+++ b/tests/http_test.cc
@@ -6,6 +6,9 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <sys/time.h>
+
+#include <csignal>
 #include <set>
 
 using namespace flamingo;
@@ -134,3 +137,48 @@
     fixture.runUntil([this] { return fixture.results.size() == 1; });
     CHECK_EQUAL(std::string("answer"), fixture.results[0].body);
 }
+
+// A signal ends h2o's wait for events without the callbacks of the sockets that timers wrote to, as
+// after a pause of the process. A timer that then closes such a socket must not leave it with h2o:
+// it used the memory of the next socket for it, and its event loop never returned.
+TEST(Http, connectionClosedByATimerAfterAnInterruptedWaitIsNotUsedAgain)
+{
+    constexpr int iterations = 20;
+    struct sigaction interrupt = {};
+    interrupt.sa_handler = [](int /*signal*/) {};
+    sigaction(SIGALRM, &interrupt, nullptr);
+    const itimerval often = {{0, 100}, {0, 100}};
+    const itimerval never = {};
+    Loop callerLoop; // not that of the server, so that its events do not end the wait
+    HttpClient caller(callerLoop);
+    HttpCall call;
+    call.address = testAddress;
+    call.keepAlive = true;
+    const auto runCaller = [&callerLoop](TimeMs durationMs) {
+        callerLoop.after(durationMs, [&callerLoop] { callerLoop.stop(); });
+        callerLoop.run();
+        callerLoop.resume();
+    };
+    for (int i = 0; i < iterations; ++i) {
+        int answered = 0;
+        call.timeoutMs = testTimeoutMs;
+        for (int sent = 0; sent < 2; ++sent)
+            caller.call(call, [&answered](const HttpResult &result) {
+                answered += result.status == 200 ? 1 : 0;
+            });
+        fixture.runUntil([this, &answered, &runCaller] {
+            for (const HttpRequest &request : std::exchange(fixture.received, {}))
+                fixture.server->respond(request.id, {200, ""});
+            runCaller(1);
+            return answered == 2;
+        });
+        call.timeoutMs = 1;
+        for (const TimeMs delayMs : {0, 3})
+            callerLoop.after(delayMs, [&caller, &call] {
+                caller.call(call, [](const HttpResult & /*result*/) {});
+            });
+        setitimer(ITIMER_REAL, &often, nullptr);
+        runCaller(10);
+        setitimer(ITIMER_REAL, &never, nullptr);
+    }
+}
