Keep h2o's state of a server as long as the loop

Cause: the destructor of HttpServer frees h2o's context, whose timeouts remain in the loop's list of all timeouts. An entry destroys its servers before its clients, and disposing of a client's timeouts writes to their neighbours in that list.

Change: the loop keeps that state until it is destroyed. Disposing of the context instead is not possible while connections are open.

Test: clientIsDestroyedAfterAServer failed before (the reused memory was overwritten).

--- a/flamingo/adapters/http_server.cc
+++ b/flamingo/adapters/http_server.cc
@@ -103,13 +103,15 @@
     : options(options)
     , handler(std::move(handler))
     , onDisconnect(std::move(onDisconnect))
+    , h2o(std::make_shared<H2oState>())
 {
-    h2o_config_init(&this->config);
-    this->config.max_request_entity_size = options.maxBodyBytes;
-    this->config.http1.req_timeout = static_cast<std::uint64_t>(options.requestTimeoutMs);
-    this->config.http2.idle_timeout = static_cast<std::uint64_t>(options.idleTimeoutMs);
+    loop.keep(this->h2o);
+    h2o_config_init(&this->h2o->config);
+    this->h2o->config.max_request_entity_size = options.maxBodyBytes;
+    this->h2o->config.http1.req_timeout = static_cast<std::uint64_t>(options.requestTimeoutMs);
+    this->h2o->config.http2.idle_timeout = static_cast<std::uint64_t>(options.idleTimeoutMs);
     h2o_hostconf_t *host =
-        h2o_config_register_host(&this->config, h2o_iovec_init(H2O_STRLIT("default")), 65535);
+        h2o_config_register_host(&this->h2o->config, h2o_iovec_init(H2O_STRLIT("default")), 65535);
     h2o_pathconf_t *path = h2o_config_register_path(host, "/", 0);
     auto *pathHandler =
         reinterpret_cast<PathHandler *>(h2o_create_handler(path, sizeof(PathHandler)));
@@ -118,9 +120,9 @@
         reinterpret_cast<PathHandler *>(self)->server->dispatch(request);
         return 0;
     };
-    h2o_context_init(&this->context, loop.handle(), &this->config);
-    this->acceptContext.ctx = &this->context;
-    this->acceptContext.hosts = this->config.hosts;
+    h2o_context_init(&this->h2o->context, loop.handle(), &this->h2o->config);
+    this->h2o->acceptContext.ctx = &this->h2o->context;
+    this->h2o->acceptContext.hosts = this->h2o->config.hosts;
 }
 
 HttpServer::~HttpServer()
@@ -157,7 +159,7 @@
     ++this->openConnections;
     socket->on_close.data = this;
     socket->on_close.cb = [](void *data) { --static_cast<HttpServer *>(data)->openConnections; };
-    h2o_accept(&this->acceptContext, socket);
+    h2o_accept(&this->h2o->acceptContext, socket);
 }
 
 void HttpServer::dispatch(h2o_req_t *request)
@@ -229,7 +231,7 @@
         h2o_socket_close(this->listener);
         this->listener = nullptr;
     }
-    h2o_context_request_shutdown(&this->context);
+    h2o_context_request_shutdown(&this->h2o->context);
 }
 
 } // namespace flamingo::adapters
--- a/flamingo/adapters/http_server.h
+++ b/flamingo/adapters/http_server.h
@@ -79,6 +79,12 @@
 private:
     struct PathHandler;
     struct RequestDisposalHook;
+    struct H2oState
+    {
+        h2o_globalconf_t config = {};
+        h2o_context_t context = {};
+        h2o_accept_ctx_t acceptContext = {};
+    };
 
     HttpServer(Loop &loop, const HttpServerOptions &options, Handler handler,
                DisconnectCallback onDisconnect);
@@ -89,9 +95,7 @@
     HttpServerOptions options;
     Handler handler;
     DisconnectCallback onDisconnect;
-    h2o_globalconf_t config = {};
-    h2o_context_t context = {};
-    h2o_accept_ctx_t acceptContext = {};
+    std::shared_ptr<H2oState> h2o; // the loop refers to it, so it lasts as long as the loop
     h2o_socket_t *listener = nullptr;
     HttpRequestId nextRequestId = 1;
     std::size_t openConnections = 0;
--- a/flamingo/adapters/loop.h
+++ b/flamingo/adapters/loop.h
@@ -12,9 +12,11 @@
 
 #include <functional>
 #include <map>
+#include <memory>
 #include <optional>
 #include <string_view>
 #include <utility>
+#include <vector>
 
 namespace flamingo::adapters {
 
@@ -49,6 +51,12 @@
     // Cancels a timer that after() started; no effect when it has fired or was cancelled.
     void cancel(TimerId timer);
 
+    // Keeps an object that h2o refers to until this loop is destroyed.
+    void keep(std::shared_ptr<void> object)
+    {
+        this->kept.push_back(std::move(object));
+    }
+
     // Calls `callback` once, after SIGTERM or SIGINT. At most one Loop of a process may use this.
     void onShutdownSignal(Callback callback);
 
@@ -71,6 +79,7 @@
     std::map<TimerId, TimeMs> dueTimeByTimer;
     Callback shutdownCallback;
     Callback reloadCallback;
+    std::vector<std::shared_ptr<void>> kept;
 };
 
 // Parses "IP:port"; nullopt with a reason unless it is an IPv4 address and a port from 1 to 65535.
--- a/tests/http_test.cc
+++ b/tests/http_test.cc
@@ -182,3 +182,19 @@
         setitimer(ITIMER_REAL, &never, nullptr);
     }
 }
+
+// The loop keeps a list of all timeouts of h2o, also those of a server that is destroyed.
+TEST(Http, clientIsDestroyedAfterAServer)
+{
+    HttpServerOptions options;
+    options.address = "127.0.0.1:18432";
+    Reason reason;
+    auto server = HttpServer::listen(fixture.loop, options, nullptr, nullptr, reason);
+    auto client = std::make_unique<HttpClient>(fixture.loop);
+    server.reset();
+    // Likely reuses the freed memory of the server, so that a write to it is noticed.
+    const std::string expected(sizeof(HttpServer), 'x');
+    const std::string other = expected; // NOLINT(performance-unnecessary-copy-initialization)
+    client.reset();
+    CHECK(other == expected);
+}
