Add a fault soak of the platform's programs as processes

tests/soak starts several flamingo-schedulerd in two regions, a flamingo-hostagentd and a worker for each host, and the store as processes on loopback, with a proxy on every link, and carries out the faults and the load that follow from a seed.

The worker knows gangs and late starts now, and ends a run whose lease lapsed while the process was paused as lapsed.

--- a/Makefile
+++ b/Makefile
@@ -2,10 +2,12 @@
 # make test      what CI runs: tests, formatter, linter
 # make bench     benchmarks, with fixed seeds
 # make fuzz SECONDS=N  randomised tests with new seeds, beyond the fixed seeds of make test
+# make soak SECONDS=N SEED=S  the platform's programs as processes, with the faults of a seed
 BUILD ?= build
 SECONDS ?= 30
+SEED ?= 1
 
-.PHONY: all deps build test unit format lint bench demo fuzz generate sanitize clean
+.PHONY: all deps build test unit format lint bench demo fuzz soak generate sanitize clean
 all: build
 
 deps:
@@ -41,6 +43,9 @@
 fuzz: build
 	tools/fuzz.sh $(BUILD) $(SECONDS)
 
+soak: build
+	$(BUILD)/soak --build=$(BUILD) --seconds=$(SECONDS) --seed=$(SEED)
+
 generate:
 	flatc --cpp --cpp-std c++17 --gen-object-api --scoped-enums -o flamingo/wire schema/messages.fbs
 
--- a/standin/keyed_store.cc
+++ b/standin/keyed_store.cc
@@ -54,12 +54,20 @@
                                                Reason &reason)
 {
     std::unique_ptr<KeyedStore> store(new KeyedStore(loop));
+    return store->listenOn(address, nullptr, reason) ? std::move(store) : nullptr;
+}
+
+bool KeyedStore::listenOn(const std::string &address, Transform transform, Reason &reason)
+{
+    Listener &listener = this->listeners.emplace_back();
+    listener.transform = std::move(transform);
     adapters::HttpServerOptions options;
     options.address = address;
-    store->server = adapters::HttpServer::listen(
-        loop, options, [self = store.get()](const HttpRequest &request) { self->handle(request); },
-        nullptr, reason);
-    return store->server == nullptr ? nullptr : std::move(store);
+    listener.server = adapters::HttpServer::listen(
+        this->loop, options,
+        [this, &listener](const HttpRequest &request) { this->handle(listener, request); }, nullptr,
+        reason);
+    return listener.server != nullptr;
 }
 
 void KeyedStore::appendUnfenced(const std::string &topic, const std::string &key,
@@ -73,33 +81,29 @@
     this->topics[topic].firstOffset = this->topics[topic].records.size();
 }
 
-void KeyedStore::respond(adapters::HttpRequestId id, int status, const std::string &body)
-{
-    this->server->respond(id, {status, body});
-}
-
-void KeyedStore::handle(const HttpRequest &request)
+void KeyedStore::handle(const Listener &listener, const HttpRequest &request)
 {
     if (this->unavailable)
-        this->respond(request.id, adapters::statusServiceUnavailable, R"({"Error":"busy"})");
+        listener.server->respond(request.id,
+                                 {adapters::statusServiceUnavailable, R"({"Error":"busy"})"});
     else if (request.path == "/api/log-append")
-        this->append(request);
+        this->append(listener, request);
     else if (request.path == "/api/log-read")
-        this->read(request, static_cast<TimeMs>(queryNumber(request, "WaitMs")));
+        this->read(listener, request, static_cast<TimeMs>(queryNumber(request, "WaitMs")));
     else if (request.path == "/api/log-newest")
-        this->listNewest(request);
+        this->listNewest(listener, request);
     else
-        this->respond(request.id, adapters::statusNotFound, "{}");
+        listener.server->respond(request.id, {adapters::statusNotFound, "{}"});
 }
 
-void KeyedStore::append(const HttpRequest &request)
+void KeyedStore::append(const Listener &listener, const HttpRequest &request)
 {
     Topic &topic = this->topics[queryParameter(request, "Topic")];
     const bool fenced = !queryParameter(request, "Producer").empty();
     const std::uint64_t epoch = queryNumber(request, "epoch");
     const std::uint64_t sequence = queryNumber(request, "Sequence");
     if (fenced && epoch < topic.epoch) {
-        this->respond(request.id, adapters::statusConflict, R"({"Reason":"fenced"})");
+        listener.server->respond(request.id, {adapters::statusConflict, R"({"Reason":"fenced"})"});
         return;
     }
     if (fenced && epoch > topic.epoch) {
@@ -108,12 +112,12 @@
     }
     const bool empty = request.body.empty();
     if (fenced && !empty && topic.lastSequence == sequence) {
-        this->respond(request.id, adapters::statusOk, topic.lastResponse);
+        listener.server->respond(request.id, {adapters::statusOk, topic.lastResponse});
         return;
     }
     if (fenced && !empty && topic.lastSequence && sequence != *topic.lastSequence + 1) {
         const Json body = {{"Reason", "seq"}, {"Sequence", *topic.lastSequence + 1}};
-        this->respond(request.id, adapters::statusConflict, body.dump());
+        listener.server->respond(request.id, {adapters::statusConflict, body.dump()});
         return;
     }
     if (fenced && !empty)
@@ -129,37 +133,42 @@
         remaining.remove_prefix(4 + size);
     }
     topic.lastResponse = Json{{"Offset", appendedAt}, {"End", topic.records.size()}}.dump();
-    this->respond(request.id, adapters::statusOk, topic.lastResponse);
+    listener.server->respond(request.id, {adapters::statusOk, topic.lastResponse});
 }
 
-void KeyedStore::read(const HttpRequest &request, TimeMs waitMs)
+void KeyedStore::read(const Listener &listener, const HttpRequest &request, TimeMs waitMs)
 {
     if (this->unavailable) {
-        this->respond(request.id, adapters::statusServiceUnavailable, R"({"Error":"busy"})");
+        listener.server->respond(request.id,
+                                 {adapters::statusServiceUnavailable, R"({"Error":"busy"})"});
         return;
     }
     const Topic &topic = this->topics[queryParameter(request, "Topic")];
     const std::uint64_t from = queryNumber(request, "From");
     if (from < topic.firstOffset) {
-        this->respond(request.id, adapters::statusGone, Json{{"First", topic.firstOffset}}.dump());
+        listener.server->respond(request.id,
+                                 {adapters::statusGone, Json{{"First", topic.firstOffset}}.dump()});
         return;
     }
     if (from >= topic.records.size() && waitMs > 0) {
-        this->loop.after(std::min(waitMs, pollIntervalMs),
-                         [this, request, waitMs] { this->read(request, waitMs - pollIntervalMs); });
+        this->loop.after(std::min(waitMs, pollIntervalMs), [this, &listener, request, waitMs] {
+            this->read(listener, request, waitMs - pollIntervalMs);
+        });
         return;
     }
     std::string body =
         encodeBigEndian(topic.records.size(), 8) + encodeBigEndian(topic.firstOffset, 8);
     for (std::uint64_t i = from; i < topic.records.size(); ++i) {
         const StoredRecord &record = topic.records[i];
-        body += encodeBigEndian(1 + record.key.size() + record.value.size(), 4)
-            + encodeBigEndian(record.key.size(), 1) + record.key + record.value;
+        const std::string value =
+            listener.transform ? listener.transform(record.value) : record.value;
+        body += encodeBigEndian(1 + record.key.size() + value.size(), 4)
+            + encodeBigEndian(record.key.size(), 1) + record.key + value;
     }
-    this->respond(request.id, adapters::statusOk, body);
+    listener.server->respond(request.id, {adapters::statusOk, body});
 }
 
-void KeyedStore::listNewest(const HttpRequest &request)
+void KeyedStore::listNewest(const Listener &listener, const HttpRequest &request)
 {
     const Topic &topic = this->topics[queryParameter(request, "Topic")];
     std::map<std::string, std::uint64_t> newestOffsets;
@@ -167,13 +176,14 @@
         newestOffsets[topic.records[i].key] = i;
     Json items = Json::array();
     for (const auto &[key, offset] : newestOffsets) {
-        const std::string &value = topic.records[offset].value;
+        const std::string &stored = topic.records[offset].value;
+        const std::string value = listener.transform ? listener.transform(stored) : stored;
         if (key > queryParameter(request, "After") && !value.empty())
             items.push_back(
                 {{"Key", key}, {"Value", absl::Base64Escape(value)}, {"Offset", offset}});
     }
     const Json body = {{"items", items}, {"HasMore", false}, {"End", topic.records.size()}};
-    this->respond(request.id, adapters::statusOk, body.dump());
+    listener.server->respond(request.id, {adapters::statusOk, body.dump()});
 }
 
 } // namespace flamingo::standin
--- a/standin/keyed_store.h
+++ b/standin/keyed_store.h
@@ -14,6 +14,8 @@
 
 #include "flamingo/adapters/http_server.h"
 
+#include <functional>
+#include <list>
 #include <map>
 #include <memory>
 #include <optional>
@@ -31,6 +33,13 @@
     KeyedStore(const KeyedStore &) = delete;
     KeyedStore &operator=(const KeyedStore &) = delete;
 
+    // Changes a value before it is returned to a reader.
+    using Transform = std::function<std::string(const std::string &value)>;
+
+    // Listens on a further address, whose readers receive the values that `transform` returns.
+    // False with a reason when the address cannot be bound.
+    bool listenOn(const std::string &address, Transform transform, Reason &reason);
+
     // Appends one record without a fence, as an operator's tool does.
     void appendUnfenced(const std::string &topic, const std::string &key, const std::string &value);
 
@@ -59,18 +68,23 @@
         std::string lastResponse; // to the last append
     };
 
+    struct Listener
+    {
+        std::unique_ptr<adapters::HttpServer> server;
+        Transform transform; // may be empty
+    };
+
     explicit KeyedStore(adapters::Loop &loop)
         : loop(loop)
     {
     }
-    void handle(const adapters::HttpRequest &request);
-    void append(const adapters::HttpRequest &request);
-    void read(const adapters::HttpRequest &request, TimeMs waitMs);
-    void listNewest(const adapters::HttpRequest &request);
-    void respond(adapters::HttpRequestId id, int status, const std::string &body);
+    void handle(const Listener &listener, const adapters::HttpRequest &request);
+    void append(const Listener &listener, const adapters::HttpRequest &request);
+    void read(const Listener &listener, const adapters::HttpRequest &request, TimeMs waitMs);
+    void listNewest(const Listener &listener, const adapters::HttpRequest &request);
 
     adapters::Loop &loop;
-    std::unique_ptr<adapters::HttpServer> server;
+    std::list<Listener> listeners;
     std::map<std::string, Topic> topics;
     bool unavailable = false;
 };
--- a/standin/platform_worker.cc
+++ b/standin/platform_worker.cc
@@ -8,6 +8,12 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <csignal>
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+#include <limits>
+#include <unistd.h>
 
 namespace flamingo::standin {
 namespace {
@@ -66,22 +72,99 @@
     call.method = "POST";
     call.target = "/api/Instances.Heartbeat/" + this->options.id;
     call.body = body.dump();
-    this->client.call(call, [](const adapters::HttpResult &) {});
+    this->client.call(call, [this, draining = this->draining](const adapters::HttpResult &result) {
+        if (!draining || this->drainAcknowledged || result.status != adapters::statusOk)
+            return;
+        this->drainAcknowledged = true;
+        if (this->options.observe)
+            this->options.observe(Loop::now(), "draining acknowledged");
+    });
+}
+
+void PlatformWorker::deregister(std::function<void()> done)
+{
+    adapters::HttpCall call;
+    call.address = this->options.agentAddress;
+    call.method = "POST";
+    call.target = "/api/Instances.Deregister/" + this->options.id;
+    this->client.call(
+        call, [done = std::move(done)](const adapters::HttpResult & /*result*/) { done(); });
+}
+
+void PlatformWorker::observe(TimeMs at, const std::string &event, const RunKey &key,
+                             const std::string &outcome) const
+{
+    if (this->options.observe)
+        this->options.observe(at,
+                              event + " " + key.first + " " + std::to_string(key.second)
+                                  + (outcome.empty() ? "" : " " + outcome));
+}
+
+// Files of a run: NUMBER.PID of each member, and "done" or "broken" after the first end.
+std::string PlatformWorker::updateGangMember(const RunKey &key, Run &run)
+{
+    namespace fs = std::filesystem;
+    const auto dot = key.first.rfind('.');
+    const fs::path folder = fs::path(this->options.gangFolder)
+        / (key.first.substr(0, dot) + "." + std::to_string(key.second));
+    std::error_code ignored; // a folder or file may exist already
+    fs::create_directories(folder, ignored);
+    const auto mark = [&folder](const std::string &name) { std::ofstream(folder / name) << '\n'; };
+    if (run.startedAt == 0) {
+        run.startedAt = Loop::now();
+        mark(key.first.substr(dot + 1) + "." + std::to_string(getpid()));
+    }
+    std::uint32_t present = 0;
+    for (const auto &file : fs::directory_iterator(folder, ignored)) {
+        const std::string pid = file.path().extension().string();
+        if (!pid.empty() && kill(std::atoi(pid.c_str() + 1), 0) == 0)
+            ++present;
+    }
+    const bool lapsed = this->clock() > this->leaseUntilMs;
+    if (fs::exists(folder / "done"))
+        return "done";
+    if (lapsed || run.stopped || fs::exists(folder / "broken")
+        || (run.whole && present < run.members)) {
+        mark("broken");
+        return lapsed ? "lapsed" : run.stopped ? "" : "broken";
+    }
+    if (!run.whole && present >= run.members) {
+        run.whole = true;
+        run.endsAt = Loop::now() + run.workMs;
+    }
+    if (run.whole && Loop::now() >= run.endsAt)
+        mark("done");
+    return !run.whole && Loop::now() > run.startedAt + this->options.gangTimeoutMs ? "alone" : "";
 }
 
 void PlatformWorker::endDueRuns()
 {
     const bool leaseLapsed = this->clock() > this->leaseUntilMs;
+    const TimeMs leaseEnd = this->startedAt + this->leaseUntilMs;
+    if (leaseLapsed && this->leaseUntilMs > this->lapsedUntilMs && this->options.observe)
+        this->options.observe(leaseEnd, "lapsed");
+    this->lapsedUntilMs = leaseLapsed ? this->leaseUntilMs : this->lapsedUntilMs;
     for (auto run = this->runs.begin(); run != this->runs.end();) {
+        std::string outcome =
+            run->second.members == 0 ? "" : this->updateGangMember(run->first, run->second);
         const bool due = Loop::now() >= run->second.endsAt;
-        if (!due && !leaseLapsed) {
+        if (!due && !leaseLapsed && outcome.empty()) {
             ++run;
             continue;
         }
-        const char *outcome = run->second.stopped ? "stopped" : due ? "done" : "lapsed";
+        // This process may have been paused past both times; the earlier one counts.
+        const bool endedBefore = due && run->second.endsAt <= leaseEnd;
+        if (outcome.empty() || (run->second.stopped && outcome != "done"))
+            outcome = leaseLapsed && !endedBefore ? "lapsed"
+                : run->second.stopped             ? "stopped"
+                                                  : "done";
         std::uint32_t &highestRefused = this->highestRefusedRunIds[run->first.first];
         highestRefused = std::max(highestRefused, run->first.second);
         this->endedRuns.push_back({++this->lastEndedNumber, run->first, outcome});
+        this->observe(outcome == "lapsed" ? std::min(leaseEnd, Loop::now())
+                          : endedBefore   ? run->second.endsAt
+                                          : Loop::now(),
+                      "end", run->first, outcome);
         run = this->runs.erase(run);
     }
 }
@@ -131,6 +214,10 @@
     this->leaseUntilMs = std::max(this->leaseUntilMs, requestedLeaseEnd);
     if (request.path == "/api/hold") {
         const auto lastSeen = call.value("LastSeen", std::uint64_t(0));
+        for (const EndedRun &endedRun : this->endedRuns) {
+            if (endedRun.number <= lastSeen)
+                this->observe(Loop::now(), "acknowledged", endedRun.key, endedRun.outcome);
+        }
         this->endedRuns.erase(std::remove_if(this->endedRuns.begin(), this->endedRuns.end(),
                                              [lastSeen](const EndedRun &endedRun) {
                                                  return endedRun.number <= lastSeen;
@@ -145,15 +232,31 @@
             refuse("old");
             return;
         }
-        const TimeMs durationMs = std::strtol(call.value("TaskSpec", "").c_str(), nullptr, 10);
-        if (this->runs.emplace(key, Run{Loop::now() + durationMs, false}).second)
+        if (this->clock() > this->leaseUntilMs) {
+            refuse("late");
+            return;
+        }
+        const std::string spec = call.value("TaskSpec", "");
+        char *rest = nullptr;
+        Run run;
+        run.workMs = std::strtol(spec.c_str(), &rest, 10);
+        run.endsAt = Loop::now() + run.workMs;
+        if (!this->options.gangFolder.empty())
+            run.members = static_cast<std::uint32_t>(std::strtoul(rest, nullptr, 10));
+        if (run.members > 0)
+            run.endsAt = std::numeric_limits<TimeMs>::max();
+        if (this->runs.emplace(key, run).second) {
             ++this->startCount;
+            this->observe(Loop::now(), "start", key);
+        }
     } else if (request.path == "/api/run-stop") {
         std::uint32_t &highestRefused = this->highestRefusedRunIds[key.first];
         highestRefused = std::max(highestRefused, key.second);
         const auto found = this->runs.find(key);
-        if (found != this->runs.end())
-            found->second = {Loop::now() + this->options.stopMs, true};
+        if (found != this->runs.end() && !found->second.stopped) {
+            found->second.endsAt = Loop::now() + this->options.stopMs;
+            found->second.stopped = true;
+        }
     } else {
         this->server->respond(request.id, {adapters::statusNotFound, "{}"});
         return;
--- a/standin/platform_worker.h
+++ b/standin/platform_worker.h
@@ -14,6 +14,7 @@
 #include "flamingo/adapters/http_client.h"
 #include "flamingo/adapters/http_server.h"
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -30,6 +31,11 @@
     std::string rack;
     TimeMs heartbeatMs = 50;
     TimeMs stopMs = 20; // from a request to stop a run until the run has ended
+    std::string gangFolder = {}; // empty: members of gangs run as single tasks
+    TimeMs gangTimeoutMs = 3000;
+    // Called with "start TASK RUN", "end TASK RUN OUTCOME", "acknowledged TASK RUN OUTCOME",
+    // "lapsed" (the lease) and "draining acknowledged", and the time when that happened.
+    std::function<void(TimeMs at, const std::string &event)> observe = {};
 };
 
 class PlatformWorker
@@ -47,6 +53,13 @@
     {
         this->draining = true;
     }
+    // Whether a heartbeat with the state "draining" was acknowledged.
+    bool drainingAcknowledged() const
+    {
+        return this->drainAcknowledged;
+    }
+    // Deregisters at the agent and calls `done` with the answer or without one.
+    void deregister(std::function<void()> done);
     // Number of runs started so far.
     std::size_t startedRuns() const
     {
@@ -64,6 +77,10 @@
     {
         TimeMs endsAt = 0;
         bool stopped = false; // a request to stop it was received
+        std::uint32_t members = 0; // of its gang; 0: not a member
+        TimeMs workMs = 0; // of a member
+        TimeMs startedAt = 0;
+        bool whole = false; // all members of the gang are present
     };
     struct EndedRun
     {
@@ -76,6 +93,10 @@
     void handle(const adapters::HttpRequest &request);
     // Lists the running and ended runs, after at most waitMs when no ended run is listed.
     void respondToHold(const adapters::HttpRequest &request, TimeMs waitMs);
+    // Notes which members of the gang are present; returns the outcome when the run ends by that.
+    std::string updateGangMember(const RunKey &key, Run &run);
+    void observe(TimeMs at, const std::string &event, const RunKey &key,
+                 const std::string &outcome = "") const;
     // Ends the runs whose time is over, and all runs when the lease has lapsed.
     void endDueRuns();
     void sendHeartbeat();
@@ -91,12 +112,14 @@
     std::uint64_t heartbeats = 0;
     std::uint64_t fencingToken = 0;
     std::int64_t leaseUntilMs = 0; // on clock()
+    std::int64_t lapsedUntilMs = 0; // value of leaseUntilMs when the lease lapsed last
     std::map<RunKey, Run> runs;
     std::map<std::string, std::uint32_t> highestRefusedRunIds; // by task
     std::vector<EndedRun> endedRuns; // not acknowledged yet
     std::uint64_t lastEndedNumber = 0;
     std::size_t startCount = 0;
     bool draining = false;
+    bool drainAcknowledged = false;
 };
 
 } // namespace flamingo::standin
