Place a task again where it failed when nothing else is left

Cause: lastFailedWorker was never removed, and all waiting tasks of a step exclude the workers of all of them. The exclusion now ends with the suspicion of the worker (5 s); a worker that fails everything is quarantined.

reservation_test taskReturnsToAWorkerWhereItFailedWhenThereIsNoOther failed before.

--- a/flamingo/scheduler/planner.cc
+++ b/flamingo/scheduler/planner.cc
@@ -160,6 +160,7 @@
     std::vector<Resources> reserved; // by worker index
     std::vector<WorkerResources> unusable; // quarantined or draining; without allocations
     std::vector<HeldReservation> held; // a part of `reserved`; urgent units that may wait hold none
+    TimeMs collectedAt = 0;
     // Worker key and run of each run in a group, by group number.
     std::vector<std::vector<std::pair<std::string, RunKey>>> groupRuns;
 };
@@ -190,6 +191,7 @@
             }
         }
         this->result.reserved.resize(this->result.workers.size());
+        this->result.collectedAt = this->now;
         // Stopping one member of a gang loses the work of all members, and the members end
         // together.
         for (WorkerResources &worker : this->result.workers) {
@@ -412,8 +414,9 @@
         demand.slownessWeight = urgentSlownessWeight;
     for (const std::size_t task : unit.tasks) {
         const auto failed = unit.row->lastFailedWorker.find(task);
-        if (failed != unit.row->lastFailedWorker.end())
-            demand.excludedWorkers.push_back(failed->second);
+        if (failed != unit.row->lastFailedWorker.end()
+            && capacity.collectedAt < failed->second.excludedUntil)
+            demand.excludedWorkers.push_back(failed->second.key);
     }
     if (step.maxPerWorker == 0)
         return demand;
--- a/flamingo/scheduler/scheduler.cc
+++ b/flamingo/scheduler/scheduler.cc
@@ -128,7 +128,7 @@
     if (worker.failedJobs.size() > 1
         || worker.consecutiveFailures >= scheduler.options.quarantineAfterFailures)
         quarantine(scheduler, worker, now);
-    row.lastFailedWorker[taskNumber] = worker.key;
+    row.lastFailedWorker[taskNumber] = {worker.key, worker.suspectUntil};
     // A gang's run counts as one failure, however many of its members report it.
     const MemberRange members = memberRange(*row.job, taskNumber);
     TaskProgress &counter = row.progress.tasks[members.first];
--- a/flamingo/scheduler/scheduler.h
+++ b/flamingo/scheduler/scheduler.h
@@ -43,6 +43,13 @@
 
 namespace flamingo::scheduler {
 
+// A worker on which a run of a task has failed.
+struct FailedWorker
+{
+    std::string key;
+    TimeMs excludedUntil = 0; // the task is not placed there before
+};
+
 // Why the waiting tasks of a step have not been placed.
 struct WaitState
 {
@@ -73,7 +80,7 @@
     bool acceptanceLogged = false; // this leader has logged event=job_known
     TimeMs endedAt = 0; // when this leader set the outcome, or took over after it was set
     TimeMs notBefore = 0; // earliest next placement; set when a run is dropped
-    std::map<std::size_t, std::string> lastFailedWorker; // key of the worker, by task number
+    std::map<std::size_t, FailedWorker> lastFailedWorker; // by task number
     // Run times of the tasks completed under this leader, by the number of their step's first task.
     // Removed when all tasks of the step are done.
     std::map<std::size_t, std::vector<TaskDuration>> durations;
@@ -114,7 +121,9 @@
     TimeMs maxStoreUnreachableMs = 2500;
     TimeMs retainMs = 300000; // ended jobs are kept this long
     TimeMs failureBackoffMs = 200; // before a task whose run was dropped is placed again
-    TimeMs suspectMs = 5000; // after a failed run, a worker is the last choice for this long
+    // After a failed run, a worker is the last choice for this long, and is not used for the failed
+    // task.
+    TimeMs suspectMs = 5000;
     // After this many failed runs in a row, or after failed runs of two jobs, a worker gets no work
     // for `quarantineMs`. Runs of one job may fail because of the job.
     std::uint32_t quarantineAfterFailures = 4;
--- a/tests/reservation_test.cc
+++ b/tests/reservation_test.cc
@@ -189,3 +189,16 @@
     cluster.advance(1000);
     CHECK_EQUAL(2, cluster.runCount("limited"));
 }
+
+// Guards against a job that waits for ever because its tasks failed on all workers there are.
+TEST(Reservation, taskReturnsToAWorkerWhereItFailedWhenThereIsNoOther)
+{
+    Cluster cluster(1);
+    Job job = cluster.rig.makeJob("job", 1, 1);
+    job.maxAttempts = 5;
+    cluster.accept(job, 1000, 1000);
+    cluster.advance(200);
+    cluster.rig.endRun("h0", "job.0.0.0", 1, EndKind::Failed);
+    cluster.advance(6000);
+    CHECK_EQUAL(1, cluster.runCount("job"));
+}
