Let work without accelerators run beside a reservation of accelerators

Cause: what is reserved on a worker can exceed what is free there, so its free accelerators are negative, and a need of 0 counted as larger than that. A kind of resource that is not needed is no longer compared. Nothing is taken of it, so no limit is exceeded.

reservation_test tasksWithoutAcceleratorsRunBesideAReservation failed before.

--- a/flamingo/scheduler/job.cc
+++ b/flamingo/scheduler/job.cc
@@ -24,8 +24,11 @@
 
 bool fits(const Resources &need, const Resources &available)
 {
-    return need.cpuMilli <= available.cpuMilli && need.memoryMb <= available.memoryMb
-        && need.accelerators <= available.accelerators;
+    const auto covers = [](std::int64_t part, std::int64_t total) {
+        return part == 0 || part <= total;
+    };
+    return covers(need.cpuMilli, available.cpuMilli) && covers(need.memoryMb, available.memoryMb)
+        && covers(need.accelerators, available.accelerators);
 }
 
 Resources &operator+=(Resources &left, const Resources &right)
--- a/flamingo/scheduler/job.h
+++ b/flamingo/scheduler/job.h
@@ -27,7 +27,8 @@
     std::int64_t accelerators = 0;
 };
 
-// True when `available` covers `need` in every kind of resource.
+// True when `available` covers `need` in every kind of resource that is needed. What is available
+// may be negative: more is reserved than is free.
 bool fits(const Resources &need, const Resources &available);
 Resources &operator+=(Resources &left, const Resources &right);
 Resources &operator-=(Resources &left, const Resources &right);
--- a/tests/reservation_test.cc
+++ b/tests/reservation_test.cc
@@ -202,3 +202,17 @@
     cluster.advance(6000);
     CHECK_EQUAL(1, cluster.runCount("job"));
 }
+
+// A reservation takes accelerators that are not free yet; work without accelerators needs none.
+TEST(Reservation, tasksWithoutAcceleratorsRunBesideAReservation)
+{
+    Cluster cluster(2);
+    cluster.accept(cluster.gang("running", 2), 30000, 30000);
+    cluster.advance(2000);
+    cluster.accept(cluster.gang("wide", 2), 30000, 30000);
+    Job plain = cluster.rig.makeJob("plain", 1, 0, 2);
+    plain.steps[0].need.cpuMilli = 1000;
+    cluster.accept(plain, 60000, 60000);
+    cluster.advance(500);
+    CHECK_EQUAL(1, cluster.runCount("plain"));
+}
