Bound the use of reserved capacity by what it delays and what stays idle

longGangDoesNotWaitForAReservationThatIsOverdue: a gang of 2 tasks of 20 s waited without limit beside 7 idle workers, because the limit on what it may delay the holder is the holder's own work (8 tasks of 2 s). What the reserved capacity could have done since the holder was expected to fit is now added to that limit.

longRunningTasksDoNotTakeReservedCapacity: tasks that never end have no estimate, so they counted as ending in time and took what a gang waited for. They no longer use reserved capacity.

workThatHasWaitedDoesNotTakeWhatUrgentWorkReserves: urgent work that can neither wait nor reclaim reserves as well, and lower priorities took it and were stopped again. Reservations of urgent work are not used by others.

Also: a unit off its preferred rack counts with its longer run time; the state of a wait is removed when all its tasks are placed, instead of in each plan that leaves the job out (200 ms after a dropped run); workers are copied only when a reservation may be used.

--- a/flamingo/scheduler/planner.cc
+++ b/flamingo/scheduler/planner.cc
@@ -16,10 +16,9 @@
 //     that, small tasks would fill each gap and a large gang would never start;
 //   * all other units wait.
 //
-// Capacity that is free but reserved is used by units that are estimated to end before the
-// reservation is complete, and by units that have waited for `maxHeldBackMs`. The latter delay the
-// holder of the reservation by at most its own amount of work, and not if it then misses an
-// objective that it would meet.
+// Capacity that is free but reserved for a unit that is not urgent is used by units that are
+// estimated to end before the reservation is complete, and by units that have waited for
+// `maxHeldBackMs`. The latter delay the holder of the reservation, within limits (see mayDelay()).
 //
 // A unit waits for a preferred rack as long as its tasks would lose on another one, then it is
 // placed on any rack.
@@ -88,6 +87,7 @@
     std::uint32_t priority = 0;
     bool guaranteed = false;
     bool anyRack = false; // preferred racks are ignored
+    TimeMs estimateMs = 0; // of the run time of one task
     TimeMs reclaimTimeoutMs = 0; // urgent work may wait this long before it reclaims
     Lateness lateness = Lateness::InTime;
     std::int64_t latestStart = 0; // to meet the objective; Unix time in ms
@@ -159,7 +159,7 @@
     std::vector<WorkerResources> workers; // free capacity less reservations
     std::vector<Resources> reserved; // by worker index
     std::vector<WorkerResources> unusable; // quarantined or draining; without allocations
-    std::vector<HeldReservation> held; // a part of `reserved`; urgent units that may wait hold none
+    std::vector<HeldReservation> held; // the part of `reserved` that urgent units do not hold
     TimeMs collectedAt = 0;
     // Worker key and run of each run in a group, by group number.
     std::vector<std::vector<std::pair<std::string, RunKey>>> groupRuns;
@@ -377,6 +377,7 @@
             unit.step = step;
             unit.priority = job.priority;
             unit.guaranteed = guaranteed;
+            unit.estimateMs = job.steps[step].estimateMs;
             unit.reclaimTimeoutMs = reclaimTimeoutMs(scheduler, job, unit, begin, unixNow);
             unit.latestStart = deadline - job.steps[step].estimateMs;
             unit.slackMs = unit.latestStart - static_cast<std::int64_t>(unixNow);
@@ -432,6 +433,11 @@
     return demand;
 }
 
+std::size_t firstTaskNumber(const PlacementUnit &unit)
+{
+    return *taskNumber(*unit.row->job, {unit.occurrence, unit.step, 0});
+}
+
 void assignTasks(Scheduler &scheduler, const PlacementUnit &unit, const Placement &placement,
                  ServiceCapacity &capacity, TimeMs now)
 {
@@ -463,6 +469,8 @@
         scheduler.workers.at(worker.key).runs[{name, task.run}] = run;
     }
     row.dirty = true;
+    if (placement.size() == unit.tasks.size())
+        row.waits.erase(firstTaskNumber(unit));
 }
 
 void reserveCapacity(const Placement &placement, const Resources &need, ServiceCapacity &capacity)
@@ -491,7 +499,7 @@
 double workOf(const PlacementUnit &unit)
 {
     const Step &step = unit.row->job->steps[unit.step];
-    return equivalentCores(step.need) * double(unit.tasks.size()) * double(step.estimateMs) / 1000;
+    return equivalentCores(step.need) * double(unit.tasks.size()) * double(unit.estimateMs) / 1000;
 }
 
 double maxReclaimCost(const PlacementUnit &unit)
@@ -540,11 +548,6 @@
     return true;
 }
 
-std::size_t firstTaskNumber(const PlacementUnit &unit)
-{
-    return *taskNumber(*unit.row->job, {unit.occurrence, unit.step, 0});
-}
-
 void logWait(Scheduler &scheduler, const PlacementUnit &unit, const WaitState &wait,
              const Reservation &reservation, const WaitPlaces &places, TimeMs now)
 {
@@ -573,18 +576,12 @@
     logDecision(scheduler, std::move(line));
 }
 
-// Returns the state of the unit's wait. Waiting begins with the first plan that does not place it.
-WaitState &waitOf(const Scheduler &scheduler, const PlacementUnit &unit, TimeMs now)
+WaitState &waitOf(const PlacementUnit &unit, TimeMs now)
 {
-    WaitState &wait = unit.row->waits[firstTaskNumber(unit)];
-    const bool continued = wait.plan != 0 && wait.plan + 1 >= scheduler.plans;
-    if (!continued) {
-        wait = {};
-        wait.since = now;
-        wait.checkedAt = now;
-    }
-    wait.plan = scheduler.plans;
-    return wait;
+    const auto [found, added] = unit.row->waits.try_emplace(firstTaskNumber(unit));
+    if (added)
+        found->second.since = found->second.checkedAt = now;
+    return found->second;
 }
 
 // Logs why a unit, or the rest of one, has not been placed when the cause has changed. The cause is
@@ -593,7 +590,7 @@
                 const ServiceCapacity &capacity, const Reservation &reservation, bool reserving,
                 TimeMs now)
 {
-    WaitState &wait = waitOf(scheduler, unit, now);
+    WaitState &wait = waitOf(unit, now);
     if (now - wait.checkedAt < scheduler.options.waitCheckMs)
         return;
     wait.checkedAt = now;
@@ -609,36 +606,46 @@
             countWaitPlaces(demand, unreserved, capacity.workers, capacity.unusable), now);
 }
 
+bool endsByItself(const PlacementUnit &unit)
+{
+    return !unit.row->job->steps[unit.step].longRunning;
+}
+
 // True when the unit is estimated to end before the holder of the reservation is expected to fit.
-bool endsBefore(const PlacementUnit &unit, const WaitState &holder, TimeMs now)
+bool endsBefore(const PlacementUnit &unit, const HeldReservation &held, TimeMs now)
 {
-    return now + unit.row->job->steps[unit.step].estimateMs <= *holder.expectedAt;
+    return endsByItself(unit) && now + unit.estimateMs <= *held.holder->expectedAt;
 }
 
 // Reserves capacity for a unit that does not fit, or the rest of one. The time when it is expected
 // to fit only decreases: with each run that is placed on the reserved capacity the reservation
 // would move back, and short runs could take it for ever.
-void holdReservation(const Scheduler &scheduler, const PlacementUnit &unit,
-                     const Reservation &reservation, const Resources &need,
-                     ServiceCapacity &capacity, TimeMs now)
+void holdReservation(const PlacementUnit &unit, const Reservation &reservation,
+                     const Resources &need, ServiceCapacity &capacity, TimeMs now)
 {
-    WaitState &wait = waitOf(scheduler, unit, now);
+    reserveCapacity(reservation.placement, need, capacity);
+    if (unit.priority == 0)
+        return;
+    WaitState &wait = waitOf(unit, now);
     const TimeMs expectedAt = now + reservation.freeInMs;
     wait.expectedAt = std::min(wait.expectedAt.value_or(expectedAt), expectedAt);
-    reserveCapacity(reservation.placement, need, capacity);
-    const bool inTime = unit.slackMs >= reservation.freeInMs;
-    capacity.held.push_back(
-        {reservation.placement, need, &wait, workOf(unit), inTime ? unit.slackMs : 0});
+    const TimeMs spareMs = unit.slackMs >= reservation.freeInMs ? unit.slackMs : 0;
+    capacity.held.push_back({reservation.placement, need, &wait, workOf(unit), spareMs});
 }
 
-// True when the unit may be placed on capacity that is reserved for the holder and delay it: the
-// holder still meets its objective or misses it in any case, and has not been delayed by more than
-// its own amount of work.
-bool mayDelay(const PlacementUnit &unit, const HeldReservation &held)
+// True when the unit may be placed on capacity that is reserved for the holder and delay it by its
+// work. The holder still meets its objective or misses it in any case. In all it is delayed by at
+// most its own amount of work, and by what the reserved capacity could have done since the holder
+// was expected to fit: an expectation that was wrong does not keep the capacity idle.
+bool mayDelay(const PlacementUnit &unit, const HeldReservation &held, TimeMs now)
 {
-    const TimeMs estimateMs = unit.row->job->steps[unit.step].estimateMs;
-    return (held.spareMs == 0 || estimateMs <= held.spareMs)
-        && held.holder->delayingWork + workOf(unit) <= held.holderWork;
+    if (!endsByItself(unit))
+        return false;
+    const TimeMs overdueMs = std::max<TimeMs>(0, now - *held.holder->expectedAt);
+    const double idleWork =
+        equivalentCores(held.need) * double(held.placement.size()) * double(overdueMs) / 1000;
+    const bool meetsObjective = held.spareMs == 0 || unit.estimateMs <= held.spareMs;
+    return meetsObjective && held.holder->delayingWork + workOf(unit) <= held.holderWork + idleWork;
 }
 
 bool overlaps(const Placement &a, const Placement &b)
@@ -653,23 +660,24 @@
 Placement placeOnReservedCapacity(Scheduler &scheduler, const PlacementUnit &unit,
                                   ServiceCapacity &capacity, TimeMs now)
 {
-    const bool heldBack =
-        now - waitOf(scheduler, unit, now).since >= scheduler.options.maxHeldBackMs;
-    std::vector<WorkerResources> workers = capacity.workers;
+    const bool heldBack = now - waitOf(unit, now).since >= scheduler.options.maxHeldBackMs;
+    std::vector<HeldReservation *> usable;
     std::vector<HeldReservation *> delayed;
-    bool anyUsable = false;
     for (HeldReservation &held : capacity.held) {
-        const bool harmless = endsBefore(unit, *held.holder, now);
-        if (!harmless && !(heldBack && mayDelay(unit, held)))
+        const bool harmless = endsBefore(unit, held, now);
+        if (!harmless && !(heldBack && mayDelay(unit, held, now)))
             continue;
-        anyUsable = true;
+        usable.push_back(&held);
         if (!harmless)
             delayed.push_back(&held);
-        for (const std::size_t worker : held.placement)
-            workers[worker].freeCapacity += held.need;
     }
-    if (!anyUsable)
+    if (usable.empty())
         return {};
+    std::vector<WorkerResources> workers = capacity.workers;
+    for (const HeldReservation *held : usable) {
+        for (const std::size_t worker : held->placement)
+            workers[worker].freeCapacity += held->need;
+    }
     Placement placement = findPlacement(demandOf(unit, capacity), workers);
     if (placement.empty())
         return {};
@@ -694,9 +702,8 @@
 {
     if (!prefersRack(unit))
         return false;
-    const TimeMs estimateMs = unit.row->job->steps[unit.step].estimateMs;
-    const double lossMs = (scheduler.options.offRackFactor - 1) * double(estimateMs);
-    return double(now - waitOf(scheduler, unit, now).since) >= lossMs;
+    const double lossMs = (scheduler.options.offRackFactor - 1) * double(unit.estimateMs);
+    return double(now - waitOf(unit, now).since) >= lossMs;
 }
 
 void placeUnit(Scheduler &scheduler, PlacementUnit unit, ServiceCapacity &capacity,
@@ -706,6 +713,8 @@
     Placement placement = findPlacement(demand, capacity.workers);
     if (placement.empty() && hasWaitedForRack(scheduler, unit, now)) {
         unit.anyRack = true;
+        unit.estimateMs =
+            static_cast<TimeMs>(scheduler.options.offRackFactor * double(unit.estimateMs));
         demand = demandOf(unit, capacity);
         placement = findPlacement(demand, capacity.workers);
     }
@@ -738,7 +747,7 @@
     const bool reserving = reservations < maxReservations && !reservation.placement.empty();
     if (reserving) {
         ++reservations;
-        holdReservation(scheduler, rest, reservation, remaining.need, capacity, now);
+        holdReservation(rest, reservation, remaining.need, capacity, now);
     }
     waits(reserving);
 }
@@ -913,7 +922,6 @@
 
 void plan(Scheduler &scheduler, TimeMs now, std::uint64_t unixNow)
 {
-    ++scheduler.plans;
     dropLapsedWorkers(scheduler, now);
     releaseOrphanedTasks(scheduler, now);
     applyCancellations(scheduler, now);
--- a/flamingo/scheduler/scheduler.h
+++ b/flamingo/scheduler/scheduler.h
@@ -50,7 +50,8 @@
     TimeMs excludedUntil = 0; // the task is not placed there before
 };
 
-// Why the waiting tasks of a step have not been placed.
+// How long and why the waiting tasks of a step have not been placed. It begins with the first plan
+// that does not place them all, and is removed by the one that does.
 struct WaitState
 {
     TimeMs since = 0; // when a plan first failed to place them
@@ -62,7 +63,6 @@
     std::optional<TimeMs> expectedAt;
     // Core-seconds of other work that was placed on capacity reserved for them and delays them.
     double delayingWork = 0;
-    std::uint64_t plan = 0; // the last plan that did not place them
 };
 
 // A job's row in the job table.
@@ -199,7 +199,6 @@
     std::uint64_t issuedTokens = 0; // number of fencing tokens issued in this epoch
     std::uint64_t flush = 1; // number of the flush that will store changes made now
     std::uint64_t storedFlush = 0; // all flushes up to this number are stored
-    std::uint64_t plans = 0; // number of plans under this leader
     std::vector<std::string> decisions; // log lines; cleared by the caller
 };
 
--- a/tests/reservation_test.cc
+++ b/tests/reservation_test.cc
@@ -190,6 +190,61 @@
     CHECK_EQUAL(2, cluster.runCount("limited"));
 }
 
+// Guards against accepted work that is not started although it fits three times over: what it may
+// delay the holder of a reservation is less than its own work.
+TEST(Reservation, longGangDoesNotWaitForAReservationThatIsOverdue)
+{
+    Cluster cluster(12);
+    cluster.accept(cluster.gang("running", 5), 5000, 100000);
+    cluster.advance(1000);
+    cluster.accept(cluster.gang("wide", 8), 2000, 2000);
+    Job small = cluster.gang("small", 2);
+    small.priority = 2;
+    cluster.accept(small, 20000, 20000);
+    cluster.advance(10000);
+    CHECK_EQUAL(5, cluster.runCount("running"));
+    CHECK_EQUAL(2, cluster.runCount("small"));
+}
+
+// Guards against a gang that never starts because tasks that never end take what it reserves.
+TEST(Reservation, longRunningTasksDoNotTakeReservedCapacity)
+{
+    Cluster cluster(4);
+    cluster.accept(cluster.gang("running", 2), 6000, 6000);
+    cluster.advance(1000);
+    cluster.accept(cluster.gang("wide", 4), 5000, 5000);
+    Job service = cluster.rig.makeJob("service", 2, 8, 2);
+    service.steps[0].longRunning = true;
+    cluster.accept(service, 200, 1000000);
+    cluster.advance(6000);
+    CHECK_EQUAL(4, cluster.runCount("wide"));
+}
+
+// Guards against lower priorities that take capacity which a guaranteed gang waits for: it would
+// have to stop them again.
+TEST(Reservation, workThatHasWaitedDoesNotTakeWhatUrgentWorkReserves)
+{
+    Cluster cluster(4);
+    cluster.rig.scheduler.guarantees["guaranteed"] = 32;
+    for (const char *id : {"urgent1", "urgent2"}) {
+        Job urgent = cluster.gang(id, 2);
+        urgent.priority = 0;
+        cluster.accept(urgent, 5000, id == std::string("urgent1") ? 9000 : 5000);
+    }
+    cluster.advance(500);
+    cluster.accept(cluster.gang("waiting", 2), 5000, 5000);
+    cluster.advance(2500);
+    Job guaranteed = cluster.gang("guaranteed", 4);
+    guaranteed.priority = 0;
+    guaranteed.organisation = "guaranteed";
+    cluster.accept(guaranteed, 5000, 5000);
+    cluster.advance(5000);
+    CHECK_EQUAL(0, cluster.runCount("waiting"));
+    CHECK_EQUAL(2, cluster.runCount("urgent1"));
+    cluster.advance(2000);
+    CHECK_EQUAL(4, cluster.runCount("guaranteed"));
+}
+
 // Guards against a job that waits for ever because its tasks failed on all workers there are.
 TEST(Reservation, taskReturnsToAWorkerWhereItFailedWhenThereIsNoOther)
 {
