Do not repeat reads of a slow log for a campaign

All entries campaigned from 15.5 to 17.4 s, and nobody led from 15.7 to 17.6 s. The first candidate's record was in the log at 15.58 s at the latest, but entries that campaigned at 15.83 s had not read it. The cause of these late reads was not shown. A read that is replaced while its answer is on its way asks a slow store for the same records twice, so such reads are no longer replaced.

Test: SchedulerService.slowLogIsNotReadTwiceForACampaign, fails without the change.

--- a/flamingo/adapters/scheduler_service.cc
+++ b/flamingo/adapters/scheduler_service.cc
@@ -133,10 +133,11 @@
         });
 }
 
-// Reads again from the same offset and ignores the answer to the outstanding read.
+// Reads again from the same offset and ignores the answer to the outstanding read. Not while the
+// log is slow: the answer is then probably on its way, and repeated reads would add to its load.
 void SchedulerService::restartReading()
 {
-    if (!this->logLoaded)
+    if (!this->logLoaded || this->logIsSlow())
         return;
     ++this->loadGeneration;
     this->readNextRecords(0);
@@ -324,18 +325,25 @@
     evaluateUnreachableReports(this->leadership, leader.epoch, leader.hosts, now);
     const bool campaignDue = this->role == Role::Following && this->logLoaded && !this->resigning
         && shouldCampaign(this->leadership, now);
+    const bool confirmed =
+        this->campaignReadAt != 0 && this->logConfirmedAt >= this->campaignReadAt;
     if (!campaignDue) {
         this->campaignReadAt = 0;
+    } else if (confirmed || this->logIsSlow()) {
+        this->campaignReadAt = 0;
+        this->campaign();
     } else if (this->campaignReadAt == 0) {
         // The outstanding read may wait on although the log has records of a leader.
         this->campaignReadAt = now;
         this->restartReading();
-    } else if (this->logConfirmedAt >= this->campaignReadAt) {
-        this->campaignReadAt = 0;
-        this->campaign();
     }
 }
 
+bool SchedulerService::logIsSlow() const
+{
+    return this->leadership.slowestAnswerMs > this->options.fastAnswerMs;
+}
+
 // Answers all waiting reports once when the leader has lost contact to the log. Each answer carries
 // the time since the last contact, which makes the agents look for a successor.
 void SchedulerService::notifyStaleLog(TimeMs now)
--- a/flamingo/adapters/scheduler_service.h
+++ b/flamingo/adapters/scheduler_service.h
@@ -34,6 +34,7 @@
     // Long poll: an idle read of the log returns after this long, which bounds the time until an
     // unreachable log is detected.
     TimeMs readWaitMs = 600;
+    TimeMs fastAnswerMs = 200; // a log whose slowest recent answer took longer counts as slow
     // A leader without contact to the log this long answers all waiting reports at once, because
     // the agents then look for a successor.
     TimeMs staleLogMs = 900;
@@ -180,6 +181,7 @@
     void readNextRecords();
     void readNextRecords(TimeMs waitMs);
     void restartReading();
+    bool logIsSlow() const;
     void handleReadResult(const scheduler::ReadResult &result, TimeMs confirmedAt);
     void applyStored(const scheduler::StoredRecord &stored);
     void completeReadBack(const scheduler::StoredRecord &stored);
--- a/tests/fake_job_log.h
+++ b/tests/fake_job_log.h
@@ -43,6 +43,8 @@
     TimeMs timeoutMs = 300; // until an unanswered call fails
     std::size_t maxRecordsPerRead = std::numeric_limits<std::size_t>::max();
     int appends = 0; // number of append calls
+    int outstandingReads = 0;
+    int maxOutstandingReads = 0;
 
     void append(absl::Span<const scheduler::Record> records,
                 std::function<void(scheduler::AppendResult)> done) override
@@ -70,24 +72,12 @@
     void read(std::uint64_t from, TimeMs waitMs,
               std::function<void(scheduler::ReadResult)> done) override
     {
-        const bool empty = from >= this->end() && !this->unresponsive && !this->rejectsCalls;
-        if (empty && waitMs > 0) {
-            const TimeMs step = this->waitsInFull ? waitMs : std::min<TimeMs>(waitMs, 5);
-            this->loop.after(step, [this, from, waitMs, step, done = std::move(done)] {
-                this->read(from, waitMs - step, done);
-            });
-            return;
-        }
-        this->respond(std::move(done), [this, from](scheduler::ReadResult &result) {
-            result.answered = true;
-            result.end = this->end();
-            result.deleted = from < this->state.firstKept;
-            const std::uint64_t last = this->end() - from > this->maxRecordsPerRead
-                ? from + this->maxRecordsPerRead
-                : this->end();
-            for (std::uint64_t i = from; i < last && !result.deleted; ++i)
-                result.records.push_back(this->state.records[i]);
-        });
+        this->maxOutstandingReads = std::max(this->maxOutstandingReads, ++this->outstandingReads);
+        this->answerRead(from, waitMs,
+                         [this, done = std::move(done)](const scheduler::ReadResult &result) {
+                             --this->outstandingReads;
+                             done(result);
+                         });
     }
 
     void newest(std::string_view afterKey,
@@ -108,6 +98,29 @@
     }
 
 private:
+    void answerRead(std::uint64_t from, TimeMs waitMs,
+                    std::function<void(scheduler::ReadResult)> done)
+    {
+        const bool empty = from >= this->end() && !this->unresponsive && !this->rejectsCalls;
+        if (empty && waitMs > 0) {
+            const TimeMs step = this->waitsInFull ? waitMs : std::min<TimeMs>(waitMs, 5);
+            this->loop.after(step, [this, from, waitMs, step, done = std::move(done)] {
+                this->answerRead(from, waitMs - step, done);
+            });
+            return;
+        }
+        this->respond(std::move(done), [this, from](scheduler::ReadResult &result) {
+            result.answered = true;
+            result.end = this->end();
+            result.deleted = from < this->state.firstKept;
+            const std::uint64_t last = this->end() - from > this->maxRecordsPerRead
+                ? from + this->maxRecordsPerRead
+                : this->end();
+            for (std::uint64_t i = from; i < last && !result.deleted; ++i)
+                result.records.push_back(this->state.records[i]);
+        });
+    }
+
     static std::vector<scheduler::Record> copyRecords(absl::Span<const scheduler::Record> records)
     {
         return {records.begin(), records.end()};
--- a/tests/scheduler_service_test.cc
+++ b/tests/scheduler_service_test.cc
@@ -48,6 +48,7 @@
         options.incarnation = this->entries.size() + 1;
         options.seed = seed;
         options.readWaitMs = readWaitMs;
+        options.fastAnswerMs = 50;
         options.leadership.keepAliveMs = 50;
         options.leadership.leaderTimeoutMs = 300;
         options.leadership.firstLeaderTimeoutMs = 50;
@@ -211,6 +212,23 @@
     CHECK(leader.service.leading());
 }
 
+// An answer of a slow log is on its way for long. Guards against reads that are repeated meanwhile
+// and add to its load.
+TEST(SchedulerService, slowLogIsNotReadTwiceForACampaign)
+{
+    Entry &leader = fixture.startEntry();
+    fixture.waitUntil([&leader] { return leader.service.leading(); });
+    Entry &follower = fixture.add("b", 2);
+    follower.log.delayMs = 80;
+    follower.service.start();
+    fixture.runFor(1000);
+    leader.log.unresponsive = true;
+    follower.log.maxOutstandingReads = follower.log.outstandingReads;
+    const int before = follower.log.appends;
+    fixture.waitUntil([&] { return follower.log.appends > before; });
+    CHECK_EQUAL(1, follower.log.maxOutstandingReads);
+}
+
 TEST(SchedulerService, resignedLeaderIsReplacedAtOnce)
 {
     fixture.add("a", 1);
