--- a/tests/soak/soak.cc
+++ b/tests/soak/soak.cc
@@ -671,7 +671,8 @@
 {
     bool done = true;
     std::vector<std::string> names;
-    names.reserve(static_cast<std::size_t>(soak.options.entries + soak.options.hosts * 2));
+    const int processCount = soak.options.entries + 2 * soak.options.hosts;
+    names.reserve(static_cast<std::size_t>(processCount));
     for (int i = 0; i < soak.options.entries; ++i)
         names.push_back(absl::StrCat("e", i));
     for (int i = 0; i < soak.options.hosts; ++i)
