--- a/tests/soak_checks_test.cc
+++ b/tests/soak_checks_test.cc
@@ -125,6 +125,14 @@
     CHECK(fixture.finds("failed without a cause"));
 }
 
+TEST(SoakChecks, completionAfterACancellationIsFound)
+{
+    fixture.goodHistory();
+    fixture.answer(300, "GET", 200, "cancelled", "e1");
+    CHECK(fixture.finds("completed after cancelled"));
+    CHECK(!fixture.finds("job ended twice"));
+}
+
 TEST(SoakChecks, completionBeforeTheLastEndIsFound)
 {
     fixture.submit();
