Wait for a preferred rack for two seconds at least

A step without an estimate, such as one that runs until it is cancelled, would have left its preferred rack at the first plan that does not place it. Seen while reading the change; no run showed it.

--- a/flamingo/scheduler/planner.cc
+++ b/flamingo/scheduler/planner.cc
@@ -576,6 +576,7 @@
     logDecision(scheduler, std::move(line));
 }
 
+// Returns the state of the unit's wait, which begins now if there is none.
 WaitState &waitOf(const PlacementUnit &unit, TimeMs now)
 {
     const auto [found, added] = unit.row->waits.try_emplace(firstTaskNumber(unit));
@@ -697,13 +698,15 @@
     return rest;
 }
 
-// True when the unit has waited for its preferred rack for as long as its tasks lose on another.
+// True when the unit has waited for its preferred rack for as long as its tasks lose on another,
+// and not only for a moment.
 bool hasWaitedForRack(const Scheduler &scheduler, const PlacementUnit &unit, TimeMs now)
 {
     if (!prefersRack(unit))
         return false;
-    const double lossMs = (scheduler.options.offRackFactor - 1) * double(unit.estimateMs);
-    return double(now - waitOf(unit, now).since) >= lossMs;
+    const auto lossMs =
+        static_cast<TimeMs>((scheduler.options.offRackFactor - 1) * double(unit.estimateMs));
+    return now - waitOf(unit, now).since >= std::max(lossMs, scheduler.options.minRackWaitMs);
 }
 
 void placeUnit(Scheduler &scheduler, PlacementUnit unit, ServiceCapacity &capacity,
--- a/flamingo/scheduler/scheduler.h
+++ b/flamingo/scheduler/scheduler.h
@@ -130,6 +130,8 @@
     TimeMs quarantineMs = 8000;
     // Run time off the preferred rack, as a multiple of the usual one.
     double offRackFactor = 3;
+    // Tasks wait for a preferred rack at least this long, also without an estimate.
+    TimeMs minRackWaitMs = 2000;
     // Tasks that have waited for this long may be placed on capacity that is reserved for others.
     TimeMs maxHeldBackMs = 2000;
     // The cause of a wait is searched for and logged after this time, and again after each such
