--- a/flamingo/adapters/agent_service.h
+++ b/flamingo/adapters/agent_service.h
@@ -50,7 +50,7 @@
     std::unique_ptr<LogClient> log;
     std::unique_ptr<WorkerClient> worker;
     Metrics metrics;
-    LogRateLimiter runLogLimiter{100}; // lines a second
+    LogRateLimiter runLogLimiter{100, 100};
     bool stopping = false;
 };
 
--- a/flamingo/adapters/decision_log.h
+++ b/flamingo/adapters/decision_log.h
@@ -3,7 +3,8 @@
 
 // Structured log of decisions on standard output: one line of key=value pairs each.
 //
-// A process writes at most `linesPerSecond` lines a second and never blocks on standard output.
+// A process writes at most `linesPerSecond` lines a second, after a quiet time up to ten times as
+// many at once, and never blocks on standard output.
 // Other lines are dropped, and the next line that is written gives their number in two fields:
 // left_out_before counts the lines above the rate limit, left_out_blocked those for which the
 // output was not writable. The first count is lost if the line that contains it cannot be written.
@@ -20,7 +21,7 @@
 public:
     DecisionLog(std::string process, std::uint32_t linesPerSecond)
         : process(std::move(process))
-        , rateLimiter(linesPerSecond)
+        , rateLimiter(linesPerSecond, 10 * linesPerSecond)
     {
     }
 
--- a/flamingo/adapters/entry_service.h
+++ b/flamingo/adapters/entry_service.h
@@ -61,7 +61,7 @@
     std::unique_ptr<Peers> peers;
     std::unique_ptr<LogClient> log;
     Metrics metrics;
-    LogRateLimiter replyLogLimiter{100}; // lines a second
+    LogRateLimiter replyLogLimiter{100, 100};
     bool stopping = false;
     std::uint64_t nextJobNumber = 1; // last part of the next job id
 
--- a/flamingo/adapters/log_rate_limiter.h
+++ b/flamingo/adapters/log_rate_limiter.h
@@ -1,11 +1,13 @@
 #ifndef FLAMINGO_ADAPTERS_LOG_RATE_LIMITER_H
 #define FLAMINGO_ADAPTERS_LOG_RATE_LIMITER_H
 
-// Limits how many log lines of one kind are written each second, so that a burst of requests does
-// not flood the log. The next line that is written gives the number of lines suppressed before it.
+// Limits how many log lines of one kind are written each second, so that a flood of requests does
+// not flood the log. Lines that were saved up allow a burst, such as that of a new leader. The next
+// line that is written gives the number of lines suppressed before it.
 
 #include "flamingo/types.h"
 
+#include <algorithm>
 #include <string>
 
 namespace flamingo::adapters {
@@ -13,8 +15,11 @@
 class LogRateLimiter
 {
 public:
-    explicit LogRateLimiter(std::uint32_t linesPerSecond)
+    // `burst`: lines that may be written at once after a quiet time.
+    LogRateLimiter(std::uint32_t linesPerSecond, std::uint32_t burst)
         : linesPerSecond(linesPerSecond)
+        , burst(burst)
+        , allowance(burst)
     {
     }
 
@@ -22,16 +27,14 @@
     // suppressed.
     bool allowLine(TimeMs now)
     {
-        constexpr TimeMs windowMs = 1000;
-        if (now - this->windowStart >= windowMs) {
-            this->windowStart = now;
-            this->writtenInWindow = 0;
-        }
-        if (this->writtenInWindow >= this->linesPerSecond) {
+        const double saved = double(now - this->refilledAt) / 1000 * this->linesPerSecond;
+        this->allowance = std::min<double>(this->burst, this->allowance + saved);
+        this->refilledAt = now;
+        if (this->allowance < 1) {
             ++this->suppressedLines;
             return false;
         }
-        ++this->writtenInWindow;
+        this->allowance -= 1;
         return true;
     }
 
@@ -48,9 +51,10 @@
 
 private:
     std::uint32_t linesPerSecond;
-    std::uint32_t writtenInWindow = 0;
+    std::uint32_t burst;
+    double allowance; // lines
     std::uint64_t suppressedLines = 0;
-    TimeMs windowStart = 0;
+    TimeMs refilledAt = 0;
 };
 
 } // namespace flamingo::adapters
