--- a/tests/soak/soak.cc
+++ b/tests/soak/soak.cc
@@ -33,6 +33,7 @@
 #include <unistd.h>
 
 #include <csignal>
+#include <filesystem>
 #include <fstream>
 #include <iostream>
 #include <set>
@@ -843,6 +844,12 @@
         std::string pattern = absl::StrCat("/tmp/soak-", soak.options.seed, "-XXXXXX");
         soak.logDir = mkdtemp(pattern.data());
     }
+    std::error_code error;
+    std::filesystem::create_directories(soak.logDir, error);
+    if (error) {
+        std::cerr << "cannot create --log_dir=" << soak.logDir << ": " << error.message() << "\n";
+        return 2;
+    }
     for (int i = 0; i < organisationCount; ++i)
         soak.keys.push_back({absl::StrCat("key", i, "-0")});
     soak.guard = popen("while read what pid; do if [ $what = add ]; then live=\"$live $pid\"; else "
