Log the stops of a host agent and the worker's answers

Nothing was logged between a stop order and the end of the run, so a run that outlives its cancelled job could not be traced: was the stop ordered, sent, answered, refused or lost?

--- a/flamingo/scheduler/host_agent.cc
+++ b/flamingo/scheduler/host_agent.cc
@@ -75,6 +75,9 @@
 {
     if (run.state == RunState::Stopping || run.state == RunState::Gone)
         return;
+    logDecision(agent,
+                "event=stop_requested " + runFields({run.order.task, run.order.run}) + " reason=\""
+                    + reason + "\"");
     run.state = RunState::Stopping;
     run.reason = std::move(reason);
     run.stopAnswered = false;
@@ -199,6 +202,21 @@
     }
 }
 
+void logStopAnswer(HostAgent &agent, const RunKey &key, const WorkerAnswer &answer)
+{
+    if (answer.result == CallResult::Done) {
+        logDecision(agent,
+                    "event=stop_answered " + runFields(key)
+                        + " worker_clock_ms=" + std::to_string(answer.clockMs));
+        return;
+    }
+    const bool answered =
+        answer.result == CallResult::Refused || answer.result == CallResult::Fenced;
+    logDecision(agent,
+                std::string(answered ? "event=stop_refused " : "event=stop_unanswered ")
+                    + runFields(key) + " reason=\"" + answer.reason + "\"");
+}
+
 void applyStopAnswer(HostAgent &agent, const StopCall &call, const WorkerAnswer &answer, TimeMs now)
 {
     const auto found = agent.runs.find({call.order.task, call.order.run});
@@ -206,6 +224,7 @@
         return;
     AgentRun &run = found->second;
     run.callOutstanding = false;
+    logStopAnswer(agent, found->first, answer);
     if (answer.result == CallResult::Done || answer.result == CallResult::Refused) {
         run.stopAnswered = true;
         run.confirmedClockMs = answer.clockMs;
