Repeat a stop that a busy worker refused, until the worker no longer lists the run

Cause: a worker that is overloaded or unhealthy answers 429 or 503, which means that it did nothing. The host agent had one result for these and for permanent refusals, and took both for a stop that was carried out. It sent no further stop and did not compare the answer with the worker's lists.

Ruled out: stops that were not ordered or not sent (each of these runs has its stop order within 0.1 s of the cancellation), and runs that began after their stop.

Change: Busy is a result of its own. A stop counts as accepted when the worker accepts it or rejects the run permanently; a busy worker is asked again after 0.1 s, for stops and for polls. An accepted stop is sent again when the worker still lists the run after the time that a stop may take, so no answer alone ends a stop. A run is also no longer reported as gone while its stop was refused, where a late start could have run beside the next one.

--- a/flamingo/scheduler/host_agent.cc
+++ b/flamingo/scheduler/host_agent.cc
@@ -1,10 +1,13 @@
 // State machine of a run, driven by the leader's orders and the worker's answers:
 //
 //   start order -> Starting -- answered or listed --> Running -- not listed any more --> (removed)
-//                     |  refused or stop order           |  stop order
+//                     |  refused, busy or stop order     |  stop order
 //                     v                                  v
 //                  Stopping -- stop answered, not listed, no end listed --> Gone
 //
+// In Stopping, the stop is sent until the worker answers it, and again when the worker still lists
+// the run after the time that a stop may take. A busy worker's answer is no answer to a stop.
+//
 // A listed run that the agent did not start is added as Running, and a stop order for an unknown
 // run adds the run as Stopping. A run is also removed in any state but Gone when the worker lists
 // its end, and in Starting or Stopping when a call is fenced. If the worker is draining, a new
@@ -22,6 +25,9 @@
 namespace flamingo::scheduler {
 namespace {
 
+// Added to the time that a stop may take before the stop is repeated.
+constexpr TimeMs stopSlackMs = 200;
+
 using RunKey = std::pair<std::string, std::uint32_t>;
 
 void logDecision(HostAgent &agent, std::string text)
@@ -93,6 +99,18 @@
     });
 }
 
+// Repeats the stop of a run that the worker still lists at `listClockMs`, on the worker's clock.
+void repeatOverdueStop(HostAgent &agent, const RunKey &key, AgentRun &run, std::int64_t listClockMs)
+{
+    if (run.state != RunState::Stopping || !run.stopAnswered
+        || listClockMs - run.confirmedClockMs <= agent.options.stopMs + stopSlackMs)
+        return;
+    logDecision(agent,
+                "event=stop_overdue " + runFields(key)
+                    + " since_ms=" + std::to_string(listClockMs - run.confirmedClockMs));
+    run.stopAnswered = false;
+}
+
 // Updates the runs and ends from the lists in the answer to a poll. Lists older than the last ones
 // applied are ignored.
 void applyRunLists(HostAgent &agent, const WorkerAnswer &answer)
@@ -120,6 +138,7 @@
         }
         run.percent = running.percent;
         run.checkpoint = running.checkpoint;
+        repeatOverdueStop(agent, key, run, answer.clockMs);
     }
     for (auto item = agent.runs.begin(); item != agent.runs.end();) {
         const RunKey key = item->first;
@@ -146,10 +165,16 @@
     }
 }
 
+TimeMs retryDelay(const HostAgent &agent, CallResult result)
+{
+    return result == CallResult::Busy ? agent.options.busyRetryMs : agent.options.retryMs;
+}
+
 void applyPollAnswer(HostAgent &agent, const PollCall &call, const WorkerAnswer &answer, TimeMs now)
 {
     (call.waitMs > 0 ? agent.longPollOutstanding : agent.shortPollOutstanding) = false;
-    agent.nextPollAt = answer.result == CallResult::Done ? now : now + agent.options.retryMs;
+    agent.nextPollAt =
+        answer.result == CallResult::Done ? now : now + retryDelay(agent, answer.result);
     if (answer.result == CallResult::Fenced) {
         agent.tokenInForce = 0;
         return;
@@ -187,6 +212,7 @@
         agent.pollNeeded = true;
         return;
     case CallResult::Refused:
+    case CallResult::Busy:
         logDecision(agent,
                     "event=start_refused " + runFields(key) + " reason=\"" + answer.reason + "\"");
         beginStop(agent, run, answer.reason, now);
@@ -211,7 +237,7 @@
         return;
     }
     const bool answered =
-        answer.result == CallResult::Refused || answer.result == CallResult::Fenced;
+        answer.result != CallResult::NoAnswer && answer.result != CallResult::NoListener;
     logDecision(agent,
                 std::string(answered ? "event=stop_refused " : "event=stop_unanswered ")
                     + runFields(key) + " reason=\"" + answer.reason + "\"");
@@ -237,7 +263,7 @@
         agent.pollNeeded = true;
         return;
     }
-    run.nextCallAt = now + agent.options.retryMs;
+    run.nextCallAt = now + retryDelay(agent, answer.result);
 }
 
 // Tracks for how long no process has listened at the worker's address, and marks the worker as gone
--- a/flamingo/scheduler/host_agent.h
+++ b/flamingo/scheduler/host_agent.h
@@ -7,7 +7,8 @@
 // The worker may still execute a call seconds after the call timed out. The agent therefore never
 // reports a run as gone because a start was not answered: it repeats the start, which is
 // idempotent, or it stops the run, after which the worker refuses that run permanently, and then
-// reads the worker's list of runs again to confirm that the run is absent.
+// reads the worker's list of runs again to confirm that the run is absent. An answer alone does not
+// end a stop: it is repeated while a list that was read after its time still contains the run.
 //
 // Answers may arrive out of order. Each carries the worker's clock, which orders them.
 //
@@ -55,7 +56,8 @@
 enum class CallResult : std::uint8_t {
     Done, // the worker executed the call
     Fenced, // the worker rejected the call, because it has seen a higher fencing token
-    Refused, // the worker rejected the call without effect
+    Refused, // the worker rejected the call and would reject a repetition
+    Busy, // the worker did nothing because it is overloaded or unhealthy; a repetition may succeed
     NoAnswer, // the worker may execute the call, now or later
     NoListener, // the connection failed: no process listens at the worker's address
 };
@@ -78,6 +80,8 @@
     TimeMs pollWaitMs = 500; // a long poll returns after this long when no run ends
     TimeMs workerGoneAfterMs = 250; // the worker is gone when nothing listens for this long
     TimeMs retryMs = 300; // delay before an unanswered call is repeated
+    TimeMs busyRetryMs = 100; // delay before a poll or stop is repeated to a worker that is busy
+    TimeMs stopMs = 1000; // a worker takes up to this long to stop a run, by its own clock
 };
 
 // The agent's state of one run of a task.
@@ -94,7 +98,7 @@
     // The worker's clock when it last answered a start or stop of this run. Only a list that was
     // read later can show that the run is absent.
     std::int64_t confirmedClockMs = 0;
-    bool stopAnswered = false; // the worker has answered the stop call
+    bool stopAnswered = false; // the worker has accepted the stop, or rejects the run permanently
     std::uint64_t goneReportSequence = 0; // first report that listed the run as gone; 0: none
 };
 
--- a/tests/host_agent_test.cc
+++ b/tests/host_agent_test.cc
@@ -203,6 +203,64 @@
     CHECK_EQUAL(1, makeReport(copy).ends.size());
 }
 
+// Guards against a run that is given up although its worker, which sheds load, has not stopped it.
+TEST(HostAgent, stopIsRepeatedWhileTheWorkerIsBusy)
+{
+    fixture.fenceWorker();
+    fixture.listedRuns = {{"t", 1, RunState::Running, 10, "", ""}};
+    fixture.pollNow();
+    HostOrders orders = fixture.orders();
+    orders.stops.push_back({"t", 1});
+    fixture.apply(orders);
+    for (int i = 0; i < 10; ++i) {
+        const auto stop = fixture.nextCall<StopCall>();
+        CHECK(stop.has_value());
+        applyAnswer(fixture.agent, *stop, fixture.answer(CallResult::Busy), fixture.now);
+        CHECK(fixture.reportedState("t") == RunState::Stopping);
+    }
+}
+
+// Guards against two runs of a task at a time: a start that was not answered may still begin while
+// the worker is too busy to accept the stop, although no list contains the run.
+TEST(HostAgent, runIsNotGoneWhileTheWorkerIsTooBusyToStopIt)
+{
+    fixture.fenceWorker();
+    fixture.orderStart();
+    const auto start = fixture.nextCall<StartCall>();
+    applyAnswer(fixture.agent, *start, fixture.answer(CallResult::NoAnswer), fixture.now);
+    HostOrders orders = fixture.orders();
+    orders.stops.push_back({"t", 1});
+    fixture.apply(orders);
+    for (int i = 0; i < 3; ++i) {
+        const auto refused = fixture.nextCall<StopCall>(); // and answers polls without the run
+        CHECK(refused.has_value());
+        applyAnswer(fixture.agent, *refused, fixture.answer(CallResult::Busy), fixture.now);
+        CHECK(fixture.reportedState("t") == RunState::Stopping);
+    }
+    const auto accepted = fixture.nextCall<StopCall>();
+    CHECK(accepted.has_value());
+    applyAnswer(fixture.agent, *accepted, fixture.answer(), fixture.now);
+    fixture.pollNow();
+    CHECK(fixture.reportedState("t") == RunState::Gone);
+}
+
+// Guards against a run that continues although its worker accepted the stop.
+TEST(HostAgent, stopIsRepeatedWhenTheRunIsStillListedAfterItsTime)
+{
+    fixture.fenceWorker();
+    fixture.listedRuns = {{"t", 1, RunState::Running, 10, "", ""}};
+    fixture.pollNow();
+    HostOrders orders = fixture.orders();
+    orders.stops.push_back({"t", 1});
+    fixture.apply(orders);
+    const auto stop = fixture.nextCall<StopCall>();
+    applyAnswer(fixture.agent, *stop, fixture.answer(), fixture.now);
+    CHECK(!fixture.nextCall<StopCall>().has_value());
+    fixture.advance(fixture.agent.options.stopMs);
+    fixture.pollNow();
+    CHECK(fixture.nextCall<StopCall>().has_value());
+}
+
 // Answers may arrive out of order: a list that the worker made before the start must not remove the
 // run.
 TEST(HostAgent, olderListDoesNotHideANewerStart)
