Follow another worker only when the worker on the host confirms it

Operators of similar systems saw one odd entry of another writer among those of the workers. Here a heartbeat with another id, or with a start time in the future, replaced the agent's worker at once, and each later heartbeat of the real worker counted as one of a former incarnation: its host was lost, and its runs went on without orders until their lease ended, those of cancelled jobs as well.

Cause: a heartbeat was taken for a fact about the worker, although it may be delayed or have another author.

Change: a heartbeat of another incarnation makes a candidate. The agent probes it by a poll under its id without token, lease or acknowledgement, and follows it when the worker answers as this incarnation. A worker that was followed from its first heartbeat is given up when another id answers, and its start time is corrected by its answers.

--- a/flamingo/scheduler/host_agent.cc
+++ b/flamingo/scheduler/host_agent.cc
@@ -55,6 +55,7 @@
     agent.workerClockReceivedAt = 0;
     agent.listClockMs = 0;
     agent.heartbeatSequence = 0;
+    agent.workerConfirmed = false;
     agent.longPollOutstanding = false;
     agent.shortPollOutstanding = false;
     agent.pollNeeded = true;
@@ -217,6 +218,7 @@
                     "event=start_refused " + runFields(key) + " reason=\"" + answer.reason + "\"");
         beginStop(agent, run, answer.reason, now);
         return;
+    case CallResult::Misdirected:
     case CallResult::NoAnswer:
     case CallResult::NoListener:
         run.startUnanswered = true;
@@ -236,8 +238,8 @@
                         + " worker_clock_ms=" + std::to_string(answer.clockMs));
         return;
     }
-    const bool answered =
-        answer.result != CallResult::NoAnswer && answer.result != CallResult::NoListener;
+    const bool answered = answer.result == CallResult::Refused || answer.result == CallResult::Busy
+        || answer.result == CallResult::Fenced;
     logDecision(agent,
                 std::string(answered ? "event=stop_refused " : "event=stop_unanswered ")
                     + runFields(key) + " reason=\"" + answer.reason + "\"");
@@ -289,6 +291,85 @@
     logDecision(agent, "event=worker_gone worker=" + (agent.worker ? agent.worker->id : ""));
 }
 
+bool isSameIncarnation(const WorkerInfo &first, const WorkerInfo &second)
+{
+    return first.id == second.id && first.bornUnixMs == second.bornUnixMs;
+}
+
+void followWorker(HostAgent &agent, const WorkerInfo &info, std::uint64_t sequence, TimeMs now)
+{
+    logDecision(agent,
+                "event=worker_seen worker=" + info.id + " born=" + std::to_string(info.bornUnixMs)
+                    + " service=" + info.service);
+    resetWorkerState(agent);
+    agent.worker = info;
+    agent.heartbeatSequence = sequence;
+    agent.nextPollAt = now;
+    agent.candidate.reset();
+}
+
+bool considerCandidate(HostAgent &agent, const WorkerInfo &info, std::uint64_t sequence, TimeMs now)
+{
+    const bool known = agent.candidate && isSameIncarnation(info, *agent.candidate);
+    if (known && sequence <= agent.candidateSequence)
+        return false;
+    if (!known)
+        agent.nextProbeAt = now;
+    agent.candidate = info;
+    agent.candidateSequence = sequence;
+    return true;
+}
+
+void rejectCandidate(HostAgent &agent, std::string_view cause)
+{
+    logDecision(agent,
+                "event=heartbeat_ignored worker=" + agent.candidate->id
+                    + " born=" + std::to_string(agent.candidate->bornUnixMs) + " reason=\""
+                    + std::string(cause) + "\"");
+    agent.candidate.reset();
+}
+
+// Applies a start time that the worker has answered and that differs from its heartbeats'.
+void applyBirth(HostAgent &agent, std::uint64_t bornUnixMs, TimeMs now)
+{
+    if (agent.candidate && agent.candidate->id == agent.worker->id
+        && agent.candidate->bornUnixMs == bornUnixMs) {
+        followWorker(agent, WorkerInfo(*agent.candidate), agent.candidateSequence, now);
+        return;
+    }
+    logDecision(agent,
+                "event=worker_reborn worker=" + agent.worker->id
+                    + " born=" + std::to_string(bornUnixMs));
+    resetWorkerState(agent);
+    agent.worker->bornUnixMs = bornUnixMs;
+    agent.worker->draining = false;
+}
+
+// Applies the answer to a probe of the candidate. A probe carries no fencing token, so a worker
+// that has received one refuses the probe as fenced.
+void applyProbeAnswer(HostAgent &agent, const PollCall &call, const WorkerAnswer &answer,
+                      TimeMs now)
+{
+    agent.probeOutstanding = false;
+    agent.nextProbeAt = now + retryDelay(agent, answer.result);
+    if (!agent.candidate || agent.candidate->id != call.workerId)
+        return;
+    const bool restart = agent.worker && agent.candidate->id == agent.worker->id;
+    const bool otherBirth =
+        answer.bornUnixMs != 0 && answer.bornUnixMs != agent.candidate->bornUnixMs;
+    if (answer.result == CallResult::Misdirected) {
+        rejectCandidate(agent, "a worker with another id answers");
+        return;
+    }
+    if (answer.result != CallResult::Done && answer.result != CallResult::Fenced)
+        return;
+    if (otherBirth || (restart && answer.result == CallResult::Fenced)) {
+        rejectCandidate(agent, "the worker is of another incarnation");
+        return;
+    }
+    followWorker(agent, WorkerInfo(*agent.candidate), agent.candidateSequence, now);
+}
+
 const std::string &targetWorkerId(const WorkerCall &call)
 {
     return std::visit([](const auto &each) -> const std::string & { return each.workerId; }, call);
@@ -298,21 +379,14 @@
 
 bool applyHeartbeat(HostAgent &agent, const WorkerInfo &info, std::uint64_t sequence, TimeMs now)
 {
-    const bool known = agent.worker.has_value();
-    if (known && info.bornUnixMs < agent.worker->bornUnixMs)
-        return false;
-    const bool sameIncarnation =
-        known && info.id == agent.worker->id && info.bornUnixMs == agent.worker->bornUnixMs;
-    if (!sameIncarnation) {
-        logDecision(agent,
-                    "event=worker_seen worker=" + info.id
-                        + " born=" + std::to_string(info.bornUnixMs) + " service=" + info.service);
-        resetWorkerState(agent);
-        agent.worker = info;
-        agent.heartbeatSequence = sequence;
-        agent.nextPollAt = now;
+    if (!agent.worker) {
+        followWorker(agent, info, sequence, now);
         return true;
     }
+    if (info.bornUnixMs < agent.worker->bornUnixMs)
+        return false;
+    if (!isSameIncarnation(info, *agent.worker))
+        return considerCandidate(agent, info, sequence, now);
     if (sequence <= agent.heartbeatSequence)
         return false;
     agent.heartbeatSequence = sequence;
@@ -397,18 +471,30 @@
             agent.workerGone = false;
         return;
     }
+    const auto *poll = std::get_if<PollCall>(&call);
+    if (poll != nullptr && poll->probe) {
+        applyProbeAnswer(agent, *poll, answer, now);
+        return;
+    }
     if (!agent.worker || targetWorkerId(call) != agent.worker->id)
         return;
-    if (answer.bornUnixMs > agent.worker->bornUnixMs) {
-        // The worker has restarted under the same id; its first heartbeat has not arrived yet.
+    if (answer.result == CallResult::Misdirected && !agent.workerConfirmed) {
         logDecision(agent,
-                    "event=worker_reborn worker=" + agent.worker->id
-                        + " born=" + std::to_string(answer.bornUnixMs));
+                    "event=heartbeat_ignored worker=" + agent.worker->id
+                        + " born=" + std::to_string(agent.worker->bornUnixMs)
+                        + " reason=\"a worker with another id answers\"");
         resetWorkerState(agent);
-        agent.worker->bornUnixMs = answer.bornUnixMs;
-        agent.worker->draining = false;
+        agent.worker.reset();
+        agent.nextPollAt = now + agent.options.retryMs;
         return;
     }
+    // The worker has restarted under the same id, or its first heartbeat stated another start time.
+    const bool otherBirth = answer.bornUnixMs != 0 && answer.bornUnixMs != agent.worker->bornUnixMs;
+    if (otherBirth && (answer.bornUnixMs > agent.worker->bornUnixMs || !agent.workerConfirmed)) {
+        applyBirth(agent, answer.bornUnixMs, now);
+        return;
+    }
+    agent.workerConfirmed = agent.workerConfirmed || answer.result == CallResult::Done;
     updateWorkerGone(agent, answer.result, now);
     if (agent.workerGone && answer.result == CallResult::Done) {
         agent.workerGone = false;
@@ -418,7 +504,7 @@
         agent.workerClockMs = answer.clockMs;
         agent.workerClockReceivedAt = now;
     }
-    if (const auto *poll = std::get_if<PollCall>(&call))
+    if (poll != nullptr)
         applyPollAnswer(agent, *poll, answer, now);
     else if (const auto *start = std::get_if<StartCall>(&call))
         applyStartAnswer(agent, *start, answer, now);
@@ -438,11 +524,23 @@
         }
         return calls;
     }
+    if (agent.candidate && !agent.probeOutstanding && now >= agent.nextProbeAt) {
+        agent.probeOutstanding = true;
+        PollCall probe;
+        probe.workerId = agent.candidate->id;
+        probe.probe = true;
+        calls.emplace_back(probe);
+    }
     const std::uint64_t token =
         std::max({agent.fencingToken, agent.tokenInForce, agent.minimumToken});
     const auto poll = [&](TimeMs waitMs) {
-        return PollCall{agent.worker->id, token, agent.acknowledgedEnd, leaseUntil(agent, now),
-                        waitMs};
+        PollCall call;
+        call.workerId = agent.worker->id;
+        call.fencingToken = token;
+        call.acknowledgedEnd = agent.acknowledgedEnd;
+        call.leaseUntil = leaseUntil(agent, now);
+        call.waitMs = waitMs;
+        return call;
     };
     if (agent.pollNeeded && !agent.shortPollOutstanding && now >= agent.nextPollAt) {
         agent.pollNeeded = false;
--- a/flamingo/scheduler/host_agent.h
+++ b/flamingo/scheduler/host_agent.h
@@ -12,6 +12,10 @@
 //
 // Answers may arrive out of order. Each carries the worker's clock, which orders them.
 //
+// A heartbeat may be delayed or have another author, so it does not replace the current worker. The
+// agent first probes the worker that the heartbeat names, by a poll under its id that changes
+// nothing, and follows it when it answers.
+//
 // The functions perform no I/O and read no clock: time is an argument, dueCalls() returns the calls
 // to send, and their answers are passed to applyAnswer().
 
@@ -34,6 +38,7 @@
     std::uint64_t acknowledgedEnd = 0; // the worker may discard ends up to this number
     std::int64_t leaseUntil = 0; // on the worker's clock; 0: not extended
     TimeMs waitMs = 0; // long poll: the worker waits up to this long for a run to end
+    bool probe = false; // asks only whether the worker of a heartbeat answers
 };
 
 struct StartCall
@@ -58,6 +63,7 @@
     Fenced, // the worker rejected the call, because it has seen a higher fencing token
     Refused, // the worker rejected the call and would reject a repetition
     Busy, // the worker did nothing because it is overloaded or unhealthy; a repetition may succeed
+    Misdirected, // a worker with another id answered, and did nothing
     NoAnswer, // the worker may execute the call, now or later
     NoListener, // the connection failed: no process listens at the worker's address
 };
@@ -110,6 +116,12 @@
     std::uint64_t epoch = 0; // highest epoch of a leader that has sent orders
     std::optional<WorkerInfo> worker; // nullopt: no heartbeat received yet
     std::uint64_t heartbeatSequence = 0; // of the newest heartbeat of the worker's incarnation
+    bool workerConfirmed = false; // the worker has answered under its id
+    // A worker whose heartbeat was received and which has not confirmed it yet.
+    std::optional<WorkerInfo> candidate;
+    std::uint64_t candidateSequence = 0; // of its newest heartbeat
+    bool probeOutstanding = false; // a probe has not been answered
+    TimeMs nextProbeAt = 0; // earliest time of the next probe
     bool workerGone = false; // no worker process listens on the host
     bool deregistered = false; // the worker has announced its shutdown
     TimeMs noListenerSince = 0; // first failed connection; 0: none since the last answer
@@ -135,8 +147,10 @@
     std::vector<std::string> decisions; // lines for the decision log; the caller removes them
 };
 
-// Applies a heartbeat of the worker to the agent's state. Returns false, without a change, for a
-// heartbeat of an earlier incarnation or one that is not newer than the last of this incarnation.
+// Applies a heartbeat to the agent's state. The first one is followed at once; one of another
+// incarnation than the current worker's makes it the candidate. Returns false, without a change,
+// for a heartbeat of an earlier incarnation or one that is not newer than the last of its
+// incarnation.
 bool applyHeartbeat(HostAgent &agent, const WorkerInfo &info, std::uint64_t sequence, TimeMs now);
 
 // Applies the worker's deregistration: the worker counts as draining, and as gone at the first call
--- a/tests/host_agent_test.cc
+++ b/tests/host_agent_test.cc
@@ -36,6 +36,19 @@
         return applyHeartbeat(this->agent, info, sequence, this->now);
     }
 
+    // Answers the outstanding probe of the candidate as the worker that its heartbeat names.
+    void confirmCandidate()
+    {
+        for (const WorkerCall &call : dueCalls(this->agent, this->now)) {
+            const auto *poll = std::get_if<PollCall>(&call);
+            if (poll == nullptr || !poll->probe)
+                continue;
+            WorkerAnswer answer = this->answer();
+            answer.bornUnixMs = this->agent.candidate->bornUnixMs;
+            applyAnswer(this->agent, call, answer, this->now);
+        }
+    }
+
     HostOrders orders(std::uint64_t epoch = 1) const
     {
         HostOrders result;
@@ -271,7 +284,8 @@
     const auto start = fixture.nextCall<StartCall>();
     applyAnswer(fixture.agent, *start, fixture.answer(), fixture.now);
     CHECK(fixture.reportedState("t") == RunState::Running);
-    applyAnswer(fixture.agent, PollCall{"w", leaderToken, 0, 0, 500}, olderAnswer, fixture.now);
+    applyAnswer(fixture.agent, PollCall{"w", leaderToken, 0, 0, 500, false}, olderAnswer,
+                fixture.now);
     CHECK(fixture.reportedState("t") == RunState::Running);
 }
 
@@ -323,7 +337,9 @@
 TEST(HostAgent, heartbeatOfAFormerIncarnationIsIgnored)
 {
     CHECK(fixture.heartbeat(5, 1));
+    fixture.confirmCandidate();
     CHECK(!fixture.heartbeat(1, 99));
+    CHECK(!fixture.agent.candidate.has_value());
     CHECK_EQUAL(5, fixture.agent.worker->bornUnixMs);
 }
 
@@ -333,7 +349,7 @@
     fixture.orderStart();
     WorkerAnswer answer = fixture.answer();
     answer.bornUnixMs = 2;
-    applyAnswer(fixture.agent, PollCall{"w", leaderToken, 0, 0, 0}, answer, fixture.now);
+    applyAnswer(fixture.agent, PollCall{"w", leaderToken, 0, 0, 0, false}, answer, fixture.now);
     CHECK_EQUAL(2, fixture.agent.worker->bornUnixMs);
     CHECK_EQUAL(0, fixture.agent.tokenInForce);
     CHECK(fixture.reportedState("t") == RunState::Unknown);
@@ -344,6 +360,8 @@
 {
     fixture.fenceWorker();
     CHECK(fixture.heartbeat(2, 1));
+    fixture.confirmCandidate();
+    CHECK_EQUAL(2, fixture.agent.worker->bornUnixMs);
     const auto calls = dueCalls(fixture.agent, fixture.now);
     CHECK(std::get<PollCall>(calls.at(0)).fencingToken > leaderToken);
 }
@@ -365,14 +383,80 @@
                     makeReport(copy).fencingToken); // the leader uses no worker without its token
     }
     CHECK(fixture.heartbeat(2, 1));
+    fixture.confirmCandidate();
     CHECK_EQUAL(2, fixture.agent.worker->bornUnixMs);
 }
 
+// Guards against a heartbeat of another writer that makes the agent leave its worker: the worker
+// would run on without orders, and its own heartbeats would count as those of a former incarnation.
+TEST(HostAgent, heartbeatThatTheWorkerDoesNotConfirmIsIgnored)
+{
+    fixture.fenceWorker();
+    WorkerInfo other;
+    other.id = "other";
+    other.bornUnixMs = 1000000;
+    CHECK(applyHeartbeat(fixture.agent, other, 1, fixture.now));
+    for (const WorkerCall &call : dueCalls(fixture.agent, fixture.now)) {
+        const auto *poll = std::get_if<PollCall>(&call);
+        CHECK(poll != nullptr);
+        CHECK_EQUAL(poll->probe, poll->workerId == "other");
+        if (!poll->probe)
+            continue;
+        CHECK_EQUAL(0, poll->fencingToken);
+        CHECK_EQUAL(0, poll->leaseUntil);
+        CHECK_EQUAL(0, poll->acknowledgedEnd);
+        applyAnswer(fixture.agent, call, fixture.answer(CallResult::Misdirected), fixture.now);
+    }
+    CHECK(!fixture.agent.candidate.has_value());
+    STRCMP_EQUAL("w", fixture.agent.worker->id.c_str());
+    CHECK_EQUAL(leaderToken, fixture.agent.tokenInForce);
+    CHECK(fixture.heartbeat(1, 2));
+}
+
+// As above, for a heartbeat that names the current worker with a start time in the future. The
+// worker has received a token, so it refuses the probe as fenced.
+TEST(HostAgent, heartbeatWithAWrongStartTimeIsIgnored)
+{
+    fixture.fenceWorker();
+    CHECK(fixture.heartbeat(1000000, 1));
+    for (const WorkerCall &call : dueCalls(fixture.agent, fixture.now)) {
+        if (std::get<PollCall>(call).probe)
+            applyAnswer(fixture.agent, call, fixture.answer(CallResult::Fenced), fixture.now);
+    }
+    CHECK(!fixture.agent.candidate.has_value());
+    CHECK_EQUAL(1, fixture.agent.worker->bornUnixMs);
+    CHECK_EQUAL(leaderToken, fixture.agent.tokenInForce);
+}
+
+// Guards against an agent that was restarted, hears of a worker that does not exist first, and
+// never follows the one on its host.
+TEST(HostAgent, firstHeartbeatThatTheWorkerDoesNotConfirmIsGivenUp)
+{
+    const auto calls = dueCalls(fixture.agent, fixture.now);
+    applyAnswer(fixture.agent, calls.at(0), fixture.answer(CallResult::Misdirected), fixture.now);
+    CHECK(!fixture.agent.worker.has_value());
+    WorkerInfo real;
+    real.id = "real";
+    CHECK(applyHeartbeat(fixture.agent, real, 1, fixture.now));
+    STRCMP_EQUAL("real", fixture.agent.worker->id.c_str());
+}
+
+TEST(HostAgent, startTimeOfAFirstHeartbeatIsCorrectedByTheWorker)
+{
+    WorkerAnswer answer = fixture.answer();
+    answer.bornUnixMs = 1;
+    fixture.agent.worker->bornUnixMs = 1000000;
+    const auto calls = dueCalls(fixture.agent, fixture.now);
+    applyAnswer(fixture.agent, calls.at(0), answer, fixture.now);
+    CHECK_EQUAL(1, fixture.agent.worker->bornUnixMs);
+    CHECK(fixture.heartbeat(1, 2));
+}
+
 TEST(HostAgent, missingWorkerProcessIsReportedAfterATimeout)
 {
     fixture.fenceWorker();
     for (int i = 0; i < 3; ++i) {
-        applyAnswer(fixture.agent, PollCall{"w", leaderToken, 0, 0, 0},
+        applyAnswer(fixture.agent, PollCall{"w", leaderToken, 0, 0, 0, false},
                     fixture.answer(CallResult::NoListener), fixture.now);
         HostAgent copy = fixture.agent;
         CHECK_EQUAL(i == 2, makeReport(copy).workerGone);
@@ -386,7 +470,7 @@
 {
     fixture.fenceWorker();
     for (int i = 0; i < 20; ++i) {
-        applyAnswer(fixture.agent, PollCall{"w", leaderToken, 0, 0, 0},
+        applyAnswer(fixture.agent, PollCall{"w", leaderToken, 0, 0, 0, false},
                     fixture.answer(CallResult::NoAnswer), fixture.now);
         fixture.advance(500);
     }
