Show a job as cancelled only by the leader's record

A stored cancellation counted as the end until a progress record with an outcome was read, and the leader ignores a cancellation once it has decided an end. A cancellation that was stored between the leader's decision and its record was therefore shown first and overturned by the record. The same order showed failed after cancelled.

Ruled out: a change of leader or a fenced append as the cause. Two records of one leader in plain order are enough (cancellationAfterADecidedCompletion IsNotShown).

Only the leader's progress record sets the end that callers are shown. It is one key with one fenced writer that never changes an outcome, so the end is the same for each reader, after compaction and under the next leader. The records keep their format. A cancellation is acknowledged when it is stored, as before, also without a leader.

--- a/flamingo/adapters/scheduler_service.h
+++ b/flamingo/adapters/scheduler_service.h
@@ -105,7 +105,9 @@
     // unresolved.
     void submit(const scheduler::Job &job, SubmitCallback done);
 
-    // Stores the cancellation of a job. UnknownJob is reported only after a recent log read.
+    // Stores the cancellation of a job, also without a leader. The leader then ends the job as
+    // cancelled unless it has decided another end before. Cancelled is also reported for a job that
+    // has ended. UnknownJob is reported only after a recent log read.
     void cancel(const std::string &jobId, std::function<void(CancelOutcome)> done);
 
     const scheduler::JobTable &table() const
--- a/flamingo/scheduler/scheduler.cc
+++ b/flamingo/scheduler/scheduler.cc
@@ -412,8 +412,7 @@
     case Outcome::Open:
         break;
     }
-    if (row.cancelled)
-        return "cancelled";
+    // A stored cancellation alone is not the end: the leader may have decided another one already.
     return row.storedStarted ? "running" : "queued";
 }
 
--- a/flamingo/scheduler/scheduler.h
+++ b/flamingo/scheduler/scheduler.h
@@ -70,7 +70,7 @@
 {
     std::optional<Job> job; // nullopt: its acceptance record has not been read yet
     JobProgress progress; // leader: current, may be ahead of the log; other entries: as stored
-    bool cancelled = false;
+    bool cancelled = false; // a cancellation is stored
     // As stored in the log; callers are shown only this.
     Outcome storedOutcome = Outcome::Open;
     bool storedStarted = false; // a run of some task has been assigned
@@ -102,7 +102,8 @@
                  Reason &reason);
 
 // State of a job for callers, from stored records: queued, running, completed, failed or cancelled;
-// nullopt: the job is unknown.
+// nullopt: the job is unknown. The last three are ends; only a progress record, which the leader
+// writes, sets one. The leader never changes it, so all entries show the same end.
 std::optional<std::string_view> callerVisibleState(const JobTable &table, std::string_view jobId);
 
 // Number of open jobs of a queue of which no task has been started, from stored records.
--- a/tests/scheduler_service_test.cc
+++ b/tests/scheduler_service_test.cc
@@ -244,6 +244,35 @@
     fixture.waitUntil([&] { return resigned && other.service.leading(); });
 }
 
+// A caller's cancellation is acknowledged without a leader. It is shown as the job's end only when
+// the leader's record is read, because a leader may have decided another end. Guards against a job
+// that is shown as cancelled and later as completed.
+TEST(SchedulerService, cancellationIsAcknowledgedWithoutALeaderAndShownByItsRecord)
+{
+    const std::string id = smallJob().id;
+    const auto store = [this](const scheduler::Record &record) {
+        fixture.state.records.push_back({fixture.state.records.size(), record});
+    };
+    Entry &entry = fixture.add("a", 1);
+    entry.service.resign([] {}); // does not lead
+    store(acceptanceRecord(smallJob()));
+    fixture.start();
+    fixture.waitUntil([&] { return entry.service.logReadIsRecent(); });
+    for (int i = 0; i < 2; ++i) { // a repeated request has the same answer
+        std::optional<SchedulerService::CancelOutcome> outcome;
+        entry.service.cancel(id, [&outcome](auto result) { outcome = result; });
+        fixture.waitUntil([&outcome] { return outcome.has_value(); });
+        CHECK(*outcome == SchedulerService::CancelOutcome::Cancelled);
+        fixture.waitUntil([&] { return entry.service.table().jobs.at(id).cancelled; });
+        CHECK(callerVisibleState(entry.service.table(), id) == "queued");
+    }
+    scheduler::JobProgress progress;
+    progress.outcome = scheduler::Outcome::Cancelled;
+    progress.tasks.resize(1);
+    store(progressRecord(id, progress));
+    fixture.waitUntil([&] { return callerVisibleState(entry.service.table(), id) == "cancelled"; });
+}
+
 // Guards against a "not run" verdict for a job that the log may still store: an unanswered append
 // may be carried out late.
 TEST(SchedulerService, unansweredAppendIsNeverReportedAsNotRun)
--- a/tests/scheduler_test.cc
+++ b/tests/scheduler_test.cc
@@ -168,12 +168,30 @@
     rig.accept(rig.makeJob("a", 1, 2));
     rig.sendReport("h1");
     rig.cancel("a");
-    CHECK_EQUAL(std::string("cancelled"), rig.jobState("a"));
+    CHECK_EQUAL(std::string("running"), rig.jobState("a"));
     CHECK_EQUAL(1, rig.sendReport("h1").stops.size());
+    CHECK_EQUAL(std::string("cancelled"), rig.jobState("a"));
     CHECK_EQUAL(0, rig.sendReport("h1").starts.size());
     CHECK_EQUAL(0, rig.runCount("h1"));
 }
 
+// Guards against a job that is shown as cancelled and later as completed: the leader had decided
+// the completion, and its record was stored after the cancellation.
+TEST(Scheduler, cancellationAfterADecidedCompletionIsNotShown)
+{
+    rig.addWorker("h1");
+    rig.accept(rig.makeJob("a", 1, 2));
+    rig.sendReport("h1");
+    rig.endRun("h1", "a.0.0.0", 1, EndKind::Done);
+    HostReport report = rig.nextReports.at("h1");
+    report.sequence = 1000; // higher than that of any earlier report
+    applyReport(rig.scheduler, report, rig.now);
+    rig.cancel("a");
+    CHECK_EQUAL(std::string("running"), rig.jobState("a"));
+    rig.planAndStore();
+    CHECK_EQUAL(std::string("completed"), rig.jobState("a"));
+}
+
 TEST(Scheduler, stepWaitsForTheStepsBeforeIt)
 {
     rig.addWorker("h1");
