Write nothing after a leader's resignation

An entry that had resigned went on to append its leader record each 300 ms until its process ended. Each of these records restarted the wait of the other entries, so an entry that waits longer than that before it campaigns (far from the log, with less processor time, or while the log is slow) did not campaign: there was no leader until the resigned process had drained.

Found by scheduler_service_test resignedLeaderIsReplacedAtOnce, which failed beside load. Eight busy processes on the processor of the test, with a log line at each tick: the follower knew of the resignation, its campaign delay was 101 to 160 ms because the log's answers took 26 to 41 ms, and the newest record of the leader was never older than 100 ms, for all 5 s of the test. Ruled out: a lost resignation, and a campaign that another one held up (the last candidate was 4 s old).

The keep-alive ends with resign(). The resignation is still repeated until it is stored, because its append is outstanding until then.

--- a/flamingo/adapters/scheduler_service.cc
+++ b/flamingo/adapters/scheduler_service.cc
@@ -313,7 +313,8 @@
     if (this->leading()) {
         this->notifyStaleLog(now);
         this->schedulePlan();
-        if (!this->flushing && now - this->lastFlushAt >= this->leadership.options.keepAliveMs) {
+        if (!this->flushing && !this->resigning
+            && now - this->lastFlushAt >= this->leadership.options.keepAliveMs) {
             this->flushRecords.clear();
             this->flushNumber = 0;
             this->sendFlush();
--- a/tests/scheduler_service_test.cc
+++ b/tests/scheduler_service_test.cc
@@ -273,6 +273,21 @@
     fixture.waitUntil([&] { return callerVisibleState(entry.service.table(), id) == "cancelled"; });
 }
 
+// Guards against a resigned leader that goes on writing: each record restarts the wait of the other
+// entries, and those that wait longer than its keep-alive interval did not campaign until it
+// exited.
+TEST(SchedulerService, resignationIsTheLastRecordOfALeader)
+{
+    Entry &leader = fixture.startEntry();
+    fixture.waitUntil([&leader] { return leader.service.leading(); });
+    bool resigned = false;
+    leader.service.resign([&resigned] { resigned = true; });
+    fixture.waitUntil([&resigned] { return resigned; });
+    const int appends = leader.log.appends;
+    fixture.runFor(500);
+    CHECK_EQUAL(appends, leader.log.appends);
+}
+
 // Guards against a "not run" verdict for a job that the log may still store: an unanswered append
 // may be carried out late.
 TEST(SchedulerService, unansweredAppendIsNeverReportedAsNotRun)
