Send work to a worker that was too busy for a start only as the last choice

Cause: a run that was refused as busy was placed again without a mark on the worker, so the next task went there as well. A failed run has such a mark, but a success clears it, and a worker that sheds load completes what it runs.

Change: the agent reports that its worker was too busy for a start, and the leader uses the worker for new work only when no other fits, for 3 s.

--- a/flamingo/scheduler/host_agent.cc
+++ b/flamingo/scheduler/host_agent.cc
@@ -214,6 +214,7 @@
         return;
     case CallResult::Refused:
     case CallResult::Busy:
+        run.startRefusedAsBusy = answer.result == CallResult::Busy;
         logDecision(agent,
                     "event=start_refused " + runFields(key) + " reason=\"" + answer.reason + "\"");
         beginStop(agent, run, answer.reason, now);
@@ -589,6 +590,7 @@
     for (auto &[key, run] : agent.runs) {
         if (run.state == RunState::Gone && run.goneReportSequence == 0)
             run.goneReportSequence = report.sequence;
+        report.workerBusy = report.workerBusy || run.startRefusedAsBusy;
         // The start was answered after the newest list was read.
         const bool listed = run.confirmedClockMs <= agent.listClockMs;
         report.runs.push_back({key.first, key.second, run.state,
--- a/flamingo/scheduler/host_agent.h
+++ b/flamingo/scheduler/host_agent.h
@@ -98,6 +98,7 @@
     std::int64_t percent = 0;
     std::string checkpoint;
     std::string reason; // why the run is being stopped or is gone
+    bool startRefusedAsBusy = false; // the worker was too busy to start the run
     bool startUnanswered = false; // the worker may still execute a start that was not answered
     bool callOutstanding = false; // a start or stop of this run has not been answered yet
     TimeMs nextCallAt = 0; // earliest time of the next start or stop call
--- a/flamingo/scheduler/host_messages.h
+++ b/flamingo/scheduler/host_messages.h
@@ -73,6 +73,7 @@
     std::uint64_t sequence = 0; // increases within an incarnation
     std::optional<WorkerInfo> worker; // nullopt: the agent has received no heartbeat
     bool workerGone = false; // no worker process exists on the host
+    bool workerBusy = false; // the worker was too busy to start one of `runs`
     std::uint64_t lostLeader = 0; // epoch of the leader that the agent cannot reach; 0: none
     std::uint64_t fencingToken = 0; // in force at the worker; `runs` and `ends` were read under it
     // The worker's clock when it listed `runs`; 0: they have not been listed.
--- a/flamingo/scheduler/placement.h
+++ b/flamingo/scheduler/placement.h
@@ -42,7 +42,8 @@
     std::vector<std::string> labels;
     Resources capacity;
     Resources freeCapacity; // free now, less reservations; may be negative
-    bool suspect = false; // a run failed here recently; used only when no other worker fits
+    // A run failed or could not start here recently; used only when no other worker fits.
+    bool suspect = false;
     double slowness = 1; // run time on this worker as a multiple of the usual one
     std::vector<Allocation> allocations;
 };
--- a/flamingo/scheduler/planner.cc
+++ b/flamingo/scheduler/planner.cc
@@ -215,7 +215,7 @@
         resources.labels = worker.info.labels;
         resources.capacity = worker.info.capacity;
         resources.freeCapacity = worker.info.capacity;
-        resources.suspect = this->now < worker.suspectUntil;
+        resources.suspect = this->now < std::max(worker.suspectUntil, worker.busyUntil);
         resources.slowness = slowness(this->scheduler.speeds, worker.host, this->now);
         for (const auto &[key, run] : worker.runs)
             resources.freeCapacity -= run.need;
--- a/flamingo/scheduler/records.cc
+++ b/flamingo/scheduler/records.cc
@@ -150,6 +150,7 @@
             {"agentStart", report.agentStart},
             {"sequence", report.sequence},
             {"workerGone", report.workerGone},
+            {"workerBusy", report.workerBusy},
             {"lostLeader", report.lostLeader},
             {"fencingToken", report.fencingToken},
             {"listClockMs", report.listClockMs},
@@ -165,6 +166,7 @@
     json.at("agentStart").get_to(report.agentStart);
     json.at("sequence").get_to(report.sequence);
     report.workerGone = json.value("workerGone", false);
+    report.workerBusy = json.value("workerBusy", false);
     report.lostLeader = json.value("lostLeader", std::uint64_t(0));
     report.fencingToken = json.value("fencingToken", std::uint64_t(0));
     report.listClockMs = json.value("listClockMs", std::int64_t(0));
--- a/flamingo/scheduler/scheduler.cc
+++ b/flamingo/scheduler/scheduler.cc
@@ -548,6 +548,8 @@
     host.workerKey = key;
     worker.info = *report.worker;
     worker.lastReport = now;
+    if (report.workerBusy)
+        worker.busyUntil = now + scheduler.options.busyMs;
     // The worker has not confirmed this leader's token, so its lists may still change by orders of
     // an earlier leader.
     if (report.fencingToken != worker.fencingToken)
--- a/flamingo/scheduler/scheduler.h
+++ b/flamingo/scheduler/scheduler.h
@@ -125,6 +125,9 @@
     // After a failed run, a worker is the last choice for this long, and is not used for the failed
     // task.
     TimeMs suspectMs = 5000;
+    // A worker that was too busy to start a run is the last choice for this long. Runs that end
+    // with success meanwhile do not show that it accepts starts again.
+    TimeMs busyMs = 3000;
     // After this many failed runs in a row, or after failed runs of two jobs, a worker gets no work
     // for `quarantineMs`. Runs of one job may fail because of the job.
     std::uint32_t quarantineAfterFailures = 4;
@@ -176,6 +179,7 @@
     std::uint32_t consecutiveFailures = 0;
     std::set<std::string> failedJobs; // jobs of these failures
     TimeMs suspectUntil = 0; // see SchedulerOptions::suspectMs
+    TimeMs busyUntil = 0; // see SchedulerOptions::busyMs
     TimeMs quarantinedUntil = 0; // see SchedulerOptions::quarantineMs
 };
 
--- a/tests/host_agent_test.cc
+++ b/tests/host_agent_test.cc
@@ -216,6 +216,17 @@
     CHECK_EQUAL(1, makeReport(copy).ends.size());
 }
 
+TEST(HostAgent, startThatABusyWorkerRefusedIsReported)
+{
+    fixture.fenceWorker();
+    fixture.orderStart();
+    const auto start = fixture.nextCall<StartCall>();
+    applyAnswer(fixture.agent, *start, fixture.answer(CallResult::Busy), fixture.now);
+    CHECK(fixture.reportedState("t") == RunState::Stopping);
+    HostAgent copy = fixture.agent;
+    CHECK(makeReport(copy).workerBusy);
+}
+
 // Guards against a run that is given up although its worker, which sheds load, has not stopped it.
 TEST(HostAgent, stopIsRepeatedWhileTheWorkerIsBusy)
 {
--- a/tests/scheduler_test.cc
+++ b/tests/scheduler_test.cc
@@ -162,6 +162,28 @@
     CHECK_EQUAL(std::string("failed"), rig.jobState("a"));
 }
 
+// Guards against work that is sent again and again to a worker that sheds load while others are
+// free. Its runs that end with success show nothing about the next start.
+TEST(Scheduler, workerThatWasTooBusyForAStartIsTheLastChoice)
+{
+    rig.addWorker("h1");
+    rig.accept(rig.makeJob("a", 1, 2));
+    rig.sendReport("h1");
+    rig.addWorker("h2");
+    rig.endRun("h1", "a.0.0.0", 1, EndKind::Done);
+    rig.nextReports.at("h1").workerBusy = true;
+    rig.sendReport("h1");
+    rig.nextReports.at("h1").workerBusy = false;
+    rig.accept(rig.makeJob("b", 4, 2));
+    rig.sendReport("h1");
+    rig.sendReport("h2");
+    CHECK_EQUAL(0, rig.runCount("h1"));
+    CHECK_EQUAL(4, rig.runCount("h2"));
+    rig.accept(rig.makeJob("c", 1, 8)); // fits only there
+    rig.sendReport("h1");
+    CHECK_EQUAL(1, rig.runCount("h1"));
+}
+
 TEST(Scheduler, cancelledJobIsStoppedAndNotRestarted)
 {
     rig.addWorker("h1");
