--- a/flamingo/json_parse.cc
+++ b/flamingo/json_parse.cc
@@ -3,6 +3,7 @@
 
 #include "flamingo/json_parse.h"
 
+#include <charconv>
 #include <cmath>
 
 namespace flamingo {
@@ -59,6 +60,17 @@
     }
 }
 
+bool isHostAndPort(std::string_view address)
+{
+    const auto colon = address.rfind(':');
+    if (colon == std::string_view::npos || colon == 0)
+        return false;
+    const std::string_view digits = address.substr(colon + 1);
+    std::uint16_t port = 0;
+    const auto parsed = std::from_chars(digits.data(), digits.data() + digits.size(), port);
+    return parsed.ec == std::errc() && parsed.ptr == digits.data() + digits.size() && port != 0;
+}
+
 std::optional<std::int64_t> wholeNumber(const Json &value, std::int64_t min, std::int64_t max)
 {
     std::int64_t number = 0;
--- a/flamingo/json_parse.h
+++ b/flamingo/json_parse.h
@@ -35,6 +35,10 @@
 // Returns nullopt, with a reason, for a text that is not valid JSON or is nested too deeply.
 std::optional<nlohmann::json> parseJson(std::string_view text, Reason &reason);
 
+// Returns true if `address` is of the form HOST:PORT with a port from 1 to 65535. The host is not
+// checked.
+bool isHostAndPort(std::string_view address);
+
 // Returns the whole number that `value` holds; nullopt if it is no number, not whole, or outside
 // [min, max].
 std::optional<std::int64_t> wholeNumber(const nlohmann::json &value, std::int64_t min,
