Refuse jobs whose number of tasks or times overflow

A submission of 4 steps of 2^31 tasks, repeated 2^31 times, was accepted as a job without tasks: the product of steps and occurrences is 2^64. Code that finds the position of a task divides by the number of tasks. Estimates, the stretch and the target latency were not limited, and their sums and products in planner.cc are then undefined.

Cause: validate() multiplied before it compared, and compared only with 0.

--- a/flamingo/scheduler/job.cc
+++ b/flamingo/scheduler/job.cc
@@ -4,6 +4,8 @@
 
 #include "flamingo/scheduler/job.h"
 
+#include "flamingo/scheduler/limits.h"
+
 #include <algorithm>
 #include <array>
 #include <charconv>
@@ -20,6 +22,11 @@
     return {ReasonCode::InvalidInput, std::move(text)};
 }
 
+bool inRange(std::int64_t value, std::int64_t max)
+{
+    return value >= 0 && value <= max;
+}
+
 } // namespace
 
 bool fits(const Resources &need, const Resources &available)
@@ -122,18 +129,29 @@
 {
     if (job.steps.empty() || job.steps.size() > maxSteps)
         return invalidJob("a job must have 1 to " + std::to_string(maxSteps) + " steps");
-    if (job.intervalMs < 0)
+    if (!inRange(job.intervalMs, maxMilliseconds))
         return invalidJob("the interval is negative or too large");
+    if (job.firstRunUnixMs > std::uint64_t(maxMilliseconds)
+        || job.acceptedUnixMs > std::uint64_t(maxMilliseconds))
+        return invalidJob("the time of the first run or of the acceptance is too large");
+    if (!inRange(job.targetLatencyMs, maxMilliseconds) || !(job.stretch >= 0)
+        || job.stretch > maxStretch)
+        return invalidJob("the target latency or the stretch is negative or too large");
     std::uint64_t tasks = 0;
+    TimeMs estimateSumMs = 0;
     for (std::uint32_t step = 0; step < job.steps.size(); ++step) {
         const Step &checked = job.steps[step];
         if (checked.count == 0)
             return invalidJob("step " + std::to_string(step) + " has no tasks");
-        if (checked.need.cpuMilli < 0 || checked.need.memoryMb < 0 || checked.need.accelerators < 0)
-            return invalidJob("step " + std::to_string(step) + " needs a negative amount");
-        if (checked.estimateMs < 0)
+        const Resources &need = checked.need;
+        if (!inRange(need.cpuMilli, maxResourceAmount) || !inRange(need.memoryMb, maxResourceAmount)
+            || !inRange(need.accelerators, maxResourceAmount))
+            return invalidJob("step " + std::to_string(step)
+                              + " needs an amount that is negative or too large");
+        if (!inRange(checked.estimateMs, maxEstimateSumMs - estimateSumMs))
             return invalidJob("the estimate of step " + std::to_string(step)
                               + " is negative or too large");
+        estimateSumMs += checked.estimateMs;
         tasks += checked.count;
         for (const std::uint32_t dependency : checked.after) {
             if (dependency >= step)
@@ -141,7 +159,8 @@
                                   + std::to_string(dependency) + ", which is not an earlier step");
         }
     }
-    if (tasks * occurrences(job) > maxTasks)
+    // Compared before they are multiplied, because the product may not fit into 64 bits.
+    if (tasks > maxTasks || tasks * occurrences(job) > maxTasks)
         return invalidJob("a job may have at most " + std::to_string(maxTasks) + " tasks");
     return std::nullopt;
 }
