Ignore odd records and messages of entries and host agents

One record or message of another writer could stop its readers for good: a leader record with epoch 2^64-1 (or -1) was followed, and no campaign can exceed it, since the next epoch overflows to 0; one that is any object without fields was accepted, and its address could have a port out of range. A task with a phase that no code knows stays where it is; run was read as run 1; a job record under the key of another id would, when it expires, delete the records of that one; a progress record without tasks changed the state that callers see.

Cause: the library's macros convert each field without a check and take the default of a missing one, and casts of integers to enumerations accept any value.

Ruled out: text nested deeply ended none of these decoders; the values are not copied.

Change: records.cc reads each message with JsonObjectReader and the ranges of limits.h; epochs are limited so that the next ones and their fencing tokens remain exact. A leader names its process and an address that is empty or has a valid port; progress has as many tasks as its job, and a job has the id of its key. Missing fields and those of the former version are read as before. What is written is unchanged.

--- a/flamingo/scheduler/records.cc
+++ b/flamingo/scheduler/records.cc
@@ -1,10 +1,14 @@
 // Records and messages are JSON. Missing fields take their default and unknown fields are ignored,
-// so that processes of adjacent versions can read each other's data.
+// so that processes of adjacent versions can read each other's data. A field of another type or out
+// of its range makes the whole record or message invalid.
 
 #include "flamingo/scheduler/records.h"
 
+#include "flamingo/json_object_reader.h"
 #include "flamingo/json_text.h"
 #include "flamingo/scheduler/host_messages.h"
+#include "flamingo/scheduler/limits.h"
+#include "flamingo/scheduler/run_progress.h"
 #include "flamingo/scheduler/scheduler.h"
 
 #include <nlohmann/json.hpp>
@@ -22,48 +26,388 @@
 
 namespace flamingo::scheduler {
 
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(Resources, cpuMilli, memoryMb, accelerators)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(Step, count, need, estimateMs, after, checkpointing,
-                                                gang, sameRack, requiredLabel, dataRack,
-                                                maxPerWorker, longRunning, fillsIdle)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(Job, id, queue, organisation, service, payload,
-                                                steps, priority, maxAttempts, stretch,
-                                                targetLatencyMs, acceptedUnixMs, firstRunUnixMs,
-                                                intervalMs, repeatCount)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(Leader, epoch, process, start, address, hosts,
-                                                resigned, processorShare)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(WorkerInfo, id, bornUnixMs, service, capacity,
-                                                labels, draining, remainingMs)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(ReportedRun, task, run, state, percent, checkpoint,
-                                                reason)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(ReportedEnd, number, task, run, how, checkpoint)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(StartOrder, task, run, payload, checkpoint)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(StopOrder, task, run)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(HostOrders, epoch, leaderAddress, leaderEpoch,
-                                                workerKey, fencingToken, grantMs, acknowledgedEnd,
-                                                storeSilentMs, starts, stops)
+using Json = nlohmann::json;
+
+// nlohmann::json requires these function names.
+// NOLINTBEGIN(readability-identifier-naming)
+void to_json(Json &json, const Resources &resources)
+{
+    json = {{"cpuMilli", resources.cpuMilli},
+            {"memoryMb", resources.memoryMb},
+            {"accelerators", resources.accelerators}};
+}
+
+void to_json(Json &json, const Step &step)
+{
+    json = {{"count", step.count},
+            {"need", step.need},
+            {"estimateMs", step.estimateMs},
+            {"after", step.after},
+            {"checkpointing", step.checkpointing},
+            {"gang", step.gang},
+            {"sameRack", step.sameRack},
+            {"requiredLabel", step.requiredLabel},
+            {"dataRack", step.dataRack},
+            {"maxPerWorker", step.maxPerWorker},
+            {"longRunning", step.longRunning},
+            {"fillsIdle", step.fillsIdle}};
+}
+
+void to_json(Json &json, const Job &job)
+{
+    json = {{"id", job.id},
+            {"queue", job.queue},
+            {"organisation", job.organisation},
+            {"service", job.service},
+            {"payload", job.payload},
+            {"steps", job.steps},
+            {"priority", job.priority},
+            {"maxAttempts", job.maxAttempts},
+            {"stretch", job.stretch},
+            {"targetLatencyMs", job.targetLatencyMs},
+            {"acceptedUnixMs", job.acceptedUnixMs},
+            {"firstRunUnixMs", job.firstRunUnixMs},
+            {"intervalMs", job.intervalMs},
+            {"repeatCount", job.repeatCount}};
+}
+
+void to_json(Json &json, const Leader &leader)
+{
+    json = {{"epoch", leader.epoch},
+            {"process", leader.process},
+            {"start", leader.start},
+            {"address", leader.address},
+            {"hosts", leader.hosts},
+            {"resigned", leader.resigned},
+            {"processorShare", leader.processorShare}};
+}
+
+void to_json(Json &json, const WorkerInfo &worker)
+{
+    json = {{"id", worker.id},
+            {"bornUnixMs", worker.bornUnixMs},
+            {"service", worker.service},
+            {"capacity", worker.capacity},
+            {"labels", worker.labels},
+            {"draining", worker.draining},
+            {"remainingMs", worker.remainingMs}};
+}
+
+void to_json(Json &json, const ReportedRun &run)
+{
+    json = {{"task", run.task},
+            {"run", run.run},
+            {"state", run.state},
+            {"percent", run.percent},
+            {"checkpoint", run.checkpoint},
+            {"reason", run.reason}};
+}
+
+void to_json(Json &json, const ReportedEnd &end)
+{
+    json = {{"number", end.number},
+            {"task", end.task},
+            {"run", end.run},
+            {"how", end.how},
+            {"checkpoint", end.checkpoint}};
+}
+
+void to_json(Json &json, const StartOrder &order)
+{
+    json = {{"task", order.task},
+            {"run", order.run},
+            {"payload", order.payload},
+            {"checkpoint", order.checkpoint}};
+}
+
+void to_json(Json &json, const StopOrder &order)
+{
+    json = {{"task", order.task}, {"run", order.run}};
+}
+
+void to_json(Json &json, const HostOrders &orders)
+{
+    json = {{"epoch", orders.epoch},
+            {"leaderAddress", orders.leaderAddress},
+            {"leaderEpoch", orders.leaderEpoch},
+            {"workerKey", orders.workerKey},
+            {"fencingToken", orders.fencingToken},
+            {"grantMs", orders.grantMs},
+            {"acknowledgedEnd", orders.acknowledgedEnd},
+            {"storeSilentMs", orders.storeSilentMs},
+            {"starts", orders.starts},
+            {"stops", orders.stops}};
+}
+
+// NOLINTEND(readability-identifier-naming)
 
 namespace {
 
-constexpr std::size_t workerField = 4; // of a task in a progress record
+// Fields of a task in a progress record.
+constexpr std::size_t workerField = 4;
+constexpr std::size_t checkpointField = 5;
+constexpr double maxProcessorShare = 1e6;
 constexpr std::string_view acceptancePrefix = "a/";
 constexpr std::string_view cancellationPrefix = "c/";
 constexpr std::string_view progressPrefix = "p/";
 
-Reason decodeError(const std::exception &error)
+// Decodes the text of one message or record with `read(json, value, reason)`.
+template <typename Type, typename Read>
+std::optional<Type> decode(std::string_view text, Reason &reason, Read read)
 {
-    return {ReasonCode::InvalidInput, error.what()};
+    const auto json = parseJson(text, reason);
+    Type value;
+    if (!json || !read(*json, value, reason))
+        return std::nullopt;
+    return value;
 }
 
-template <typename Type>
-std::optional<Type> decode(std::string_view text, Reason &reason)
+template <typename Enumeration>
+void readEnumeration(JsonObjectReader &reader, const char *name, Enumeration last,
+                     Enumeration &target)
 {
-    try {
-        return nlohmann::json::parse(text).get<Type>();
-    } catch (const nlohmann::json::exception &error) {
-        reason = decodeError(error);
-        return std::nullopt;
+    reader.integer(name, 0, static_cast<std::int64_t>(last), target);
+}
+
+// An address is empty or of the form HOST:PORT.
+void readAddress(JsonObjectReader &reader, const char *name, std::string &address)
+{
+    reader.text(name, address);
+    if (reader.valid() && !address.empty() && !isHostAndPort(address))
+        reader.refuse(std::string("field '") + name + "' is not of the form HOST:PORT");
+}
+
+bool readResources(const Json &json, Resources &resources, Reason &reason)
+{
+    JsonObjectReader reader(json, reason);
+    reader.integer("cpuMilli", 0, maxResourceAmount, resources.cpuMilli);
+    reader.integer("memoryMb", 0, maxResourceAmount, resources.memoryMb);
+    reader.integer("accelerators", 0, maxResourceAmount, resources.accelerators);
+    return reader.valid();
+}
+
+bool readStep(const Json &json, Step &step, Reason &reason)
+{
+    JsonObjectReader reader(json, reason);
+    reader.integer("count", 1, maxUint32, step.count);
+    reader.value("need", step.need, readResources);
+    reader.integer("estimateMs", 0, maxEstimateSumMs, step.estimateMs);
+    reader.list("after", step.after,
+                [](const Json &element, std::uint32_t &dependency, Reason &problem) {
+                    const auto number = wholeNumber(element, 0, maxUint32);
+                    dependency = static_cast<std::uint32_t>(number.value_or(0));
+                    if (!number)
+                        problem = {ReasonCode::InvalidInput, "not the number of a step"};
+                    return number.has_value();
+                });
+    reader.flag("checkpointing", step.checkpointing);
+    reader.flag("gang", step.gang);
+    reader.flag("sameRack", step.sameRack);
+    reader.text("requiredLabel", step.requiredLabel);
+    reader.text("dataRack", step.dataRack);
+    reader.integer("maxPerWorker", 0, maxUint32, step.maxPerWorker);
+    reader.flag("longRunning", step.longRunning);
+    reader.flag("fillsIdle", step.fillsIdle);
+    return reader.valid();
+}
+
+bool readJob(const Json &json, Job &job, Reason &reason)
+{
+    JsonObjectReader reader(json, reason);
+    reader.text("id", job.id);
+    reader.text("queue", job.queue);
+    reader.text("organisation", job.organisation);
+    reader.text("service", job.service);
+    reader.text("payload", job.payload);
+    reader.list("steps", job.steps, readStep);
+    reader.integer("priority", 0, maxUint32, job.priority);
+    reader.integer("maxAttempts", 0, maxUint32, job.maxAttempts);
+    reader.real("stretch", 0, maxStretch, job.stretch);
+    reader.integer("targetLatencyMs", 0, maxMilliseconds, job.targetLatencyMs);
+    reader.integer("acceptedUnixMs", 0, maxMilliseconds, job.acceptedUnixMs);
+    reader.integer("firstRunUnixMs", 0, maxMilliseconds, job.firstRunUnixMs);
+    reader.integer("intervalMs", 0, maxMilliseconds, job.intervalMs);
+    reader.integer("repeatCount", 0, maxUint32, job.repeatCount);
+    return reader.valid();
+}
+
+bool readLeader(const Json &json, Leader &leader, Reason &reason)
+{
+    JsonObjectReader reader(json, reason);
+    reader.require({"epoch", "process"});
+    reader.integer("epoch", 1, maxEpoch, leader.epoch);
+    reader.text("process", leader.process);
+    reader.integer("start", 0, maxIncarnation, leader.start);
+    readAddress(reader, "address", leader.address);
+    reader.integer("hosts", 0, maxUint32, leader.hosts);
+    reader.flag("resigned", leader.resigned);
+    reader.real("processorShare", 0, maxProcessorShare, leader.processorShare);
+    if (leader.process.empty())
+        reader.refuse("no process is named");
+    return reader.valid();
+}
+
+bool readWorker(const Json &json, WorkerInfo &worker, Reason &reason)
+{
+    JsonObjectReader reader(json, reason);
+    reader.text("id", worker.id);
+    reader.integer("bornUnixMs", 0, maxBornUnixMs, worker.bornUnixMs);
+    reader.text("service", worker.service);
+    reader.value("capacity", worker.capacity, readResources);
+    reader.texts("labels", worker.labels);
+    reader.flag("draining", worker.draining);
+    reader.integer("remainingMs", 0, maxMilliseconds, worker.remainingMs);
+    return reader.valid();
+}
+
+// The percentage only serves to estimate; one that is out of range counts as unknown.
+bool readPercent(const Json &json, std::int64_t &percent, Reason &reason)
+{
+    percent = wholeNumber(json, 0, completePercent).value_or(unknownPercent);
+    if (!json.is_number())
+        reason = {ReasonCode::InvalidInput, "not a number"};
+    return json.is_number();
+}
+
+bool readReportedRun(const Json &json, ReportedRun &run, Reason &reason)
+{
+    JsonObjectReader reader(json, reason);
+    reader.text("task", run.task);
+    reader.integer("run", 0, maxRunNumber, run.run);
+    readEnumeration(reader, "state", RunState::Gone, run.state);
+    reader.value("percent", run.percent, readPercent);
+    reader.text("checkpoint", run.checkpoint);
+    reader.text("reason", run.reason);
+    return reader.valid();
+}
+
+bool readReportedEnd(const Json &json, ReportedEnd &end, Reason &reason)
+{
+    JsonObjectReader reader(json, reason);
+    reader.integer("number", 0, maxCounter, end.number);
+    reader.text("task", end.task);
+    reader.integer("run", 0, maxRunNumber, end.run);
+    readEnumeration(reader, "how", EndKind::Alone, end.how);
+    reader.text("checkpoint", end.checkpoint);
+    return reader.valid();
+}
+
+bool readHostReport(const Json &json, HostReport &report, Reason &reason)
+{
+    JsonObjectReader reader(json, reason);
+    reader.require({"host", "agentStart", "sequence"});
+    reader.text("host", report.host);
+    reader.integer("agentStart", 0, maxIncarnation, report.agentStart);
+    reader.integer("sequence", 0, maxCounter, report.sequence);
+    reader.flag("workerGone", report.workerGone);
+    reader.integer("lostLeader", 0, maxEpoch, report.lostLeader);
+    reader.integer("fencingToken", 0, maxCounter, report.fencingToken);
+    reader.integer("listClockMs", 0, maxMilliseconds, report.listClockMs);
+    reader.list("runs", report.runs, readReportedRun);
+    reader.list("ends", report.ends, readReportedEnd);
+    reader.value("worker", report.worker,
+                 [](const Json &field, std::optional<WorkerInfo> &worker, Reason &problem) {
+                     return readWorker(field, worker.emplace(), problem);
+                 });
+    if (report.host.empty())
+        reader.refuse("no host is named");
+    return reader.valid();
+}
+
+bool readStartOrder(const Json &json, StartOrder &order, Reason &reason)
+{
+    JsonObjectReader reader(json, reason);
+    reader.text("task", order.task);
+    reader.integer("run", 0, maxRunNumber, order.run);
+    reader.text("payload", order.payload);
+    reader.text("checkpoint", order.checkpoint);
+    return reader.valid();
+}
+
+bool readStopOrder(const Json &json, StopOrder &order, Reason &reason)
+{
+    JsonObjectReader reader(json, reason);
+    reader.text("task", order.task);
+    reader.integer("run", 0, maxRunNumber, order.run);
+    return reader.valid();
+}
+
+bool readHostOrders(const Json &json, HostOrders &orders, Reason &reason)
+{
+    JsonObjectReader reader(json, reason);
+    reader.integer("epoch", 0, maxEpoch, orders.epoch);
+    readAddress(reader, "leaderAddress", orders.leaderAddress);
+    reader.integer("leaderEpoch", 0, maxEpoch, orders.leaderEpoch);
+    reader.text("workerKey", orders.workerKey);
+    reader.integer("fencingToken", 0, maxCounter, orders.fencingToken);
+    reader.integer("grantMs", 0, maxLeaseGrantMs, orders.grantMs);
+    reader.integer("acknowledgedEnd", 0, maxCounter, orders.acknowledgedEnd);
+    // Negative if a read of the log was confirmed after this time was taken.
+    reader.integer("storeSilentMs", -maxMilliseconds, maxMilliseconds, orders.storeSilentMs);
+    reader.list("starts", orders.starts, readStartOrder);
+    reader.list("stops", orders.stops, readStopOrder);
+    return reader.valid();
+}
+
+// Reads the number at `index` of the fields of a task; a missing one leaves `target` unchanged.
+template <typename Number>
+bool readTaskNumber(const Json &fields, std::size_t index, std::int64_t max, Number &target)
+{
+    if (index >= fields.size())
+        return true;
+    const auto number = wholeNumber(fields[index], 0, max);
+    target = static_cast<Number>(number.value_or(0));
+    return number.has_value();
+}
+
+bool readTaskWorker(const Json &fields, absl::Span<const std::string> workers, std::string &worker)
+{
+    if (fields.size() <= workerField)
+        return true;
+    // Processes of the former version wrote the worker itself.
+    const Json &field = fields[workerField];
+    if (field.is_string()) {
+        worker = field.get_ref<const std::string &>();
+        return true;
     }
+    const auto number = wholeNumber(field, 0, static_cast<std::int64_t>(workers.size()));
+    if (number && *number > 0)
+        worker = workers[static_cast<std::size_t>(*number) - 1];
+    return number.has_value();
+}
+
+bool readTask(const Json &fields, absl::Span<const std::string> workers, TaskProgress &task,
+              Reason &reason)
+{
+    const bool hasCheckpoint = fields.is_array() && fields.size() > checkpointField;
+    if (hasCheckpoint && fields[checkpointField].is_string())
+        task.checkpoint = fields[checkpointField].get_ref<const std::string &>();
+    const bool valid = fields.is_array()
+        && readTaskNumber(fields, 0, static_cast<std::int64_t>(TaskPhase::Done), task.phase)
+        && readTaskNumber(fields, 1, maxRunNumber, task.run)
+        && readTaskNumber(fields, 2, maxRunNumber, task.failures)
+        && readTaskNumber(fields, 3, maxRunNumber, task.failedRun)
+        && readTaskWorker(fields, workers, task.worker)
+        && (!hasCheckpoint || fields[checkpointField].is_string());
+    if (!valid)
+        reason = {ReasonCode::InvalidInput,
+                  "a task is not [phase, run, failures, failedRun, worker, checkpoint]"};
+    return valid;
+}
+
+bool readProgress(const Json &json, JobProgress &progress, Reason &reason)
+{
+    JsonObjectReader reader(json, reason);
+    reader.require({"tasks"});
+    readEnumeration(reader, "outcome", Outcome::Cancelled, progress.outcome);
+    reader.text("reason", progress.reason);
+    std::vector<std::string> workers;
+    reader.texts("workers", workers);
+    reader.list("tasks", progress.tasks,
+                [&workers](const Json &fields, TaskProgress &task, Reason &problem) {
+                    return readTask(fields, workers, task, problem);
+                });
+    return reader.valid();
 }
 
 std::string recordKey(std::string_view prefix, std::string_view jobId)
@@ -72,9 +416,9 @@
 }
 
 // Removes the fields at the end of `fields` that have their default value.
-nlohmann::json trimmedFields(nlohmann::json fields)
+Json trimmedFields(Json fields)
 {
-    const auto isDefault = [](const nlohmann::json &field) {
+    const auto isDefault = [](const Json &field) {
         return field.is_string() ? field.get_ref<const std::string &>().empty() : field == 0;
     };
     while (!fields.empty() && isDefault(fields.back()))
@@ -82,23 +426,15 @@
     return fields;
 }
 
-// Returns the field `name` of the object `json`; `fallback` if there is none.
-const nlohmann::json &memberOr(const nlohmann::json &json, const char *name,
-                               const nlohmann::json &fallback)
-{
-    const auto found = json.find(name);
-    return found == json.end() ? fallback : *found;
-}
-
 } // namespace
 
 // nlohmann::json requires these function names.
 // NOLINTBEGIN(readability-identifier-naming)
-void to_json(nlohmann::json &json, const JobProgress &progress)
+void to_json(Json &json, const JobProgress &progress)
 {
     std::map<std::string_view, std::size_t> workerNumbers;
-    auto workers = nlohmann::json::array();
-    auto tasks = nlohmann::json::array();
+    auto workers = Json::array();
+    auto tasks = Json::array();
     for (const TaskProgress &task : progress.tasks) {
         const bool done = task.phase == TaskPhase::Done;
         std::size_t worker = 0;
@@ -117,34 +453,7 @@
         json["reason"] = progress.reason;
 }
 
-void from_json(const nlohmann::json &json, JobProgress &progress)
-{
-    progress.outcome = json.value("outcome", Outcome::Open);
-    progress.reason = json.value("reason", std::string());
-    // References, because a copy of all tasks would cost as much as decoding them.
-    const auto none = nlohmann::json::array();
-    const nlohmann::json &workers = memberOr(json, "workers", none);
-    for (const nlohmann::json &fields : memberOr(json, "tasks", none)) {
-        const auto field = [&fields](std::size_t index, auto &target) {
-            if (index < fields.size())
-                fields.at(index).get_to(target);
-        };
-        TaskProgress task;
-        field(0, task.phase);
-        field(1, task.run);
-        field(2, task.failures);
-        field(3, task.failedRun);
-        field(5, task.checkpoint);
-        // Processes of the former version wrote the worker itself.
-        if (fields.size() > workerField && fields[workerField].is_string())
-            field(workerField, task.worker);
-        else if (fields.size() > workerField && fields[workerField] != 0)
-            workers.at(fields[workerField].get<std::size_t>() - 1).get_to(task.worker);
-        progress.tasks.push_back(std::move(task));
-    }
-}
-
-void to_json(nlohmann::json &json, const HostReport &report)
+void to_json(Json &json, const HostReport &report)
 {
     json = {{"host", report.host},
             {"agentStart", report.agentStart},
@@ -159,21 +468,6 @@
         json["worker"] = *report.worker;
 }
 
-void from_json(const nlohmann::json &json, HostReport &report)
-{
-    json.at("host").get_to(report.host);
-    json.at("agentStart").get_to(report.agentStart);
-    json.at("sequence").get_to(report.sequence);
-    report.workerGone = json.value("workerGone", false);
-    report.lostLeader = json.value("lostLeader", std::uint64_t(0));
-    report.fencingToken = json.value("fencingToken", std::uint64_t(0));
-    report.listClockMs = json.value("listClockMs", std::int64_t(0));
-    report.runs = json.value("runs", std::vector<ReportedRun>());
-    report.ends = json.value("ends", std::vector<ReportedEnd>());
-    if (json.contains("worker"))
-        report.worker = json.at("worker").get<WorkerInfo>();
-}
-
 // NOLINTEND(readability-identifier-naming)
 
 const std::string_view leaderKey = "~leader";
@@ -181,12 +475,12 @@
 
 Record acceptanceRecord(const Job &job)
 {
-    return {recordKey(acceptancePrefix, job.id), jsonText(nlohmann::json(job))};
+    return {recordKey(acceptancePrefix, job.id), jsonText(Json(job))};
 }
 
 Record progressRecord(std::string_view jobId, const JobProgress &progress)
 {
-    return {recordKey(progressPrefix, jobId), jsonText(nlohmann::json(progress))};
+    return {recordKey(progressPrefix, jobId), jsonText(Json(progress))};
 }
 
 Record cancellationRecord(std::string_view jobId)
@@ -196,12 +490,12 @@
 
 Record leaderRecord(const Leader &leader)
 {
-    return {std::string(leaderKey), jsonText(nlohmann::json(leader))};
+    return {std::string(leaderKey), jsonText(Json(leader))};
 }
 
 Record candidateRecord(const Leader &candidate)
 {
-    return {std::string(candidateKey), jsonText(nlohmann::json(candidate))};
+    return {std::string(candidateKey), jsonText(Json(candidate))};
 }
 
 std::optional<ParsedKey> parseKey(std::string_view key)
@@ -223,7 +517,7 @@
 
 std::optional<Job> decodeJob(std::string_view value, Reason &reason)
 {
-    auto job = decode<Job>(value, reason);
+    auto job = decode<Job>(value, reason, readJob);
     if (!job)
         return std::nullopt;
     if (const auto problem = validate(*job)) {
@@ -235,12 +529,12 @@
 
 std::optional<JobProgress> decodeProgress(std::string_view value, Reason &reason)
 {
-    return decode<JobProgress>(value, reason);
+    return decode<JobProgress>(value, reason, readProgress);
 }
 
 std::optional<Leader> decodeLeader(std::string_view value, Reason &reason)
 {
-    return decode<Leader>(value, reason);
+    return decode<Leader>(value, reason, readLeader);
 }
 
 std::string workerKey(std::string_view host, const WorkerInfo &worker)
@@ -255,35 +549,35 @@
 
 std::string encode(const HostReport &report)
 {
-    return jsonText(nlohmann::json(report));
+    return jsonText(Json(report));
 }
 
 std::string encode(const HostOrders &orders)
 {
-    return jsonText(nlohmann::json(orders));
+    return jsonText(Json(orders));
 }
 
 std::optional<HostReport> decodeHostReport(std::string_view text, Reason &reason)
 {
-    return decode<HostReport>(text, reason);
+    return decode<HostReport>(text, reason, readHostReport);
 }
 
 std::optional<HostOrders> decodeHostOrders(std::string_view text, Reason &reason)
 {
-    return decode<HostOrders>(text, reason);
+    return decode<HostOrders>(text, reason, readHostOrders);
 }
 
 std::string dumpState(const Scheduler &scheduler)
 {
-    nlohmann::json jobs = nlohmann::json::object();
+    Json jobs = Json::object();
     for (const auto &[id, row] : scheduler.table.jobs) {
         jobs[id] = {{"progress", row.progress}, {"cancelled", row.cancelled}};
         if (row.job)
             jobs[id]["job"] = *row.job;
     }
-    nlohmann::json workers = nlohmann::json::object();
+    Json workers = Json::object();
     for (const auto &[key, worker] : scheduler.workers) {
-        nlohmann::json runs = nlohmann::json::array();
+        Json runs = Json::array();
         for (const auto &[runKey, run] : worker.runs)
             runs.push_back({{"task", runKey.first},
                             {"run", runKey.second},
@@ -295,10 +589,10 @@
                         {"lastReport", worker.lastReport},
                         {"runs", runs}};
     }
-    return jsonText(nlohmann::json{{"epoch", scheduler.epoch},
-                                   {"leader", scheduler.table.leader},
-                                   {"jobs", jobs},
-                                   {"workers", workers}},
+    return jsonText(Json{{"epoch", scheduler.epoch},
+                         {"leader", scheduler.table.leader},
+                         {"jobs", jobs},
+                         {"workers", workers}},
                     1);
 }
 
--- a/flamingo/scheduler/scheduler.cc
+++ b/flamingo/scheduler/scheduler.cc
@@ -377,6 +377,10 @@
         auto job = decodeJob(value, reason);
         if (!job)
             return false;
+        if (job->id != parsed->jobId) {
+            reason = {ReasonCode::InvalidInput, "the job's id '" + job->id + "' is not in the key"};
+            return false;
+        }
         JobRow &row = table.jobs[parsed->jobId];
         if (row.job)
             return true; // a repeated acceptance
@@ -388,10 +392,16 @@
     if (!progress)
         return false;
     JobRow &row = table.jobs[parsed->jobId];
+    if (row.job && progress->tasks.size() != taskCount(*row.job)) {
+        reason = {ReasonCode::InvalidInput,
+                  "progress of " + std::to_string(progress->tasks.size()) + " tasks for a job of "
+                      + std::to_string(taskCount(*row.job))};
+        return false;
+    }
     row.storedOutcome = progress->outcome;
     for (const TaskProgress &task : progress->tasks)
         row.storedStarted = row.storedStarted || task.run > 0;
-    if (!leading && (!row.job || progress->tasks.size() == taskCount(*row.job)))
+    if (!leading)
         row.progress = std::move(*progress);
     return true;
 }
