Accept only acceptances and cancellations from a relaying entry

Any process that reaches the internal port could have a leader record, the deletion of a job or a record that no entry can read appended to the job log, as if an entry had relayed an acceptance.

Cause: decodeRecord() checked only that key and value are strings, and storeRelayed() appends what it is given.

Change: decodeRecord() applies the record to an empty table, as a reader would, and refuses other kinds of records, deletions, and what a reader would ignore.

Measured: relayedRecordThatIsNoAcceptanceIsRefused failed before ("~leader ... was accepted") and passes; platform_test passes.

--- a/flamingo/adapters/entry_relay.cc
+++ b/flamingo/adapters/entry_relay.cc
@@ -3,7 +3,9 @@
 #include "flamingo/adapters/entry_relay.h"
 
 #include "flamingo/adapters/http_status.h"
+#include "flamingo/json_object_reader.h"
 #include "flamingo/json_text.h"
+#include "flamingo/scheduler/scheduler.h"
 
 #include <nlohmann/json.hpp>
 
@@ -16,6 +18,22 @@
 // Shorter than submitRetryWindowMs, the time for which a submission is retried.
 constexpr TimeMs relayTimeoutMs = 450;
 
+// Only entries' own records are relayed, and they delete nothing: all others are the leader's.
+bool isRelayable(const scheduler::Record &record, Reason &reason)
+{
+    scheduler::JobTable table;
+    const auto key = scheduler::parseKey(record.key);
+    const bool entryWrites = key
+        && (key->kind == scheduler::RecordKind::Acceptance
+            || key->kind == scheduler::RecordKind::Cancellation);
+    if (entryWrites && !record.value.empty())
+        return scheduler::applyRecord(table, record.key, record.value, false, reason);
+    reason = {ReasonCode::InvalidInput,
+              "a record with key '" + record.key + "' and " + std::to_string(record.value.size())
+                  + " bytes is not relayed"};
+    return false;
+}
+
 } // namespace
 
 const std::string_view relayedRecordPath = "/v1/acceptances";
@@ -42,14 +60,17 @@
 
 std::optional<scheduler::Record> decodeRecord(std::string_view text, Reason &reason)
 {
-    try {
-        const auto json = nlohmann::json::parse(text);
-        return scheduler::Record{json.at("key").get<std::string>(),
-                                 json.at("value").get<std::string>()};
-    } catch (const nlohmann::json::exception &error) {
-        reason = {ReasonCode::InvalidInput, error.what()};
+    const auto json = parseJson(text, reason);
+    if (!json)
+        return std::nullopt;
+    scheduler::Record record;
+    JsonObjectReader reader(*json, reason);
+    reader.require({"key", "value"});
+    reader.text("key", record.key);
+    reader.text("value", record.value);
+    if (!reader.valid() || !isRelayable(record, reason))
         return std::nullopt;
-    }
+    return record;
 }
 
 EntryRelay::EntryRelay(Loop &loop, std::string ownAddress, std::vector<std::string> entries)
--- a/flamingo/adapters/entry_relay.h
+++ b/flamingo/adapters/entry_relay.h
@@ -24,7 +24,8 @@
 int statusForVerdict(Verdict verdict);
 Verdict verdictFromResult(const HttpResult &result);
 
-// Body of a relay request; decodeRecord() returns nullopt with a reason for a malformed one.
+// Body of a relay request; decodeRecord() returns nullopt with a reason for a malformed one, and
+// for a record that is neither an acceptance nor a cancellation.
 std::string encodeRecord(const scheduler::Record &record);
 std::optional<scheduler::Record> decodeRecord(std::string_view text, Reason &reason);
 
