Log each message that is ignored, on one line

A line break in a text of another writer began a new line of the log.

The lines are subject to the rate limit of the decision log.

--- a/flamingo/adapters/decision_log.cc
+++ b/flamingo/adapters/decision_log.cc
@@ -8,6 +8,7 @@
 #include <poll.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <climits>
 
 namespace flamingo::adapters {
@@ -20,6 +21,9 @@
         + " " + std::string(text.substr(0, PIPE_BUF / 2)) + this->rateLimiter.takeSuppressedField();
     if (this->unwritableLines > 0)
         line += " left_out_blocked=" + std::to_string(this->unwritableLines);
+    // Texts of other processes may contain line breaks.
+    std::replace_if(
+        line.begin(), line.end(), [](unsigned char character) { return character < ' '; }, ' ');
     line += "\n";
     pollfd ready = {STDOUT_FILENO, POLLOUT, 0};
     if (poll(&ready, 1, 0) != 1 || (ready.revents & POLLOUT) == 0
--- a/flamingo/adapters/host_agent_service.cc
+++ b/flamingo/adapters/host_agent_service.cc
@@ -196,6 +196,9 @@
     const auto orders =
         result.status == statusOk ? decodeHostOrders(result.body, reason) : std::nullopt;
     if (!orders) {
+        if (result.status == statusOk)
+            this->decisions.write("event=orders_ignored address=" + address + " reason=\""
+                                  + reason.text + "\"");
         this->handleReportFailure(result, address, sentAt, reason);
         return;
     }
@@ -300,9 +303,13 @@
     this->log.newest(beforeLeaderKey, [this](const NewestResult &result) {
         for (const StoredRecord &stored : result.records) {
             Reason reason;
-            const auto leader = stored.record.key == leaderKey
-                ? decodeLeader(stored.record.value, reason)
-                : std::nullopt;
+            if (stored.record.key != leaderKey)
+                continue;
+            const auto leader = decodeLeader(stored.record.value, reason);
+            if (!leader)
+                this->decisions.write("event=record_ignored key=" + stored.record.key
+                                      + " offset=" + std::to_string(stored.offset) + " reason=\""
+                                      + reason.text + "\"");
             if (!leader || leader->address.empty() || leader->epoch < this->agent.epoch)
                 continue;
             if (this->entries.empty() || this->entries[this->currentEntry] != leader->address)
