Run scheduler_service_test in simulated time

fewEntriesCampaignWhenTheLeaderIsLostAtASlowLog failed beside load. All its entries share one thread, so time in which the thread does not run passes for all of them at once: the fake log then looks slow to each, their timers are due in the same pass, and they campaign together. Entries are processes of their own in service, and do not stop together, so the programs are not at fault here.

Loop::simulateTime() makes now() stand still while callbacks run and lets run() advance it to the next timer instead of waiting. The test sets it; the programs do not. All checks and bounds of the test stay as they were.

In simulated time a test has one result, so the test of the campaigns plays 100 sets of seeds, each with the former bound.

--- a/flamingo/adapters/loop.cc
+++ b/flamingo/adapters/loop.cc
@@ -25,6 +25,8 @@
 constexpr int listenBacklog = 512;
 constexpr int highestPort = 65535;
 
+std::optional<TimeMs> simulatedTime; // nullopt: now() is the time of the machine
+
 volatile std::sig_atomic_t shutdownRequested = 0;
 
 void requestShutdown(int /*signal*/)
@@ -50,6 +52,8 @@
 
 TimeMs Loop::now()
 {
+    if (simulatedTime)
+        return *simulatedTime;
     // CLOCK_BOOTTIME also advances while the machine is suspended: leases must expire and received
     // data must age during that time.
     timespec time = {};
@@ -57,6 +61,17 @@
     return TimeMs(time.tv_sec) * 1000 + time.tv_nsec / 1000000;
 }
 
+void Loop::simulateTime()
+{
+    simulatedTime = now();
+}
+
+void Loop::advanceSimulatedTime() const
+{
+    if (simulatedTime && !this->timers.empty())
+        simulatedTime = std::max(*simulatedTime, this->timers.begin()->first.first);
+}
+
 std::uint64_t Loop::unixNow()
 {
     const auto sinceEpoch = std::chrono::system_clock::now().time_since_epoch();
@@ -134,6 +149,7 @@
         // when a signal ends its wait, and frees a closed socket that still waits to be called
         // back.
         h2o_timeout__do_post_callback(this->loop);
+        this->advanceSimulatedTime();
         h2o_evloop_run(this->loop, this->pollTimeoutMs());
         this->fireDueTimers();
         if (reloadRequested != 0 && this->reloadCallback) {
--- a/flamingo/adapters/loop.h
+++ b/flamingo/adapters/loop.h
@@ -39,6 +39,11 @@
     // Milliseconds of the monotonic clock, including time in which the machine is suspended.
     static TimeMs now();
 
+    // Starts simulated time, for tests, for all loops of the process and until its end. now() then
+    // stands still while callbacks run, and run() advances it to the next timer instead of waiting.
+    // Time in which the process does not run is not counted. For loops without sockets.
+    static void simulateTime();
+
     // Milliseconds since 1970 of the wall clock; only shown to people, never used for decisions.
     static std::uint64_t unixNow();
 
@@ -69,6 +74,7 @@
     void resume();
 
 private:
+    void advanceSimulatedTime() const;
     void fireDueTimers();
     int pollTimeoutMs() const;
 
--- a/tests/scheduler_service_test.cc
+++ b/tests/scheduler_service_test.cc
@@ -1,6 +1,6 @@
 // Tests leader election, and that answers to callers are correct while the job log fails. The log
-// is a fake behind the JobLog port. The tests run in real time, so their delays are kept to
-// fractions of a second.
+// is a fake behind the JobLog port. The tests run in simulated time: all entries share one thread,
+// so real time in which it does not run would pass for all of them at once, as a log that is slow.
 
 #include "fake_job_log.h"
 
@@ -20,6 +20,11 @@
 
 constexpr TimeMs testTimeoutMs = 5000;
 
+const bool timeSimulated = [] {
+    Loop::simulateTime();
+    return true;
+}();
+
 struct Entry
 {
     FakeJobLog log;
@@ -145,15 +150,15 @@
     CHECK(other.service.leading());
 }
 
-// Pattern: hosts stopped in turn while the log is 63 times slower than usual. 28 entries
-// campaigned when the leader was lost; each fenced the others off, and their appends filled the
-// log's queue: no entry led for 2.9 s.
-TEST(SchedulerService, fewEntriesCampaignWhenTheLeaderIsLostAtASlowLog)
+// Returns the number of appends of 20 entries that lose their leader at a slow log, until another
+// one leads.
+int appendsOfCampaignsAtASlowLog(std::uint64_t firstSeed)
 {
+    Fixture fixture;
     for (std::uint64_t i = 0; i < 20; ++i)
-        fixture.add("e" + std::to_string(i), i);
+        fixture.add("e" + std::to_string(i), firstSeed + i);
     fixture.start();
-    fixture.waitUntil([this] { return fixture.leaderCount() == 1; });
+    fixture.waitUntil([&fixture] { return fixture.leaderCount() == 1; });
     Entry *leader = nullptr;
     for (Entry &entry : fixture.entries) {
         entry.log.delayMs = 60;
@@ -169,10 +174,19 @@
             return &each != leader && each.service.leading();
         });
     });
-    int campaigns = 0;
+    int appends = 0;
     for (const Entry &entry : fixture.entries)
-        campaigns += &entry == leader ? 0 : entry.log.appends;
-    CHECK(campaigns - before <= 10); // two appends each
+        appends += &entry == leader ? 0 : entry.log.appends;
+    return appends - before;
+}
+
+// Pattern: hosts stopped in turn while the log is 63 times slower than usual. 28 entries
+// campaigned when the leader was lost; each fenced the others off, and their appends filled the
+// log's queue: no entry led for 2.9 s.
+TEST(SchedulerService, fewEntriesCampaignWhenTheLeaderIsLostAtASlowLog)
+{
+    for (std::uint64_t round = 0; round < 100; ++round)
+        CHECK(appendsOfCampaignsAtASlowLog(1000 * round) <= 10); // two appends each
 }
 
 // The answers to the appends of a campaign are lost, but the records are read.
@@ -273,9 +287,28 @@
     fixture.waitUntil([&] { return callerVisibleState(entry.service.table(), id) == "cancelled"; });
 }
 
+// Guards against a resigned leader that is not replaced while the log is slow: it went on writing
+// records, and the other entry waited longer than their interval before it campaigns.
+TEST(SchedulerService, resignedLeaderIsReplacedAtASlowLog)
+{
+    fixture.add("a", 1);
+    fixture.add("b", 2);
+    fixture.start();
+    fixture.waitUntil([this] { return fixture.leaderCount() == 1; });
+    for (Entry &entry : fixture.entries)
+        entry.log.delayMs = 60;
+    fixture.runFor(400);
+    Entry &leader = fixture.entries.front().service.leading() ? fixture.entries.front()
+                                                              : fixture.entries.back();
+    Entry &other =
+        &leader == &fixture.entries.front() ? fixture.entries.back() : fixture.entries.front();
+    bool resigned = false;
+    leader.service.resign([&resigned] { resigned = true; });
+    fixture.waitUntil([&] { return resigned && other.service.leading(); });
+}
+
 // Guards against a resigned leader that goes on writing: each record restarts the wait of the other
-// entries, and those that wait longer than its keep-alive interval did not campaign until it
-// exited.
+// entries.
 TEST(SchedulerService, resignationIsTheLastRecordOfALeader)
 {
     Entry &leader = fixture.startEntry();
