--- a/tests/scheduler_service_test.cc
+++ b/tests/scheduler_service_test.cc
@@ -556,3 +556,23 @@
     fixture.waitUntil([&verdict] { return verdict.has_value(); });
     CHECK(*verdict == Verdict::MayHaveRun);
 }
+
+// Pattern: one record of another writer that every entry reads. With an epoch that no campaign can
+// exceed, or an address that no agent can call, there would be no leader for good.
+TEST(SchedulerService, oddRecordsStopNeitherReadersNorCampaigns)
+{
+    Fixture fixture;
+    Entry &entry = fixture.startEntry();
+    const auto append = [&fixture](const std::string &key, const std::string &value) {
+        fixture.state.records.push_back({fixture.state.records.size(), {key, value}});
+    };
+    append("~leader", R"({"epoch":18446744073709551615,"process":"x","start":1,"address":"x:1"})");
+    append("~candidate", R"({"epoch":18446744073709551615,"process":"x","start":1})");
+    append("~leader", R"({"a":{"b":{}}})");
+    append("~leader", R"({"epoch":65537,"process":"x","address":"10.0.0.1:70000"})");
+    append("", "\xff");
+    append("a/" + smallJob().id, std::string(100000, '['));
+    append("a/" + smallJob().id, scheduler::acceptanceRecord(smallJob()).value);
+    fixture.waitUntil([&entry] { return entry.service.table().jobs.count(smallJob().id) == 1; });
+    fixture.waitUntil([&entry] { return entry.service.leading(); });
+}
