Count reports of an unreachable leader by their own epoch

One report of another writer with an epoch that no leader has made an entry ignore all later reports that the real leader is unreachable: a leader that reaches the log but not the hosts would not have been replaced.

Cause: the entry kept the highest epoch reported, ignored reports of lower ones, and counted only if it was the leader's.

Change: each host's last report is kept with its epoch, and those with the leader's epoch are counted.

--- a/flamingo/scheduler/leadership.cc
+++ b/flamingo/scheduler/leadership.cc
@@ -68,21 +68,24 @@
 void recordUnreachableReport(Leadership &leadership, const std::string &host, std::uint64_t epoch,
                              TimeMs now)
 {
-    if (epoch < leadership.unreachableEpoch)
-        return;
-    if (epoch > leadership.unreachableEpoch)
-        leadership.unreachableReports.clear();
-    leadership.unreachableEpoch = epoch;
-    leadership.unreachableReports[host] = now;
+    leadership.unreachableReports[host] = {epoch, now};
 }
 
 void evaluateUnreachableReports(Leadership &leadership, std::uint64_t epoch,
                                 std::uint32_t reportingToLeader, TimeMs now)
 {
     std::uint32_t recentReports = 0;
-    for (const auto &[host, reportedAt] : leadership.unreachableReports)
-        recentReports += now - reportedAt <= leadership.options.unreachableReportMaxAgeMs ? 1 : 0;
-    if (leadership.unreachableEpoch != epoch || recentReports <= reportingToLeader)
+    auto &reports = leadership.unreachableReports;
+    for (auto item = reports.begin(); item != reports.end();) {
+        const UnreachableReport &report = item->second;
+        if (now - report.receivedAt > leadership.options.unreachableReportMaxAgeMs) {
+            item = reports.erase(item);
+            continue;
+        }
+        recentReports += report.epoch == epoch ? 1 : 0;
+        ++item;
+    }
+    if (recentReports <= reportingToLeader)
         leadership.unreachableSince = 0;
     else if (leadership.unreachableSince == 0)
         leadership.unreachableSince = now;
--- a/flamingo/scheduler/leadership.h
+++ b/flamingo/scheduler/leadership.h
@@ -60,6 +60,13 @@
     TimeMs candidateTimeoutMs = 400;
 };
 
+// A host's report that it cannot reach the leader of `epoch`.
+struct UnreachableReport
+{
+    std::uint64_t epoch = 0;
+    TimeMs receivedAt = 0;
+};
+
 struct Leadership
 {
     LeadershipOptions options;
@@ -73,8 +80,7 @@
     double leaderShare = 0; // its cores; 0: unknown
     AnswerTimes heartbeatGaps; // times between two records of this leader
     TimeMs candidateSeenAt = 0; // when the newest record of another candidate was read; 0: never
-    std::uint64_t unreachableEpoch = 0; // the leader that is reported as unreachable ...
-    std::map<std::string, TimeMs> unreachableReports; // ... by these hosts, and when last
+    std::map<std::string, UnreachableReport> unreachableReports; // the last one of each host
     // Since when more hosts report the leader as unreachable than report to it; 0: not the case.
     TimeMs unreachableSince = 0;
     double randomShare = 0; // of the random delay, 0 to 1; drawn again for each campaign
@@ -92,8 +98,8 @@
 void recordUnreachableReport(Leadership &leadership, const std::string &host, std::uint64_t epoch,
                              TimeMs now);
 
-// Updates `unreachableSince` from the number of recent reports and the number of hosts that the
-// leader of `epoch` receives reports from.
+// Removes old reports, and updates `unreachableSince` from the number of recent ones and the number
+// of hosts that the leader of `epoch` receives reports from.
 void evaluateUnreachableReports(Leadership &leadership, std::uint64_t epoch,
                                 std::uint32_t reportingToLeader, TimeMs now);
 
--- a/tests/leadership_test.cc
+++ b/tests/leadership_test.cc
@@ -87,3 +87,17 @@
     leadership.randomShare = 0.5;
     CHECK(campaignDelayMs(leadership, now) - first >= 1000);
 }
+
+// Pattern: one report of another writer with an epoch that no leader has made the entry ignore all
+// later reports of an unreachable leader.
+TEST(Leadership, reportOfAnUnknownEpochHidesNoOthers)
+{
+    followLeader(300);
+    recordUnreachableReport(leadership, "odd", 7000, now);
+    for (const char *host : {"h1", "h2"})
+        recordUnreachableReport(leadership, host, 7, now);
+    evaluateUnreachableReports(leadership, 7, 1, now);
+    CHECK_EQUAL(now, leadership.unreachableSince);
+    evaluateUnreachableReports(leadership, 7, 2, now);
+    CHECK_EQUAL(0, leadership.unreachableSince);
+}
