--- a/tests/odd_entries_test.cc
+++ b/tests/odd_entries_test.cc
@@ -222,6 +222,7 @@
                          reason);
         }
     }
+    checkRefused(decodeHeartbeat("", heartbeat, reason).has_value(), "an empty id", reason);
     // In the year 31000: a real worker is never younger.
     checkRefused(
         decodeHeartbeat("i", with(heartbeat, "born", "916000000000000"), reason).has_value(),
