--- a/tests/odd_entries_test.cc
+++ b/tests/odd_entries_test.cc
@@ -508,7 +508,7 @@
     for (const std::string &odd :
          Texts{deepObject, std::string("\xff"), std::string("{"), std::string("[]"),
                std::string(R"({"epoch":18446744073709551615,"process":"x","start":1})"),
-          std::string(R"({"outcome":1,"tasks":[]})")}) {
+               std::string(R"({"outcome":1,"tasks":[]})")}) {
         for (const std::string &key : Texts{"a/2", "p/1", "~leader", "~candidate", "", "x/1"}) {
             CHECK_TEXT(!apply(key, odd), (key + " " + odd.substr(0, 60)).c_str());
             CHECK(!reason.text.empty());
