Simulate busy workers, and check that the runs of a cancelled job end

Cause: no simulated worker refused a call that it could carry out later, and the oracle checked only that no run of a cancelled job starts, not that those in progress end.

Change: workers are busy for 1 to 6 s and then refuse 80% of all calls; workers may accept a stop and not carry it out the first time; cancellations may be prompt and stops may take 1 s. A run of a cancelled job may be in progress for 3 s and the time of a stop, counted while its host is calm: no fault of its connection, worker, agent, the leaders or the log for 3 s. At the end, no run of an ended job may be left. The seeds of the former tests draw the same numbers as before.

One seed outside the tests fails (frequentBusyWorkers, 1026, of trials with busy times of up to 10 s): a task is assigned again while a worker that was restarted under its id still lists an earlier run of it.

--- a/tests/scheduler_fuzz_test.cc
+++ b/tests/scheduler_fuzz_test.cc
@@ -1,6 +1,6 @@
 // Simulations with random faults. Whatever fails, no task runs twice at a time, none starts before
 // its predecessors have succeeded or after its own success was acknowledged, and no worker is
-// overloaded; once the faults are over, every job ends.
+// overloaded; the runs of a cancelled job end in time; once the faults are over, every job ends.
 //
 // FLAMINGO_FUZZ_SEED and FLAMINGO_FUZZ_RUNS set the first seed and the number of seeds.
 
@@ -11,7 +11,9 @@
 #include <CppUTest/MemoryLeakWarningPlugin.h>
 
 #include <cstdlib>
-#include <iostream>
+#include <limits>
+#include <set>
+#include <tuple>
 
 using namespace flamingo;
 using namespace flamingo::scheduler;
@@ -22,6 +24,7 @@
 
 constexpr std::uint64_t firstSeed = 1;
 constexpr std::uint64_t defaultRuns = 60;
+constexpr std::uint64_t shortRuns = 10;
 constexpr TimeMs faultyMs = 40000;
 constexpr TimeMs calmMs = 200000;
 
@@ -39,21 +42,44 @@
 
 // Simulates `runs` seeds until one breaks a rule. Returns the violation; empty when there is none.
 std::string runSeeds(const SimulationFaults &faults, std::uint64_t runs,
-                     const std::function<void(Scheduler &)> &beforePlan = nullptr)
+                     const std::function<void(Scheduler &)> &beforePlan = nullptr,
+                     const std::function<void(HostAgent &, TimeMs)> &beforeCalls = nullptr)
 {
     const std::uint64_t first = numberOr("FLAMINGO_FUZZ_SEED", firstSeed);
     std::size_t starts = 0;
+    std::size_t refusedStops = 0;
     for (std::uint64_t seed = first; seed < first + runs; ++seed) {
         SchedulerSimulation simulation(seed, faults);
         simulation.beforePlan = beforePlan;
+        simulation.beforeCalls = beforeCalls;
         simulation.run(faultyMs, calmMs);
         starts += simulation.starts();
+        refusedStops += simulation.refusedStops();
         if (!simulation.violation().empty())
             return "seed " + std::to_string(seed) + " at " + simulation.violation();
     }
+    if (faults.busyWorkersPerSecond > 0 && refusedStops == 0)
+        return "no stop was refused";
     return starts > 0 ? "" : "no task was started";
 }
 
+// Most jobs are cancelled soon, runs and stops take long. Other faults are rare, because the runs
+// of a cancelled job are judged only in calm times.
+SimulationFaults promptCancellations()
+{
+    SimulationFaults faults;
+    faults.leaderChangesPerSecond = 0.01;
+    faults.agentRestartsPerSecond = 0.01;
+    faults.workerCrashesPerSecond = 0.01;
+    faults.hostDisconnectsPerSecond = 0.01;
+    faults.logOutagesPerSecond = 0.01;
+    faults.cancelledJob = 0.8;
+    faults.longestCancelDelayMs = 2500;
+    faults.longestEstimateMs = 20000;
+    faults.stopMs = 1000;
+    return faults;
+}
+
 } // namespace
 
 TEST_GROUP(SchedulerFuzz){};
@@ -93,6 +119,45 @@
     STRCMP_EQUAL("", runSeeds(faults, 20).c_str());
 }
 
+// Guards against runs that go on after their job was cancelled, because a busy worker refused the
+// stop.
+TEST(SchedulerFuzz, frequentBusyWorkers)
+{
+    SimulationFaults faults;
+    faults.busyWorkersPerSecond = 0.1;
+    faults.cancelledJob = 0.5;
+    STRCMP_EQUAL("", runSeeds(faults, numberOr("FLAMINGO_FUZZ_RUNS", 4)).c_str());
+}
+
+// The same, with few other faults.
+TEST(SchedulerFuzz, promptCancellationsBesideBusyWorkers)
+{
+    SimulationFaults faults = promptCancellations();
+    faults.busyWorkersPerSecond = 0.1;
+    STRCMP_EQUAL("", runSeeds(faults, numberOr("FLAMINGO_FUZZ_RUNS", shortRuns)).c_str());
+}
+
+// Guards against a run that is reported as gone because a busy worker refused its stop, and that a
+// late start begins beside the task's next run.
+TEST(SchedulerFuzz, lateOrdersBesideBusyWorkers)
+{
+    SimulationFaults faults = promptCancellations();
+    faults.busyWorkersPerSecond = 0.1;
+    faults.lateOrder = 0.2;
+    faults.cancelledJob = 0.4;
+    faults.longestEstimateMs = 6000;
+    STRCMP_EQUAL("", runSeeds(faults, numberOr("FLAMINGO_FUZZ_RUNS", shortRuns)).c_str());
+}
+
+// Guards against runs that go on after their job was cancelled, because the worker accepted the
+// stop and did not carry it out.
+TEST(SchedulerFuzz, promptCancellationsWithIgnoredStops)
+{
+    SimulationFaults faults = promptCancellations();
+    faults.ignoredStop = 0.3;
+    STRCMP_EQUAL("", runSeeds(faults, numberOr("FLAMINGO_FUZZ_RUNS", shortRuns)).c_str());
+}
+
 // The oracle detects a scheduler that starts tasks before their record is stored.
 TEST(SchedulerFuzz, oracleDetectsUnstoredStarts)
 {
@@ -127,3 +192,36 @@
     });
     CHECK(violation.find("allocations exceed the worker's capacity") != std::string::npos);
 }
+
+// The oracle detects an agent that sends the stop of a running task once, whatever the worker
+// answers.
+TEST(SchedulerFuzz, oracleDetectsRefusedStopsThatAreNotRepeated)
+{
+    SimulationFaults faults = promptCancellations();
+    faults.busyWorkersPerSecond = 0.1;
+    const std::string violation = runSeeds(faults, 20, nullptr, [](HostAgent &agent, TimeMs now) {
+        for (auto &[key, run] : agent.runs) {
+            if (run.state == RunState::Stopping && run.confirmedClockMs > 0 && run.nextCallAt > now)
+                run.nextCallAt = std::numeric_limits<TimeMs>::max();
+        }
+    });
+    CHECK(violation.find("runs on after its job was cancelled") != std::string::npos);
+}
+
+// The oracle detects an agent that does not compare an accepted stop with the worker's list.
+TEST(SchedulerFuzz, oracleDetectsAcceptedStopsThatAreNotChecked)
+{
+    SimulationFaults faults = promptCancellations();
+    faults.ignoredStop = 0.3;
+    std::set<std::tuple<std::string, std::uint64_t, std::string, std::uint32_t>> accepted;
+    const std::string violation = runSeeds(faults, 20, nullptr, [&](HostAgent &agent, TimeMs) {
+        for (auto &[key, run] : agent.runs) {
+            const auto stop = std::make_tuple(agent.options.host, agent.options.agentStart,
+                                              key.first, key.second);
+            if (run.stopAnswered)
+                accepted.insert(stop);
+            run.stopAnswered = accepted.count(stop) > 0;
+        }
+    });
+    CHECK(violation.find("runs on after its job was cancelled") != std::string::npos);
+}
--- a/tests/scheduler_simulation.cc
+++ b/tests/scheduler_simulation.cc
@@ -10,8 +10,11 @@
 using namespace scheduler;
 
 constexpr TimeMs stepMs = 10;
-constexpr TimeMs stopMs = 200;
 constexpr TimeMs cancelBoundMs = 3000;
+constexpr TimeMs contactMs = 3000; // a host is calm this long after a fault
+constexpr TimeMs unansweredCallMs = 300;
+constexpr TimeMs lostReportMs = 400;
+constexpr TimeMs longestLateOrderMs = 12000;
 constexpr TimeMs gangTimeoutMs = 3000;
 constexpr std::int64_t leaseMaxMs = 10000;
 constexpr std::uint64_t unixStart = 1700000000000;
@@ -37,7 +40,7 @@
     , hosts(hostCount)
 {
     for (Entry &entry : this->entries) {
-        entry.scheduler.options.stopMs = stopMs;
+        entry.scheduler.options.stopMs = faults.stopMs;
         entry.scheduler.guarantees["o0"] = 8;
     }
     for (std::size_t i = 0; i < this->hosts.size(); ++i) {
@@ -45,6 +48,7 @@
         host.name = "h" + std::to_string(i);
         host.agent.options.host = host.name;
         host.agent.options.agentStart = ++host.agentGeneration;
+        host.agent.options.stopMs = faults.stopMs;
         host.worker.id = "w" + std::to_string(i);
         host.worker.incarnation = this->incarnationCounter++;
         host.worker.startedAt = this->now;
@@ -85,6 +89,11 @@
         this->step();
     if (!this->allEnded())
         this->recordViolation("a job has not ended although faults are over");
+    const TimeMs settled = std::max(this->now, end + longestLateOrderMs) + contactMs + cancelBoundMs
+        + this->faults.stopMs;
+    while (this->now < settled && this->firstViolation.empty())
+        this->step();
+    this->checkNothingRuns();
 }
 
 std::size_t SchedulerSimulation::completed() const
@@ -134,6 +143,7 @@
     for (Host &host : this->hosts) {
         this->stepWorker(host);
         this->stepAgent(host);
+        this->checkCancelledRuns(host);
     }
 }
 
@@ -141,6 +151,7 @@
 {
     const double share = double(stepMs) / 1000;
     if (this->occurs(this->faults.leaderChangesPerSecond * share)) {
+        this->lastLeaderChangeAt = this->now;
         // The replaced leader is often paused, and continues later without notice of the change.
         for (Entry &entry : this->entries) {
             if (entry.scheduler.epoch != 0 && this->occurs(0.7))
@@ -165,6 +176,10 @@
             this->crashWorker(host);
         if (this->occurs(this->faults.hostDisconnectsPerSecond * share))
             host.disconnectedUntil = this->now + this->randomBetween(500, 14000);
+        // No number is drawn without this fault, so that the seeds of other tests stay the same.
+        if (this->faults.busyWorkersPerSecond > 0
+            && this->occurs(this->faults.busyWorkersPerSecond * share))
+            host.busyUntil = this->now + this->randomBetween(1000, 6000);
     }
 }
 
@@ -201,7 +216,7 @@
         Step step;
         step.count = static_cast<std::uint32_t>(1 + this->random() % 4);
         step.need = {8000, 1000, std::int64_t(1) << (this->random() % 4)};
-        step.estimateMs = this->randomBetween(300, 6000);
+        step.estimateMs = this->randomBetween(300, this->faults.longestEstimateMs);
         step.checkpointing = this->occurs(0.5);
         step.gang = this->occurs(0.4);
         if (i > 0)
@@ -212,9 +227,10 @@
     this->log.push_back(acceptanceRecord(job));
     if (this->occurs(0.1))
         this->log.push_back(acceptanceRecord(job)); // a repeated request of the caller
-    if (!this->occurs(0.15))
+    if (!this->occurs(this->faults.cancelledJob))
         return;
-    this->scheduleAfter(this->randomBetween(100, 6000), [this, id = job.id] {
+    const TimeMs delayMs = this->randomBetween(100, this->faults.longestCancelDelayMs);
+    this->scheduleAfter(delayMs, [this, id = job.id] {
         if (this->now < this->logDownUntil)
             return;
         this->log.push_back(cancellationRecord(id));
@@ -316,6 +332,8 @@
         info.labels = {"a", "r" + std::to_string((&host - this->hosts.data()) / 2)};
         applyHeartbeat(host.agent, info, ++worker.heartbeat, this->now);
     }
+    if (this->beforeCalls)
+        this->beforeCalls(host.agent, this->now);
     for (const WorkerCall &call : dueCalls(host.agent, this->now))
         this->callWorker(host, call);
     host.agent.decisions.clear();
@@ -332,19 +350,21 @@
             applyAnswer(host.agent, call, answer, this->now);
     };
     if (this->faultsEnabled && this->occurs(this->faults.lateOrder)) {
-        this->scheduleAfter(this->randomBetween(500, 12000),
+        this->scheduleAfter(this->randomBetween(500, longestLateOrderMs),
                             [this, &host, call, incarnation = host.worker.incarnation] {
                                 if (incarnation == host.worker.incarnation
                                     || this->faults.lateOrdersReachRestartedWorkers)
-                                    this->execute(host, call);
+                                    this->execute(host, call, true);
                             });
-        this->scheduleAfter(300, [reply] { reply({}); });
+        if (std::holds_alternative<StopCall>(call))
+            this->excuseRuns(host, unansweredCallMs + host.agent.options.retryMs);
+        this->scheduleAfter(unansweredCallMs, [reply] { reply({}); });
         return;
     }
     this->scheduleAfter(this->randomBetween(1, 10), [this, &host, call, reply] {
         const WorkerAnswer answer = this->execute(host, call);
         const bool lost = this->faultsEnabled && this->occurs(this->faults.lostAnswer);
-        this->scheduleAfter(lost ? 300 : this->randomBetween(1, 10),
+        this->scheduleAfter(lost ? unansweredCallMs : this->randomBetween(1, 10),
                             [reply, answer, lost] { reply(lost ? WorkerAnswer() : answer); });
     });
 }
@@ -375,7 +395,7 @@
     }
 }
 
-WorkerAnswer SchedulerSimulation::execute(Host &host, const WorkerCall &call)
+WorkerAnswer SchedulerSimulation::execute(Host &host, const WorkerCall &call, bool late)
 {
     FakeWorker &worker = host.worker;
     WorkerAnswer answer;
@@ -387,6 +407,12 @@
         [](const auto &each) -> const auto & { return each.workerId; }, call);
     if (!id.empty() && id != worker.id)
         return answer; // meant for another worker: not answered
+    if (this->now < host.busyUntil && this->occurs(this->faults.refusedCall)) {
+        answer.result = CallResult::Busy;
+        answer.reason = "busy";
+        this->refusedStopCount += std::holds_alternative<StopCall>(call) ? 1 : 0;
+        return answer;
+    }
     const std::uint64_t token =
         std::visit([](const auto &each) { return each.fencingToken; }, call);
     answer.clockMs = this->workerClock(worker);
@@ -405,17 +431,25 @@
                 {key.first, key.second, RunState::Running, run.leftMs, "", ""});
         answer.ends = worker.ends;
     } else if (const auto *stop = std::get_if<StopCall>(&call)) {
-        std::uint32_t &refused = worker.refusedUpTo[stop->order.task];
-        refused = std::max(refused, stop->order.run);
-        const auto found = worker.runs.find({stop->order.task, stop->order.run});
-        if (found != worker.runs.end() && found->second.stopAt == 0)
-            found->second.stopAt = this->now + this->randomBetween(0, stopMs);
+        this->stop(worker, stop->order);
     } else {
-        this->start(host, std::get<StartCall>(call), answer);
+        this->start(host, std::get<StartCall>(call), late, answer);
     }
     return answer;
 }
 
+void SchedulerSimulation::stop(FakeWorker &worker, const StopOrder &order)
+{
+    std::uint32_t &refused = worker.refusedUpTo[order.task];
+    refused = std::max(refused, order.run);
+    const auto found = worker.runs.find({order.task, order.run});
+    if (found == worker.runs.end() || found->second.stopAt != 0)
+        return;
+    if (std::exchange(found->second.ignoresStop, false))
+        return;
+    found->second.stopAt = this->now + this->randomBetween(0, this->faults.stopMs);
+}
+
 const Job *SchedulerSimulation::findJob(const std::string &task) const
 {
     const auto name = parseTaskName(task);
@@ -423,7 +457,7 @@
     return found == this->jobs.end() ? nullptr : &found->second;
 }
 
-void SchedulerSimulation::start(Host &host, const StartCall &call, WorkerAnswer &answer)
+void SchedulerSimulation::start(Host &host, const StartCall &call, bool late, WorkerAnswer &answer)
 {
     FakeWorker &worker = host.worker;
     const FakeWorker::Key key = {call.order.task, call.order.run};
@@ -447,6 +481,8 @@
     run.fails = this->faultsEnabled && this->occurs(this->faults.failedRun);
     run.need = step.need;
     run.startedAt = this->now;
+    run.ignoresStop = this->faults.ignoredStop > 0 && this->occurs(this->faults.ignoredStop);
+    run.judgedFrom = late ? this->now + contactMs : 0;
     worker.runs[key] = run;
     this->startTimes[key.first].push_back(this->now);
     ++this->startCount;
@@ -469,9 +505,9 @@
         this->recordViolation("allocations exceed the worker's capacity: " + task);
     const auto name = parseTaskName(task);
     const auto cancelled = this->cancelledAt.find(name->jobId);
-    // A late order may still be carried out, up to 12 s after the bound for the cancellation.
+    // A late order may still be carried out after the bound for the cancellation.
     if (cancelled != this->cancelledAt.end() && !this->faultsEnabled
-        && this->now - cancelled->second > cancelBoundMs + 12000)
+        && this->now - cancelled->second > cancelBoundMs + longestLateOrderMs)
         this->recordViolation("started long after its job was cancelled: " + task);
     for (const std::uint32_t before : step.after) {
         const Job &job = this->jobs.at(name->jobId);
@@ -484,6 +520,49 @@
     }
 }
 
+// The end of the last fault that may delay a stop on the host.
+TimeMs SchedulerSimulation::lastFaultAt(const Host &host) const
+{
+    TimeMs result = std::max({this->logDownUntil, this->lastLeaderChangeAt, host.agentDownUntil,
+                              host.workerDownUntil, host.disconnectedUntil, host.busyUntil});
+    for (const Entry &entry : this->entries)
+        result = std::max(result, entry.pausedUntil);
+    return result;
+}
+
+bool SchedulerSimulation::wasCancelled(const std::string &task) const
+{
+    return this->cancelledAt.count(parseTaskName(task)->jobId) > 0;
+}
+
+void SchedulerSimulation::excuseRuns(Host &host, TimeMs delayMs)
+{
+    for (auto &[key, run] : host.worker.runs)
+        run.unwantedMs -= this->wasCancelled(key.first) ? delayMs : 0;
+}
+
+void SchedulerSimulation::checkCancelledRuns(Host &host)
+{
+    const bool calm = this->now >= this->lastFaultAt(host) + contactMs;
+    for (auto &[key, run] : host.worker.runs) {
+        if (!this->wasCancelled(key.first))
+            continue;
+        run.unwantedMs = calm && this->now >= run.judgedFrom ? run.unwantedMs + stepMs : 0;
+        if (run.unwantedMs > cancelBoundMs + this->faults.stopMs)
+            this->recordViolation("runs on after its job was cancelled: " + key.first + " run "
+                                  + std::to_string(key.second) + " on " + host.name);
+    }
+}
+
+void SchedulerSimulation::checkNothingRuns()
+{
+    for (const Host &host : this->hosts) {
+        for (const auto &[key, run] : host.worker.runs)
+            this->recordViolation("runs although its job has ended: " + key.first + " on "
+                                  + host.name);
+    }
+}
+
 void SchedulerSimulation::endRun(FakeWorker &worker, const FakeWorker::Key &key, EndKind how)
 {
     if (worker.runs.erase(key) == 0)
@@ -582,7 +661,9 @@
         host.entryIndex = this->random() % this->entries.size();
     };
     if (lost) {
-        this->scheduleAfter(400, next);
+        if (this->now >= host.disconnectedUntil)
+            this->excuseRuns(host, lostReportMs);
+        this->scheduleAfter(lostReportMs, next);
         return;
     }
     this->scheduleAfter(this->randomBetween(2, 20),
--- a/tests/scheduler_simulation.h
+++ b/tests/scheduler_simulation.h
@@ -7,9 +7,13 @@
 // The scheduler and the host agents are the production code. Faults are injected around them:
 // orders are lost, not answered and carried out seconds later, or carried out and not answered;
 // reports are lost; leaders are replaced while they are paused; agents and workers crash and
-// restart; the log is unavailable.
+// restart; the log is unavailable; busy workers refuse calls; workers ignore stops.
 //
-// An oracle checks the workers' runs against the rules, without using the scheduler's state.
+// An oracle checks the workers' runs against the rules, without using the scheduler's state. It
+// also checks that the runs of a cancelled job end: none is in progress after a stretch of
+// `cancelBoundMs` and the time of a stop in which its host is calm. A host is calm when there has
+// been no fault of its connection, worker, agent, the leaders or the log for `contactMs`. A lost
+// report or a late stop lengthens the stretch by the time until the agent tries again.
 
 #include "flamingo/scheduler/host_agent.h"
 #include "flamingo/scheduler/scheduler.h"
@@ -35,6 +39,13 @@
     double failedRun = 0.03;
     // A late order may reach a worker that was restarted under its id and is not fenced yet.
     bool lateOrdersReachRestartedWorkers = false;
+    double busyWorkersPerSecond = 0; // a worker refuses calls for some seconds
+    double refusedCall = 0.8; // of a call to a busy worker
+    double ignoredStop = 0; // of a run: its first stop is accepted and not carried out
+    double cancelledJob = 0.15;
+    TimeMs longestCancelDelayMs = 6000; // from the submission to the cancellation
+    TimeMs longestEstimateMs = 6000; // of a task
+    TimeMs stopMs = 200; // a worker takes up to this long to stop a run
 };
 
 // A worker that behaves as the platform specifies, without admission control of its own.
@@ -45,6 +56,9 @@
         TimeMs leftMs = 0;
         TimeMs startedAt = 0;
         TimeMs stopAt = 0; // 0: not being stopped
+        bool ignoresStop = false; // the next stop is accepted and not carried out
+        TimeMs judgedFrom = 0; // later than the start if that was a late order
+        TimeMs unwantedMs = 0; // calm time in progress since its job was cancelled
         bool fails = false;
         scheduler::Resources need;
     };
@@ -83,9 +97,15 @@
         return this->startCount;
     }
     std::size_t completed() const;
+    std::size_t refusedStops() const
+    {
+        return this->refusedStopCount;
+    }
 
     // Called before each plan; lets a test break a rule to show that the oracle detects it.
     std::function<void(scheduler::Scheduler &)> beforePlan;
+    // Called before the calls of each agent, for the same purpose.
+    std::function<void(scheduler::HostAgent &, TimeMs now)> beforeCalls;
 
 private:
     struct Entry
@@ -108,6 +128,7 @@
         TimeMs agentDownUntil = 0;
         TimeMs workerDownUntil = 0;
         TimeMs disconnectedUntil = 0;
+        TimeMs busyUntil = 0; // the worker refuses calls
         std::uint64_t agentGeneration = 0;
     };
     struct SuccessfulEnd // of a run whose end may still be acknowledged
@@ -129,8 +150,11 @@
     void flush(std::size_t index);
     void stepAgent(Host &host);
     void callWorker(Host &host, const scheduler::WorkerCall &call);
-    scheduler::WorkerAnswer execute(Host &host, const scheduler::WorkerCall &call);
-    void start(Host &host, const scheduler::StartCall &call, scheduler::WorkerAnswer &answer);
+    scheduler::WorkerAnswer execute(Host &host, const scheduler::WorkerCall &call,
+                                    bool late = false);
+    void start(Host &host, const scheduler::StartCall &call, bool late,
+               scheduler::WorkerAnswer &answer);
+    void stop(FakeWorker &worker, const scheduler::StopOrder &order);
     void stepWorker(Host &host);
     void endRun(FakeWorker &worker, const FakeWorker::Key &key, scheduler::EndKind how);
     void endMembers(const FakeWorker::Key &key, scheduler::EndKind how);
@@ -138,6 +162,11 @@
     void append(std::size_t entry, std::uint64_t epoch, std::uint64_t flush,
                 const std::vector<scheduler::Record> &records);
     void crashWorker(Host &host);
+    bool wasCancelled(const std::string &task) const;
+    TimeMs lastFaultAt(const Host &host) const;
+    void checkCancelledRuns(Host &host);
+    void excuseRuns(Host &host, TimeMs delayMs);
+    void checkNothingRuns();
     void report(Host &host);
     void applyOrders(Host &host, const scheduler::HostOrders &orders, TimeMs sentAt,
                      std::uint64_t sequence);
@@ -158,6 +187,7 @@
     std::vector<scheduler::Record> log;
     std::uint64_t logEpoch = 0;
     TimeMs logDownUntil = 0;
+    TimeMs lastLeaderChangeAt = 0;
     std::map<std::string, scheduler::Job> jobs;
     std::map<std::string, TimeMs> cancelledAt;
     std::map<std::string, std::vector<TimeMs>> startTimes; // by task
@@ -167,6 +197,7 @@
     std::map<std::string, std::vector<SuccessfulEnd>> unacknowledgedSuccesses;
     std::uint64_t incarnationCounter = 1;
     std::size_t startCount = 0;
+    std::size_t refusedStopCount = 0;
     std::string firstViolation;
 };
 
