Soak: workers that refuse calls, and a check that runs of cancelled jobs end

Callers saw: tasks ran on after the cancellation of their job was acknowledged (UNASKED), and the soak did not fail.

Cause: the stand-in for a worker carried out each call, no cancelled run would have lasted longer than 2.5 s, and the checks judged only starts after a cancellation.

Change: platform-worker has a control interface that makes it refuse a share of its calls with 429 or 503, chosen with a seed. The plan lets about half of the workers refuse 80% of their calls for 3 to 10 s in each phase, beside the other faults, while jobs with runs of 30 s are cancelled. The new check "a run of a cancelled job goes on" counts time without a fault of the worker, its agent, any entry or the store, from 3 s after the last one. It is judged also on an overloaded machine when a run goes on for three times the bound.

Measured: soak_checks_test passes.

--- a/standin/platform_worker.cc
+++ b/standin/platform_worker.cc
@@ -33,6 +33,7 @@
     , client(loop)
     , startedAt(Loop::now())
     , startedUnixMs(Loop::unixNow())
+    , random(options.seed)
 {
 }
 
@@ -81,6 +82,12 @@
     });
 }
 
+void PlatformWorker::refuseRequests(double share, int status)
+{
+    this->refusedShare = std::clamp(share, 0.0, 1.0);
+    this->refusalStatus = status;
+}
+
 void PlatformWorker::deregister(std::function<void()> done)
 {
     adapters::HttpCall call;
@@ -198,6 +205,11 @@
         this->server->respond(request.id, {adapters::statusMisdirectedRequest, "{}"});
         return;
     }
+    if (std::bernoulli_distribution(this->refusedShare)(this->random)) {
+        ++this->refusedCount;
+        this->server->respond(request.id, {this->refusalStatus, ""});
+        return;
+    }
     const Json call = Json::parse(request.body, nullptr, false);
     const auto refuse = [&](const char *reason) {
         const Json body = {{"ClockMs", this->clock()}, {"Reason", reason}};
--- a/standin/platform_worker.h
+++ b/standin/platform_worker.h
@@ -9,7 +9,8 @@
 // request may extend the lease, up to 10 s ahead of the worker's clock; when the lease ends, so do
 // all runs. A run is rejected when its task has had an ended or stopped run with the same or a
 // higher run id. A run takes as many milliseconds as its TaskSpec says. Ended runs are listed until
-// a request acknowledges them by their number (`LastSeen`).
+// a request acknowledges them by their number (`LastSeen`). An overloaded or unhealthy worker
+// answers a share of its requests with status 429 or 503 and does nothing for them.
 
 #include "flamingo/adapters/http_client.h"
 #include "flamingo/adapters/http_server.h"
@@ -33,6 +34,7 @@
     TimeMs stopMs = 20; // from a request to stop a run until the run has ended
     std::string gangFolder = {}; // empty: members of gangs run as single tasks
     TimeMs gangTimeoutMs = 3000;
+    std::uint64_t seed = 1; // of the choice of refused requests
     // Called with "start TASK RUN", "end TASK RUN OUTCOME", "acknowledged TASK RUN OUTCOME",
     // "lapsed" (the lease) and "draining acknowledged", and the time when that happened.
     std::function<void(TimeMs at, const std::string &event)> observe = {};
@@ -58,6 +60,13 @@
     {
         return this->drainAcknowledged;
     }
+    // From now on answers this share of the requests (0 to 1) with `status`; 0 ends that.
+    void refuseRequests(double share, int status);
+    // Number of requests refused so far.
+    std::size_t refusedRequests() const
+    {
+        return this->refusedCount;
+    }
     // Deregisters at the agent and calls `done` with the answer or without one.
     void deregister(std::function<void()> done);
     // Number of runs started so far.
@@ -118,6 +127,10 @@
     std::vector<EndedRun> endedRuns; // not acknowledged yet
     std::uint64_t lastEndedNumber = 0;
     std::size_t startCount = 0;
+    Random random;
+    double refusedShare = 0;
+    int refusalStatus = 0;
+    std::size_t refusedCount = 0;
     bool draining = false;
     bool drainAcknowledged = false;
 };
--- a/tests/soak/checks.cc
+++ b/tests/soak/checks.cc
@@ -13,6 +13,8 @@
 namespace {
 
 constexpr TimeMs forever = std::numeric_limits<TimeMs>::max();
+// Overload does not explain that a run of a cancelled job goes on for this multiple of its bound.
+constexpr TimeMs overloadFactor = 3;
 constexpr TimeMs completedSlackMs = 1000; // for a start after its job was shown as completed
 
 struct FaultSpan
@@ -233,6 +235,59 @@
     }
 }
 
+// Whether a fault may delay a stop on the worker: one of its host, of an entry, which may lead, or
+// of the store.
+bool concernsStops(const FaultSpan &fault, const std::string &worker)
+{
+    return fault.process.empty() || fault.process == "store" || fault.process[0] == 'e'
+        || fault.process == agentOf(worker) || fault.process == worker.substr(0, worker.find('.'));
+}
+
+// The longest stretch of the span without a fault that may delay a stop on the worker, from
+// contactMs after the fault before it.
+TimeMs longestCalmMs(const History &history, const std::string &worker, TimeMs begin, TimeMs end)
+{
+    TimeMs longest = 0;
+    TimeMs calmSince = begin;
+    for (const FaultSpan &fault : history.faults) { // by their beginning
+        if (!concernsStops(fault, worker))
+            continue;
+        longest = std::max(longest, std::min(fault.begin, end) - calmSince);
+        if (fault.end == forever)
+            return longest;
+        calmSince = std::max(calmSince, fault.end + history.bounds.contactMs);
+    }
+    return std::max(longest, end - calmSince);
+}
+
+// A run that a worker started late counts from contactMs after its start.
+void checkCancelledRuns(History &history, const std::vector<const Observation *> &seenOfJob,
+                        const std::map<std::string, TimeMs> &goneAt)
+{
+    const TimeMs cancelled = cancelledAt(seenOfJob).second;
+    if (cancelled == forever)
+        return;
+    for (const Observation *start : seenOfJob) {
+        if (start->seen != Seen::Started)
+            continue;
+        const auto gone = goneAt.find(start->process);
+        TimeMs end = gone == goneAt.end() ? history.all.back().at : gone->second;
+        for (const Observation *other : seenOfJob) {
+            if (other->seen == Seen::Ended && other->process == start->process
+                && other->task == start->task && other->run == start->run)
+                end = std::min(end, other->at);
+        }
+        const TimeMs begin = std::max(
+            cancelled, start->at > cancelled ? start->at + history.bounds.contactMs : start->at);
+        const TimeMs bound = history.bounds.cancelMs + history.bounds.stopMs;
+        const TimeMs calmMs = longestCalmMs(history, start->process, begin, end);
+        if (calmMs > bound)
+            report(history, "a run of a cancelled job goes on",
+                   absl::StrCat(describe(*start), " cancelled at ", cancelled, " until ", end),
+                   calmMs <= overloadFactor * bound);
+    }
+}
+
 // No task, and no member of a gang that ended, runs again after an end "done" was acknowledged,
 // unless the worker's lease lapsed in between; and no two runs of a task overlap.
 void checkRuns(History &history, const std::string &task, const Submission *job,
@@ -406,6 +461,7 @@
         }
         checkStates(history, *job->second, seenOfJob);
         checkStarts(history, *job->second, seenOfJob);
+        checkCancelledRuns(history, seenOfJob, goneAt);
         checkGuarantee(history, *job->second, seenOfJob);
     }
     for (const auto &[task, seenOfTask] : history.byTask) {
--- a/tests/soak/checks.h
+++ b/tests/soak/checks.h
@@ -27,6 +27,7 @@
     TimeMs contactMs = 3000; // a process is in touch this long after a fault
     TimeMs nearMs = 12000; // the system has recovered this long after a fault
     TimeMs cancelMs = 3000; // a start after a cancellation was acknowledged
+    TimeMs stopMs = 900; // a worker takes up to this long to stop a run
 };
 
 enum class Seen {
--- a/tests/soak/plan.cc
+++ b/tests/soak/plan.cc
@@ -17,6 +17,11 @@
 constexpr TimeMs guaranteedEveryMs = 1500;
 constexpr TimeMs guaranteedWorkMs = 300;
 constexpr TimeMs hogEveryMs = 9000;
+constexpr int shortestBusyMs = 3000;
+constexpr int longestBusyMs = 10000;
+constexpr TimeMs longJobLeadMs = 1500; // before the workers get busy
+constexpr TimeMs longWorkMs = 30000;
+constexpr std::uint64_t busySeed = 0x9e3779b97f4a7c15; // makes a sequence of its own of the seed
 
 int pick(Random &random, int low, int high)
 {
@@ -50,12 +55,44 @@
     }
     for (TimeMs at = begin; at < end; at += pick(random, 200, 2500)) {
         const auto kind =
-            static_cast<FaultKind>(pick(random, 0, static_cast<int>(FaultKind::Last) - 1));
+            static_cast<FaultKind>(pick(random, 0, static_cast<int>(FaultKind::StoreForgets)));
         const TimeMs duration = std::min<TimeMs>(pick(random, 200, 5000), end - at);
         plan.faults.push_back({at, duration, kind, target(kind, options, random)});
     }
 }
 
+// About half of the workers are busy for 3 to 10 s, in the last part of the phase, beside other
+// faults, so that a run whose stop was refused goes on into the calm time. Jobs with long runs are
+// cancelled meanwhile.
+void addBusyWorkers(Plan &plan, const PlanOptions &options, TimeMs begin, TimeMs end,
+                    Random &random)
+{
+    const int longest = static_cast<int>(std::min<TimeMs>(longestBusyMs, end - begin));
+    if (longest < shortestBusyMs)
+        return;
+    const auto kind =
+        pick(random, 0, 1) == 0 ? FaultKind::WorkerOverloaded : FaultKind::WorkerUnhealthy;
+    const TimeMs duration = pick(random, shortestBusyMs, longest);
+    const TimeMs at =
+        end - duration - pick(random, 0, static_cast<int>(end - duration - begin) / 4);
+    for (int i = 0; i < options.hosts; ++i) {
+        if (pick(random, 0, 1) == 0)
+            plan.faults.push_back({at, duration, kind, absl::StrCat("w", i)});
+    }
+    for (TimeMs time = at - longJobLeadMs; time < at + duration - longJobLeadMs;
+         time += pick(random, 100, 500)) {
+        Submission job;
+        job.at = std::max<TimeMs>(time, 0);
+        job.id = absl::StrFormat("%016x", random());
+        job.organisation = pick(random, 1, organisationCount - 1);
+        job.priority = pick(random, 0, 1);
+        job.steps.push_back({pick(random, 1, 4), 1, longWorkMs, false, false});
+        job.cancelAfterMs = pick(random, 500, 2500);
+        job.entry = pick(random, 0, options.entries - 1);
+        plan.submissions.push_back(job);
+    }
+}
+
 Submission ordinaryJob(const PlanOptions &options, Random &random)
 {
     Submission job;
@@ -78,14 +115,24 @@
 std::string_view faultName(FaultKind kind)
 {
     constexpr std::array<std::string_view, static_cast<std::size_t>(FaultKind::Last)> names = {
-        "terminate",     "kill",
-        "pause",         "reload",
-        "malformed",     "delay",
-        "reset",         "one-way",
-        "silence",       "store-cut",
-        "region-cut",    "store-slow",
-        "store-late",    "store-loses-answers",
-        "store-refuses", "store-forgets"};
+        "terminate",
+        "kill",
+        "pause",
+        "reload",
+        "malformed",
+        "delay",
+        "reset",
+        "one-way",
+        "silence",
+        "store-cut",
+        "region-cut",
+        "store-slow",
+        "store-late",
+        "store-loses-answers",
+        "store-refuses",
+        "store-forgets",
+        "worker-overloaded",
+        "worker-unhealthy"};
     return names[static_cast<std::size_t>(kind)];
 }
 
@@ -93,11 +140,15 @@
 {
     Random random(options.seed);
     Plan plan;
+    Random busyRandom(options.seed ^ busySeed);
+    Plan busy; // added last, so that it changes no other number
     for (TimeMs begin = firstFaultMs; begin + options.calmMs < options.durationMs;
-         begin += options.faultMs + options.calmMs)
-        addFaultPhase(plan, options, begin,
-                      std::min(begin + options.faultMs, options.durationMs - options.calmMs),
-                      random);
+         begin += options.faultMs + options.calmMs) {
+        const TimeMs end = std::min(begin + options.faultMs, options.durationMs - options.calmMs);
+        addFaultPhase(plan, options, begin, end, random);
+        addBusyWorkers(busy, options, begin, end, busyRandom);
+    }
+    plan.faults.insert(plan.faults.end(), busy.faults.begin(), busy.faults.end());
     std::stable_sort(plan.faults.begin(), plan.faults.end(),
                      [](const Fault &a, const Fault &b) { return a.at < b.at; });
     for (TimeMs at = 0; at < options.durationMs; at += pick(random, 100, 500)) {
@@ -124,6 +175,10 @@
                      [](const Submission &a, const Submission &b) { return a.at < b.at; });
     for (Submission &job : plan.submissions)
         job.id = absl::StrFormat("%016x", random());
+    plan.submissions.insert(plan.submissions.end(), busy.submissions.begin(),
+                            busy.submissions.end());
+    std::stable_sort(plan.submissions.begin(), plan.submissions.end(),
+                     [](const Submission &a, const Submission &b) { return a.at < b.at; });
     for (TimeMs at = 5000; at < options.durationMs; at += pick(random, 6000, 14000))
         plan.keyChanges.push_back({at, pick(random, 0, organisationCount - 1)});
     return plan;
--- a/tests/soak/plan.h
+++ b/tests/soak/plan.h
@@ -4,6 +4,9 @@
 // The plan of a soak: which faults happen when, what callers submit, and when keys are withdrawn.
 // It follows from the options alone. All times are milliseconds since the start of the load.
 //
+// In each phase some hosts have busy workers at the same time, and jobs with long runs are
+// cancelled soon. Both are drawn from a random sequence of their own.
+//
 // Phases alternate: faults for faultMs, in series and overlapping, then calmMs without new faults,
 // in which guaranteed jobs are due in time. Half of the regions' entries are in each region.
 
@@ -41,6 +44,8 @@
     StoreLosesAnswers,
     StoreRefuses, // 503
     StoreForgets, // history; the newest record of each key stays
+    WorkerOverloaded, // the worker answers most calls with 429 and does nothing
+    WorkerUnhealthy, // the same with 503
     Last
 };
 
@@ -89,6 +94,7 @@
 };
 
 constexpr int organisationCount = 3;
+constexpr int refusedPercent = 80; // of the calls to a busy worker
 constexpr int guaranteedAccelerators = 8; // of organisation 0
 
 Plan makePlan(const PlanOptions &options);
--- a/tests/soak/soak.cc
+++ b/tests/soak/soak.cc
@@ -44,7 +44,7 @@
 ABSL_FLAG(std::int64_t, seconds, 60, "duration of the load");
 ABSL_FLAG(int, hosts, 8, "number of workers with an agent each, at most 70");
 ABSL_FLAG(int, entries, 4, "number of entries, at most 9");
-ABSL_FLAG(int, base_port, 21000, "first of seven ports; the same on all addresses");
+ABSL_FLAG(int, base_port, 21000, "first of eight ports; the same on all addresses");
 ABSL_FLAG(std::string, known_red, "", "check of KNOWN-RED.txt whose violations are only printed");
 ABSL_FLAG(std::string, log_dir, "", "folder of the logs; a new one under /tmp when empty");
 
@@ -70,7 +70,7 @@
 constexpr int firstHostNumber = 10;
 constexpr int maxAttempts = 8;
 
-enum Port { Internal, Metrics, Front, Ready, Control, App, Store };
+enum Port { Internal, Metrics, Front, Ready, Control, App, Store, WorkerControl };
 
 struct Process
 {
@@ -205,6 +205,8 @@
                 "--listen=" + processAddress(name, App),
                 "--agent=" + processAddress(name, Control, 100 + numberOf(name)),
                 absl::StrCat("--rack=rack", indexOf(name) / 3),
+                "--control=" + processAddress(name, WorkerControl),
+                absl::StrCat("--seed=", soak.options.seed * 1000 + indexOf(name)),
                 "--gang_folder=" + soak.logDir + "/gangs"};
     writeSettings(soak, name);
     return {soak.build + (name[0] == 'e' ? "/flamingo-schedulerd" : "/flamingo-hostagentd"),
@@ -317,10 +319,10 @@
 
 void control(
     Soak &soak, const std::string &target, const std::string &body = "",
-    std::function<void()> done = [] {})
+    std::function<void()> done = [] {}, const std::string &process = "store")
 {
     HttpCall call;
-    call.address = processAddress("store", Control);
+    call.address = processAddress(process, process == "store" ? Control : WorkerControl);
     call.method = "POST";
     call.target = target;
     call.body = body;
@@ -638,6 +640,12 @@
         sendMalformed(soak, fault.target);
     else if (fault.kind == FaultKind::StoreRefuses)
         control(soak, begins ? "/refuse?on=1" : "/refuse?on=0");
+    else if (fault.kind == FaultKind::WorkerOverloaded || fault.kind == FaultKind::WorkerUnhealthy)
+        control(
+            soak,
+            absl::StrCat("/refuse?percent=", begins ? refusedPercent : 0,
+                         "&status=", fault.kind == FaultKind::WorkerOverloaded ? 429 : 503),
+            "", [] {}, fault.target);
     else if (fault.kind == FaultKind::StoreForgets && begins) {
         control(soak, "/forget?Topic=keyed.flamingo");
         control(soak, "/forget?Topic=keyed.op");
--- a/tests/soak_checks_test.cc
+++ b/tests/soak_checks_test.cc
@@ -88,6 +88,14 @@
             return violation.check == check;
         });
     }
+
+    bool findsDespiteOverload(const std::string &check) const
+    {
+        const std::vector<Violation> found = soak::check(this->jobs, this->history, {});
+        return std::any_of(found.begin(), found.end(), [&check](const Violation &violation) {
+            return violation.check == check && !violation.timed;
+        });
+    }
 };
 
 } // namespace
@@ -193,6 +201,60 @@
     CHECK(fixture.finds("start after a cancellation"));
 }
 
+TEST(SoakChecks, runOfACancelledJobThatGoesOnIsFound)
+{
+    const std::string check = "a run of a cancelled job goes on";
+    fixture.submit();
+    fixture.answer(1000, "DELETE", 200);
+    fixture.run(100, Seen::Started, "w0.1", 0, 1);
+    fixture.run(100, Seen::Started, "w0.1", 1, 1);
+    fixture.run(4800, Seen::Ended, "w0.1", 0, 1, "stopped");
+    Observation &end = fixture.run(4800, Seen::Ended, "w0.1", 1, 1, "stopped");
+    CHECK_FALSE(fixture.finds(check));
+    end.at = begin + 5000;
+    CHECK(fixture.finds(check));
+    CHECK_FALSE(fixture.findsDespiteOverload(check));
+    end.at = begin + 13000;
+    CHECK(fixture.findsDespiteOverload(check));
+}
+
+TEST(SoakChecks, runOfACancelledJobMayGoOnBesideFaultsOfItsHost)
+{
+    const std::string check = "a run of a cancelled job goes on";
+    fixture.submit();
+    fixture.answer(1000, "DELETE", 200);
+    fixture.run(100, Seen::Started, "w0.1", 0, 1);
+    const std::size_t last = fixture.history.size();
+    fixture.run(11800, Seen::Ended, "w0.1", 0, 1, "stopped");
+    fixture.add(500, Seen::FaultBegan, "w1", "worker-overloaded");
+    CHECK(fixture.finds(check));
+    for (const char *process : {"w0", "a0", "e2", "store", ""}) {
+        fixture.history.resize(last + 2);
+        fixture.add(500, Seen::FaultBegan, process, "delay");
+        CHECK_FALSE(fixture.finds(check));
+        fixture.add(5000, Seen::FaultEnded, process, "delay");
+        CHECK_FALSE(fixture.finds(check));
+        fixture.history[last].at = begin + 12000;
+        CHECK(fixture.finds(check));
+        fixture.history[last].at = begin + 11800;
+    }
+}
+
+// A worker may carry out a start late.
+TEST(SoakChecks, lateRunOfACancelledJobCountsFromLaterOn)
+{
+    const std::string check = "a run of a cancelled job goes on";
+    fixture.submit();
+    fixture.answer(1000, "DELETE", 200);
+    fixture.add(900, Seen::FaultBegan, "e0", "delay");
+    fixture.run(2000, Seen::Started, "w0.1", 0, 1);
+    fixture.add(2100, Seen::FaultEnded, "e0", "delay");
+    fixture.run(8900, Seen::Ended, "w0.1", 0, 1, "stopped");
+    CHECK_FALSE(fixture.finds(check));
+    fixture.history.back().at = begin + 9100;
+    CHECK(fixture.finds(check));
+}
+
 TEST(SoakChecks, startOnALeavingWorkerIsFound)
 {
     fixture.submit();
