Answer "no such job" to a cancellation only after a read that follows it

Callers whose job was accepted by one entry and cancelled at another could get 410, which acknowledges the cancellation, while nothing was stored: the job ran to its end. The entry had not read the acceptance yet.

Cause: cancel() answered "unknown job" when the last read of the log was at most 2 s old (recentReadMs). A job can be accepted and cancelled within that time. While the reads of an entry are slow or fail, its table lacks such a job; a leader's stored append also counted as a read, although it shows nothing about the acceptances that others have stored.

Ruled out: relayed cancellations and those of jobs in the table; they are acknowledged only when a record is stored.

Change: a job that is missing from the table is looked up again until a read of the log, without counting appends, confirms the table for a time after the request. After 800 ms, or while the log is unreachable, the answer is 503. GET is unchanged: it has `visible_ms` for the same delay.

Before, jobThatAnotherEntryHasJustAcceptedIsCancelled and jobIsNotReportedAsUnknownWhileTheLogDoesNotAnswer failed: the outcome was UnknownJob, not Cancelled and not NotStored. Now scheduler_service_test passes 3 of 3 times at a load average of 20, job_end_test passes.

--- a/flamingo/adapters/scheduler_service.cc
+++ b/flamingo/adapters/scheduler_service.cc
@@ -169,6 +169,7 @@
             continue;
         this->applyStored(stored);
     }
+    this->tableReadAt = std::max(this->tableReadAt, confirmedAt);
     if (this->role == Role::CatchingUp && this->nextOffset >= this->campaignEnd)
         this->claim();
     if (this->leading())
@@ -860,10 +861,27 @@
 }
 
 void SchedulerService::cancel(const std::string &jobId, std::function<void(CancelOutcome)> done)
+{
+    this->cancelSince(jobId, Loop::now(), std::move(done));
+}
+
+// Cancels a job on a request that arrived at `arrivedAt`. A job that is not in the table is looked
+// up again until the table is known to be newer than the request.
+void SchedulerService::cancelSince(const std::string &jobId, TimeMs arrivedAt,
+                                   std::function<void(CancelOutcome)> done)
 {
     const auto found = this->scheduling.table.jobs.find(jobId);
     if (found == this->scheduling.table.jobs.end() || !found->second.job) {
-        done(this->logReadIsRecent() ? CancelOutcome::UnknownJob : CancelOutcome::NotStored);
+        if (this->logLoaded && this->tableReadAt > arrivedAt)
+            done(CancelOutcome::UnknownJob);
+        else if (!this->logReachable
+                 || Loop::now() - arrivedAt >= this->options.submitRetryWindowMs)
+            done(CancelOutcome::NotStored);
+        else
+            this->loop.after(this->options.submitRetryMs,
+                             [this, jobId, arrivedAt, done = std::move(done)] {
+                                 this->cancelSince(jobId, arrivedAt, done);
+                             });
         return;
     }
     if (found->second.cancelled || found->second.storedOutcome != Outcome::Open) {
--- a/flamingo/adapters/scheduler_service.h
+++ b/flamingo/adapters/scheduler_service.h
@@ -50,7 +50,8 @@
     // Minimum delay before an unanswered append is also relayed to another entry. The delay grows
     // with the log's recent answer times, and nothing is relayed while the log answers other calls.
     TimeMs relayAfterMs = 300;
-    TimeMs submitRetryMs = 100; // delay before an acceptance or cancellation is retried
+    // Delay before an acceptance or cancellation is retried, or a missing job is looked up again.
+    TimeMs submitRetryMs = 100;
     // Limits on the time until a submission or cancellation gets a verdict. Callers wait 3 s for an
     // answer.
     TimeMs submitRetryWindowMs = 800; // from its arrival to its last retry
@@ -107,7 +108,8 @@
 
     // Stores the cancellation of a job, also without a leader. The leader then ends the job as
     // cancelled unless it has decided another end before. Cancelled is also reported for a job that
-    // has ended. UnknownJob is reported only after a recent log read.
+    // has ended. UnknownJob is reported only after a log read that was sent after the call: the
+    // table may lack a job that another entry has just accepted.
     void cancel(const std::string &jobId, std::function<void(CancelOutcome)> done);
 
     const scheduler::JobTable &table() const
@@ -224,6 +226,8 @@
     void expireQueued(const std::shared_ptr<Attempt> &attempt);
     void retryOrEnd(const std::shared_ptr<Attempt> &attempt);
     bool mayStillBeStored(const Attempt &attempt) const;
+    void cancelSince(const std::string &jobId, TimeMs arrivedAt,
+                     std::function<void(CancelOutcome)> done);
     std::shared_ptr<Attempt> beginAttempt(const scheduler::Record &record);
     void writeDecisions();
 
@@ -245,6 +249,7 @@
     // this time have been read. A leader's stored append sets it to the time at which the append
     // was sent: the fence proves that no other leader had begun by then.
     TimeMs logConfirmedAt = 0;
+    TimeMs tableReadAt = 0; // the table contains all records stored before this time
     TimeMs logAnsweredAt = 0; // when the log last answered any call
     scheduler::AnswerTimes answerTimes; // of the log
     bool logReachable = false;
--- a/tests/scheduler_service_test.cc
+++ b/tests/scheduler_service_test.cc
@@ -556,3 +556,47 @@
     fixture.waitUntil([&verdict] { return verdict.has_value(); });
     CHECK(*verdict == Verdict::MayHaveRun);
 }
+
+// Guards against a cancellation that is acknowledged by "no such job" and never stored: the entry
+// that was asked had not read the job's acceptance, which another entry had stored before.
+TEST(SchedulerService, jobThatAnotherEntryHasJustAcceptedIsCancelled)
+{
+    Entry &accepting = fixture.add("a", 1);
+    Entry &trailing = fixture.add("b", 2, 400);
+    fixture.start();
+    fixture.waitUntil(
+        [&] { return accepting.service.logReadIsRecent() && trailing.service.logReadIsRecent(); });
+    trailing.log.waitsInFull = true;
+    fixture.runFor(10);
+    std::optional<Verdict> verdict;
+    accepting.service.submit(smallJob(), [&verdict](Verdict result) { verdict = result; });
+    fixture.waitUntil([&verdict] { return verdict.has_value(); });
+    CHECK(*verdict == Verdict::Ran);
+    std::optional<SchedulerService::CancelOutcome> outcome;
+    trailing.service.cancel(
+        smallJob().id, [&outcome](SchedulerService::CancelOutcome result) { outcome = result; });
+    fixture.waitUntil([&outcome] { return outcome.has_value(); });
+    CHECK(*outcome == SchedulerService::CancelOutcome::Cancelled);
+}
+
+TEST(SchedulerService, unknownJobIsReportedWhenALaterReadDoesNotContainIt)
+{
+    Entry &entry = fixture.startEntry();
+    std::optional<SchedulerService::CancelOutcome> outcome;
+    entry.service.cancel(smallJob().id,
+                         [&outcome](SchedulerService::CancelOutcome result) { outcome = result; });
+    fixture.waitUntil([&outcome] { return outcome.has_value(); });
+    CHECK(*outcome == SchedulerService::CancelOutcome::UnknownJob);
+}
+
+// Guards against "no such job" from an entry that cannot read the log.
+TEST(SchedulerService, jobIsNotReportedAsUnknownWhileTheLogDoesNotAnswer)
+{
+    Entry &entry = fixture.startEntry();
+    entry.log.unresponsive = true;
+    std::optional<SchedulerService::CancelOutcome> outcome;
+    entry.service.cancel(smallJob().id,
+                         [&outcome](SchedulerService::CancelOutcome result) { outcome = result; });
+    fixture.waitUntil([&outcome] { return outcome.has_value(); });
+    CHECK(*outcome == SchedulerService::CancelOutcome::NotStored);
+}
