Log the starts, checkpoints and stops that a worker refuses or does not answer

Nothing was logged by flamingo-agentd about a call to its worker but a failed renewal, so a task that runs on after its stop could not be traced: was the stop refused, not answered, or not sent? Each failed call now has a line with task, worker, status and error, at most 10 a second after a burst of 50; lines left out are counted in the next one.

No behaviour changes. Built; no test concerns the lines.

--- a/flamingo/adapters/worker_client.cc
+++ b/flamingo/adapters/worker_client.cc
@@ -83,6 +83,17 @@
     this->http.call(call, std::move(onResponse));
 }
 
+void WorkerClient::logFailedCall(const char *call, const std::string &task,
+                                 const HttpResult &result)
+{
+    if (result.status == statusOk || !this->callLogLimiter.allowLine(Loop::now()))
+        return;
+    LOG(WARNING) << call << (result.status == 0 ? "_unanswered" : "_refused") << " task=" << task
+                 << " worker=" << this->options.worker << " status=" << result.status
+                 << " sent=" << result.requestSent << " error=\"" << result.error << "\""
+                 << this->callLogLimiter.takeSuppressedField();
+}
+
 void WorkerClient::runTask(const RunTask &command)
 {
     if (this->stoppingTasks.count(command.task) > 0)
@@ -96,6 +107,7 @@
                        {"checkpoint", command.checkpoint},
                        {"leaseMs", this->options.leaseMs}};
     this->post("/tasks", jsonText(body), [this, command](const HttpResult &result) {
+        this->logFailedCall("start", command.task, result);
         if (!isFinalResponse(result)) {
             this->loop.after(this->options.retryMs, [this, command] { this->runTask(command); });
             return;
@@ -110,6 +122,7 @@
 {
     this->post("/tasks/" + command.task + "/checkpoint", "{}",
                [this, command](const HttpResult &result) {
+                   this->logFailedCall("checkpoint", command.task, result);
                    const Json body = Json::parse(result.body, nullptr, false);
                    const bool ok = result.status == statusOk && body.is_object();
                    this->handler(
@@ -121,6 +134,7 @@
 {
     this->stoppingTasks.insert(command.task);
     this->post("/tasks/" + command.task + "/stop", "{}", [this, command](const HttpResult &result) {
+        this->logFailedCall("stop", command.task, result);
         if (!isFinalResponse(result)) {
             this->loop.after(this->options.retryMs, [this, command] { this->stopTask(command); });
             return;
--- a/flamingo/adapters/worker_client.h
+++ b/flamingo/adapters/worker_client.h
@@ -15,6 +15,7 @@
 // can therefore start no task.
 
 #include "flamingo/adapters/http_client.h"
+#include "flamingo/adapters/log_rate_limiter.h"
 #include "flamingo/messages.h"
 
 #include <functional>
@@ -27,6 +28,10 @@
 using WorkerEvent =
     std::variant<TaskStarted, TaskFinished, TaskCheckpointed, TaskStopped, TaskUsage, LeaseRenewed>;
 
+// Limits of the log lines about calls that failed.
+constexpr std::uint32_t failedCallLinesPerSecond = 10;
+constexpr std::uint32_t failedCallBurst = 50;
+
 struct WorkerClientOptions
 {
     std::string address;
@@ -56,6 +61,8 @@
     using ResponseCallback = std::function<void(const HttpResult &)>;
 
     void post(const std::string &path, const std::string &body, ResponseCallback onResponse);
+    // Logs a start, checkpoint or stop that the worker refused or did not answer.
+    void logFailedCall(const char *call, const std::string &task, const HttpResult &result);
     void runTask(const RunTask &command);
     void checkpointTask(const CheckpointTask &command);
     void stopTask(const StopTask &command);
@@ -68,6 +75,7 @@
     WorkerClientOptions options;
     Handler handler;
     std::set<std::string> stoppingTasks; // tasks whose start must no longer be retried
+    LogRateLimiter callLogLimiter{failedCallLinesPerSecond, failedCallBurst};
 };
 
 } // namespace flamingo::adapters
