Stand-in worker: refuse a share of the calls, be slow to stop, list the tasks that run

The stand-in carried out every call at once, so no test of flamingo-agentd could show what a worker does that sheds load: refuse a call and do nothing, or accept a stop that takes time. New faults of a worker: refusePercent, refuseStatus and refuseSeed (the seed determines which calls are refused), and stopMs.

The interface says more about what an answer means: a stop is answered with 202 while the task is being stopped, a renewal names the tasks whose leases it renews and is answered with the tasks that run, and 403 names the present holder. A renewal without a list renews all leases, as before.

--- a/standin/platform.cc
+++ b/standin/platform.cc
@@ -6,6 +6,8 @@
 
 #include "standin/platform.h"
 
+#include "flamingo/json_parse.h"
+
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -21,6 +23,7 @@
 using adapters::Loop;
 
 constexpr int statusOk = 200;
+constexpr int statusAccepted = 202;
 constexpr int statusBadRequest = 400;
 constexpr int statusForbidden = 403;
 constexpr int statusNotFound = 404;
@@ -29,10 +32,12 @@
 constexpr int statusTooManyRequests = 429;
 constexpr int statusInternalError = 500;
 constexpr int statusServiceUnavailable = 503;
+constexpr int maxStatus = 599;
 
 constexpr TimeMs maxWaitMs = 60000;
 constexpr std::size_t defaultMaxLines = 1000;
 constexpr std::uint32_t maxPercent = 100;
+constexpr TimeMs maxLeaseMs = 86400000;
 // A long poll occupies one request and one connection, and a test may run a few hundred processes.
 constexpr std::size_t maxPendingRequests = 65536;
 constexpr std::size_t maxConnections = 65536;
@@ -315,6 +320,8 @@
         host.heldRequests.push_back(request);
         return;
     }
+    if (this->refuse(request, host))
+        return;
     if (request.method == "POST" && host.loseAnswers > 0) {
         --host.loseAnswers;
         this->lostAnswerRequests.insert(request.id);
@@ -322,8 +329,9 @@
     advance(host.worker, Loop::now());
     const std::uint64_t holder = queryNumber(request, "holder", host.worker.holder);
     if (!acceptHolder(host.worker, holder, Loop::now())) {
-        this->respond(request.id, statusForbidden,
-                      errorBody("the worker belongs to a newer incarnation of its agent"));
+        const Json body = {{"error", "the worker belongs to a newer incarnation of its agent"},
+                           {"holder", host.worker.holder}};
+        this->respond(request.id, statusForbidden, body.dump());
         return;
     }
     const std::string &resource = segments[2];
@@ -333,15 +341,41 @@
         this->handleTask(request, host, segments);
     else if (resource == "events")
         this->readEvents(request, host);
-    else if (resource == "lease") {
-        renewLeases(host.worker, Json::parse(request.body).at("leaseMs").get<TimeMs>(),
-                    Loop::now());
-        this->respond(request.id, statusOk, okBody);
-    } else
+    else if (resource == "lease")
+        this->handleLease(request, host);
+    else
         this->respond(request.id, statusNotFound, errorBody("no such path"));
     this->updateWorker(name);
 }
 
+bool Platform::refuse(const HttpRequest &request, Host &host)
+{
+    if (host.refusePercent == 0 || host.refuseRandom() % maxPercent >= host.refusePercent)
+        return false;
+    this->respond(request.id, host.refuseStatus, errorBody("the worker is busy (injected fault)"));
+    return true;
+}
+
+void Platform::handleLease(const HttpRequest &request, Host &host)
+{
+    const Json body = Json::parse(request.body);
+    Reason reason;
+    TimeMs leaseMs = 0;
+    if (!readInteger(body, "leaseMs", TimeMs(0), maxLeaseMs, leaseMs, reason)) {
+        this->respond(request.id, statusBadRequest, errorBody(reason.text));
+        return;
+    }
+    if (body.contains("tasks")) {
+        for (const auto &task : body.at("tasks").get<std::vector<std::string>>())
+            renewLease(host.worker, task, leaseMs, Loop::now());
+    } else
+        renewLeases(host.worker, leaseMs, Loop::now());
+    Json tasks = Json::array();
+    for (const auto &task : host.worker.tasks)
+        tasks.push_back(task.first);
+    this->respond(request.id, statusOk, Json{{"ok", true}, {"tasks", tasks}}.dump());
+}
+
 void Platform::handleTaskStart(const HttpRequest &request, Host &host)
 {
     const TaskRequest task = taskRequest(Json::parse(request.body));
@@ -361,8 +395,8 @@
     const std::string &task = segments[3];
     const std::string &action = segments[4];
     if (action == "stop") {
-        stopTask(host.worker, task, Loop::now());
-        this->respond(request.id, statusOk, okBody);
+        const bool stopped = stopTask(host.worker, task, Loop::now());
+        this->respond(request.id, stopped ? statusOk : statusAccepted, okBody);
     } else if (action == "checkpoint")
         this->handleCheckpoint(request, host, task);
     else if (action == "throttle") {
@@ -434,7 +468,9 @@
     this->loseAnswers = body.value("loseAnswers", this->loseAnswers);
     if (body.contains("worker")) {
         const Json &worker = body.at("worker");
-        refuseUnknownKeys(worker, {"name", "failAll", "frozen", "loseAnswers"});
+        refuseUnknownKeys(worker,
+                          {"name", "failAll", "frozen", "loseAnswers", "stopMs", "refusePercent",
+                           "refuseStatus", "refuseSeed"});
         this->setWorkerFault(worker.at("name").get<std::string>(), worker.dump());
     }
     if (!log.empty())
@@ -450,6 +486,7 @@
 {
     const Json fault = Json::parse(body);
     Host &host = this->findOrCreateHost(name);
+    setRefusals(host, body);
     advance(host.worker, Loop::now());
     host.worker.failAll = fault.value("failAll", host.worker.failAll);
     host.loseAnswers = fault.value("loseAnswers", host.loseAnswers);
@@ -463,6 +500,23 @@
         this->handle(request);
 }
 
+void Platform::setRefusals(Host &host, const std::string &body)
+{
+    const Json fault = Json::parse(body);
+    Reason reason;
+    std::int64_t seed = 0;
+    host.refuseStatus = host.refuseStatus == 0 ? statusTooManyRequests : host.refuseStatus;
+    if (!readOptionalInteger(fault, "refusePercent", 0U, maxPercent, host.refusePercent, reason)
+        || !readOptionalInteger(fault, "refuseStatus", statusBadRequest, maxStatus,
+                                host.refuseStatus, reason)
+        || !readOptionalInteger(fault, "stopMs", TimeMs(0), maxWaitMs, host.worker.stopMs, reason)
+        || !readOptionalInteger(fault, "refuseSeed", std::int64_t(0),
+                                std::numeric_limits<std::int64_t>::max(), seed, reason))
+        throw Json::other_error::create(599, reason.text, &fault);
+    if (fault.contains("refuseSeed"))
+        host.refuseRandom.seed(static_cast<std::uint64_t>(seed));
+}
+
 void Platform::holdPendingEventReads(const std::string &name)
 {
     for (const PendingRead &pendingRead :
@@ -476,9 +530,13 @@
 {
     Json workers = Json::array();
     for (const auto &[name, host] : this->hosts) {
-        if (host.worker.failAll || host.worker.frozen)
-            workers.push_back(
-                {{"name", name}, {"failAll", host.worker.failAll}, {"frozen", host.worker.frozen}});
+        if (host.worker.failAll || host.worker.frozen || host.refusePercent > 0
+            || host.worker.stopMs > 0)
+            workers.push_back({{"name", name},
+                               {"failAll", host.worker.failAll},
+                               {"frozen", host.worker.frozen},
+                               {"refusePercent", host.refusePercent},
+                               {"stopMs", host.worker.stopMs}});
     }
     const char *log = this->logFault == LogFault::Up ? "up"
         : this->logFault == LogFault::Down           ? "down"
--- a/standin/platform.h
+++ b/standin/platform.h
@@ -11,9 +11,10 @@
 //   POST /workers/W/tasks
 //        {"task","job","payload","mask","cores","memoryMib","checkpoint","leaseMs"}
 //       200 {"ok":true}, 409 {"ok":false,"detail"}
-//   POST /workers/W/lease {"leaseMs"}
+//   POST /workers/W/lease {"leaseMs","tasks":["T"]}
+//       200 {"ok":true,"tasks":["T"]}: the tasks that run. A request without "tasks" renews all
 //   POST /workers/W/tasks/T/stop
-//       200 {"ok":true}
+//       200 {"ok":true} when the task does not run any more, 202 {"ok":true} while it is stopping
 //   POST /workers/W/tasks/T/checkpoint
 //       200 {"checkpoint":"..."}, 404 when the task is not running
 //   POST /workers/W/tasks/T/throttle {"percent"}
@@ -25,7 +26,8 @@
 //       of all members
 //   GET /faults
 //   POST /faults {"log":"up|down|slow","slowMs":N,"loseAnswers":N,
-//                 "worker":{"name":"W","failAll":BOOL,"frozen":BOOL,"loseAnswers":N}}
+//                 "worker":{"name":"W","failAll":BOOL,"frozen":BOOL,"loseAnswers":N,"stopMs":N,
+//                           "refusePercent":N,"refuseStatus":N,"refuseSeed":N}}
 //       200 with the active faults
 //   GET /health
 //       200 {"ok":true}
@@ -34,13 +36,14 @@
 // next event. Reads of the log and of events wait up to `wait_ms` until there is something to
 // return. The first request that names a worker creates it. Every request to a worker may have
 // `?holder=N`, the incarnation of the agent that sends it: a higher number than before stops the
-// worker's tasks, a lower one gets status 403.
+// worker's tasks, a lower one gets status 403 {"error","holder":N} with the present holder.
 //
 // Faults. "down": the log responds with 503. "slow": appends take effect at once, but the responses
 // of the log are delayed by slowMs, except to reads that end without lines. "loseAnswers": the next
 // N appends, or the next N commands to the worker, take effect but get status 500. A frozen worker
 // does not respond; its requests are handled when it is unfrozen, including those whose client has
-// timed out.
+// timed out. "refusePercent": the worker refuses this share of all requests with refuseStatus (429
+// unless given) and does nothing; refuseSeed determines which. "stopMs": time that a stop takes.
 
 #include "flamingo/adapters/http_server.h"
 #include "standin/log.h"
@@ -79,6 +82,9 @@
         adapters::Loop::TimerId timer = 0; // at nextDueTime() of the worker; 0: none
         std::vector<adapters::HttpRequest> heldRequests; // received while the worker is frozen
         std::uint64_t loseAnswers = 0; // number of further commands whose response is lost
+        std::uint32_t refusePercent = 0; // share of the requests that the worker refuses
+        int refuseStatus = 0;
+        Random refuseRandom;
     };
 
     // The response to a read; nullopt when there is nothing to return yet and `mayWait` is true.
@@ -109,6 +115,10 @@
     void readEvents(const adapters::HttpRequest &request, Host &host);
     void setFaults(const adapters::HttpRequest &request);
     void setWorkerFault(const std::string &name, const std::string &body);
+    static void setRefusals(Host &host, const std::string &body);
+    // Refuses the request if the worker is to refuse this one.
+    bool refuse(const adapters::HttpRequest &request, Host &host);
+    void handleLease(const adapters::HttpRequest &request, Host &host);
     // Moves the pending event reads of a worker that was frozen to its held requests.
     void holdPendingEventReads(const std::string &name);
     std::string faultsJson() const;
--- a/standin/worker.cc
+++ b/standin/worker.cc
@@ -9,6 +9,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <vector>
 
 namespace flamingo::standin {
 namespace {
@@ -129,6 +130,8 @@
 {
     if (task.leaseUntil <= now)
         return stoppedEvent("lease lapsed");
+    if (task.stopAt.value_or(now + 1) <= now)
+        return stoppedEvent("stopped");
     if (task.plan.failAfterMs && workToFailure(task) <= workEpsilonMs)
         return finishedEvent(false, "", "task failed early");
     if (task.remainingMs > workEpsilonMs)
@@ -156,6 +159,7 @@
 TimeMs taskDueTime(const Task &task)
 {
     TimeMs due = std::min(task.leaseUntil, task.nextUsageAt);
+    due = std::min(due, task.stopAt.value_or(due));
     if (task.speedPercent == 0)
         return due;
     const double work = std::min(task.remainingMs, workToFailure(task));
@@ -206,10 +210,11 @@
     if (holder <= worker.holder)
         return holder == worker.holder;
     worker.holder = holder;
-    while (!worker.tasks.empty()) {
-        const std::string name = worker.tasks.begin()->first;
+    std::vector<std::string> names;
+    for (const auto &task : worker.tasks)
+        names.push_back(task.first);
+    for (const std::string &name : names)
         stopTask(worker, name, now);
-    }
     return true;
 }
 
@@ -219,16 +224,28 @@
         task.leaseUntil = now + leaseMs;
 }
 
-void stopTask(Worker &worker, std::string_view name, TimeMs now)
+void renewLease(Worker &worker, std::string_view name, TimeMs leaseMs, TimeMs now)
+{
+    const auto found = worker.tasks.find(name);
+    if (found != worker.tasks.end())
+        found->second.leaseUntil = now + leaseMs;
+}
+
+bool stopTask(Worker &worker, std::string_view name, TimeMs now)
 {
     const auto found = worker.tasks.find(name);
     if (found == worker.tasks.end()) {
         recordEndedTask(worker, name, false);
-        return;
+        return true;
+    }
+    if (worker.stopMs > 0) {
+        found->second.stopAt = found->second.stopAt.value_or(now + worker.stopMs);
+        return false;
     }
     updateProgress(found->second, now);
     endTask(worker, found->first, found->second, stoppedEvent("stopped"), now);
     worker.tasks.erase(found);
+    return true;
 }
 
 bool throttleTask(Worker &worker, std::string_view name, std::uint32_t percent, TimeMs now)
--- a/standin/worker.h
+++ b/standin/worker.h
@@ -67,6 +67,7 @@
     std::uint32_t speedPercent = 100; // of full speed
     TimeMs progressUpdatedAt = 0;
     TimeMs nextUsageAt = 0;
+    std::optional<TimeMs> stopAt; // a stop was accepted, and takes effect then
 };
 
 struct WorkerEvent
@@ -85,6 +86,7 @@
 struct Worker
 {
     TimeMs usageLagMs = 0;
+    TimeMs stopMs = 0; // time that a stop takes
     bool failAll = false; // every task fails right after its start
     bool frozen = false;
     std::uint64_t holder = 0; // highest incarnation of the agent that has used this worker
@@ -106,15 +108,20 @@
 
 // Fences the worker by the agent's incarnation, which must be passed for each of its requests.
 // Returns false when `holder` is lower than the worker's present holder; the caller must then
-// refuse the request. A higher one becomes the present holder, and all running tasks are stopped.
+// refuse the request. A higher one becomes the present holder, and all running tasks are stopped,
+// which takes Worker::stopMs.
 bool acceptHolder(Worker &worker, std::uint64_t holder, TimeMs now);
 
 // Sets the end of the leases of all running tasks to `now` + leaseMs.
 void renewLeases(Worker &worker, TimeMs leaseMs, TimeMs now);
 
-// Stops a task. The id of a task that is not running is recorded, so that a start request that
-// arrives after its stop request is refused.
-void stopTask(Worker &worker, std::string_view task, TimeMs now);
+// As renewLeases(), for one task; no effect when it is not running.
+void renewLease(Worker &worker, std::string_view task, TimeMs leaseMs, TimeMs now);
+
+// Stops a task, which takes Worker::stopMs. Returns true when the task does not run any more. The
+// id of a task that is not running is recorded, so that a start request that arrives after its stop
+// request is refused.
+bool stopTask(Worker &worker, std::string_view task, TimeMs now);
 
 // Sets the speed of a task from now on. Returns false when the task is not running.
 bool throttleTask(Worker &worker, std::string_view task, std::uint32_t percent, TimeMs now);
--- a/tests/standin_test.cc
+++ b/tests/standin_test.cc
@@ -7,6 +7,9 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
+
+// Last, because it redefines `new`.
 #include <CppUTest/TestHarness.h>
 
 using namespace flamingo;
@@ -178,6 +181,38 @@
     CHECK_EQUAL(std::string("finished"), worker.events.back().type);
 }
 
+TEST(Worker, slowStopTakesEffectAfterItsTimeUnlessTheTaskFinishesBefore)
+{
+    worker.stopMs = 300;
+    CHECK(start(makeTaskRequest("a", R"({"runMs":1000})"), 0));
+    CHECK_FALSE(stopTask(worker, "a", 100));
+    CHECK_FALSE(stopTask(worker, "a", 200));
+    CHECK_EQUAL(400, *nextDueTime(worker));
+    advance(worker, 399);
+    CHECK(runningTask(worker, "a") != nullptr);
+    advance(worker, 400);
+    CHECK_EQUAL(std::string("stopped"), worker.events.back().type);
+    CHECK(stopTask(worker, "a", 400));
+    CHECK(start(makeTaskRequest("b", R"({"runMs":100})"), 400));
+    CHECK(acceptHolder(worker, 1, 450));
+    CHECK(runningTask(worker, "b") != nullptr);
+    advance(worker, 500);
+    CHECK_EQUAL(std::string("finished"), worker.events.back().type);
+}
+
+TEST(Worker, leaseOfOneTaskIsRenewed)
+{
+    TaskRequest other = makeTaskRequest("b", R"({"runMs":5000})");
+    other.mask = 2;
+    CHECK(start(makeTaskRequest("a", R"({"runMs":5000})"), 0));
+    CHECK(start(other, 0));
+    renewLease(worker, "a", 1000, 900);
+    renewLease(worker, "unknown", 1000, 900);
+    advance(worker, 1000);
+    CHECK(runningTask(worker, "a") != nullptr);
+    CHECK(runningTask(worker, "b") == nullptr);
+}
+
 TEST(Worker, failuresAreReportedAndUsageEventsAreDelayed)
 {
     worker.usageLagMs = 300;
@@ -269,3 +304,47 @@
     CHECK_EQUAL(200, fixture.post("/workers/w/tasks", task).status);
     CHECK_EQUAL(std::string(R"({"j":1})"), fixture.get("/runs").body);
 }
+
+TEST(Platform, busyWorkerRefusesAShareOfItsCallsAndDoesNothing)
+{
+    const std::string task = R"({"task":"t","job":"j","payload":"p","mask":1,"leaseMs":1000})";
+    const std::string fault =
+        R"({"worker":{"name":"w","refusePercent":50,"refuseStatus":503,"refuseSeed":1}})";
+    CHECK_EQUAL(200, fixture.post("/faults", fault).status);
+    std::string first;
+    for (int i = 0; i < 40; ++i)
+        first += fixture.post("/workers/w/lease", R"({"leaseMs":1})").status == 503 ? "r" : "a";
+    const auto refused = std::count(first.begin(), first.end(), 'r');
+    CHECK_COMPARE(10, <, refused);
+    CHECK_COMPARE(30, >, refused);
+    fixture.post("/faults", fault);
+    std::string second;
+    for (int i = 0; i < 40; ++i)
+        second += fixture.post("/workers/w/lease", R"({"leaseMs":1})").status == 503 ? "r" : "a";
+    CHECK_EQUAL(first, second);
+    fixture.post("/faults", R"({"worker":{"name":"w","refusePercent":100}})");
+    CHECK_EQUAL(503, fixture.post("/workers/w/tasks?holder=9", task).status);
+    fixture.post("/faults", R"({"worker":{"name":"w","refusePercent":0}})");
+    CHECK_EQUAL(std::string("{}"), fixture.get("/runs").body);
+    CHECK_EQUAL(200, fixture.post("/workers/w/tasks?holder=8", task).status);
+    CHECK_EQUAL(400,
+                fixture.post("/faults", R"({"worker":{"name":"w","refusePercent":101}})").status);
+}
+
+TEST(Platform, slowStopIsAnsweredAsInProgressAndLeasesNameTheTasksThatRun)
+{
+    const std::string task =
+        R"({"task":"t","job":"j","payload":"{\"runMs\":5000}","mask":1,"leaseMs":2000})";
+    fixture.post("/faults", R"({"worker":{"name":"w","stopMs":300}})");
+    CHECK_EQUAL(200, fixture.post("/workers/w/tasks?holder=3", task).status);
+    const auto renewed = fixture.post("/workers/w/lease", R"({"leaseMs":2000,"tasks":["t"]})");
+    CHECK(Json::parse(renewed.body).at("tasks") == Json::array({"t"}));
+    CHECK_EQUAL(202, fixture.post("/workers/w/tasks/t/stop", "{}").status);
+    const auto events = Json::parse(fixture.get("/workers/w/events?from=1&wait_ms=2000").body);
+    CHECK_EQUAL(std::string("stopped"), events["events"][0]["type"].get<std::string>());
+    CHECK_EQUAL(200, fixture.post("/workers/w/tasks/t/stop", "{}").status);
+    const auto fenced = fixture.post("/workers/w/lease?holder=2", R"({"leaseMs":2000})");
+    CHECK_EQUAL(403, fenced.status);
+    CHECK_EQUAL(3, Json::parse(fenced.body).at("holder").get<int>());
+    CHECK_EQUAL(400, fixture.post("/workers/w/lease", R"({"leaseMs":1e300})").status);
+}
