--- a/standin/worker.cc
+++ b/standin/worker.cc
@@ -5,10 +5,13 @@
 
 #include "standin/worker.h"
 
+#include "flamingo/json_parse.h"
+
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
 #include <cmath>
+#include <limits>
 #include <vector>
 
 namespace flamingo::standin {
@@ -16,38 +19,69 @@
 
 constexpr TimeMs usageIntervalMs = 500;
 constexpr double failAllAfterMs = 5;
+constexpr double maxWorkMs = 1e12; // about 30 years
+constexpr TimeMs maxCheckpointMs = 86400000;
 constexpr double workEpsilonMs = 1e-6; // tolerance for rounding errors at reduced speed
 constexpr std::size_t maxEvents = 20000;
 constexpr std::size_t maxEndedTasks = 20000; // ids kept to detect repeated start requests
 
 using Json = nlohmann::json;
 
-TaskPlan parseTaskPlan(const TaskRequest &request)
+// Reads an optional amount of work; returns false when the field is no number in [0, maxWorkMs].
+bool readWork(const Json &object, const char *name, double &result)
+{
+    const auto found = object.find(name);
+    if (found == object.end())
+        return true;
+    if (!found->is_number() || !(found->get<double>() >= 0 && found->get<double>() <= maxWorkMs))
+        return false;
+    result = found->get<double>();
+    return true;
+}
+
+// Returns false when a field has a wrong type or is out of range.
+bool readPlan(const Json &json, TaskPlan &plan)
 {
-    TaskPlan plan;
-    plan.answer = request.payload;
-    plan.usedCores = request.cores;
-    plan.usedMemoryMib = request.memoryMib;
-    const Json json = Json::parse(request.payload, nullptr, false);
-    if (!json.is_object())
-        return plan;
-    plan.runMs = json.value("runMs", plan.runMs);
-    plan.checkpointMs = json.value("checkpointMs", plan.checkpointMs);
-    plan.fail = json.value("fail", false);
-    plan.answer = json.value("answer", plan.answer);
-    plan.usedCores = json.value("usedCores", plan.usedCores);
-    plan.usedMemoryMib = json.value("usedMemoryMib", plan.usedMemoryMib);
+    constexpr auto maxSize = std::numeric_limits<std::uint32_t>::max();
+    Reason reason;
+    double failAfterMs = 0;
+    if (!readWork(json, "runMs", plan.runMs) || !readWork(json, "failAfterMs", failAfterMs)
+        || !readOptionalInteger(json, "checkpointMs", TimeMs(0), maxCheckpointMs, plan.checkpointMs,
+                                reason)
+        || !readOptionalInteger(json, "usedCores", 0U, maxSize, plan.usedCores, reason)
+        || !readOptionalInteger(json, "usedMemoryMib", 0U, maxSize, plan.usedMemoryMib, reason))
+        return false;
     if (json.contains("failAfterMs"))
-        plan.failAfterMs = json.at("failAfterMs").get<double>();
-    return plan;
+        plan.failAfterMs = failAfterMs;
+    const Json fail = json.value("fail", Json(plan.fail));
+    const Json answer = json.value("answer", Json(plan.answer));
+    if (!fail.is_boolean() || !answer.is_string())
+        return false;
+    plan.fail = fail.get<bool>();
+    plan.answer = answer.get<std::string>();
+    return true;
+}
+
+TaskPlan parseTaskPlan(const TaskRequest &request)
+{
+    TaskPlan defaultPlan;
+    defaultPlan.answer = request.payload;
+    defaultPlan.usedCores = request.cores;
+    defaultPlan.usedMemoryMib = request.memoryMib;
+    Reason reason;
+    const auto json = parseJson(request.payload, reason);
+    TaskPlan plan = defaultPlan;
+    return json && json->is_object() && readPlan(*json, plan) ? plan : defaultPlan;
 }
 
 double remainingAtStart(const TaskRequest &request, const TaskPlan &plan)
 {
-    const Json json = Json::parse(request.checkpoint, nullptr, false);
-    if (!json.is_object())
+    Reason reason;
+    const auto json = parseJson(request.checkpoint, reason);
+    double remainingMs = plan.runMs;
+    if (json && json->is_object() && !readWork(*json, "remainingMs", remainingMs))
         return plan.runMs;
-    return json.value("remainingMs", plan.runMs);
+    return remainingMs;
 }
 
 void emitEvent(Worker &worker, WorkerEvent event)
--- a/standin/worker.h
+++ b/standin/worker.h
@@ -9,9 +9,9 @@
 //   {"runMs":100,"answer":"...","fail":false,"checkpointMs":50,"failAfterMs":30,
 //    "usedCores":4,"usedMemoryMib":512}
 //
-// Every field is optional. A task with any other payload runs for defaultRunMs and answers with the
-// payload. usedCores and usedMemoryMib are the values in the usage events; the default is the size
-// that the start request declares.
+// Every field is optional. A task with any other payload, also one with a field of another type,
+// runs for defaultRunMs and answers with the payload. usedCores and usedMemoryMib are the values in
+// the usage events; the default is the size that the start request declares.
 //
 // A worker has no timer of its own. The caller must call advance() at the time that nextDueTime()
 // returns and before every other function. While a worker is frozen, its tasks make no progress and
--- a/tests/standin_test.cc
+++ b/tests/standin_test.cc
@@ -213,6 +213,27 @@
     CHECK(runningTask(worker, "b") == nullptr);
 }
 
+// Guards against a payload that ends the stand-in, or is run with a time that is no time.
+TEST(Worker, payloadWithAnOddFieldRunsForTheDefaultTime)
+{
+    const std::string deep = R"({"runMs":)" + std::string(100000, '[') + "}";
+    for (const std::string &payload :
+         {std::string(R"({"runMs":"x"})"), std::string(R"({"runMs":-5})"),
+          std::string(R"({"runMs":1e300})"), std::string(R"({"checkpointMs":1e300})"),
+          std::string(R"({"usedCores":-1})"), std::string(R"({"usedMemoryMib":4294967296})"),
+          std::string(R"({"fail":1})"), std::string(R"({"answer":7})"),
+          std::string(R"({"failAfterMs":null})"), deep}) {
+        Worker fresh;
+        fresh.usageLagMs = 100000;
+        TaskRequest request = makeTaskRequest("a", payload);
+        request.checkpoint = R"({"remainingMs":1e300})";
+        CHECK(startTask(fresh, request, 0, detail, fromBeginning));
+        CHECK_EQUAL(defaultRunMs, *nextDueTime(fresh));
+        advance(fresh, defaultRunMs);
+        CHECK_EQUAL(payload, fresh.events.back().answer);
+    }
+}
+
 TEST(Worker, failuresAreReportedAndUsageEventsAreDelayed)
 {
     worker.usageLagMs = 300;
