Decide in one place what a worker's answer means, and end a stop only when the task does not run

Callers saw (by the tests below, none reported): a cancelled job that runs on, two tasks on the same accelerators, NotRun for a task that runs, a task that starts after its stop.

Cause: the client of flamingo-agentd took every status from 400 to 499 for a final answer, and a final answer to a stop for a stop that was carried out. A busy worker's 429 thus freed the accelerators of a task that runs. It also ended the record of the stop, so that a retry of the start that was still due ran the task. A refused repetition of a start was reported as "not run" although the call before, without an answer, may have started it. Nothing compared the answer with what the worker did, and the renewals kept such a task alive. Each repeated command to stop had retries of its own: 51 calls in 3 s to a worker that refuses them.

Ruled out: the agent itself. It keeps the allocation until TaskStopped, and repeats StopTask.

Change: callOutcome() gives one of seven outcomes. Only the worker's statement that a task does not run ends its stop (200, 404, or 403 with a newer holder); anything else is repeated after 100 ms, doubling to 1 s, in one series for each task. A start that a busy worker refuses is repeated twice and then reported as refused, if no call before can have had an effect; else TaskStarted says mayHaveStarted, and the agent stops the task before it gives a verdict. A busy worker's checkpoints and renewals are repeated. Leases are renewed for the tasks that may run only, and the answer is compared with them: a task that runs although it was reported as ended is stopped, and so is, which reports its end, one that does not run and whose end is in no event. Answers are parsed with limits on depth and numbers; a malformed event is left out instead of blocking all later ones, and `next` must follow the events.

--- a/flamingo/agent.h
+++ b/flamingo/agent.h
@@ -29,7 +29,7 @@
 //     treats the leases as lapsed: it stops its tasks and refuses work.
 //   - Before the first event, stop the tasks that an earlier incarnation left on the worker.
 //   - Deliver TaskStarted{ok = false} only if the worker refused the task, not when a RunTask got
-//     no answer.
+//     no answer. Set mayHaveStarted if an earlier call to start the task got no answer.
 //   - Deliver TaskFinished and TaskStopped at least once, also when the worker was unreachable in
 //     between; the agent never polls for them. TaskStopped also answers a StopTask for a task that
 //     the worker does not have.
--- a/flamingo/messages.h
+++ b/flamingo/messages.h
@@ -112,6 +112,8 @@
     std::string task;
     bool ok = false;
     std::string detail;
+    // With ok = false: an earlier call to start the task may have had an effect.
+    bool mayHaveStarted = false;
 };
 
 struct TaskFinished
--- a/flamingo/tasks.cc
+++ b/flamingo/tasks.cc
@@ -359,6 +359,12 @@
             step.out.commands.emplace_back(StopTask{event.task});
         return;
     }
+    if (event.mayHaveStarted) {
+        if (!taskStopping(*task))
+            recordTaskFailure(step, *task);
+        stopTask(step, event.task, {ReasonCode::WorkerFailed, event.detail});
+        return;
+    }
     Ending ending{Verdict::NotRun, task->stopReason, {}};
     if (!taskStopping(*task)) {
         ending.reason = {ReasonCode::WorkerFailed, event.detail};
--- a/tests/agent_test.cc
+++ b/tests/agent_test.cc
@@ -716,6 +716,29 @@
     }
 }
 
+// Guards against the verdict NotRun for a task that runs, because an earlier call to start it took
+// effect without an answer.
+TEST(Agent, refusedStartThatMayHaveTakenEffectIsStoppedFirst)
+{
+    Fixture f;
+    const auto keyed = makeKeyedStart("t2", "borrower", 1);
+    f.message("e1", makeStart("t1", "borrower", 1));
+    f.message("e1", keyed);
+    f.message("o1", makeBeginReply(keyed));
+    for (const auto *id : {"t1", "t2"})
+        f.event(TaskStarted{id, false, "busy", true});
+    CHECK_EQUAL(2U, f.commands<StopTask>().size());
+    CHECK_EQUAL(2U, f.agent.tasks.size());
+    CHECK(f.sent<Outcome>().empty());
+    for (const auto *id : {"t1", "t2"})
+        f.event(TaskStopped{id});
+    const auto outcomes = f.sent<Outcome>();
+    CHECK_EQUAL(2U, outcomes.size());
+    CHECK(outcomes[0].verdict == Verdict::NotRun);
+    CHECK(outcomes[1].verdict == Verdict::MayHaveRun);
+    CHECK(outcomes[1].reason == ReasonCode::WorkerFailed);
+}
+
 // Guards against a worker that keeps getting jobs although every job fails on it, and against a
 // worker that is set aside because of one faulty job.
 TEST(Agent, setsAsideAWorkerThatFailsDifferentJobsAndTakesItBackAfterAProbe)
--- a/tests/worker_client_test.cc
+++ b/tests/worker_client_test.cc
@@ -26,7 +26,8 @@
 constexpr std::uint64_t incarnation = 7;
 constexpr std::uint64_t newerIncarnation = 8;
 
-// The answer to one call. `carriedOut`: the call has its effect all the same.
+// The answer to one call. The call has an effect only if its status is 200 and `body` is empty, or
+// if `carriedOut` is set.
 struct Answer
 {
     int status = 200;
@@ -123,9 +124,10 @@
             answer = this->answers[kind].front();
             this->answers[kind].pop_front();
         }
-        if (answer.status == 200 || answer.carriedOut) {
+        const bool done = answer.status == 200 && answer.body.empty();
+        if (done || answer.carriedOut) {
             const std::string body = this->carryOut(kind, request);
-            if (answer.status == 200 && answer.body.empty())
+            if (done)
                 answer.body = body;
         }
         this->server->respond(request.id, {answer.status, answer.body});
@@ -172,8 +174,10 @@
     Random random{1};
     std::vector<WorkerEvent> events;
     std::vector<StartReply> replies;
-    std::vector<Outcome> outcomes;
+    std::vector<Outcome> outcomes; // one for each attempt
+    std::set<std::string> endedAttempts;
     bool runsAtOutcome = false; // a task still ran when its Outcome was sent
+    bool runsAtNotRun = false; // the same, with the verdict NotRun
     WorkerClient client;
 
     Rig()
@@ -198,8 +202,12 @@
         for (const Send &send : out.sends) {
             if (const auto *reply = std::get_if<StartReply>(&send.message))
                 this->replies.push_back(*reply);
-            if (const auto *outcome = std::get_if<Outcome>(&send.message)) {
+            const auto *outcome = std::get_if<Outcome>(&send.message);
+            // The agent repeats an Outcome, because nothing here acknowledges it.
+            if (outcome != nullptr && this->endedAttempts.insert(outcome->attempt).second) {
                 this->runsAtOutcome |= this->worker.running.count(outcome->attempt) > 0;
+                this->runsAtNotRun |= outcome->verdict == Verdict::NotRun
+                    && this->worker.running.count(outcome->attempt) > 0;
                 this->outcomes.push_back(*outcome);
             }
         }
@@ -342,10 +350,10 @@
         rig.worker.refuse("start", status, 1000);
         rig.message(makeStart("t1", 8));
         rig.runFor(1500);
-        CHECK_FALSE_TEXT(rig.runsAtOutcome, std::to_string(status).c_str());
+        CHECK_FALSE_TEXT(rig.runsAtNotRun, std::to_string(status).c_str());
         rig.cancel("t1");
         CHECK(rig.runUntil([&] { return !rig.outcomes.empty(); }));
-        CHECK_FALSE_TEXT(rig.runsAtOutcome, std::to_string(status).c_str());
+        CHECK_FALSE_TEXT(rig.runsAtNotRun, std::to_string(status).c_str());
         CHECK(rig.worker.running.empty());
     }
 }
@@ -425,6 +433,18 @@
     CHECK(rig.runUntil([&] { return rig.worker.running.empty(); }, 3000));
 }
 
+// Guards against leases that lapse because a busy worker refused single renewals.
+TEST(WorkerClient, renewalIsRepeatedSoonAtABusyWorker)
+{
+    Rig rig;
+    rig.startTask("t1");
+    CHECK(rig.runUntil([&] { return !rig.worker.renewals.empty(); }));
+    const std::size_t before = rig.worker.renewals.size();
+    rig.worker.refuse("lease", 429, 2);
+    CHECK(rig.runUntil([&] { return rig.worker.renewals.size() > before; }, 1800));
+    CHECK_EQUAL(before + 1, rig.worker.renewals.size());
+}
+
 // Guards against an attempt that never ends, because the event with the end of its task was lost.
 TEST(WorkerClient, lostEndOfATaskIsDetected)
 {
@@ -454,3 +474,60 @@
     CHECK(rig.outcomes.back().verdict == Verdict::Ran);
     CHECK_EQUAL(std::string("x"), rig.outcomes.back().answer);
 }
+
+// Guards against an agent that ends, or reads the same events for ever, because of an odd answer.
+TEST(WorkerClient, oddAnswersToAReadOfEventsHideNoLaterEvent)
+{
+    Rig rig;
+    rig.startTask("t1");
+    const std::string finished =
+        R"({"seq":1,"type":"finished","task":"t1","ok":true,"answer":"x"})";
+    const std::string deep = std::string(100000, '[') + std::string(100000, ']');
+    for (const std::string &body : {
+             std::string("[]"),
+             std::string(R"({"events":7,"next":0})"),
+             R"({"events":)" + deep + R"(,"next":0})",
+             R"({"events":[)" + finished + R"(],"next":-1})",
+             R"({"events":[)" + finished + R"(],"next":0})",
+             R"({"events":[)" + finished + R"(],"next":1e300})",
+             R"({"events":[)" + finished + R"(],"next":"2"})",
+             R"({"events":[)" + finished + R"(],"next":100})",
+             std::string(R"({"events":[],"next":5})"),
+         }) {
+        const std::size_t reads = rig.worker.eventReads.size();
+        rig.worker.eventsBody = body;
+        CHECK(rig.runUntil([&] { return rig.worker.eventReads.size() >= reads + 2; }));
+        CHECK_EQUAL_TEXT(0U, rig.worker.eventReads.back(), body.substr(0, 100).c_str());
+        CHECK(rig.outcomes.empty());
+    }
+    rig.worker.eventsBody = R"({"events":[{"seq":0,"type":"usage","task":"t1","cores":1e300},)"
+        + finished + R"(,{"type":5}],"next":3})";
+    CHECK(rig.runUntil([&] { return !rig.outcomes.empty(); }));
+    CHECK_EQUAL(std::string("x"), rig.outcomes.back().answer);
+    CHECK(rig.runUntil([&] { return rig.worker.eventReads.back() == 3; }));
+    CHECK_EQUAL(0U, rig.count<TaskUsage>("t1"));
+}
+
+// Guards against an agent that ends because of an odd answer to a call, or takes one for a success.
+TEST(WorkerClient, oddAnswersToCallsAreNoSuccess)
+{
+    const std::string deep = std::string(100000, '[') + std::string(100000, ']');
+    for (const std::string &body : {std::string("<html>"), std::string("[]"), std::string("7"),
+                                    R"({"ok":)" + deep + "}", std::string(R"({"ok":false})")}) {
+        Rig rig;
+        rig.startTask("t1");
+        for (const char *kind : {"lease", "stop", "checkpoint"})
+            rig.worker.answers[kind].push_back({200, false, body});
+        rig.client.execute(CheckpointTask{"t1"});
+        CHECK(rig.runUntil([&] { return rig.count<TaskCheckpointed>("t1") > 0; }));
+        CHECK_FALSE(rig.last<TaskCheckpointed>()->ok);
+        rig.client.execute(StopTask{"t1"});
+        CHECK(rig.runUntil([&] { return rig.count<TaskStopped>("t1") > 0; }));
+        CHECK_EQUAL(2, rig.worker.calls["stop"]);
+        CHECK(rig.worker.running.empty());
+    }
+    HttpResult result;
+    result.status = 403;
+    result.body = R"({"holder":1e300})";
+    CHECK(callOutcome(result, 1) == CallOutcome::Rejected);
+}
