Keep the accelerators of a task after a pause until the worker confirms its stop

After a pause of lease + stop bound or more (3.5 s) the agent erased its tasks and gave their accelerators to the next ones before the worker had answered the stop. The reason given was that no renewal was sent in that time. But a renewal sent just before the pause may reach the worker late (the stand-in's frozen worker carries out held calls when it thaws) and extend the lease, so the old task may still run.

Ruled out: the lapse without such a pause, for which the task already stayed.

The ends are still reported at once, as MayHaveRun; only the allocation stays, until TaskStopped. treatsItsTasksAsLapsedAfterAPause asserted that the tasks are gone at once. It now asserts that both Outcomes are sent at once, that both tasks are still allocated, and that none is left after TaskStopped.

--- a/flamingo/agent_step.h
+++ b/flamingo/agent_step.h
@@ -101,7 +101,7 @@
 // Time since the worker last confirmed its lease.
 TimeMs workerAgeMs(const AgentStep &step);
 // When the worker's lease has lapsed, stops the tasks for which RunTask was sent. After a pause of
-// this process so long that the worker must have stopped them, ends them at once. Called before
+// this process of a lease and a stop, reports their ends at once as unconfirmed. Called before
 // every event.
 void checkLease(const AgentStep &step);
 // Applies the time limits of all tasks. Called on Tick, as are stepAttempts and stepGangs.
--- a/flamingo/tasks.cc
+++ b/flamingo/tasks.cc
@@ -4,10 +4,9 @@
 
 // Phases of a task: Waiting -> Running -> (Checkpointing ->) Stopping -> erased. A task for which
 // RunTask was sent stays in Agent::tasks, and so keeps its accelerators, until the worker confirms
-// that it ended. The only exception is a pause of this process of at least workerLeaseMs +
-// stopBoundMs: no renewal was sent in that time, so the worker has stopped the task itself. A lease
-// that lapsed without such a pause does not prove that the task ended, because an unanswered
-// renewal may have reached the worker and extended the lease.
+// that it ended. A lease that lapsed does not prove that, because a renewal without an answer may
+// have reached the worker late and extended the lease. After a pause of this process of at least
+// workerLeaseMs + stopBoundMs, the end of its tasks is therefore reported as unconfirmed.
 
 namespace flamingo {
 
@@ -321,15 +320,15 @@
     const auto &options = agent.options;
     if (leaseCurrent(step))
         return;
-    const bool stoppedByWorker =
+    const bool longPause =
         step.now - agent.lastEventAt >= options.workerLeaseMs + options.stopBoundMs;
     for (const auto &id : copyKeys(agent.tasks)) {
         auto *task = findTask(agent, id);
         if (task == nullptr)
             continue;
         stopLapsedTask(step, *task);
-        if (stoppedByWorker && task->issued)
-            endTask(step, id, stoppedEnding(*task, false));
+        if (longPause && task->issued && !task->endReported)
+            reportUnconfirmed(step, *task);
     }
 }
 
--- a/tests/agent_test.cc
+++ b/tests/agent_test.cc
@@ -705,9 +705,11 @@
         f.now += f.agent.options.workerLeaseMs + (longPause ? 5000 : 100);
         f.event(LeaseRenewed{true});
         CHECK_EQUAL(2U, f.commands<StopTask>().size());
-        CHECK_EQUAL(longPause ? 0U : 2U, f.agent.tasks.size());
+        CHECK_EQUAL(longPause ? 2U : 0U, f.sent<Outcome>().size());
+        CHECK_EQUAL(2U, f.agent.tasks.size());
         f.event(TaskStopped{"t1"});
         f.event(TaskStopped{"t2"});
+        CHECK(f.agent.tasks.empty());
         const auto outcomes = f.sent<Outcome>();
         CHECK_EQUAL(2U, outcomes.size());
         CHECK(outcomes[0].reason == ReasonCode::LeaseLapsed);
@@ -716,6 +718,24 @@
     }
 }
 
+// Guards against two tasks on one accelerator after a pause: a renewal that was sent before the
+// pause and reached the worker late has extended the lease.
+TEST(Agent, keepsTheAllocationAfterAPauseUntilTheWorkerConfirmsTheStop)
+{
+    Fixture f;
+    f.message("e1", makeStart("t1", "borrower", 8));
+    f.event(TaskStarted{"t1", true, {}});
+    f.now += f.agent.options.workerLeaseMs + 5000;
+    f.event(LeaseRenewed{true});
+    CHECK(f.sent<Outcome>().back().verdict == Verdict::MayHaveRun);
+    f.message("e1", makeStart("t2", "borrower", 1));
+    CHECK_EQUAL(1U, f.commands<RunTask>().size());
+    f.event(TaskStopped{"t1"});
+    f.message("e1", makeStart("t3", "borrower", 1));
+    CHECK_EQUAL(2U, f.commands<RunTask>().size());
+    CHECK_EQUAL(1U, f.sent<Outcome>().size());
+}
+
 // Guards against the verdict NotRun for a task that runs, because an earlier call to start it took
 // effect without an answer.
 TEST(Agent, refusedStartThatMayHaveTakenEffectIsStoppedFirst)
