Simulation: workers that refuse calls and are slow to stop

The simulated client of a worker now follows the real one: one series of stops for each task, leases renewed only for tasks that need not stop, starts that may have had an effect. A second test of system_fuzz_test runs 8 schedules in which every worker refuses a quarter of the calls and takes 0.3 s to stop a task, beside all other faults. The refusals have a random sequence of their own.

--- a/tests/system_fuzz_test.cc
+++ b/tests/system_fuzz_test.cc
@@ -27,6 +27,7 @@
 
 constexpr std::uint64_t fixedSeed = 20240611;
 constexpr std::uint64_t fixedRuns = 24;
+constexpr std::uint64_t busyWorkerRuns = 8;
 constexpr std::uint64_t longPartitionEvery = 12; // one of 12 schedules has a partition of hours
 constexpr std::size_t shownTraceLines = 60;
 
@@ -70,21 +71,14 @@
     return seeds;
 }
 
-} // namespace
-
-TEST_GROUP(SystemFuzz){};
-
-TEST(SystemFuzz, invariantsHoldUnderRandomFaults)
+// Runs the schedules of `runs` seeds from `first` on; returns how many failed.
+std::uint64_t runSchedules(std::uint64_t first, std::uint64_t runs, bool busyWorkers,
+                           const std::set<std::uint64_t> &knownFailures)
 {
-    const std::uint64_t first = numberFromEnvironment("FLAMINGO_FUZZ_SEED", fixedSeed);
-    const std::uint64_t runs = numberFromEnvironment("FLAMINGO_FUZZ_RUNS", fixedRuns);
-    const bool fixed = std::getenv("FLAMINGO_FUZZ_SEED") == nullptr;
-    const std::set<std::uint64_t> knownFailures =
-        fixed ? seedsOfKnownFailures() : std::set<std::uint64_t>();
     SimulationStatistics statistics;
     std::uint64_t failed = 0;
     for (std::uint64_t seed = first; seed < first + runs; ++seed) {
-        SystemSimulation simulation(seed);
+        SystemSimulation simulation(seed, busyWorkers);
         simulation.run(seed % longPartitionEvery == 0);
         statistics.add(simulation.statistics);
         if (simulation.violations.empty())
@@ -98,5 +92,28 @@
         ++failed;
     }
     std::cout << "\n" << statistics.summary() << "\n";
-    LONGS_EQUAL(0, failed);
+    return failed;
+}
+
+} // namespace
+
+TEST_GROUP(SystemFuzz){};
+
+TEST(SystemFuzz, invariantsHoldUnderRandomFaults)
+{
+    const std::uint64_t first = numberFromEnvironment("FLAMINGO_FUZZ_SEED", fixedSeed);
+    const std::uint64_t runs = numberFromEnvironment("FLAMINGO_FUZZ_RUNS", fixedRuns);
+    const bool fixed = std::getenv("FLAMINGO_FUZZ_SEED") == nullptr;
+    const std::set<std::uint64_t> knownFailures =
+        fixed ? seedsOfKnownFailures() : std::set<std::uint64_t>();
+    LONGS_EQUAL(0, runSchedules(first, runs, false, knownFailures));
+}
+
+// Guards against tasks that run on, or run twice, because a busy worker refused their stop or start
+// or was slow to stop them.
+TEST(SystemFuzz, invariantsHoldWhenWorkersRefuseCallsAndAreSlowToStop)
+{
+    const std::uint64_t first = numberFromEnvironment("FLAMINGO_FUZZ_SEED", fixedSeed);
+    const std::uint64_t runs = numberFromEnvironment("FLAMINGO_FUZZ_RUNS", busyWorkerRuns);
+    LONGS_EQUAL(0, runSchedules(first, runs, true, {}));
 }
--- a/tests/system_oracle.cc
+++ b/tests/system_oracle.cc
@@ -189,7 +189,7 @@
         TimeMs bound = gangBoundMs;
         for (const std::string &worker : gang.running) {
             const Process &agent = *this->findProcess(worker);
-            const bool faulty = !agent.alive || agent.frozenUntil > this->now
+            const bool faulty = this->busyWorkers || !agent.alive || agent.frozenUntil > this->now
                 || agent.host->downUntil > this->now
                 || agent.host->lastFaultEnd > gang.partialSince - gangBoundMs;
             bound = faulty ? gangBoundMs + gangFaultExtraMs : bound;
--- a/tests/system_schedule.cc
+++ b/tests/system_schedule.cc
@@ -15,6 +15,7 @@
 using Json = nlohmann::json;
 
 constexpr TimeMs urgentBoundMs = 3300;
+constexpr TimeMs slowStopMs = 300; // at a busy worker
 constexpr TimeMs faultFreeMs = 8000; // at the entry and workers of a measured start
 constexpr TimeMs hourMs = 3600000;
 
@@ -38,9 +39,11 @@
 
 } // namespace
 
-SystemSimulation::SystemSimulation(std::uint64_t seed)
+SystemSimulation::SystemSimulation(std::uint64_t seed, bool busyWorkers)
     : random(seed)
     , seed(seed)
+    , busyWorkers(busyWorkers)
+    , refusalRandom(seed)
 {
     for (const char *name : {"w1-entry", "w2-entry"})
         this->addProcess(name, ProcessKind::Entry, "west", std::string(name, 2), "");
@@ -52,6 +55,8 @@
     for (int i = 0; i < 3; ++i)
         this->addProcess("e1-agent" + std::to_string(i), ProcessKind::Agent, "east", "e1",
                          "e1-rack0");
+    for (const auto &host : this->hosts)
+        host->worker.stopMs = busyWorkers ? slowStopMs : 0;
     for (const auto &process : this->processes)
         this->start(*process);
     this->reconnectPeers();
@@ -206,9 +211,9 @@
     if (!process.node)
         return true;
     const WorkerHost &host = *process.host;
-    return host.downUntil <= this->now && process.drainingSince < 0 && !host.worker.failAll
-        && !process.node->agent.health.setAside && this->now - host.lastFaultEnd > faultFreeMs
-        && this->linkOf(entry.info.process, name).up;
+    return host.downUntil <= this->now && !this->busyWorkers && process.drainingSince < 0
+        && !host.worker.failAll && !process.node->agent.health.setAside
+        && this->now - host.lastFaultEnd > faultFreeMs && this->linkOf(entry.info.process, name).up;
 }
 
 bool SystemSimulation::hasNoRunningTask(const std::string &organisation)
@@ -428,10 +433,12 @@
     } else {
         this->addTrace("worker of " + host.name + " is down for " + std::to_string(duration));
         host.downUntil = this->now + duration;
+        const TimeMs stopMs = std::exchange(host.worker.stopMs, 0); // the tasks end at once
         while (!host.worker.tasks.empty()) {
             const std::string task = host.worker.tasks.begin()->first;
             standin::stopTask(host.worker, task, this->now);
         }
+        host.worker.stopMs = stopMs;
     }
     this->onWorkerChanged(host);
 }
@@ -619,6 +626,9 @@
     this->logDownUntil = 0;
     this->logSlowUntil = 0;
     this->logAnswerLossUntil = 0;
+    this->busyWorkers = false;
+    for (const auto &host : this->hosts)
+        host->worker.stopMs = 0;
     this->runUntil(this->now + 35000); // let pending restarts and thaws happen
     for (const auto &process : this->processes) {
         if (process->node && process->alive && !process->stopping && process->drainingSince >= 0) {
--- a/tests/system_simulation.cc
+++ b/tests/system_simulation.cc
@@ -18,6 +18,10 @@
 constexpr TimeMs appendTimeoutMs = 2000; // as in LogClient
 constexpr TimeMs callTimeoutMs = 1000; // as in WorkerClient
 constexpr TimeMs callRetryMs = 200;
+constexpr TimeMs stopRetryMs = 100;
+constexpr TimeMs retryMaxMs = 1000;
+constexpr std::uint32_t maxBusyStarts = 3;
+constexpr std::uint64_t refusedOneIn = 4; // calls, at a busy worker
 constexpr TimeMs renewIntervalMs = 1000;
 constexpr TimeMs workerLeaseMs = 3000;
 constexpr std::size_t maxLinesPerRead = 500;
@@ -113,6 +117,8 @@
     process.eventCursor = 0;
     process.eventReadPending = false;
     process.stoppingTasks.clear();
+    process.unansweredStarts.clear();
+    process.busyStarts.clear();
     const PeerInfo &info = process.info;
     this->addTrace("start " + info.process + " incarnation " + std::to_string(info.incarnation));
     if (info.kind == ProcessKind::Entry) {
@@ -137,7 +143,7 @@
         owner.incarnation = info.incarnation;
         process.node.emplace(makeAgentNode(options, owner));
         process.host->lastFaultEnd = this->now;
-        this->renewLeases(process, info.incarnation);
+        this->renewLeasesPeriodically(process, info.incarnation);
         this->readWorkerEvents(process);
     }
     this->tailStream(process, std::string(claimsStream));
@@ -554,8 +560,8 @@
     else if (const auto *checkpoint = std::get_if<CheckpointTask>(&command))
         this->checkpointTask(process, *checkpoint);
     else if (const auto *stop = std::get_if<StopTask>(&command)) {
-        process.stoppingTasks.insert(stop->task);
-        this->stopTask(process, *stop);
+        if (process.stoppingTasks.insert(stop->task).second)
+            this->stopTask(process, *stop, stopRetryMs);
     }
 }
 
@@ -571,9 +577,23 @@
                    [this, &process, command] { this->runTask(process, command); });
     };
     if (this->now < host.downUntil) {
+        process.unansweredStarts.insert(command.task);
         retry();
         return;
     }
+    if (this->callRefused()) {
+        const bool givenUp = ++process.busyStarts[command.task] >= maxBusyStarts
+            && process.unansweredStarts.count(command.task) == 0;
+        this->post(process, givenUp ? 2 : callRetryMs, [this, &process, command, givenUp] {
+            if (givenUp)
+                this->handle(process, TaskStarted{command.task, false, "the worker is busy"});
+            else
+                this->runTask(process, command);
+        });
+        return;
+    }
+    if (loseAnswer)
+        process.unansweredStarts.insert(command.task);
     this->runAfter(1, [this, &process, &host, holder, command, loseAnswer] {
         standin::advance(host.worker, this->now);
         bool ok = standin::acceptHolder(host.worker, holder, this->now);
@@ -592,7 +612,8 @@
         if (loseAnswer || process.info.incarnation != holder)
             return;
         this->post(process, 1, [this, &process, command, ok, detail] {
-            this->handle(process, TaskStarted{command.task, ok, detail});
+            const bool mayHaveStarted = !ok && process.unansweredStarts.count(command.task) > 0;
+            this->handle(process, TaskStarted{command.task, ok, detail, mayHaveStarted});
         });
     });
     if (loseAnswer)
@@ -602,6 +623,13 @@
 void SystemSimulation::checkpointTask(Process &process, const CheckpointTask &command)
 {
     WorkerHost &host = *process.host;
+    if (this->callRefused()) {
+        this->post(process, callRetryMs, [this, &process, command] {
+            if (process.stoppingTasks.count(command.task) == 0)
+                this->checkpointTask(process, command);
+        });
+        return;
+    }
     standin::advance(host.worker, this->now);
     const standin::Task *task = standin::runningTask(host.worker, command.task);
     const bool down = this->now < host.downUntil;
@@ -616,22 +644,40 @@
     });
 }
 
-void SystemSimulation::stopTask(Process &process, const StopTask &command)
+bool SystemSimulation::callRefused()
+{
+    return this->busyWorkers && this->refusalRandom() % refusedOneIn == 0;
+}
+
+void SystemSimulation::stopTask(Process &process, const StopTask &command, TimeMs retryDelay)
 {
     WorkerHost &host = *process.host;
     const std::uint64_t holder = process.info.incarnation;
+    const auto retry = [this, &process, command, retryDelay](TimeMs answerDelay) {
+        this->post(process, answerDelay + retryDelay, [this, &process, command, retryDelay] {
+            this->stopTask(process, command, std::min(retryDelay * 2, retryMaxMs));
+        });
+    };
     if (this->now < host.downUntil) {
-        this->post(process, callTimeoutMs + callRetryMs,
-                   [this, &process, command] { this->stopTask(process, command); });
+        retry(callTimeoutMs);
         return;
     }
-    this->runAfter(1, [this, &process, &host, holder, command] {
+    if (this->callRefused()) {
+        retry(2);
+        return;
+    }
+    this->runAfter(1, [this, &process, &host, holder, command, retry] {
         standin::advance(host.worker, this->now);
+        bool stopped = true;
         if (standin::acceptHolder(host.worker, holder, this->now))
-            standin::stopTask(host.worker, command.task, this->now);
+            stopped = standin::stopTask(host.worker, command.task, this->now);
         this->onWorkerChanged(host);
         if (process.info.incarnation != holder)
             return;
+        if (!stopped) {
+            retry(1);
+            return;
+        }
         this->post(process, 1, [this, &process, command] {
             process.stoppingTasks.erase(command.task);
             this->handle(process, TaskStopped{command.task});
@@ -639,12 +685,18 @@
     });
 }
 
-void SystemSimulation::renewLeases(Process &process, std::uint64_t incarnation)
+void SystemSimulation::renewLeasesPeriodically(Process &process, std::uint64_t incarnation)
 {
     if (!process.alive || process.info.incarnation != incarnation)
         return;
-    this->runAfter(renewIntervalMs,
-                   [this, &process, incarnation] { this->renewLeases(process, incarnation); });
+    this->runAfter(renewIntervalMs, [this, &process, incarnation] {
+        this->renewLeasesPeriodically(process, incarnation);
+    });
+    this->renewLeases(process, incarnation);
+}
+
+void SystemSimulation::renewLeases(Process &process, std::uint64_t incarnation)
+{
     if (process.frozenUntil > this->now)
         return;
     WorkerHost &host = *process.host;
@@ -653,11 +705,21 @@
                    [this, &process] { this->handle(process, LeaseRenewed{false}); });
         return;
     }
+    if (this->callRefused()) {
+        this->post(process, 2, [this, &process, incarnation] {
+            this->handle(process, LeaseRenewed{false});
+            this->post(process, callRetryMs,
+                       [this, &process, incarnation] { this->renewLeases(process, incarnation); });
+        });
+        return;
+    }
     this->runAfter(1, [this, &process, &host, incarnation] {
         standin::advance(host.worker, this->now);
         const bool ok = standin::acceptHolder(host.worker, incarnation, this->now);
-        if (ok)
-            standin::renewLeases(host.worker, workerLeaseMs, this->now);
+        for (const auto &[task, state] : host.worker.tasks) {
+            if (ok && process.stoppingTasks.count(task) == 0)
+                standin::renewLease(host.worker, task, workerLeaseMs, this->now);
+        }
         this->onWorkerChanged(host);
         if (process.info.incarnation != incarnation)
             return;
--- a/tests/system_simulation.h
+++ b/tests/system_simulation.h
@@ -118,6 +118,8 @@
     std::uint64_t eventCursor = 0; // next sequence number of the worker's events
     bool eventReadPending = false; // a read of the worker's events is in progress
     std::set<std::string> stoppingTasks; // stop not confirmed, starts dropped; as WorkerClient
+    std::set<std::string> unansweredStarts; // tasks that a call without an answer may have started
+    std::map<std::string, std::uint32_t> busyStarts; // calls refused by the busy worker, by task
     std::uint64_t tableVersion = 0; // highest table version seen in this incarnation
     TimeMs drainingSince = -1; // when a Drain message arrived; -1: not draining
     WorkerHost *host = nullptr;
@@ -145,7 +147,9 @@
 class SystemSimulation
 {
 public:
-    explicit SystemSimulation(std::uint64_t seed);
+    // `busyWorkers`: until the faults end, workers refuse a share of the calls and are slow to
+    // stop.
+    explicit SystemSimulation(std::uint64_t seed, bool busyWorkers = false);
 
     // Runs one schedule. `longPartition` adds a network partition between the regions of one to two
     // simulated hours.
@@ -210,8 +214,10 @@
     void executeCommand(Process &process, const WorkerCommand &command);
     void runTask(Process &process, const RunTask &command);
     void checkpointTask(Process &process, const CheckpointTask &command);
-    void stopTask(Process &process, const StopTask &command);
+    void stopTask(Process &process, const StopTask &command, TimeMs retryDelay);
+    void renewLeasesPeriodically(Process &process, std::uint64_t incarnation);
     void renewLeases(Process &process, std::uint64_t incarnation);
+    bool callRefused(); // true when a busy worker refuses the call
     void onWorkerChanged(WorkerHost &host); // to be called after every change of a worker
     void readWorkerEvents(Process &process);
     Process &agentOf(const WorkerHost &host);
@@ -266,6 +272,8 @@
 
     Random random;
     std::uint64_t seed;
+    bool busyWorkers;
+    Random refusalRandom; // separate, so that schedules without busy workers do not depend on it
     TimeMs now = 1000;
     std::uint64_t nextOrder = 0;
     std::priority_queue<ScheduledEvent> scheduledEvents;
