--- a/flamingo/adapters/worker_client.cc
+++ b/flamingo/adapters/worker_client.cc
@@ -222,10 +222,12 @@
 {
     if (result.status == statusOk || !this->callLogLimiter.allowLine(Loop::now()))
         return;
-    LOG(WARNING) << call << (result.status == 0 ? "_unanswered" : "_refused") << " task=" << task
-                 << " worker=" << this->options.worker << " status=" << result.status
-                 << " sent=" << result.requestSent << " error=\"" << result.error << "\""
-                 << this->callLogLimiter.takeSuppressedField();
+    const char *suffix = result.status == 0 ? "_unanswered"
+        : result.status == statusAccepted   ? "_in_progress"
+                                            : "_refused";
+    LOG(WARNING) << call << suffix << " task=" << task << " worker=" << this->options.worker
+                 << " status=" << result.status << " sent=" << result.requestSent << " error=\""
+                 << result.error << "\"" << this->callLogLimiter.takeSuppressedField();
 }
 
 WorkerClient::TaskCalls *WorkerClient::findTask(const std::string &task)
--- a/flamingo/adapters/worker_client.h
+++ b/flamingo/adapters/worker_client.h
@@ -99,7 +99,7 @@
     };
 
     void post(const std::string &path, const std::string &body, ResponseCallback onResponse);
-    // Logs a start, checkpoint or stop that the worker refused or did not answer.
+    // Logs a start, checkpoint or stop that the worker has not carried out.
     void logFailedCall(const char *call, const std::string &task, const HttpResult &result);
     // Returns null when there is no such task.
     TaskCalls *findTask(const std::string &task);
