Refuse deeply nested requests of callers

A caller ended flamingo-entryd with one POST /v1/table whose "change" was nested 60,000 levels deep: parseEditRequest() serializes the value, by one recursive call a level. Bodies are now parsed with the depth limit of parseJson(), and the caller receives 400 with the reason. Job submissions use the same function; their other fields were refused already.

Before: odd_records_test OddRequests deeplyNestedChangeOfTheTableIsRefused ended by SIGSEGV (exit 139).

--- a/flamingo/adapters/job_json.cc
+++ b/flamingo/adapters/job_json.cc
@@ -3,6 +3,7 @@
 
 #include "flamingo/adapters/job_json.h"
 
+#include "flamingo/json_parse.h"
 #include "flamingo/json_text.h"
 
 #include <algorithm>
@@ -94,13 +95,15 @@
 // Reads the fields of `body` with `readers`. Returns false and sets `reason` when any is invalid.
 bool readObject(std::string_view body, const std::vector<FieldReader> &readers, Reason &reason)
 {
-    const Json object = Json::parse(body, nullptr, false);
-    if (!object.is_object()) {
-        reason = {ReasonCode::InvalidInput, "body is not a JSON object"};
+    Reason cause;
+    const auto object = parseJson(body, cause);
+    if (!object || !object->is_object()) {
+        reason = {ReasonCode::InvalidInput,
+                  "body is not a JSON object" + (object ? "" : ": " + cause.text)};
         return false;
     }
     Errors errors;
-    for (const auto &[name, value] : object.items()) {
+    for (const auto &[name, value] : object->items()) {
         const auto reader =
             std::find_if(readers.begin(), readers.end(),
                          [&name = name](const auto &field) { return field.name == name; });
