Ignore lines of the stream table with odd depths, versions, sequences and offsets

An organisation's name in "anchors" is limited before it is copied into the path of each block. Ignored lines are put into the Outbox and logged by the services with stream, offset and reason; before, they were only counted, or not at all.

Mixed versions: an old process still applies such a line.

--- a/flamingo/adapters/agent_service.cc
+++ b/flamingo/adapters/agent_service.cc
@@ -98,6 +98,7 @@
 
 void AgentService::applyEffects(const Outbox &out)
 {
+    logIgnoredRecords(out.ignoredRecords);
     for (const Send &send : out.sends)
         this->peers->send(send.to, send.message);
     for (const Append &append : out.appends)
--- a/flamingo/adapters/entry_service.cc
+++ b/flamingo/adapters/entry_service.cc
@@ -122,6 +122,7 @@
 
 void EntryService::applyEffects(const Outbox &out)
 {
+    logIgnoredRecords(out.ignoredRecords);
     for (const Send &send : out.sends)
         this->peers->send(send.to, send.message);
     for (const Append &append : out.appends)
--- a/flamingo/adapters/service.h
+++ b/flamingo/adapters/service.h
@@ -2,10 +2,12 @@
 #define FLAMINGO_ADAPTERS_SERVICE_H
 
 // Functions shared by EntryService and AgentService: they derive the options of Peers from the
-// settings and turn the callbacks of Peers into events.
+// settings, turn the callbacks of Peers into events and log the lines of the log that were ignored.
 
 #include "flamingo/adapters/peers.h"
 
+#include <absl/types/span.h>
+
 #include <string>
 #include <utility>
 
@@ -40,6 +42,9 @@
             [dispatch](const std::string &process) { dispatch(PeerDown{process}); }};
 }
 
+// Writes one warning for each line, with its stream, its offset and the start of the reason.
+void logIgnoredRecords(absl::Span<const IgnoredRecord> records);
+
 } // namespace flamingo::adapters
 
 #endif
--- a/flamingo/agent_node.cc
+++ b/flamingo/agent_node.cc
@@ -46,8 +46,10 @@
     for (const wire::LogLineT &line : lines.lines) {
         Reason reason;
         const ApplyResult result = applyTableLine(node.table, line.text, line.offset, reason);
-        if (result == ApplyResult::Malformed)
+        if (result == ApplyResult::Malformed) {
             ++node.malformedTableLines;
+            out.ignoredRecords.push_back({lines.stream, line.offset, reason});
+        }
         if (result != ApplyResult::Gap)
             continue;
         requestTable(node, now, random, out);
--- a/flamingo/edits.cc
+++ b/flamingo/edits.cc
@@ -435,6 +435,8 @@
         const bool isNew = line.offset >= entry.table.nextOffset;
         const auto result = applyTableLine(entry.table, line.text, line.offset, reason);
         gap = gap || result == ApplyResult::Gap;
+        if (result == ApplyResult::Malformed)
+            context.out.ignoredRecords.push_back({std::string(tableStream), line.offset, reason});
         if (result == ApplyResult::Applied || (isNew && result != ApplyResult::Gap))
             newLines.push_back(line);
         recordTableLine(context, line.text, result, reason);
--- a/flamingo/messages.h
+++ b/flamingo/messages.h
@@ -64,6 +64,11 @@
                  LogLinesRequest, VersionSummary, Forward, ForwardReply, JobQuery, JobReply, Drain,
                  Proof, Locate, Located>;
 
+// Larger numbers in messages and records are invalid. They would overflow in later arithmetic, or
+// no valid number could exceed them.
+constexpr std::uint64_t maxLogOffset = 1ULL << 53U;
+constexpr std::uint64_t maxIncarnation = 1ULL << 53U; // microseconds since 1970: the year 2255
+
 // ---- Events ----
 
 // A message from the process `from`. Messages may be late, repeated, reordered or missing.
@@ -206,12 +211,21 @@
     TimeMs retryAfterMs = 0;
 };
 
+// A line of a log stream that was ignored, because it is no valid record. The adapters log it.
+struct IgnoredRecord
+{
+    std::string stream;
+    std::uint64_t offset = 0;
+    Reason reason;
+};
+
 struct Outbox
 {
     std::vector<Send> sends;
     std::vector<Append> appends;
     std::vector<WorkerCommand> commands;
     std::vector<Reply> replies;
+    std::vector<IgnoredRecord> ignoredRecords;
 };
 
 } // namespace flamingo
--- a/flamingo/table.cc
+++ b/flamingo/table.cc
@@ -1,6 +1,8 @@
 #include "flamingo/table.h"
 
+#include "flamingo/json_parse.h"
 #include "flamingo/json_text.h"
+#include "flamingo/messages.h"
 
 #include <nlohmann/json.hpp>
 
@@ -46,6 +48,10 @@
 };
 
 constexpr Range anyNumber{0, std::numeric_limits<std::uint64_t>::max()};
+// Each edit takes one line and raises the version by 1, so a version does not exceed the number of
+// lines by more than the version of the first Snapshot.
+constexpr std::uint64_t maxVersionLead = 1ULL << 32U;
+constexpr Range sequenceRange{0, std::numeric_limits<std::int64_t>::max()};
 constexpr Range shapeIndexRange{0, maxGuarantees - 1};
 constexpr Range copyIndexRange{0, maxCopies - 1};
 constexpr Range acceleratorsRange{1, maxAcceleratorsPerWorker};
@@ -404,6 +410,10 @@
         return;
     }
     for (const auto &[organisation, copies] : found->items()) {
+        if (organisation.size() > maxNameBytes) {
+            addProblem(problems, "anchors", "has an organisation whose name is too long");
+            continue;
+        }
         const auto path = concat({"anchors[", inQuotes(organisation), "]"});
         if (!copies.is_array()) {
             addProblem(problems, path, "must be an array");
@@ -869,7 +879,7 @@
     numberField(record, "", "baseVersion", anyNumber, Presence::Required, edit.baseVersion,
                 problems);
     nameField(record, "", "writer", edit.writer, problems);
-    numberField(record, "", "sequence", anyNumber, Presence::Required, edit.sequence, problems);
+    numberField(record, "", "sequence", sequenceRange, Presence::Required, edit.sequence, problems);
     textField(record, "", "author", {0, maxNameBytes}, Presence::Optional, edit.author, problems);
     textField(record, "", "summary", {0, maxSummaryBytes}, Presence::Optional, edit.summary,
               problems);
@@ -967,7 +977,8 @@
     }
 }
 
-void readWriters(const Json &record, Table &table, Problems &problems)
+// A writer's version is that of one of its edits, so at most the version of the table.
+void readWriters(const Json &record, std::uint64_t version, Table &table, Problems &problems)
 {
     for (const auto &item : arrayField(record, "", "writers", maxWriters, problems)) {
         const auto path = itemPath("writers", table.writerSequences.size());
@@ -975,15 +986,15 @@
             continue;
         std::string writer;
         nameField(item, path, "writer", writer, problems);
-        numberField(item, path, "sequence", anyNumber, Presence::Required,
+        numberField(item, path, "sequence", sequenceRange, Presence::Required,
                     table.writerSequences[writer], problems);
-        numberField(item, path, "version", anyNumber, Presence::Required,
+        numberField(item, path, "version", {0, version}, Presence::Required,
                     table.writerVersions[writer], problems);
     }
 }
 
 // Reads a whole table, with the checks of an edit of an empty table.
-Table readSnapshot(const Json &record, Problems &problems)
+Table readSnapshot(const Json &record, std::uint64_t version, Problems &problems)
 {
     Table table;
     Edit edit;
@@ -995,7 +1006,7 @@
     readGuaranteedBlocks(record, edit.guaranteedBlocks, problems);
     readShortages(record, edit.shortages, problems);
     readHistory(record, table.history, problems);
-    readWriters(record, table, problems);
+    readWriters(record, version, table, problems);
     if (problems.count == 0)
         applyEdit(table, edit, problems);
     return table;
@@ -1016,8 +1027,11 @@
     Problems problems;
     std::uint64_t version = 0;
     std::uint64_t coveredEnd = 0;
-    numberField(record, "", "version", anyNumber, Presence::Required, version, problems);
-    numberField(record, "", "nextOffset", anyNumber, Presence::Required, coveredEnd, problems);
+    // A Snapshot from a peer is applied at the offset before its nextOffset.
+    numberField(record, "", "nextOffset", {0, offset + 1}, Presence::Required, coveredEnd,
+                problems);
+    numberField(record, "", "version", {0, coveredEnd + maxVersionLead}, Presence::Required,
+                version, problems);
     if (problems.count == 0 && version <= table.version) {
         if (isNextLine(table, offset))
             advancePast(table, offset);
@@ -1025,7 +1039,7 @@
             setReadPosition(table, coveredEnd, offset); // no edit applied in the missed lines
         return ApplyResult::Repeated;
     }
-    auto next = problems.count == 0 ? readSnapshot(record, problems) : Table();
+    auto next = problems.count == 0 ? readSnapshot(record, version, problems) : Table();
     if (problems.count > 0) {
         if (isNextLine(table, offset))
             advancePast(table, offset);
@@ -1043,9 +1057,16 @@
                            Reason &reason)
 {
     reason = {};
-    Json record;
+    if (offset >= maxLogOffset) {
+        reason = {ReasonCode::InvalidInput,
+                  concat({"offset ", std::to_string(offset), " is out of range"})};
+        return ApplyResult::Malformed;
+    }
+    Reason cause = {ReasonCode::InvalidInput, "the line is too long"};
+    std::optional<Json> parsed;
     if (line.size() <= maxRecordBytes)
-        record = Json::parse(line, nullptr, false);
+        parsed = parseJson(line, cause);
+    const Json record = parsed ? std::move(*parsed) : Json();
     const auto kind = record.is_object() ? record.value("kind", Json()) : Json();
     if (kind == "Snapshot")
         return applySnapshotRecord(table, record, offset, reason);
@@ -1058,7 +1079,8 @@
     advancePast(table, offset);
     reason = {ReasonCode::InvalidInput,
               concat({"line ", std::to_string(offset), " of the table stream is neither an Edit ",
-                      "nor a Snapshot of at most ", std::to_string(maxRecordBytes), " bytes"})};
+                      "nor a Snapshot of at most ", std::to_string(maxRecordBytes), " bytes",
+                      parsed ? "" : ": ", parsed ? "" : cause.text})};
     return ApplyResult::Malformed;
 }
 
@@ -1159,6 +1181,12 @@
 {
     Problems problems;
     TableChange change;
+    if (nestsDeeperThan(json, maxJsonDepth)) {
+        reason = {ReasonCode::InvalidInput,
+                  concat({"the document is nested deeper than ", std::to_string(maxJsonDepth),
+                          " levels"})};
+        return std::nullopt;
+    }
     const auto document = parseStrictly(json, problems);
     if (document.is_discarded()) {
         addProblem(problems, "", "the document is not JSON");
--- a/flamingo/table.h
+++ b/flamingo/table.h
@@ -12,7 +12,9 @@
 // log.
 //
 // Every record is validated before it is applied: names, limits, shapes and guaranteed blocks are
-// checked against the constants below, and an invalid record has no effect.
+// checked against the constants below, and an invalid record has no effect. Nesting, versions,
+// sequences and offsets are limited as well, so that no record can end a process that reads it or
+// hide the records after it.
 //
 // Missed lines. Offsets of a stream are consecutive, so a line beyond Table::nextOffset means that
 // lines were missed. Applying it could accept an edit that the other processes rejected. The result
