Ignore records of the stream claims with numbers that no writer can have reached

An Announce of an agent's name with the incarnation 2^63 made that flamingo-agentd drain and exit after each start, because a newer incarnation seemed to run. After a replay that began in the middle of the stream, an Epoch of 2^64 - 1 left a range without an owner for good; a sequence of 2^64 - 1 made all later records of the owner void; ageMs above 2^63 - 1 overflowed; an offset of 2^63 moved the read position past all lines.

Limits, the same in every process: an epoch is at most the number of lines up to its record, a sequence at most that plus 2^32 (an owner may drop queued records), seen at most the record's offset or the value of a handover, an incarnation (a time in microseconds) at most 2^53, ageMs at most ten years. Ignored records are logged with offset and reason.

owner_test replayOfATrimmedLogIsCorrectedByTheOwnersRecords gave a trimmed stream the offsets 0 and 1, at which epoch 7 cannot exist; it now begins at offset 1000, with the same checks.

--- a/flamingo/entry.cc
+++ b/flamingo/entry.cc
@@ -369,7 +369,9 @@
         onTableRead(context, read);
     if (read.stream != claimsStream)
         return;
-    applyClaims(context.entry.ranges, read);
+    auto &ignored = context.out.ignoredRecords;
+    for (auto &record : applyClaims(context.entry.ranges, read))
+        ignored.push_back(std::move(record));
     context.entry.capacityChanged = true;
 }
 
--- a/flamingo/owner.h
+++ b/flamingo/owner.h
@@ -119,8 +119,9 @@
     std::uint64_t voided = 0; // records that had no effect at their position in the log
 };
 
-// Applies the lines of `read` that `map` has not applied yet; ignores other streams.
-void applyClaims(RangeMap &map, const LogRead &read);
+// Applies the lines of `read` that `map` has not applied yet; ignores other streams. Returns the
+// lines that are no valid records, which have no effect.
+std::vector<IgnoredRecord> applyClaims(RangeMap &map, const LogRead &read);
 
 // Returns the present owner of the range. `agent` is empty when the range has no owner, or when a
 // newer incarnation of the owner's agent was announced.
@@ -198,9 +199,25 @@
     TimeMs ageMs = 0; // Settled: time since the key reached this state, 0 when first appended
 };
 
+// An owner may drop records before their append, so a sequence may exceed the number of lines
+// before it, but not by more than this.
+constexpr std::uint64_t maxSequenceLead = 1ULL << 32U;
+constexpr TimeMs maxRecordAgeMs = 3650LL * 24 * 3600 * 1000;
+
+// Parses a line at its offset. Returns nullopt, with a reason, when it is no record of this stream,
+// or has a number that no writer can have reached: one line raises an epoch by at most 1, an owner
+// has applied (`seen`) lines before its record only, and incarnations are times.
+std::optional<ClaimsRecord> parseClaimsRecord(std::string_view line, std::uint64_t offset,
+                                              Reason &reason);
+// For a line whose offset is not known; it is taken for maxLogOffset.
 std::optional<ClaimsRecord> parseClaimsRecord(std::string_view line);
 std::string claimsLine(const ClaimsRecord &record);
 
+// Moves the read position of `map` past the line and parses it. Returns nullopt for a line that was
+// applied before, and, with a reason, for a line that is no valid record.
+std::optional<ClaimsRecord> nextClaimsRecord(RangeMap &map, const wire::LogLineT &line,
+                                             Reason &reason);
+
 enum class RecordValidity {
     Valid,
     // Written by the last owner that may have granted from memory, after it lost the range.
@@ -208,7 +225,7 @@
     Void, // has no effect
 };
 
-// Applies one record at its offset and returns whether it is valid there.
+// Applies one record at its offset, below maxLogOffset, and returns whether it is valid there.
 RecordValidity applyRecord(RangeMap &map, const ClaimsRecord &record, std::uint64_t offset);
 
 // ---- The owner, part of every agent process ----
--- a/flamingo/owner_log.cc
+++ b/flamingo/owner_log.cc
@@ -450,16 +450,15 @@
     }
     owner.map.trimmed = owner.map.trimmed || read.trimmed;
     for (const auto &line : read.lines) {
-        if (line.offset < owner.map.nextOffset)
-            continue;
-        owner.map.nextOffset = line.offset + 1;
-        const auto record = parseClaimsRecord(line.text);
-        if (!record)
-            ++owner.map.malformed;
-        else
+        Reason reason;
+        const auto record = nextClaimsRecord(owner.map, line, reason);
+        if (record)
             onRecord(owner, *record, line.offset, now, out);
+        else if (reason.code != ReasonCode::None)
+            out.ignoredRecords.push_back({read.stream, line.offset, reason});
     }
-    owner.map.nextOffset = std::max(owner.map.nextOffset, read.next);
+    if (read.next <= maxLogOffset)
+        owner.map.nextOffset = std::max(owner.map.nextOffset, read.next);
     if (owner.mustRestart) {
         while (!owner.ranges.empty())
             stopOwning(owner, owner.ranges.begin()->first, now, out);
--- a/flamingo/range_map.cc
+++ b/flamingo/range_map.cc
@@ -14,6 +14,7 @@
 
 #include "flamingo/owner.h"
 
+#include "flamingo/json_parse.h"
 #include "flamingo/json_text.h"
 
 #include <nlohmann/json.hpp>
@@ -50,12 +51,12 @@
     return jsonText(json);
 }
 
-// Reads members of a JSON object. A missing member is empty or 0; a member of the wrong type is
-// too, and it also sets `ok` to false.
+// Reads members of a JSON object. A missing member is empty or 0. A member of the wrong type or out
+// of range is too, and it is named in `invalid`.
 struct JsonMembers
 {
     const Json &json;
-    bool ok = true;
+    std::string invalid;
 
     std::string text(const char *name)
     {
@@ -63,19 +64,19 @@
         if (found == this->json.end())
             return {};
         if (!found->is_string()) {
-            this->ok = false;
+            this->invalid = name;
             return {};
         }
         return found->get<std::string>();
     }
 
-    std::uint64_t number(const char *name)
+    std::uint64_t number(const char *name, std::uint64_t max)
     {
         const auto found = this->json.find(name);
         if (found == this->json.end())
             return 0;
-        if (!found->is_number_unsigned()) {
-            this->ok = false;
+        if (!found->is_number_unsigned() || found->get<std::uint64_t>() > max) {
+            this->invalid = name;
             return 0;
         }
         return found->get<std::uint64_t>();
@@ -335,45 +336,60 @@
     return static_cast<std::uint32_t>(stableHash(key) % rangesPerRegion);
 }
 
-std::optional<ClaimsRecord> parseClaimsRecord(std::string_view line)
+std::optional<ClaimsRecord> parseClaimsRecord(std::string_view line, std::uint64_t offset,
+                                              Reason &reason)
 {
-    const auto json = Json::parse(line, nullptr, false);
-    if (!json.is_object())
+    const auto refuse = [&reason](const std::string &text) {
+        reason = {ReasonCode::InvalidInput, text};
+        return std::nullopt;
+    };
+    const auto json = parseJson(line, reason);
+    if (!json)
         return std::nullopt;
-    JsonMembers members{json};
+    if (!json->is_object())
+        return refuse("not a JSON object");
+    JsonMembers members{*json, {}};
     const auto *const kind = std::find(kindNames.begin(), kindNames.end(), members.text("type"));
     if (kind == kindNames.end())
-        return std::nullopt;
+        return refuse("unknown type");
+    constexpr std::uint64_t anyNumber = UINT64_MAX;
     ClaimsRecord record;
     record.kind = static_cast<RecordKind>(kind - kindNames.begin());
     record.region = members.text("region");
-    const auto range = members.number("range");
-    record.epoch = members.number("epoch");
+    const auto range = members.number("range", rangesPerRegion - 1);
+    record.epoch = members.number("epoch", offset + 1);
     record.owner = members.text("owner");
-    record.ownerIncarnation = members.number("ownerIncarnation");
-    record.sequence = members.number("sequence");
+    record.ownerIncarnation = members.number("ownerIncarnation", maxIncarnation);
+    record.sequence = members.number("sequence", offset + maxSequenceLead);
     record.key = members.text("key");
     record.agent = members.text("agent");
-    record.incarnation = members.number("incarnation");
+    record.incarnation = members.number("incarnation", maxIncarnation);
     record.attempt = members.text("attempt");
-    const auto verdict = members.number("verdict");
-    const auto reason = members.number("reason");
+    const auto verdict = members.number("verdict", static_cast<std::uint64_t>(Verdict::MAX));
+    const auto code = members.number("reason", static_cast<std::uint64_t>(ReasonCode::MAX));
     record.reason.text = members.text("detail");
     record.answer = members.text("answer");
-    record.answerBytes = members.number("answerBytes");
-    record.seen = members.number("seen");
-    record.ageMs = static_cast<TimeMs>(members.number("ageMs"));
-    if (!members.ok || range >= rangesPerRegion || verdict > static_cast<int>(Verdict::MAX)
-        || reason > static_cast<int>(ReasonCode::MAX))
-        return std::nullopt;
+    record.answerBytes = members.number("answerBytes", anyNumber);
+    record.seen = members.number("seen", anyNumber);
+    record.ageMs = static_cast<TimeMs>(members.number("ageMs", maxRecordAgeMs));
+    if (record.seen > offset && record.seen != seenAfterHandover)
+        members.invalid = "seen";
+    if (!members.invalid.empty())
+        return refuse("'" + members.invalid + "' has the wrong type or is out of range");
     record.range = static_cast<std::uint32_t>(range);
     record.verdict = static_cast<Verdict>(verdict);
-    record.reason.code = static_cast<ReasonCode>(reason);
+    record.reason.code = static_cast<ReasonCode>(code);
     if (!hasRequiredFields(record))
-        return std::nullopt;
+        return refuse("a required field is missing");
     return record;
 }
 
+std::optional<ClaimsRecord> parseClaimsRecord(std::string_view line)
+{
+    Reason unused;
+    return parseClaimsRecord(line, maxLogOffset, unused);
+}
+
 std::string claimsLine(const ClaimsRecord &record)
 {
     Json json = {{"type", kindNames[static_cast<std::size_t>(record.kind)]}};
@@ -427,22 +443,41 @@
     return RecordValidity::Void;
 }
 
-void applyClaims(RangeMap &map, const LogRead &read)
+std::vector<IgnoredRecord> applyClaims(RangeMap &map, const LogRead &read)
 {
+    std::vector<IgnoredRecord> ignored;
     if (read.stream != claimsStream)
-        return;
+        return ignored;
     map.trimmed = map.trimmed || read.trimmed;
     for (const auto &line : read.lines) {
-        if (line.offset < map.nextOffset)
-            continue;
-        map.nextOffset = line.offset + 1;
-        const auto record = parseClaimsRecord(line.text);
-        if (!record)
-            ++map.malformed;
-        else if (applyRecord(map, *record, line.offset) == RecordValidity::Void)
+        Reason reason;
+        const auto record = nextClaimsRecord(map, line, reason);
+        if (!record && reason.code != ReasonCode::None)
+            ignored.push_back({read.stream, line.offset, reason});
+        if (record && applyRecord(map, *record, line.offset) == RecordValidity::Void)
             ++map.voided;
     }
-    map.nextOffset = std::max(map.nextOffset, read.next);
+    if (read.next <= maxLogOffset)
+        map.nextOffset = std::max(map.nextOffset, read.next);
+    return ignored;
+}
+
+std::optional<ClaimsRecord> nextClaimsRecord(RangeMap &map, const wire::LogLineT &line,
+                                             Reason &reason)
+{
+    reason = {};
+    if (line.offset < map.nextOffset)
+        return std::nullopt;
+    if (line.offset >= maxLogOffset) {
+        ++map.malformed;
+        reason = {ReasonCode::InvalidInput, "the offset is out of range"};
+        return std::nullopt;
+    }
+    map.nextOffset = line.offset + 1;
+    auto record = parseClaimsRecord(line.text, line.offset, reason);
+    if (!record)
+        ++map.malformed;
+    return record;
 }
 
 RangeOwner ownerOf(const RangeMap &map, std::string_view region, std::uint32_t range)
--- a/tests/owner_test.cc
+++ b/tests/owner_test.cc
@@ -718,6 +718,7 @@
     clean.ownerIncarnation = 1;
     clean.sequence = 40;
     clean.seen = 5;
+    map.nextOffset = 1000; // the lines before it were trimmed
     replay({epochLine("west", 3, 7, "b", 1), claimsLine(clean)}, true);
     CHECK_EQUAL(std::string("a"), ownerOf(map, "west", 3).agent);
     CHECK_EQUAL(7U, ownerOf(map, "west", 3).epoch);
