Repeat a read of the log whose answer has offsets that do not follow from it

An answer with next 2^63, an offset out of range, or a 410 with such an oldest offset made the process read from where no line is ever found, without an error. The offsets of an answer must now be consecutive from the requested one, next must be the one after the last line, and oldest must lie between the requested one and 2^53; otherwise the answer is logged as invalid and the read is repeated.

--- a/flamingo/adapters/log_client.cc
+++ b/flamingo/adapters/log_client.cc
@@ -2,9 +2,13 @@
 // doubles up to retryMaxMs, half of it random, so that the processes do not all send their requests
 // to a recovering service at the same time. When the requested lines of a stream were trimmed,
 // reading continues at its oldest retained line.
+//
+// The offsets in an answer must follow from the request: a wrong one would move the read position
+// to where no line is ever found. Such an answer is ignored and the read is repeated.
 
 #include "flamingo/adapters/log_client.h"
 
+#include "flamingo/json_parse.h"
 #include "flamingo/json_text.h"
 
 #include <glog/logging.h>
@@ -19,20 +23,55 @@
 constexpr int statusGone = 410;
 constexpr TimeMs longPollMarginMs = 3000; // for the answer, after the wait time of a long poll
 
-LogRead parseReadResponse(const std::string &stream, const nlohmann::json &body)
+// Reads the field `name`, which must have the value `expected`.
+bool readOffset(const nlohmann::json &object, const char *name, std::uint64_t expected,
+                Reason &reason)
 {
+    auto offset = static_cast<std::int64_t>(expected);
+    return readInteger(object, name, offset, offset, offset, reason);
+}
+
+std::optional<LogRead> parseReadResponse(const std::string &stream, std::uint64_t from,
+                                         std::string_view text, Reason &reason)
+{
+    const auto body = parseJson(text, reason);
+    if (!body)
+        return std::nullopt;
     LogRead read;
     read.stream = stream;
-    read.next = body.at("next").get<std::uint64_t>();
-    for (const auto &item : body.at("lines")) {
+    read.next = from;
+    reason = {ReasonCode::InvalidInput, "field 'lines' is not a list of objects with a text"};
+    const auto lines = body->is_object() ? body->find("lines") : body->end();
+    if (!body->is_object() || lines == body->end() || !lines->is_array())
+        return std::nullopt;
+    for (const auto &item : *lines) {
+        const auto lineText = item.is_object() ? item.find("text") : item.end();
+        if (!item.is_object() || lineText == item.end() || !lineText->is_string()
+            || !readOffset(item, "offset", read.next, reason))
+            return std::nullopt;
         wire::LogLineT line;
-        line.offset = item.at("offset").get<std::uint64_t>();
-        line.text = item.at("text").get<std::string>();
+        line.offset = read.next++;
+        line.text = lineText->get<std::string>();
         read.lines.push_back(std::move(line));
     }
+    if (!readOffset(*body, "next", read.next, reason))
+        return std::nullopt;
     return read;
 }
 
+// Returns the oldest retained offset of an answer to a read from `from`, which lies before it.
+std::optional<std::uint64_t> parseOldestOffset(std::uint64_t from, std::string_view text,
+                                               Reason &reason)
+{
+    const auto body = parseJson(text, reason);
+    std::int64_t oldest = 0;
+    if (!body
+        || !readInteger(*body, "oldest", static_cast<std::int64_t>(from) + 1,
+                        static_cast<std::int64_t>(maxLogOffset), oldest, reason))
+        return std::nullopt;
+    return static_cast<std::uint64_t>(oldest);
+}
+
 } // namespace
 
 LogClient::LogClient(Loop &loop, HttpClient &http, const LogClientOptions &options,
@@ -62,36 +101,33 @@
 void LogClient::handleReadResponse(const std::string &stream, std::uint64_t from,
                                    const HttpResult &result)
 {
-    const auto body = nlohmann::json::parse(result.body, nullptr, false);
-    try {
-        if (result.status == statusGone) {
-            const auto oldest = body.at("oldest").get<std::uint64_t>();
-            LOG(WARNING) << "log stream " << stream << " no longer has offset " << from
-                         << ", its oldest retained offset is " << oldest;
-            LogRead trimmed;
-            trimmed.stream = stream;
-            trimmed.next = oldest;
-            trimmed.trimmed = true;
-            this->tail(stream, this->handlers.read(trimmed));
-            return;
-        }
-        if (result.status != statusOk) {
-            LOG_IF(WARNING, this->serviceReachable)
-                << "reading log stream " << stream << " failed: status " << result.status << " "
-                << result.error;
-            this->serviceReachable = false;
-            this->scheduleRetry(stream, from);
-            return;
-        }
-        LogRead read = parseReadResponse(stream, body);
-        LOG_IF(INFO, !this->serviceReachable) << "log service is reachable again";
-        this->serviceReachable = true;
-        this->retryDelayMs = this->options.retryMinMs;
-        this->tail(stream, this->handlers.read(std::move(read)));
-    } catch (const nlohmann::json::exception &error) {
-        LOG(ERROR) << "invalid response to a read of log stream " << stream << ": " << error.what();
+    if (result.status != statusOk && result.status != statusGone) {
+        LOG_IF(WARNING, this->serviceReachable)
+            << "reading log stream " << stream << " failed: status " << result.status << " "
+            << result.error;
+        this->serviceReachable = false;
+        this->scheduleRetry(stream, from);
+        return;
+    }
+    Reason reason;
+    std::optional<LogRead> read;
+    if (result.status == statusOk) {
+        read = parseReadResponse(stream, from, result.body, reason);
+    } else if (const auto oldest = parseOldestOffset(from, result.body, reason)) {
+        LOG(WARNING) << "log stream " << stream << " no longer has offset " << from
+                     << ", its oldest retained offset is " << *oldest;
+        read = LogRead{stream, {}, *oldest, true};
+    }
+    if (!read) {
+        LOG(ERROR) << "invalid response to a read of log stream " << stream << " from offset "
+                   << from << ": " << reason.text;
         this->scheduleRetry(stream, from);
+        return;
     }
+    LOG_IF(INFO, !this->serviceReachable) << "log service is reachable again";
+    this->serviceReachable = true;
+    this->retryDelayMs = this->options.retryMinMs;
+    this->tail(stream, this->handlers.read(*read));
 }
 
 void LogClient::scheduleRetry(const std::string &stream, std::uint64_t from)
@@ -115,14 +151,17 @@
     this->http.call(call, [this, id](const HttpResult &result) {
         LogAppended appended;
         appended.id = id;
-        const auto body = nlohmann::json::parse(result.body, nullptr, false);
-        if (result.status == statusOk && body.is_object() && body.contains("offset")
-            && body["offset"].is_number_unsigned()) {
+        Reason reason;
+        const auto body = parseJson(result.body, reason);
+        std::int64_t offset = 0;
+        if (result.status == statusOk && body
+            && readInteger(*body, "offset", std::int64_t{0},
+                           static_cast<std::int64_t>(maxLogOffset), offset, reason)) {
             appended.acknowledged = true;
-            appended.offset = body["offset"].get<std::uint64_t>();
+            appended.offset = static_cast<std::uint64_t>(offset);
         } else {
             LOG_EVERY_N(WARNING, 20) << "append to the log not acknowledged: status "
-                                     << result.status << " " << result.error;
+                                     << result.status << " " << result.error << " " << reason.text;
         }
         this->handlers.appended(appended);
     });
