Report deeply nested answers and files in flamingoctl

flamingoctl ended by a segmentation fault when an entry's answer or a table file was nested deeply: printing and quoting a value take one recursive call a level. It now says so and exits with 4 for a read, 3 after a submission (the job may run) and 1 for a file. A submission with another answer that is no reply now also exits with 3 instead of 1.

Before: odd_records_test deeplyNestedAnswerIsReported and deeplyNestedTableFileIsRefused ended by SIGSEGV.

--- a/flamingo/adapters/ctl.cc
+++ b/flamingo/adapters/ctl.cc
@@ -9,6 +9,7 @@
 #include "flamingo/adapters/day_report.h"
 #include "flamingo/adapters/http_client.h"
 #include "flamingo/adapters/log_history.h"
+#include "flamingo/json_parse.h"
 #include "flamingo/json_text.h"
 #include "flamingo/settings.h"
 
@@ -52,6 +53,7 @@
     bool mayHaveBeenReceived = false; // by an entry that did not answer completely
     std::string text;
     Json body; // null when the text is not JSON
+    bool nestedTooDeeply = false; // `text` then says so, and `body` is null
 };
 
 std::string percentEncoded(std::string_view text)
@@ -83,6 +85,19 @@
         || (answer.status == statusOk && accepted && stringField(answer.body, "verdict") != "ran");
 }
 
+// Parses JSON and keeps the order of the fields; nullopt, with a reason, when it is invalid or
+// nested too deeply.
+std::optional<Json> parseOrderedJson(std::string_view text, Reason &reason)
+{
+    reason = {ReasonCode::InvalidInput,
+              "nested deeper than " + std::to_string(maxJsonDepth) + " levels"};
+    if (nestsDeeperThan(text, maxJsonDepth))
+        return std::nullopt;
+    reason = {ReasonCode::InvalidInput, "not valid JSON"};
+    Json json = Json::parse(text, nullptr, false);
+    return json.is_discarded() ? std::nullopt : std::make_optional(std::move(json));
+}
+
 std::optional<std::string> readFile(const std::string &path)
 {
     std::ifstream file(path, std::ios::binary);
@@ -312,9 +327,11 @@
         }
         answer.status = result.status;
         answer.text = result.body;
-        answer.body = Json::parse(result.body, nullptr, false);
-        if (answer.body.is_discarded())
-            answer.body = Json();
+        Reason reason;
+        answer.body = parseOrderedJson(result.body, reason).value_or(Json());
+        answer.nestedTooDeeply = nestsDeeperThan(result.body, maxJsonDepth);
+        if (answer.nestedTooDeeply)
+            answer.text = "the answer of " + address + " is " + reason.text;
         if (shouldTryNextEntry(request, answer))
             continue;
         this->preferredEntry = index;
@@ -337,10 +354,12 @@
 {
     const std::string reason = stringField(answer.body, "reason");
     const std::string detail = stringField(answer.body, "detail");
-    this->err << "refused with status " << answer.status << (reason.empty() ? "" : ", " + reason)
-              << ": " << (detail.empty() ? answer.text : detail) << std::endl;
+    const bool refused = answer.status >= firstErrorStatus;
+    this->err << (refused ? "refused with status " : "unexpected answer with status ")
+              << answer.status << (reason.empty() ? "" : ", " + reason) << ": "
+              << (detail.empty() ? answer.text : detail) << std::endl;
     const std::string verdict = stringField(answer.body, "verdict");
-    if (verdict == "may_have_run" || answer.mayHaveBeenReceived)
+    if (verdict == "may_have_run" || answer.mayHaveBeenReceived || !refused)
         return CtlExit::MayHaveRun;
     if (verdict == "not_run" && answer.status != firstErrorStatus)
         return CtlExit::NotRun;
@@ -370,6 +389,10 @@
     }
     if (answer.status >= firstErrorStatus)
         return this->reportRefusal(answer);
+    if (answer.nestedTooDeeply) {
+        this->err << answer.text << std::endl;
+        return CtlExit::Unreachable;
+    }
     if (answer.body.is_null())
         this->out << answer.text << std::endl;
     else
@@ -468,8 +491,13 @@
     std::vector<std::string> errors;
     const bool isJson = text->find_first_not_of(" \t\r\n") != std::string::npos
         && (*text)[text->find_first_not_of(" \t\r\n")] == '{';
-    auto rows = isJson ? tableFromJson(Json::parse(*text, nullptr, false), errors)
-                       : parseTableCsv(*text, errors);
+    Reason reason;
+    const auto json = isJson ? parseOrderedJson(*text, reason) : std::nullopt;
+    std::optional<TableRows> rows;
+    if (isJson && !json)
+        errors.push_back(reason.text);
+    else
+        rows = isJson ? tableFromJson(*json, errors) : parseTableCsv(*text, errors);
     for (const std::string &error : errors)
         this->err << path << ": " << error << std::endl;
     return rows;
@@ -557,6 +585,10 @@
         this->reportRefusal(answer);
         return CtlExit::Unreachable;
     }
+    if (answer.nestedTooDeeply) {
+        this->err << answer.text << std::endl;
+        return CtlExit::Unreachable;
+    }
     this->print(answer.body.is_object() ? answer.body.value("history", Json::array()) : Json());
     return CtlExit::Done;
 }
