Report deeply nested settings

A settings file with a deeply nested value ended the daemon and 'flamingoctl settings' by a segmentation fault in the text of the error. The depth is taken from the parser, because settings may have comments, which nestsDeeperThan() does not know.

Before: odd_records_test OddSettings deeplyNestedValueIsReported ended by SIGSEGV.

--- a/flamingo/settings.cc
+++ b/flamingo/settings.cc
@@ -4,6 +4,7 @@
 
 #include "flamingo/settings.h"
 
+#include "flamingo/json_parse.h"
 #include "flamingo/json_text.h"
 
 #include <nlohmann/json.hpp>
@@ -396,11 +397,13 @@
 }
 
 // Parses the text and reports duplicate keys, of which the JSON library would silently keep the
-// last.
+// last. The parser reports the depth, because nestsDeeperThan() does not know comments.
 std::optional<Json> parseText(std::string_view text, std::vector<std::string> &errors)
 {
     std::vector<std::set<std::string>> keysByDepth;
-    const auto onEvent = [&](int, Json::parse_event_t event, Json &parsed) {
+    bool nestedTooDeeply = false;
+    const auto onEvent = [&](int depth, Json::parse_event_t event, Json &parsed) {
+        nestedTooDeeply = nestedTooDeeply || static_cast<std::size_t>(depth) > maxJsonDepth;
         if (event == Json::parse_event_t::object_start)
             keysByDepth.emplace_back();
         else if (event == Json::parse_event_t::object_end)
@@ -412,6 +415,11 @@
     };
     try {
         Json json = Json::parse(text, onEvent, true, true);
+        if (nestedTooDeeply) {
+            errors.push_back("settings: nested deeper than " + std::to_string(maxJsonDepth)
+                             + " levels");
+            return std::nullopt;
+        }
         if (json.is_object())
             return json;
         errors.emplace_back("settings: not a JSON object");
