Ignore addresses, incarnations and reports of peers that are out of range

A PeerInfo with a port that cannot be dialled or an incarnation of 2^64 - 1 replaced the real process of that name, and entries passed it on to all others. A Report with such an incarnation or sequence hid all later ones of the worker; free memory above 2^31 overflowed; a ReportAck with intervalMs 2^32 - 1 silenced an agent for 49 days; a Witness with epoch 2^64 - 1 made an agent refuse every grant of the range.

Peers now refuses such a Hello, skips such entries of a list, ignores such a message and keeps the connection, and logs each, at most 10 a second. Values that are not in their enumeration become MayHaveRun or Internal. An agent reports at least every 10 minutes. Frames were verified already (64 levels, 1,000,000 tables).

--- a/flamingo/adapters/codec.cc
+++ b/flamingo/adapters/codec.cc
@@ -5,6 +5,7 @@
 
 #include "flamingo/adapters/codec.h"
 
+#include <algorithm>
 #include <array>
 #include <cstring>
 #include <utility>
@@ -13,6 +14,8 @@
 namespace {
 
 constexpr std::size_t initialBufferBytes = 1024;
+constexpr std::uint64_t maxSequence = 1ULL << 53U;
+constexpr std::uint64_t maxAmount = 1ULL << 30U; // sums of two fit into std::int32_t
 
 template <typename T>
 constexpr wire::Message messageTypeOf()
@@ -48,6 +51,80 @@
         &unpackMessage<std::variant_alternative_t<I, Message>>...};
 }
 
+// ---- Checks of values ----
+
+template <typename T, typename = void>
+struct HasVerdict : std::false_type
+{
+};
+template <typename T>
+struct HasVerdict<T, std::void_t<decltype(T::verdict)>> : std::true_type
+{
+};
+template <typename T, typename = void>
+struct HasReason : std::false_type
+{
+};
+template <typename T>
+struct HasReason<T, std::void_t<decltype(T::reason)>> : std::true_type
+{
+};
+
+template <typename Enum>
+bool replaceUnknown(Enum &value, Enum replacement)
+{
+    if (value <= Enum::MAX)
+        return false;
+    value = replacement;
+    return true;
+}
+
+template <typename T>
+bool replaceUnknownInTable(T &table)
+{
+    bool replaced = false;
+    if constexpr (HasVerdict<T>::value)
+        replaced = replaceUnknown(table.verdict, Verdict::MayHaveRun) || replaced;
+    if constexpr (HasReason<T>::value)
+        replaced = replaceUnknown(table.reason, ReasonCode::Internal) || replaced;
+    if constexpr (std::is_same_v<T, BeginReply> || std::is_same_v<T, KeyReply>)
+        replaced = replaceUnknown(table.state, KeyState::MayHaveRun) || replaced;
+    if constexpr (std::is_same_v<T, WitnessReply>) {
+        for (auto &key : table.keys)
+            replaced = replaceUnknownInTable(key) || replaced;
+    }
+    return replaced;
+}
+
+bool atMost(const char *field, std::uint64_t value, std::uint64_t max, Reason &reason)
+{
+    if (value <= max)
+        return true;
+    reason = {ReasonCode::InvalidInput,
+              std::string(field) + " " + std::to_string(value) + " is above "
+                  + std::to_string(max)};
+    return false;
+}
+
+bool hasValidReportNumbers(const Report &report, Reason &reason)
+{
+    const bool valid = atMost("incarnation", report.incarnation, maxIncarnation, reason)
+        && atMost("sequence", report.sequence, maxSequence, reason)
+        && atMost("accelerators", report.accelerators, maxAcceleratorsPerWorker, reason)
+        && atMost("slots", report.slots, maxAmount, reason)
+        && atMost("cores", report.cores, maxAmount, reason)
+        && atMost("memoryMib", report.memoryMib, maxAmount, reason)
+        && atMost("freeSlots", report.freeSlots, maxAmount, reason)
+        && atMost("freeCores", report.freeCores, maxAmount, reason)
+        && atMost("freeMemoryMib", report.freeMemoryMib, maxAmount, reason)
+        && atMost("tableVersion", report.tableVersion, maxSequence, reason);
+    return valid
+        && std::all_of(report.tasks.begin(), report.tasks.end(), [&reason](const auto &task) {
+               return atMost("accelerators of a task", task.accelerators, maxAcceleratorsPerWorker,
+                             reason);
+           });
+}
+
 constexpr auto unpackers = makeUnpackers(std::make_index_sequence<std::variant_size_v<Message>>());
 
 } // namespace
@@ -110,4 +187,18 @@
     return unpackers[messageType - 1](envelope);
 }
 
+bool replaceUnknownEnumValues(Message &message)
+{
+    return std::visit([](auto &table) { return replaceUnknownInTable(table); }, message);
+}
+
+bool hasValidNumbers(const Message &message, Reason &reason)
+{
+    if (const auto *report = std::get_if<Report>(&message))
+        return hasValidReportNumbers(*report, reason);
+    if (const auto *witness = std::get_if<Witness>(&message))
+        return atMost("epoch", witness->epoch, maxLogOffset, reason);
+    return true;
+}
+
 } // namespace flamingo::adapters
--- a/flamingo/adapters/codec.h
+++ b/flamingo/adapters/codec.h
@@ -27,6 +27,16 @@
 // not a valid Envelope.
 std::optional<Message> decodeFrameBody(std::string_view body, Reason &reason);
 
+// Replaces values that are not in their enumeration, for example those of a newer version, by one
+// that claims nothing: Verdict::MayHaveRun, ReasonCode::Internal, KeyState::MayHaveRun. Returns
+// true if there were any.
+bool replaceUnknownEnumValues(Message &message);
+
+// Returns false, with a reason, for a message with a number that is out of range: it would overflow
+// in later arithmetic or hide the valid messages after it. JobSpec is checked where it is used,
+// because its caller receives the reason.
+bool hasValidNumbers(const Message &message, Reason &reason);
+
 } // namespace flamingo::adapters
 
 #endif
--- a/flamingo/adapters/peers.cc
+++ b/flamingo/adapters/peers.cc
@@ -39,11 +39,18 @@
     return nonce;
 }
 
-bool isValidPeer(const PeerInfo &info)
+// A peer whose address cannot be dialled, or whose incarnation no restart can exceed, would replace
+// the real one of that name here and, as entries pass their lists on, in all other processes.
+bool isValidPeer(const PeerInfo &info, Reason &reason)
 {
-    return !info.process.empty() && info.process.size() <= maxNameBytes
+    const bool valid = !info.process.empty() && info.process.size() <= maxNameBytes
         && info.region.size() <= maxNameBytes && info.dataCentre.size() <= maxNameBytes
         && info.rack.size() <= maxNameBytes && info.address.size() <= maxNameBytes;
+    reason = {ReasonCode::InvalidInput, "a name is empty or too long"};
+    if (!valid || !parseAddress(info.address, reason))
+        return false;
+    reason = {ReasonCode::InvalidInput, "the kind or the incarnation is out of range"};
+    return info.kind <= ProcessKind::MAX && info.incarnation <= maxIncarnation;
 }
 
 } // namespace
@@ -248,14 +255,34 @@
             this->recordPeer(info);
         return true;
     }
+    Reason reason;
+    if (!hasValidNumbers(message, reason)) {
+        this->logIgnored(typeName(message), connection.peer.process, reason.text);
+        return true;
+    }
+    if (replaceUnknownEnumValues(message))
+        this->logIgnored("value in " + typeName(message), connection.peer.process,
+                         "not in its enumeration");
     this->handlers.messageReceived(connection.peer.process, std::move(message));
     return connection.socket != nullptr;
 }
 
+void Peers::logIgnored(std::string_view what, std::string_view process, std::string_view why)
+{
+    if (!this->ignoredLogLimiter.allowLine(Loop::now()))
+        return;
+    LOG(WARNING) << "ignored " << what << " process=" << process.substr(0, maxNameBytes)
+                 << " reason=\"" << why << "\"" << this->ignoredLogLimiter.takeSuppressedField();
+}
+
 bool Peers::handleHello(Connection &connection, const Hello &hello)
 {
-    if (connection.helloReceived || hello.peers.empty() || !isValidPeer(hello.peers.front())) {
+    Reason reason = {ReasonCode::InvalidInput, "invalid or repeated Hello"};
+    if (connection.helloReceived || hello.peers.empty()
+        || !isValidPeer(hello.peers.front(), reason)) {
         ++this->refusedCount;
+        this->logIgnored("Hello", hello.peers.empty() ? "" : hello.peers.front().process,
+                         reason.text);
         this->close(connection, "invalid or repeated Hello");
         return false;
     }
@@ -266,7 +293,9 @@
         return false;
     }
     for (const PeerInfo &info : hello.peers) {
-        if (info.kind == ProcessKind::Entry && isValidPeer(info))
+        if (!isValidPeer(info, reason))
+            this->logIgnored("entry of a Hello", info.process, reason.text);
+        else if (info.kind == ProcessKind::Entry)
             this->knownProcesses[info.process] = info;
     }
     Proof proof;
@@ -325,8 +354,13 @@
 // all connected processes. Dials the process when messages are pending for it.
 void Peers::recordPeer(const PeerInfo &info)
 {
-    if (!isValidPeer(info) || info.process == this->options.self.process)
+    if (info.process == this->options.self.process)
         return;
+    Reason reason;
+    if (!isValidPeer(info, reason)) {
+        this->logIgnored("address", info.process, reason.text);
+        return;
+    }
     const auto pending = this->pendingMessages.find(info.process);
     this->knownProcesses[info.process] = info;
     if (info.kind == ProcessKind::Entry) {
--- a/flamingo/adapters/peers.h
+++ b/flamingo/adapters/peers.h
@@ -16,6 +16,7 @@
 // Connections, bytes queued per connection, messages per unconnected process and the time for a
 // handshake are bounded by PeersOptions.
 
+#include "flamingo/adapters/log_rate_limiter.h"
 #include "flamingo/adapters/loop.h"
 #include "flamingo/messages.h"
 
@@ -118,6 +119,7 @@
     bool handleProof(Connection &connection, const Proof &proof);
     void completeHandshake(Connection &connection);
     void recordPeer(const PeerInfo &info);
+    void logIgnored(std::string_view what, std::string_view process, std::string_view why);
     void answerLocate(const std::string &to, const std::string &process);
     void write(Connection &connection, const Message &message);
     void flush(Connection &connection);
@@ -137,6 +139,7 @@
     std::map<std::string, PeerInfo> knownProcesses; // the PeerInfo received last, by name
     std::map<std::string, PendingMessages> pendingMessages; // by name of the receiver
     std::set<std::string> dialledAddresses; // with a connection of this side or in a redial delay
+    LogRateLimiter ignoredLogLimiter{10, 100};
     std::map<std::string, PeerTraffic> trafficByType;
     std::uint64_t refusedCount = 0;
     Random random;
--- a/flamingo/agent.cc
+++ b/flamingo/agent.cc
@@ -10,6 +10,8 @@
 
 namespace {
 
+// Reports are sent at least this often, whatever interval an entry asks for.
+constexpr TimeMs maxReportIntervalMs = 600000;
 constexpr TimeMs expiryIntervalMs = 1000;
 
 // ---- Drain and queries ----
@@ -176,8 +178,8 @@
 {
     const auto target = step.agent.reportTargets.find(from);
     if (target != step.agent.reportTargets.end() && message.intervalMs > 0)
-        target->second.intervalMs =
-            std::max<TimeMs>(message.intervalMs, step.agent.options.reportMinGapMs);
+        target->second.intervalMs = std::clamp<TimeMs>(
+            message.intervalMs, step.agent.options.reportMinGapMs, maxReportIntervalMs);
 }
 
 void handlePeerUp(const AgentStep &step, const PeerUp &event)
