Skip log lines with times and epochs out of range in flamingoctl account

One line with the epoch 2^64 - 1 made all later decisions count as those of a former leader, and a time of 2^64 - 1 stretched the account to it. Such lines now count as incomplete or are skipped.

Before: odd_records_test OddLogFiles numbersOutOfRangeAreIgnored failed at the first check (the line was accepted).

--- a/flamingo/adapters/day_account.cc
+++ b/flamingo/adapters/day_account.cc
@@ -16,6 +16,8 @@
 constexpr double coresPerAccelerator = 8;
 constexpr double msPerSecond = 1000;
 constexpr double milliPerCore = 1000;
+// A larger epoch is an error: all later lines would count as those of a former leader.
+constexpr std::uint64_t maxEpoch = 1ULL << 53U;
 constexpr std::uint64_t lateObjectives = 3; // later than this many objectives, a result is useless
 
 constexpr std::pair<std::string_view, DayEventKind> eventKinds[] = {
@@ -690,7 +692,7 @@
 {
     const auto kind = kindOf(line.event);
     DayEvent event;
-    if (!kind || !readNumber(line, "epoch", event.epoch))
+    if (!kind || !readNumber(line, "epoch", event.epoch) || event.epoch > maxEpoch)
         return std::nullopt;
     event.kind = *kind;
     event.unixMs = line.unixMs;
--- a/flamingo/adapters/log_history.cc
+++ b/flamingo/adapters/log_history.cc
@@ -15,6 +15,7 @@
 namespace {
 
 constexpr std::string_view timeField = "unix_ms=";
+constexpr std::uint64_t maxUnixMs = 1ULL << 43U; // the year 2248
 
 // Events that may explain a wait although they name no job.
 constexpr std::string_view contextEvents[] = {
@@ -133,7 +134,8 @@
     LogLine line;
     std::string name;
     std::string value;
-    if (!consumeField(rest, name, value) || !absl::SimpleAtoi(value, &line.unixMs))
+    if (!consumeField(rest, name, value) || !absl::SimpleAtoi(value, &line.unixMs)
+        || line.unixMs > maxUnixMs)
         return std::nullopt;
     while (!rest.empty()) {
         const std::size_t at = text.size() - rest.size();
