Refuse odd requests in the stand-in

The platform's stand-in ended when a body was nested deeply, or when it quoted invalid UTF-8 in an error (type_error.316); a lease of 2^63 - 1 ms overflowed. The store's stand-in ended on a frame without content (std::out_of_range), the worker's on a body that is no object. Numbers are read in a range and answered with 400.

--- a/standin/keyed_store.cc
+++ b/standin/keyed_store.cc
@@ -48,6 +48,26 @@
     return result;
 }
 
+// Returns the keys and values of an append; nullopt when a length exceeds the bytes that follow.
+std::optional<std::vector<std::pair<std::string, std::string>>>
+decodeRecords(std::string_view remaining)
+{
+    std::vector<std::pair<std::string, std::string>> records;
+    while (remaining.size() > 4) {
+        const std::uint64_t size = decodeBigEndian(remaining.substr(0, 4));
+        remaining.remove_prefix(4);
+        if (size == 0 || size > remaining.size())
+            return std::nullopt;
+        const std::string_view content = remaining.substr(0, size);
+        const auto keySize = static_cast<unsigned char>(content.front());
+        if (1 + std::uint64_t{keySize} > size)
+            return std::nullopt;
+        records.emplace_back(content.substr(1, keySize), content.substr(1 + keySize));
+        remaining.remove_prefix(size);
+    }
+    return records;
+}
+
 } // namespace
 
 std::unique_ptr<KeyedStore> KeyedStore::listen(adapters::Loop &loop, const std::string &address,
@@ -106,6 +126,12 @@
         listener.server->respond(request.id, {adapters::statusConflict, R"({"Reason":"fenced"})"});
         return;
     }
+    const auto records = decodeRecords(request.body);
+    if (!records) {
+        listener.server->respond(request.id,
+                                 {adapters::statusBadRequest, R"({"Error":"invalid frames"})"});
+        return;
+    }
     if (fenced && epoch > topic.epoch) {
         topic.epoch = epoch;
         topic.lastSequence.reset();
@@ -123,15 +149,8 @@
     if (fenced && !empty)
         topic.lastSequence = sequence;
     const std::uint64_t appendedAt = topic.records.size();
-    std::string_view remaining = request.body;
-    while (remaining.size() > 4) {
-        const std::uint64_t size = decodeBigEndian(remaining.substr(0, 4));
-        const std::string_view content = remaining.substr(4, size);
-        const auto keySize = static_cast<unsigned char>(content.front());
-        topic.records.push_back(
-            {std::string(content.substr(1, keySize)), std::string(content.substr(1 + keySize))});
-        remaining.remove_prefix(4 + size);
-    }
+    for (const auto &[key, value] : *records)
+        topic.records.push_back({key, value});
     topic.lastResponse = Json{{"Offset", appendedAt}, {"End", topic.records.size()}}.dump();
     listener.server->respond(request.id, {adapters::statusOk, topic.lastResponse});
 }
--- a/standin/platform.cc
+++ b/standin/platform.cc
@@ -6,6 +6,9 @@
 
 #include "standin/platform.h"
 
+#include "flamingo/json_parse.h"
+#include "flamingo/json_text.h"
+
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -31,6 +34,8 @@
 constexpr int statusServiceUnavailable = 503;
 
 constexpr TimeMs maxWaitMs = 60000;
+constexpr TimeMs maxDurationMs = 86400000;
+constexpr std::uint32_t maxAmount = std::numeric_limits<std::int32_t>::max();
 constexpr std::size_t defaultMaxLines = 1000;
 constexpr std::uint32_t maxPercent = 100;
 // A long poll occupies one request and one connection, and a test may run a few hundred processes.
@@ -42,7 +47,49 @@
 
 std::string errorBody(std::string_view text)
 {
-    return Json{{"error", text}}.dump();
+    return jsonText(Json{{"error", text}});
+}
+
+// Throws the exception of an invalid request, which handle() answers with 400.
+[[noreturn]] void refuseRequest(const std::string &text)
+{
+    static const Json none;
+    throw Json::other_error::create(599, text, &none);
+}
+
+Json parseBody(const HttpRequest &request)
+{
+    Reason reason;
+    auto body = parseJson(request.body, reason);
+    if (!body || !body->is_object())
+        refuseRequest(body ? "the body is not a JSON object" : reason.text);
+    return std::move(*body);
+}
+
+// Reads an optional whole number from 0 to `max`.
+template <typename Integer>
+Integer numberField(const Json &object, const char *name, Integer max, Integer fallback)
+{
+    Reason reason;
+    if (!readOptionalInteger(object, name, Integer{0}, max, fallback, reason))
+        refuseRequest(reason.text);
+    return fallback;
+}
+
+std::uint64_t loseAnswersField(const Json &object, std::uint64_t fallback)
+{
+    constexpr auto max = static_cast<std::int64_t>(maxAmount);
+    const auto bounded = static_cast<std::int64_t>(std::min<std::uint64_t>(fallback, maxAmount));
+    return static_cast<std::uint64_t>(numberField(object, "loseAnswers", max, bounded));
+}
+
+TimeMs leaseField(const Json &object)
+{
+    TimeMs leaseMs = 0;
+    Reason reason;
+    if (!readInteger(object, "leaseMs", TimeMs{0}, maxDurationMs, leaseMs, reason))
+        refuseRequest(reason.text);
+    return leaseMs;
 }
 
 std::vector<std::string> splitPath(std::string_view path)
@@ -90,10 +137,12 @@
     request.job = body.at("job").get<std::string>();
     request.payload = body.value("payload", "");
     request.checkpoint = body.value("checkpoint", "");
+    if (body.contains("mask") && !body["mask"].is_number_unsigned())
+        refuseRequest("field 'mask' is not a whole number from 0 to 2^64 - 1");
     request.mask = body.value("mask", request.mask);
-    request.cores = body.value("cores", request.cores);
-    request.memoryMib = body.value("memoryMib", request.memoryMib);
-    request.leaseMs = body.at("leaseMs").get<TimeMs>();
+    request.cores = numberField(body, "cores", maxAmount, request.cores);
+    request.memoryMib = numberField(body, "memoryMib", maxAmount, request.memoryMib);
+    request.leaseMs = leaseField(body);
     return request;
 }
 
@@ -180,7 +229,7 @@
 
 void Platform::appendToLog(const HttpRequest &request, const std::string &stream)
 {
-    const auto lines = Json::parse(request.body).at("lines").get<std::vector<std::string>>();
+    const auto lines = parseBody(request).at("lines").get<std::vector<std::string>>();
     const auto offset = appendLines(this->log, stream, lines, Loop::now());
     if (!offset) {
         this->respondToLogRequest(request.id,
@@ -334,8 +383,7 @@
     else if (resource == "events")
         this->readEvents(request, host);
     else if (resource == "lease") {
-        renewLeases(host.worker, Json::parse(request.body).at("leaseMs").get<TimeMs>(),
-                    Loop::now());
+        renewLeases(host.worker, leaseField(parseBody(request)), Loop::now());
         this->respond(request.id, statusOk, okBody);
     } else
         this->respond(request.id, statusNotFound, errorBody("no such path"));
@@ -344,7 +392,7 @@
 
 void Platform::handleTaskStart(const HttpRequest &request, Host &host)
 {
-    const TaskRequest task = taskRequest(Json::parse(request.body));
+    const TaskRequest task = taskRequest(parseBody(request));
     std::string detail;
     bool fromBeginning = false;
     if (!startTask(host.worker, task, Loop::now(), detail, fromBeginning)) {
@@ -366,7 +414,9 @@
     } else if (action == "checkpoint")
         this->handleCheckpoint(request, host, task);
     else if (action == "throttle") {
-        const auto percent = Json::parse(request.body).at("percent").get<std::uint32_t>();
+        const Json body = parseBody(request);
+        body.at("percent"); // throws when it is missing
+        const auto percent = numberField(body, "percent", maxAmount, maxAmount);
         const bool done =
             percent <= maxPercent && throttleTask(host.worker, task, percent, Loop::now());
         this->respond(request.id, done ? statusOk : statusNotFound,
@@ -423,15 +473,15 @@
 
 void Platform::setFaults(const HttpRequest &request)
 {
-    const Json body = Json::parse(request.body);
+    const Json body = parseBody(request);
     refuseUnknownKeys(body, {"log", "slowMs", "loseAnswers", "worker"});
     const std::string log = body.value("log", "");
     if (!log.empty() && log != "up" && log != "down" && log != "slow") {
         this->respond(request.id, statusBadRequest, errorBody("\"log\" must be up, down or slow"));
         return;
     }
-    this->slowMs = body.value("slowMs", this->slowMs);
-    this->loseAnswers = body.value("loseAnswers", this->loseAnswers);
+    this->slowMs = numberField(body, "slowMs", maxDurationMs, this->slowMs);
+    this->loseAnswers = loseAnswersField(body, this->loseAnswers);
     if (body.contains("worker")) {
         const Json &worker = body.at("worker");
         refuseUnknownKeys(worker, {"name", "failAll", "frozen", "loseAnswers"});
@@ -452,7 +502,7 @@
     Host &host = this->findOrCreateHost(name);
     advance(host.worker, Loop::now());
     host.worker.failAll = fault.value("failAll", host.worker.failAll);
-    host.loseAnswers = fault.value("loseAnswers", host.loseAnswers);
+    host.loseAnswers = loseAnswersField(fault, host.loseAnswers);
     setFrozen(host.worker, fault.value("frozen", host.worker.frozen), Loop::now());
     this->updateWorker(name);
     if (host.worker.frozen) {
--- a/standin/platform_worker.cc
+++ b/standin/platform_worker.cc
@@ -4,6 +4,7 @@
 #include "standin/platform_worker.h"
 
 #include "flamingo/adapters/http_status.h"
+#include "flamingo/json_parse.h"
 
 #include <nlohmann/json.hpp>
 
@@ -24,6 +25,50 @@
 
 constexpr TimeMs pollIntervalMs = 5;
 constexpr std::int64_t maxLeaseMs = 10000;
+constexpr std::int64_t maxWorkMs = 86400000;
+constexpr std::int64_t maxNumber = std::numeric_limits<std::int64_t>::max();
+
+// The fields of all requests to the worker; a missing one is 0 or empty.
+struct WorkerCall
+{
+    std::int64_t fencingToken = 0;
+    std::int64_t untilMs = 0;
+    std::int64_t lastSeen = 0;
+    std::int64_t waitMs = 0;
+    std::uint32_t runId = 0;
+    std::string task;
+    std::string spec;
+};
+
+bool readText(const Json &body, const char *name, std::string &text)
+{
+    const auto found = body.find(name);
+    if (found == body.end())
+        return true;
+    if (!found->is_string())
+        return false;
+    text = found->get<std::string>();
+    return true;
+}
+
+// Returns nullopt when a field is of the wrong type or out of range.
+std::optional<WorkerCall> parseWorkerCall(std::string_view text)
+{
+    Reason reason;
+    const auto body = parseJson(text, reason);
+    constexpr std::uint32_t maxRunId = std::numeric_limits<std::uint32_t>::max();
+    const std::int64_t none = 0;
+    WorkerCall call;
+    if (!body || !body->is_object()
+        || !readOptionalInteger(*body, "FencingToken", none, maxNumber, call.fencingToken, reason)
+        || !readOptionalInteger(*body, "UntilMs", -maxNumber, maxNumber, call.untilMs, reason)
+        || !readOptionalInteger(*body, "LastSeen", none, maxNumber, call.lastSeen, reason)
+        || !readOptionalInteger(*body, "WaitMs", none, maxWorkMs, call.waitMs, reason)
+        || !readOptionalInteger(*body, "RunId", 0U, maxRunId, call.runId, reason)
+        || !readText(*body, "Task", call.task) || !readText(*body, "TaskSpec", call.spec))
+        return std::nullopt;
+    return call;
+}
 
 } // namespace
 
@@ -198,22 +243,25 @@
         this->server->respond(request.id, {adapters::statusMisdirectedRequest, "{}"});
         return;
     }
-    const Json call = Json::parse(request.body, nullptr, false);
+    const auto call = parseWorkerCall(request.body);
+    if (!call) {
+        this->server->respond(request.id, {adapters::statusBadRequest, R"({"Error":"invalid"})"});
+        return;
+    }
     const auto refuse = [&](const char *reason) {
         const Json body = {{"ClockMs", this->clock()}, {"Reason", reason}};
         this->server->respond(request.id, {adapters::statusConflict, body.dump()});
     };
-    const auto requestToken = call.value("FencingToken", std::uint64_t(0));
+    const auto requestToken = static_cast<std::uint64_t>(call->fencingToken);
     if (requestToken < this->fencingToken) {
         refuse("fence");
         return;
     }
     this->fencingToken = requestToken;
-    const auto requestedLeaseEnd =
-        std::min(call.value("UntilMs", std::int64_t(0)), this->clock() + maxLeaseMs);
+    const auto requestedLeaseEnd = std::min(call->untilMs, this->clock() + maxLeaseMs);
     this->leaseUntilMs = std::max(this->leaseUntilMs, requestedLeaseEnd);
     if (request.path == "/api/hold") {
-        const auto lastSeen = call.value("LastSeen", std::uint64_t(0));
+        const auto lastSeen = static_cast<std::uint64_t>(call->lastSeen);
         for (const EndedRun &endedRun : this->endedRuns) {
             if (endedRun.number <= lastSeen)
                 this->observe(Loop::now(), "acknowledged", endedRun.key, endedRun.outcome);
@@ -223,10 +271,10 @@
                                                  return endedRun.number <= lastSeen;
                                              }),
                               this->endedRuns.end());
-        this->respondToHold(request, call.value("WaitMs", TimeMs(0)));
+        this->respondToHold(request, call->waitMs);
         return;
     }
-    const RunKey key = {call.value("Task", ""), call.value("RunId", 0U)};
+    const RunKey key = {call->task, call->runId};
     if (request.path == "/api/run-start") {
         if (key.second <= this->highestRefusedRunIds[key.first]) {
             refuse("old");
@@ -236,10 +284,10 @@
             refuse("late");
             return;
         }
-        const std::string spec = call.value("TaskSpec", "");
         char *rest = nullptr;
         Run run;
-        run.workMs = std::strtol(spec.c_str(), &rest, 10);
+        run.workMs =
+            std::clamp<std::int64_t>(std::strtol(call->spec.c_str(), &rest, 10), 0, maxWorkMs);
         run.endsAt = Loop::now() + run.workMs;
         if (!this->options.gangFolder.empty())
             run.members = static_cast<std::uint32_t>(std::strtoul(rest, nullptr, 10));
