Test: a cancelled job ends on a worker that refuses its calls

Change: platform_test cancels a job while its worker refuses all calls for a second, with 429 and then with 503, and waits for the run to end.

--- a/tests/platform_test.cc
+++ b/tests/platform_test.cc
@@ -217,6 +217,28 @@
     CHECK(fixture.waitUntil([&worker] { return worker.runningCount() == 0; }));
 }
 
+// Guards against a run that goes on after its job was cancelled, because its worker refused the
+// stop.
+TEST(Platform, cancelledJobIsStoppedOnAWorkerThatRefusesCalls)
+{
+    for (const int status : {429, 503}) {
+        Fixture fixture;
+        fixture.addEntry("e1", "127.0.0.2");
+        standin::PlatformWorker &worker = fixture.addHost("h1", "127.0.0.4");
+        CHECK(fixture.waitForLeader());
+        const std::string id = "0123456789abcdef";
+        LONGS_EQUAL(200, fixture.call("127.0.0.2", "POST", "/q/" + id, job("60000")).status);
+        CHECK(fixture.waitUntil([&worker] { return worker.runningCount() == 1; }));
+        worker.refuseRequests(1, status);
+        LONGS_EQUAL(200, fixture.call("127.0.0.2", "DELETE", "/q/" + id).status);
+        fixture.runFor(1000);
+        CHECK(worker.refusedRequests() > 0);
+        LONGS_EQUAL(1, worker.runningCount());
+        worker.refuseRequests(0, status);
+        CHECK(fixture.waitUntil([&worker] { return worker.runningCount() == 0; }));
+    }
+}
+
 TEST(Platform, invalidRequestsGetAnErrorStatus)
 {
     Fixture fixture;
