--- a/tests/malformed_messages_test.cc
+++ b/tests/malformed_messages_test.cc
@@ -327,10 +327,12 @@
     JobLogStore store(server.loop, options);
     const Record record = {"a/1", "value"};
     const std::string stored = std::string("\0\0\0\x09\x03", 5) + "a/1value";
+    std::string twoRecords(16, '\0');
+    twoRecords.append(stored).append(stored);
     for (const std::string &message :
          {std::string(R"({"items":[{"Key":"a/1","Value":"dmFsdWU=","Offset":4}],"HasMore":false,)"
                       R"("End":6})"),
-          std::string(R"({"Offset":5,"End":6})"), std::string(16, '\0') + stored + stored}) {
+          std::string(R"({"Offset":5,"End":6})"), twoRecords}) {
         decodeMutations(
             message,
             [&](const std::string &text) {
--- a/tests/odd_entries_test.cc
+++ b/tests/odd_entries_test.cc
@@ -44,6 +44,14 @@
                           "\"1\"",
                           "null"};
 
+std::string joined(std::initializer_list<std::string_view> parts)
+{
+    std::string text;
+    for (const std::string_view part : parts)
+        text += part;
+    return text;
+}
+
 std::string nested(const std::string &open, const std::string &close, std::size_t depth = oddDepth)
 {
     std::string text;
@@ -218,7 +226,7 @@
         for (const std::string &value : badAmounts) {
             reason = {};
             const std::string text = with(heartbeat, name, value);
-            checkRefused(decodeHeartbeat("i", text, reason).has_value(), name + " " + value,
+            checkRefused(decodeHeartbeat("i", text, reason).has_value(), joined({name, " ", value}),
                          reason);
         }
     }
@@ -373,7 +381,7 @@
         for (const std::string &value : badAmounts) {
             reason = {};
             checkRefused(decodeConfiguration(with(configuration, name, value), reason).has_value(),
-                         name + " " + value, reason);
+                         joined({name, " ", value}), reason);
         }
     }
     for (const std::string &name : Texts{"Priority", "MaxAttempts"})
@@ -407,8 +415,8 @@
 {
     const std::string wide = R"({"Count":2147483648})";
     for (const std::string &text :
-         Texts{R"({"TaskSpec":"x","RepeatCount":2147483648,"Steps":[)" + wide + "," + wide + ","
-                   + wide + "," + wide + "]}",
+         Texts{joined({R"({"TaskSpec":"x","RepeatCount":2147483648,"Steps":[)", wide, ",", wide,
+                       ",", wide, ",", wide, "]}"}),
                R"({"TaskSpec":"x","Steps":[{"Count":4294967295}]})",
                R"({"TaskSpec":"x","Steps":[{"Count":4294967297}]})",
                R"({"TaskSpec":"x","RepeatCount":4294967295,"Steps":[{}]})",
@@ -432,7 +440,7 @@
         for (const std::string &value : badAmounts) {
             reason = {};
             checkRefused(decodeSubmission(with(submission, name, value), reason).has_value(),
-                         name + " " + value, reason);
+                         joined({name, " ", value}), reason);
         }
     }
     for (const std::string &after :
@@ -457,7 +465,7 @@
         for (const std::string &value : badAmounts) {
             reason = {};
             checkRefused(decodeLeader(with(leader, name, value), reason).has_value(),
-                         name + " " + value, reason);
+                         joined({name, " ", value}), reason);
         }
     }
     for (const std::string &text :
@@ -534,7 +542,7 @@
     for (const std::string &value : badAmounts) {
         CHECK_TEXT(!progress(R"({"outcome":)" + value + R"(,"tasks":[]})"), value.c_str());
         for (const std::string &prefix : Texts{"", "1,", "1,1,", "1,1,1,", "1,1,1,1,"}) {
-            const std::string row = "[" + prefix + value + "]";
+            const std::string row = joined({"[", prefix, value, "]"});
             // The fifth field may also be the text of a worker.
             if (prefix != "1,1,1,1," || value != "\"1\"")
                 CHECK_TEXT(!progress(R"({"workers":["h"],"tasks":[)" + row + "]}"), row.c_str());
@@ -555,7 +563,7 @@
                "firstRunUnixMs", "intervalMs", "repeatCount"}) {
         for (const std::string &value : badAmounts)
             CHECK_TEXT(!decodeJob(with(accepted, name, value), reason).has_value(),
-                       (name + " " + value).c_str());
+                       joined({name, " ", value}).c_str());
     }
     CHECK(!decodeJob(with(accepted, "id", deepObject), reason).has_value());
     JobTable table;
@@ -574,7 +582,7 @@
         for (const std::string &value : badAmounts) {
             reason = {};
             checkRefused(decodeHostReport(with(hostReport, name, value), reason).has_value(),
-                         name + " " + value, reason);
+                         joined({name, " ", value}), reason);
         }
     }
     for (const auto &[name, value] :
@@ -600,7 +608,7 @@
         for (const std::string &value : badAmounts) {
             reason = {};
             checkRefused(decodeHostOrders(with(hostOrders, name, value), reason).has_value(),
-                         name + " " + value, reason);
+                         joined({name, " ", value}), reason);
         }
     }
     for (const std::string &address : Texts{"10.0.0.1:65536", "10.0.0.1:0", "10.0.0.1"})
@@ -643,12 +651,12 @@
     const std::string good = storedRecord(std::string("\x03") + "a/1" + "value");
     for (const std::string &odd :
          Texts{storedRecord(""), storedRecord("\xff"), storedRecord(std::string("\x09") + "a/1")}) {
-        const ReadResult last = server.readOfTheStore(header + good + odd, 7);
+        const ReadResult last = server.readOfTheStore(joined({header, good, odd}), 7);
         CHECK(last.answered);
         LONGS_EQUAL(2, last.records.size());
         LONGS_EQUAL(8, last.records[1].offset);
         CHECK(!parseKey(last.records[1].record.key).has_value());
-        const ReadResult middle = server.readOfTheStore(header + odd + good, 7);
+        const ReadResult middle = server.readOfTheStore(joined({header, odd, good}), 7);
         LONGS_EQUAL(2, middle.records.size());
         LONGS_EQUAL(8, middle.records[1].offset);
         STRCMP_EQUAL("a/1", middle.records[1].record.key.c_str());
@@ -667,7 +675,7 @@
     for (const std::string &name : Texts{"End", "Offset"}) {
         for (const std::string &value : badAmounts) {
             const NewestResult result = server.newestOfTheStore(with(page, name, value));
-            CHECK_TEXT(!result.answered, (name + " " + value).c_str());
+            CHECK_TEXT(!result.answered, joined({name, " ", value}).c_str());
             CHECK(!result.error.empty());
         }
     }
