Issue another token to a worker that has accepted a higher one than its own

A worker could be left without starts and stops for as long as its leader leads: runs of cancelled jobs ran on there, and its capacity was lost.

Cause: an agent that was restarted follows its first heartbeat without a probe. If this one states a wrong id or start time, or is one that was delayed, and the worker is too busy to answer, the leader issues a token for it. When the worker answers, the agent returns to it with a minimum token above the one just issued, and the worker accepts that. The leader still uses the token that it had issued to this worker before, which is lower. The agent sends no start and no stop while the two differ, the leader ignores its reports, and each report is answered at once.

Ruled out: lowering the agent's minimum token. The worker may have executed a poll with the wrong heartbeat's token already, and then rejects the lower one.

Change: the leader issues another token when a report states a higher one of its own epoch.

Before, workerWithAHigherTokenThanItsOwnGetsANewOne failed: the order's token was lower than the one in force. tokenOfALaterLeaderIsNotAnswered passed before and guards the limit of the change.

--- a/flamingo/scheduler/scheduler.cc
+++ b/flamingo/scheduler/scheduler.cc
@@ -252,6 +252,26 @@
     }
 }
 
+std::uint64_t issueToken(Scheduler &scheduler)
+{
+    return scheduler.epoch * tokensPerEpoch + ++scheduler.issuedTokens;
+}
+
+// Issues another token to a worker that has accepted a higher one of this epoch than its own, and
+// would reject its own for ever. That happens when an agent that was restarted first followed a
+// heartbeat with a wrong id or start time, for which a token was issued too. A token of a later
+// epoch is left alone: this leader has a successor.
+void replaceOutdatedToken(Scheduler &scheduler, Worker &worker, std::uint64_t accepted)
+{
+    if (accepted <= worker.fencingToken || accepted >= (scheduler.epoch + 1) * tokensPerEpoch)
+        return;
+    worker.fencingToken = issueToken(scheduler);
+    worker.fenced = false;
+    logDecision(scheduler,
+                "event=token_replaced worker=" + worker.key + " accepted="
+                    + std::to_string(accepted) + " token=" + std::to_string(worker.fencingToken));
+}
+
 Worker &findOrAddWorker(Scheduler &scheduler, const std::string &key, const HostReport &report)
 {
     const auto found = scheduler.workers.find(key);
@@ -260,7 +280,7 @@
     Worker &worker = scheduler.workers[key];
     worker.key = key;
     worker.host = report.host;
-    worker.fencingToken = scheduler.epoch * tokensPerEpoch + ++scheduler.issuedTokens;
+    worker.fencingToken = issueToken(scheduler);
     adoptAssignments(scheduler, worker);
     logDecision(scheduler,
                 "event=worker_found worker=" + key + " host=" + report.host
@@ -558,6 +578,7 @@
     host.workerKey = key;
     worker.info = *report.worker;
     worker.lastReport = now;
+    replaceOutdatedToken(scheduler, worker, report.fencingToken);
     // The worker has not confirmed this leader's token, so its lists may still change by orders of
     // an earlier leader.
     if (report.fencingToken != worker.fencingToken)
--- a/tests/scheduler_test.cc
+++ b/tests/scheduler_test.cc
@@ -503,6 +503,34 @@
     CHECK(rig.scheduler.workers.begin()->second.fencingToken > last);
 }
 
+// Guards against a worker that no order reaches any more. An agent that was restarted and first
+// followed a wrong heartbeat uses a higher token than the one that the leader had issued to the
+// worker; the worker rejects lower ones.
+TEST(Scheduler, workerWithAHigherTokenThanItsOwnGetsANewOne)
+{
+    rig.addWorker("h1");
+    rig.accept(rig.makeJob("a", 1, 2));
+    rig.sendReport("h1");
+    rig.reportOf("h2").worker->id = "w-of-a-wrong-heartbeat";
+    const std::uint64_t wrongToken = rig.sendReport("h2").fencingToken;
+    rig.cancel("a");
+    HostReport &report = rig.nextReports.at("h1");
+    report.fencingToken = wrongToken + 1;
+    const HostOrders orders = rig.sendReport("h1");
+    CHECK(orders.fencingToken >= wrongToken + 1);
+    CHECK_EQUAL(1, orders.stops.size() + rig.sendReport("h1").stops.size());
+}
+
+// As above, for a token of a later leader: a former leader must not use up its own tokens.
+TEST(Scheduler, tokenOfALaterLeaderIsNotAnswered)
+{
+    rig.addWorker("h1");
+    const std::uint64_t issued = rig.scheduler.issuedTokens;
+    rig.nextReports.at("h1").fencingToken = std::uint64_t(1) << 50;
+    rig.sendReport("h1");
+    CHECK_EQUAL(issued, rig.scheduler.issuedTokens);
+}
+
 // While a host's reports are delayed, the leader does not learn of the progress of its runs; they
 // must not be stopped as stalled.
 TEST(Scheduler, missingReportsAreNotTreatedAsLackOfProgress)
