Stop a run that is ordered at a draining worker before reporting it as gone

A task could run twice: its next run was placed while an earlier start could still begin on a draining worker.

Cause: the agent reported a start order for a draining worker as gone at once, because it had sent no start. An earlier process of the agent may have sent it, without an answer, and the worker may execute it seconds later. The leader orders such a run again when the new process does not report it.

Ruled out: an order that this process has received before; the run is then in its table or was stopped.

Change: the agent sends the stop, after which the worker rejects the run, and reports the run as gone when a later list does not contain it.

--- a/flamingo/scheduler/host_agent.cc
+++ b/flamingo/scheduler/host_agent.cc
@@ -10,8 +10,8 @@
 //
 // A listed run that the agent did not start is added as Running, and a stop order for an unknown
 // run adds the run as Stopping. A run is also removed in any state but Gone when the worker lists
-// its end, and in Starting or Stopping when a call is fenced. If the worker is draining, a new
-// start order leads to Gone at once, and a Starting run to Stopping.
+// its end, and in Starting or Stopping when a call is fenced. If the worker is draining, a start
+// order and a Starting run lead to Stopping.
 //
 // A Gone run is kept until the leader has answered a report that lists it.
 
@@ -452,11 +452,9 @@
         if (!added)
             continue;
         found->second.order = order;
-        if (!agent.worker->draining)
-            continue;
-        found->second.state = RunState::Gone;
-        found->second.reason = "the worker is draining";
-        agent.reportNeeded = true;
+        // An earlier process of the agent may have sent the start already.
+        if (agent.worker->draining)
+            beginStop(agent, found->second, "the worker is draining", now);
     }
 }
 
--- a/tests/host_agent_test.cc
+++ b/tests/host_agent_test.cc
@@ -487,3 +487,19 @@
     fixture.apply(staleOrders);
     CHECK(fixture.reportedState("t") == RunState::Unknown);
 }
+
+// Guards against a task that runs twice: an earlier process of the agent may have sent the start
+// without an answer, and the worker may still execute it.
+TEST(HostAgent, startOrderForADrainingWorkerIsGoneOnlyAfterItsStopAndAPoll)
+{
+    fixture.fenceWorker();
+    CHECK(fixture.heartbeat(1, 2, true));
+    fixture.orderStart();
+    CHECK(fixture.reportedState("t") == RunState::Stopping);
+    const auto stop = fixture.nextCall<StopCall>();
+    CHECK(stop.has_value());
+    applyAnswer(fixture.agent, *stop, fixture.answer(), fixture.now);
+    CHECK(fixture.reportedState("t") == RunState::Stopping);
+    fixture.pollNow();
+    CHECK(fixture.reportedState("t") == RunState::Gone);
+}
