Wait before a stop is repeated that the worker rejected without its clock

A worker that rejects a stop as invalid (status 400) and still lists the run was sent stops and polls without a pause, with two log lines each.

Cause: only answers with status 200 and 409 are read for the worker's clock. The stop counted as answered at 0 on that clock, so the next list, which the agent requests at once, showed it as overdue. Found by reading; workers are not known to reject a stop that is well-formed.

Change: without a clock in the answer, the newest reading counts.

Before, rejectedStopWithoutAClockIsNotRepeatedAtOnce failed: a stop was due at once. Now host_agent_test passes.

--- a/flamingo/scheduler/host_agent.cc
+++ b/flamingo/scheduler/host_agent.cc
@@ -255,7 +255,8 @@
     logStopAnswer(agent, found->first, answer);
     if (answer.result == CallResult::Done || answer.result == CallResult::Refused) {
         run.stopAnswered = true;
-        run.confirmedClockMs = answer.clockMs;
+        // A rejection may lack the clock.
+        run.confirmedClockMs = answer.clockMs == 0 ? agent.workerClockMs : answer.clockMs;
         agent.pollNeeded = true;
         return;
     }
--- a/tests/host_agent_test.cc
+++ b/tests/host_agent_test.cc
@@ -503,3 +503,24 @@
     fixture.pollNow();
     CHECK(fixture.reportedState("t") == RunState::Gone);
 }
+
+// Guards against a flood of calls: the answer with which a worker rejects a stop may lack its
+// clock.
+TEST(HostAgent, rejectedStopWithoutAClockIsNotRepeatedAtOnce)
+{
+    fixture.workerClock = 100000;
+    fixture.fenceWorker();
+    fixture.listedRuns = {{"t", 1, RunState::Running, 10, "", ""}};
+    fixture.pollNow();
+    HostOrders orders = fixture.orders();
+    orders.stops.push_back({"t", 1});
+    fixture.apply(orders);
+    const auto stop = fixture.nextCall<StopCall>();
+    WorkerAnswer answer = fixture.answer(CallResult::Refused);
+    answer.clockMs = 0;
+    applyAnswer(fixture.agent, *stop, answer, fixture.now);
+    CHECK(!fixture.nextCall<StopCall>().has_value());
+    fixture.advance(fixture.agent.options.stopMs);
+    fixture.pollNow();
+    CHECK(fixture.nextCall<StopCall>().has_value());
+}
