Do not count a leader's stored append as a read of the log

A leader whose appends were stored while its reads were not answered said "no such job" (410) for jobs that other entries had accepted, and stayed ready.

Cause: logReadIsRecent() compared `logConfirmedAt`, which a stored append advances too. The append proves that no other leader had begun; it shows nothing about the acceptances of others.

Change: the time up to which the table is complete is kept by itself. Answered reads that reach the end of the log advance it, and a load, to the time at which its first page was requested.

Before, storedAppendsDoNotReplaceReadsOfTheLog failed: the read still counted as recent 600 ms after the last answered one, with a limit of 200 ms. Now scheduler_service_test passes 2 of 2 times, job_end_test passes.

--- a/flamingo/adapters/scheduler_service.cc
+++ b/flamingo/adapters/scheduler_service.cc
@@ -66,6 +66,7 @@
         this->logLoaded = false;
         this->firstPageLoaded = false;
         this->loadedOffsets.clear();
+        this->loadStartedAt = Loop::now();
     }
     const TimeMs sentAt = Loop::now();
     this->log.newest(
@@ -101,6 +102,7 @@
         return;
     }
     this->logLoaded = true;
+    this->tableReadAt = std::max(this->tableReadAt, this->loadStartedAt);
     this->decisions.write("event=job_log_loaded jobs="
                           + std::to_string(this->scheduling.table.jobs.size())
                           + " offset=" + std::to_string(this->nextOffset)
@@ -296,7 +298,7 @@
 
 bool SchedulerService::logReadIsRecent() const
 {
-    return this->logLoaded && Loop::now() - this->logConfirmedAt <= this->options.recentReadMs;
+    return this->logLoaded && Loop::now() - this->tableReadAt <= this->options.recentReadMs;
 }
 
 void SchedulerService::tick()
--- a/flamingo/adapters/scheduler_service.h
+++ b/flamingo/adapters/scheduler_service.h
@@ -117,7 +117,7 @@
         return this->scheduling.table;
     }
 
-    // True when the log is loaded and `logConfirmedAt` is so recent that a job missing from the
+    // True when the log is loaded and `tableReadAt` is so recent that a job missing from the
     // table does not exist.
     bool logReadIsRecent() const;
 
@@ -241,6 +241,7 @@
     scheduler::Leadership leadership;
     Role role = Role::Following;
     bool logLoaded = false;
+    TimeMs loadStartedAt = 0; // when the first page of the last load was requested
     bool firstPageLoaded = false; // the first page of a load has set `nextOffset`
     std::uint64_t nextOffset = 0; // of the next record to read
     // Offset of the newest record of each key that the load has applied; older ones are skipped.
--- a/tests/scheduler_service_test.cc
+++ b/tests/scheduler_service_test.cc
@@ -600,3 +600,25 @@
     fixture.waitUntil([&outcome] { return outcome.has_value(); });
     CHECK(*outcome == SchedulerService::CancelOutcome::NotStored);
 }
+
+// Guards against "no such job" for an accepted job, from a leader whose appends are stored while
+// its reads are not answered: an append shows nothing about the jobs that others have accepted.
+TEST(SchedulerService, storedAppendsDoNotReplaceReadsOfTheLog)
+{
+    SchedulerServiceOptions options;
+    options.process = "a";
+    options.readWaitMs = testTimeoutMs;
+    options.recentReadMs = 200;
+    options.leadership.keepAliveMs = 50;
+    options.leadership.firstLeaderTimeoutMs = 50;
+    options.leadership.randomDelayMs = 100;
+    Entry &entry = fixture.entries.emplace_back(fixture.loop, fixture.state, options);
+    fixture.start();
+    fixture.waitUntil([&entry] { return entry.service.leading(); });
+    fixture.runFor(100);
+    CHECK(entry.service.logReadIsRecent());
+    entry.log.waitsInFull = true;
+    fixture.runFor(600);
+    CHECK(entry.service.leading());
+    CHECK(!entry.service.logReadIsRecent());
+}
