Follow a worker with another id whatever its start time

After the clock of a host was set back, its next worker could be ignored for as long as the agent ran: its capacity was lost, and its draining state was acknowledged but not used.

Cause: heartbeats with an earlier start time than the current worker's were dropped as those of a former incarnation, also under another id. Found by reading; that workers' start times follow a clock that is set back is possible, not shown.

Change: start times are compared only under one id. A delayed heartbeat of a former worker with another id becomes the candidate, and the probe rejects it, because the worker on the host answers with status 421.

Remains: under the same id an earlier start time still counts as that of a former incarnation.

Before, nextWorkerIsFollowedAfterTheClockWasSetBack failed: the heartbeat was dropped.

--- a/flamingo/scheduler/host_agent.cc
+++ b/flamingo/scheduler/host_agent.cc
@@ -384,7 +384,7 @@
         followWorker(agent, info, sequence, now);
         return true;
     }
-    if (info.bornUnixMs < agent.worker->bornUnixMs)
+    if (info.id == agent.worker->id && info.bornUnixMs < agent.worker->bornUnixMs)
         return false;
     if (!isSameIncarnation(info, *agent.worker))
         return considerCandidate(agent, info, sequence, now);
--- a/flamingo/scheduler/host_agent.h
+++ b/flamingo/scheduler/host_agent.h
@@ -149,8 +149,8 @@
 
 // Applies a heartbeat to the agent's state. The first one is followed at once; one of another
 // incarnation than the current worker's makes it the candidate. Returns false, without a change,
-// for a heartbeat of an earlier incarnation or one that is not newer than the last of its
-// incarnation.
+// for a heartbeat of an earlier incarnation under the same id or one that is not newer than the
+// last of its incarnation. Start times of different ids are not compared: clocks may be set back.
 bool applyHeartbeat(HostAgent &agent, const WorkerInfo &info, std::uint64_t sequence, TimeMs now);
 
 // Applies the worker's deregistration: the worker counts as draining, and as gone at the first call
--- a/tests/host_agent_test.cc
+++ b/tests/host_agent_test.cc
@@ -524,3 +524,17 @@
     fixture.pollNow();
     CHECK(fixture.nextCall<StopCall>().has_value());
 }
+
+// Guards against a host that is lost: when its clock was set back, the next worker states an
+// earlier start time than its predecessor.
+TEST(HostAgent, nextWorkerIsFollowedAfterTheClockWasSetBack)
+{
+    CHECK(fixture.heartbeat(5, 1));
+    fixture.confirmCandidate();
+    WorkerInfo next;
+    next.id = "next";
+    next.bornUnixMs = 3;
+    CHECK(applyHeartbeat(fixture.agent, next, 1, fixture.now));
+    fixture.confirmCandidate();
+    STRCMP_EQUAL("next", fixture.agent.worker->id.c_str());
+}
