--- a/flamingo/scheduler/host_agent.cc
+++ b/flamingo/scheduler/host_agent.cc
@@ -10,8 +10,8 @@
 //
 // A listed run that the agent did not start is added as Running, and a stop order for an unknown
 // run adds the run as Stopping. A run is also removed in any state but Gone when the worker lists
-// its end, and in Starting or Stopping when a call is fenced. If the worker is draining, a new
-// start order leads to Gone at once, and a Starting run to Stopping.
+// its end, and in Starting or Stopping when a call is fenced. If the worker is draining, a start
+// order and a Starting run lead to Stopping.
 //
 // A Gone run is kept until the leader has answered a report that lists it.
 
@@ -256,7 +256,8 @@
     logStopAnswer(agent, found->first, answer);
     if (answer.result == CallResult::Done || answer.result == CallResult::Refused) {
         run.stopAnswered = true;
-        run.confirmedClockMs = answer.clockMs;
+        // A rejection may lack the clock.
+        run.confirmedClockMs = answer.clockMs == 0 ? agent.workerClockMs : answer.clockMs;
         agent.pollNeeded = true;
         return;
     }
@@ -384,7 +385,7 @@
         followWorker(agent, info, sequence, now);
         return true;
     }
-    if (info.bornUnixMs < agent.worker->bornUnixMs)
+    if (info.id == agent.worker->id && info.bornUnixMs < agent.worker->bornUnixMs)
         return false;
     if (!isSameIncarnation(info, *agent.worker))
         return considerCandidate(agent, info, sequence, now);
@@ -453,11 +454,9 @@
         if (!added)
             continue;
         found->second.order = order;
-        if (!agent.worker->draining)
-            continue;
-        found->second.state = RunState::Gone;
-        found->second.reason = "the worker is draining";
-        agent.reportNeeded = true;
+        // An earlier process of the agent may have sent the start already.
+        if (agent.worker->draining)
+            beginStop(agent, found->second, "the worker is draining", now);
     }
 }
 
--- a/tests/host_agent_test.cc
+++ b/tests/host_agent_test.cc
@@ -498,3 +498,54 @@
     fixture.apply(staleOrders);
     CHECK(fixture.reportedState("t") == RunState::Unknown);
 }
+
+// Guards against a task that runs twice: an earlier process of the agent may have sent the start
+// without an answer, and the worker may still execute it.
+TEST(HostAgent, startOrderForADrainingWorkerIsGoneOnlyAfterItsStopAndAPoll)
+{
+    fixture.fenceWorker();
+    CHECK(fixture.heartbeat(1, 2, true));
+    fixture.orderStart();
+    CHECK(fixture.reportedState("t") == RunState::Stopping);
+    const auto stop = fixture.nextCall<StopCall>();
+    CHECK(stop.has_value());
+    applyAnswer(fixture.agent, *stop, fixture.answer(), fixture.now);
+    CHECK(fixture.reportedState("t") == RunState::Stopping);
+    fixture.pollNow();
+    CHECK(fixture.reportedState("t") == RunState::Gone);
+}
+
+// Guards against a flood of calls: the answer with which a worker rejects a stop may lack its
+// clock.
+TEST(HostAgent, rejectedStopWithoutAClockIsNotRepeatedAtOnce)
+{
+    fixture.workerClock = 100000;
+    fixture.fenceWorker();
+    fixture.listedRuns = {{"t", 1, RunState::Running, 10, "", ""}};
+    fixture.pollNow();
+    HostOrders orders = fixture.orders();
+    orders.stops.push_back({"t", 1});
+    fixture.apply(orders);
+    const auto stop = fixture.nextCall<StopCall>();
+    WorkerAnswer answer = fixture.answer(CallResult::Refused);
+    answer.clockMs = 0;
+    applyAnswer(fixture.agent, *stop, answer, fixture.now);
+    CHECK(!fixture.nextCall<StopCall>().has_value());
+    fixture.advance(fixture.agent.options.stopMs);
+    fixture.pollNow();
+    CHECK(fixture.nextCall<StopCall>().has_value());
+}
+
+// Guards against a host that is lost: when its clock was set back, the next worker states an
+// earlier start time than its predecessor.
+TEST(HostAgent, nextWorkerIsFollowedAfterTheClockWasSetBack)
+{
+    CHECK(fixture.heartbeat(5, 1));
+    fixture.confirmCandidate();
+    WorkerInfo next;
+    next.id = "next";
+    next.bornUnixMs = 3;
+    CHECK(applyHeartbeat(fixture.agent, next, 1, fixture.now));
+    fixture.confirmCandidate();
+    STRCMP_EQUAL("next", fixture.agent.worker->id.c_str());
+}
