--- a/tests/odd_records_test.cc
+++ b/tests/odd_records_test.cc
@@ -459,7 +459,7 @@
         std::remove(fileName);
     }
 
-    CtlExit run(const std::vector<std::string> &words, const std::string &answer)
+    CtlExit runCommand(const std::vector<std::string> &words, const std::string &answer)
     {
         Loop loop;
         FakeServer server(loop);
@@ -481,12 +481,13 @@
     const std::vector<std::vector<std::string>> reads = {
         {"status"}, {"table", "get"}, {"table", "history"}, {"target", "list"}};
     for (const auto &words : reads) {
-        CHECK(this->run(words, R"({"x":)" + nested(deepLevels) + "}") == CtlExit::Unreachable);
+        CHECK(this->runCommand(words, R"({"x":)" + nested(deepLevels) + "}")
+              == CtlExit::Unreachable);
         CHECK(contains(this->err.str(), "nested deeper") || words[1] == "get");
         CHECK_FALSE(this->err.str().empty());
     }
     // The job was sent and may run.
-    CHECK(this->run({"job", "submit", "organisation=fjord"}, nested(deepLevels))
+    CHECK(this->runCommand({"job", "submit", "organisation=fjord"}, nested(deepLevels))
           == CtlExit::MayHaveRun);
     CHECK(contains(this->err.str(), "nested deeper"));
 }
@@ -495,7 +496,7 @@
 {
     std::ofstream(fileName) << R"({"organisations":[{"name":"a","guarantees":)"
                             << nested(deepLevels) << "}]}";
-    CHECK(this->run({"table", "edit", fileName}, "{}") == CtlExit::BadInput);
+    CHECK(this->runCommand({"table", "edit", fileName}, "{}") == CtlExit::BadInput);
     CHECK(contains(this->err.str(), "nested deeper"));
 }
 
@@ -504,7 +505,7 @@
     for (const char *number : {"-1", "4294967296", "18446744073709551616", "1e300", "0.5"}) {
         const std::string table =
             R"({"version":1,"organisations":[{"name":"a","weight":)" + std::string(number) + "}]}";
-        CHECK(this->run({"table", "get"}, table) == CtlExit::Unreachable);
+        CHECK(this->runCommand({"table", "get"}, table) == CtlExit::Unreachable);
         CHECK(contains(this->err.str(), "weight"));
         std::vector<std::string> errors;
         CHECK_FALSE(parseTableCsv("name,homeRegion,weight,limitAccelerators,limitSlots,guarantees\n"
@@ -523,15 +524,16 @@
 // text follow a comment with a quotation mark.
 TEST(OddSettings, deeplyNestedValueIsReported)
 {
-    for (const std::string start : {"{", "/* \" */ {"}) {
+    const std::string deep = nested(deepSettingsLevels);
+    for (const char *start : {"{", "/* \" */ {"}) {
         std::vector<std::string> errors;
-        CHECK_FALSE(
-            parseEntrySettings(start + R"("maxQueued":)" + nested(deepSettingsLevels) + "}", errors)
-                .has_value());
+        std::ostringstream entry;
+        entry << start << R"("maxQueued":)" << deep << "}";
+        CHECK_FALSE(parseEntrySettings(entry.str(), errors).has_value());
         CHECK_EQUAL(std::string("settings: nested deeper than 64 levels"), errors[0]);
-        CHECK_FALSE(
-            parseAgentSettings(start + R"("name":)" + nested(deepSettingsLevels) + "}", errors)
-                .has_value());
+        std::ostringstream agent;
+        agent << start << R"("name":)" << deep << "}";
+        CHECK_FALSE(parseAgentSettings(agent.str(), errors).has_value());
     }
 }
 
@@ -546,8 +548,8 @@
     for (const char *port : {"0", "65536", "-1", "99999", "18446744073709551617", ""}) {
         std::vector<std::string> errors;
         const std::string address = "127.0.0.1:" + std::string(port);
-        parseAgentSettings(
-            R"({"workerAddress":")" + address + R"(","seeds":[")" + address + R"("]})", errors);
+        const Json settings = {{"workerAddress", address}, {"seeds", Json::array({address})}};
+        parseAgentSettings(settings.dump(), errors);
         CHECK(std::any_of(errors.begin(), errors.end(), [](const auto &error) {
             return contains(error, "workerAddress: found");
         }));
