Ignore a late answer of a worker's former incarnation

An agent whose worker had restarted under the same id went back to the former incarnation when an answer of it came late, because a worker counted as unconfirmed after a restart that its own answers had shown. Found by reading; lateAnswerOfAFormerIncarnationIsIgnored failed before (start time 1 instead of 2).

The worker counts as confirmed when it has answered with this start time.

--- a/flamingo/scheduler/host_agent.cc
+++ b/flamingo/scheduler/host_agent.cc
@@ -337,6 +337,7 @@
     if (agent.candidate && agent.candidate->id == agent.worker->id
         && agent.candidate->bornUnixMs == bornUnixMs) {
         followWorker(agent, WorkerInfo(*agent.candidate), agent.candidateSequence, now);
+        agent.workerConfirmed = true;
         return;
     }
     logDecision(agent,
@@ -345,6 +346,7 @@
     resetWorkerState(agent);
     agent.worker->bornUnixMs = bornUnixMs;
     agent.worker->draining = false;
+    agent.workerConfirmed = true;
 }
 
 // Applies the answer to a probe of the candidate. A probe carries no fencing token, so a worker
@@ -370,6 +372,7 @@
         return;
     }
     followWorker(agent, WorkerInfo(*agent.candidate), agent.candidateSequence, now);
+    agent.workerConfirmed = answer.bornUnixMs != 0;
 }
 
 const std::string &targetWorkerId(const WorkerCall &call)
--- a/flamingo/scheduler/host_agent.h
+++ b/flamingo/scheduler/host_agent.h
@@ -117,7 +117,7 @@
     std::uint64_t epoch = 0; // highest epoch of a leader that has sent orders
     std::optional<WorkerInfo> worker; // nullopt: no heartbeat received yet
     std::uint64_t heartbeatSequence = 0; // of the newest heartbeat of the worker's incarnation
-    bool workerConfirmed = false; // the worker has answered under its id
+    bool workerConfirmed = false; // the worker has answered under its id and start time
     // A worker whose heartbeat was received and which has not confirmed it yet.
     std::optional<WorkerInfo> candidate;
     std::uint64_t candidateSequence = 0; // of its newest heartbeat
--- a/tests/host_agent_test.cc
+++ b/tests/host_agent_test.cc
@@ -452,6 +452,18 @@
     STRCMP_EQUAL("real", fixture.agent.worker->id.c_str());
 }
 
+// Guards against an agent that goes back to a former incarnation because an answer of it is late.
+TEST(HostAgent, lateAnswerOfAFormerIncarnationIsIgnored)
+{
+    fixture.fenceWorker();
+    for (const std::uint64_t bornUnixMs : {2, 1}) {
+        WorkerAnswer answer = fixture.answer();
+        answer.bornUnixMs = bornUnixMs;
+        applyAnswer(fixture.agent, PollCall{"w", leaderToken, 0, 0, 0, false}, answer, fixture.now);
+        CHECK_EQUAL(2, fixture.agent.worker->bornUnixMs);
+    }
+}
+
 TEST(HostAgent, startTimeOfAFirstHeartbeatIsCorrectedByTheWorker)
 {
     WorkerAnswer answer = fixture.answer();
