--- a/review/rig/worker.cc
+++ b/review/rig/worker.cc
@@ -104,26 +104,36 @@
     return this->runs.size();
 }
 
+int Worker::sendHeartbeat(const std::string &service, std::uint64_t sequence)
+{
+    const Json body = {{"Service", service},
+                       {"Address", this->options.ip + ":" + std::to_string(this->options.port)},
+                       {"Zone", "z1"},
+                       {"Version", "v1"},
+                       {"Slots", 8},
+                       {"State", "ready"},
+                       {"ColdRemainingMs", 0},
+                       {"Capacity", {{"Cpu", 64000}, {"MemMb", 262144}, {"Gpus", 8}}},
+                       {"Labels", {"a", this->options.rack}},
+                       {"ClockMs", this->clock()},
+                       {"born", this->bornUnixMs},
+                       {"Sequence", sequence}};
+    return call(this->options.agentIp, this->options.agentPort, "POST",
+                "/api/Instances.Heartbeat/" + this->options.id,
+                {{"content-type", "application/json"}}, body.dump(), 1000)
+        .status;
+}
+
+int Worker::sendForeignHeartbeat(const std::string &service, std::uint64_t sequence)
+{
+    return this->sendHeartbeat(service, sequence);
+}
+
 void Worker::beat()
 {
     std::uint64_t sequence = 0;
     while (!this->over) {
-        const Json body = {
-            {"Service", this->options.service},
-            {"Address", this->options.ip + ":" + std::to_string(this->options.port)},
-            {"Zone", "z1"},
-            {"Version", "v1"},
-            {"Slots", 8},
-            {"State", "ready"},
-            {"ColdRemainingMs", 0},
-            {"Capacity", {{"Cpu", 64000}, {"MemMb", 262144}, {"Gpus", 8}}},
-            {"Labels", {"a", this->options.rack}},
-            {"ClockMs", this->clock()},
-            {"born", this->bornUnixMs},
-            {"Sequence", ++sequence}};
-        call(this->options.agentIp, this->options.agentPort, "POST",
-             "/api/Instances.Heartbeat/" + this->options.id, {{"content-type", "application/json"}},
-             body.dump(), 1000);
+        this->sendHeartbeat(this->options.service, ++sequence);
         for (std::int64_t slept = 0; slept < beatMs && !this->over; slept += 50)
             sleepMs(50);
     }
--- a/review/rig/worker.h
+++ b/review/rig/worker.h
@@ -46,6 +46,9 @@
     // Ends a run of the task now. False when there is none.
     bool endRun(const std::string &task, const std::string &how);
     std::size_t runningCount();
+    // Sends a heartbeat with another service and sequence number, as another writer may. Returns
+    // the status of the answer.
+    int sendForeignHeartbeat(const std::string &service, std::uint64_t sequence);
 
 private:
     using RunKey = std::pair<std::string, std::uint32_t>;
@@ -69,6 +72,7 @@
     void finish(const RunKey &key, const std::string &how);
     void work();
     void beat();
+    int sendHeartbeat(const std::string &service, std::uint64_t sequence);
     std::int64_t clock() const;
     std::string savedOf(const RunKey &key) const;
 
