--- a/review/rig/worker.cc
+++ b/review/rig/worker.cc
@@ -114,7 +114,7 @@
                        {"State", "ready"},
                        {"ColdRemainingMs", 0},
                        {"Capacity", {{"Cpu", 64000}, {"MemMb", 262144}, {"Gpus", 8}}},
-                       {"Labels", {"a", this->options.rack}},
+                       {"Labels", {this->options.kind, this->options.rack}},
                        {"ClockMs", this->clock()},
                        {"born", this->bornUnixMs},
                        {"Sequence", sequence}};
@@ -177,6 +177,11 @@
     const auto expected = request.headers.find("x-expect-instance");
     if (expected != request.headers.end() && expected->second != this->options.id)
         return {421, "{}"};
+    if (this->hanging) {
+        while (this->hanging && !this->over)
+            sleepMs(stepMs);
+        return {0, ""};
+    }
     const Json body = Json::parse(request.body, nullptr, false);
     if (!body.is_object())
         return {400, "{}"};
--- a/review/rig/worker.h
+++ b/review/rig/worker.h
@@ -25,6 +25,7 @@
     int agentPort = 0;
     std::string service;
     std::string rack;
+    std::string kind = "a";
     std::int64_t stopMs = 200; // a stop takes this long; at most Bounds.StopMs
     // Called with "start TASK RUN", "end TASK RUN HOW" and "taken TASK RUN HOW", the last when the
     // end is acknowledged.
@@ -46,6 +47,8 @@
     // Ends a run of the task now. False when there is none.
     bool endRun(const std::string &task, const std::string &how);
     std::size_t runningCount();
+    // While set, orders are neither carried out nor answered; heartbeats go on.
+    std::atomic<bool> hanging{false};
     // Sends a heartbeat with another service and sequence number, as another writer may. Returns
     // the status of the answer.
     int sendForeignHeartbeat(const std::string &service, std::uint64_t sequence);
