--- a/review/1/case.cc
+++ b/review/1/case.cc
@@ -51,8 +51,7 @@
     std::int64_t idleFor = 0;
     while (nowMs() < until) {
         sleepMs(50);
-        const std::size_t running =
-            rig.workers[0]->runningCount() + rig.workers[1]->runningCount();
+        const std::size_t running = rig.workers[0]->runningCount() + rig.workers[1]->runningCount();
         if (running > 0)
             idleSince = 0;
         else if (idleSince == 0)
@@ -62,8 +61,8 @@
     rig.show(1, "batch", job);
     broken = idleFor >= restartMs + idleMs - 500;
     rig.note("test",
-             broken ? "LOST: nothing of the long-running job has run for "
-                     + std::to_string(idleFor) + " ms"
+             broken ? "LOST: nothing of the long-running job has run for " + std::to_string(idleFor)
+                     + " ms"
                     : "held");
     std::cout << (broken ? "broken\n" : "held\n");
     return broken ? exitBroken : exitHeld;
--- a/review/2/case.cc
+++ b/review/2/case.cc
@@ -29,8 +29,7 @@
     const Response accepted =
         rig.submit(0, "batch", job,
                    R"({"TaskSpec":")" + std::to_string(workMs) + R"(","Steps":[{"Count":)"
-                       + std::to_string(tasks)
-                       + R"(,"Cpu":100,"MemMb":100,"EstimateMs":6000}]})");
+                       + std::to_string(tasks) + R"(,"Cpu":100,"MemMb":100,"EstimateMs":6000}]})");
     if (accepted.status != 200)
         return exitNotRun;
     sleepMs(workMs - 1500);
@@ -44,8 +43,7 @@
         rig.note("test", "the store is up");
     }
     const std::int64_t until = nowMs() + 25000;
-    while (nowMs() < until
-           && rig.show(1, "batch", job).body.find("completed") == std::string::npos)
+    while (nowMs() < until && rig.show(1, "batch", job).body.find("completed") == std::string::npos)
         sleepMs(500);
     sleepMs(1000);
     std::map<std::string, std::uint32_t> doneRun;
@@ -63,7 +61,9 @@
     int broken = 0;
     for (const auto &[task, run] : startedAgain)
         broken += taken.count(task) > 0 ? 1 : 0;
-    rig.note("test", "TWICE: " + std::to_string(broken) + " tasks were started after a run had ended as done");
+    rig.note("test",
+             "TWICE: " + std::to_string(broken)
+                 + " tasks were started after a run had ended as done");
     std::cout << broken << " tasks started again\n";
     return broken > 0 ? exitBroken : exitHeld;
 }
--- a/review/rig/http.cc
+++ b/review/rig/http.cc
@@ -122,7 +122,8 @@
             message.body = withoutChunks(message.body);
         return message;
     }
-    const std::size_t length = std::strtoull(message.headers["content-length"].c_str(), nullptr, 10);
+    const std::size_t length =
+        std::strtoull(message.headers["content-length"].c_str(), nullptr, 10);
     while (buffer.size() < end + 4 + length) {
         if (!readMore(socket, buffer, deadline))
             return std::nullopt;
@@ -172,8 +173,8 @@
 std::string serialize(const Response &response)
 {
     return "HTTP/1.1 " + std::to_string(response.status) + " Status\r\ncontent-type: "
-        + response.type + "\r\ncontent-length: " + std::to_string(response.body.size())
-        + "\r\n\r\n" + response.body;
+        + response.type + "\r\ncontent-length: " + std::to_string(response.body.size()) + "\r\n\r\n"
+        + response.body;
 }
 
 } // namespace
--- a/review/rig/worker.h
+++ b/review/rig/worker.h
@@ -47,8 +47,8 @@
     // Ends a run of the task now. False when there is none.
     bool endRun(const std::string &task, const std::string &how);
     std::size_t runningCount();
-    // While set, orders are neither carried out nor answered; heartbeats go on.
-    std::atomic<bool> hanging{false};
+    // While set, each request is reset and not carried out; heartbeats go on.
+    std::atomic<bool> resetting{false};
     // Sends a heartbeat with another service and sequence number, as another writer may. Returns
     // the status of the answer.
     int sendForeignHeartbeat(const std::string &service, std::uint64_t sequence);
