--- a/review/1/case.cc
+++ b/review/1/case.cc
@@ -48,12 +48,18 @@
     sleepMs(1000);
     std::map<std::string, std::uint32_t> doneRun;
     std::map<std::string, bool> taken;
+    // An end does not count as taken note of when the worker's lease lapsed before.
+    std::map<std::string, bool> lapsedSince;
     std::map<std::string, std::uint32_t> startedAgain;
     for (const RunEvent &event : rig.runEvents()) {
         const auto done = doneRun.find(event.task);
         if (event.kind == "end" && event.how == "done" && done == doneRun.end())
             doneRun[event.task] = event.run;
-        if (event.kind == "taken" && event.how == "done")
+        if (event.kind == "lapsed") {
+            for (const auto &[task, run] : doneRun)
+                lapsedSince[task] = true;
+        }
+        if (event.kind == "taken" && event.how == "done" && lapsedSince.count(event.task) == 0)
             taken[event.task] = true;
         if (event.kind == "start" && done != doneRun.end())
             startedAgain[event.task] = event.run;
--- a/review/2/case.cc
+++ b/review/2/case.cc
@@ -1,4 +1,4 @@
-// A worker resets its requests, the leader is killed, and a job is cancelled whose task has been
+// A worker does not answer, the leader is killed, and a job is cancelled whose task has been
 // ordered to start there. The task must not start when the worker answers again.
 
 #include "review/rig/rig.h"
@@ -10,7 +10,7 @@
 
 using namespace review;
 
-constexpr std::int64_t resetMs = 5500;
+constexpr std::int64_t muteMs = 5500;
 constexpr std::int64_t cancelMs = 3000; // Bounds.cancel_ms
 constexpr std::int64_t restartMs = 1000; // until the killed process is started again
 
@@ -37,10 +37,10 @@
     const std::string body = R"({"TaskSpec":"8000","Steps":[{"Count":1,"Cpu":1000,"MemMb":1000,)"
                              R"("Gpus":1,"EstimateMs":8000,"Requirements":"b"}]})";
     Worker &worker = *rig.workers[0];
-    const std::int64_t resetUntil = nowMs() + resetMs;
+    const std::int64_t muteUntil = nowMs() + muteMs;
     if (troubleWanted()) {
-        worker.resetting = true;
-        rig.note("test", "worker-0 resets its requests");
+        worker.mute = true;
+        rig.note("test", "worker-0 does not answer");
     }
     if (rig.submit(other, "batch", job, body).status != 200)
         return exitNotRun;
@@ -54,8 +54,8 @@
     if (troubleWanted()) {
         sleepMs(restartMs);
         rig.startProcess(leaderName);
-        sleepMs(resetUntil - nowMs());
-        worker.resetting = false;
+        sleepMs(muteUntil - nowMs());
+        worker.mute = false;
         rig.note("test", "worker-0 answers again");
     }
     sleepMs(8000);
--- a/review/rig/rig.cc
+++ b/review/rig/rig.cc
@@ -25,6 +25,7 @@
 
 enum PortOffset { Internal, Metrics, Front, Ready, Control, App, StorePort, PortCount };
 
+constexpr unsigned maxSeconds = 115;
 constexpr const char *storeIp = "127.90.0.1";
 constexpr const char *apiKey = "d4a3hwrr6x73d3zji9n7";
 constexpr const char *host = "queues.example";
@@ -113,6 +114,8 @@
     , startedAt(nowMs())
     , record(folder + "/record.txt")
 {
+    prctl(PR_SET_PDEATHSIG, SIGKILL); // the script that started this program has ended
+    alarm(maxSeconds);
     std::string pattern = std::filesystem::temp_directory_path().string() + "/review-XXXXXX";
     if (mkdtemp(pattern.data()) == nullptr)
         throw std::runtime_error("cannot create a temporary folder");
--- a/review/rig/worker.h
+++ b/review/rig/worker.h
@@ -27,8 +27,8 @@
     std::string rack;
     std::string kind = "a";
     std::int64_t stopMs = 200; // a stop takes this long; at most Bounds.StopMs
-    // Called with "start TASK RUN", "end TASK RUN HOW" and "taken TASK RUN HOW", the last when the
-    // end is acknowledged.
+    // Called with "start TASK RUN", "end TASK RUN HOW", "taken TASK RUN HOW" when the end is
+    // acknowledged, and "lapsed" when the lease has expired, also if nothing runs.
     std::function<void(const std::string &)> observe;
     // What a started run does after its working time: "done", "failed", or empty to go on.
     std::function<std::string(const std::string &task, std::uint32_t run)> howItEnds;
@@ -47,8 +47,8 @@
     // Ends a run of the task now. False when there is none.
     bool endRun(const std::string &task, const std::string &how);
     std::size_t runningCount();
-    // While set, each request is reset and not carried out; heartbeats go on.
-    std::atomic<bool> resetting{false};
+    // While set, requests are neither carried out nor answered; heartbeats go on.
+    std::atomic<bool> mute{false};
     // Sends a heartbeat with another service and sequence number, as another writer may. Returns
     // the status of the answer.
     int sendForeignHeartbeat(const std::string &service, std::uint64_t sequence);
@@ -86,6 +86,7 @@
     std::condition_variable changed;
     std::uint64_t token = 0;
     std::int64_t leaseUntil = 0; // on clock()
+    std::int64_t lapsedLease = 0; // value of leaseUntil when the lease expired last
     std::map<RunKey, Run> runs;
     std::map<std::string, std::uint32_t> refusedRuns; // highest run stopped or ended, by task
     std::deque<End> ends;
