Log each start that a host agent sends, with its token and that of its orders

No line said when an agent sent a start, whether it was a repetition, or under which token it had been ordered, so the log could not tell a repeated start from one that the leader had ordered again.

The agent logs event=start_sent with the number of the attempt, the token of the call and the token of the orders. No decision changes.

--- a/flamingo/scheduler/host_agent.cc
+++ b/flamingo/scheduler/host_agent.cc
@@ -40,6 +40,14 @@
     return "task=" + key.first + " run=" + std::to_string(key.second);
 }
 
+void logStart(HostAgent &agent, const RunKey &key, AgentRun &run, std::uint64_t token)
+{
+    logDecision(agent,
+                "event=start_sent " + runFields(key) + " attempt="
+                    + std::to_string(++run.startsSent) + " token=" + std::to_string(token)
+                    + " order_token=" + std::to_string(run.orderToken));
+}
+
 void resetWorkerState(HostAgent &agent)
 {
     agent.workerGone = false;
@@ -457,6 +465,7 @@
         if (!added)
             continue;
         found->second.order = order;
+        found->second.orderToken = orders.fencingToken;
         // An earlier process of the agent may have sent the start already.
         if (agent.worker->draining)
             beginStop(agent, found->second, "the worker is draining", now);
@@ -567,6 +576,7 @@
                 if (until == 0)
                     continue;
                 run.callOutstanding = true;
+                logStart(agent, key, run, token);
                 calls.emplace_back(StartCall{agent.worker->id, token, until, run.order});
                 continue;
             }
--- a/flamingo/scheduler/host_agent.h
+++ b/flamingo/scheduler/host_agent.h
@@ -100,6 +100,8 @@
     std::string reason; // why the run is being stopped or is gone
     bool startRefusedAsBusy = false; // the worker was too busy to start the run
     bool startUnanswered = false; // the worker may still execute a start that was not answered
+    std::uint64_t orderToken = 0; // fencing token of the orders that contained the start
+    std::uint32_t startsSent = 0;
     bool callOutstanding = false; // a start or stop of this run has not been answered yet
     TimeMs nextCallAt = 0; // earliest time of the next start or stop call
     // The worker's clock when it last answered a start or stop of this run. Only a list that was
