Send a start only under the fencing token of the orders that contained it

Cause: a start that the worker does not answer is repeated. The agent repeated it under whatever token the worker had accepted last. After a change of leader it therefore sent starts that only the former leader had ordered, under the token and the lease of the new one, which had confirmed none of them: the new leader's stop comes only after the worker has reported its token. The same happens under one leader, when a worker's lease has lapsed and the worker is found again with another token.

Ruled out: that the new leader orders the start. A start that the worker carries out late would have been fenced.

Change: a start is sent only under the token of its orders. When the worker has accepted a later one, it refuses the former, so a run that its list does not contain can no longer begin; the agent forgets it, and the leader orders it again if it should run. Stops are kept, because they are safe under any token.

--- a/flamingo/scheduler/host_agent.cc
+++ b/flamingo/scheduler/host_agent.cc
@@ -10,8 +10,9 @@
 //
 // A listed run that the agent did not start is added as Running, and a stop order for an unknown
 // run adds the run as Stopping. A run is also removed in any state but Gone when the worker lists
-// its end, and in Starting or Stopping when a call is fenced. If the worker is draining, a start
-// order and a Starting run lead to Stopping.
+// its end, in Starting or Stopping when a call is fenced, and in Starting when the worker has
+// accepted a later token than that of the order and does not list the run. If the worker is
+// draining, a start order and a Starting run lead to Stopping.
 //
 // A Gone run is kept until the leader has answered a report that lists it.
 
@@ -40,14 +41,6 @@
     return "task=" + key.first + " run=" + std::to_string(key.second);
 }
 
-void logStart(HostAgent &agent, const RunKey &key, AgentRun &run, std::uint64_t token)
-{
-    logDecision(agent,
-                "event=start_sent " + runFields(key) + " attempt="
-                    + std::to_string(++run.startsSent) + " token=" + std::to_string(token)
-                    + " order_token=" + std::to_string(run.orderToken));
-}
-
 void resetWorkerState(HostAgent &agent)
 {
     agent.workerGone = false;
@@ -120,9 +113,16 @@
     run.stopAnswered = false;
 }
 
-// Updates the runs and ends from the lists in the answer to a poll. Lists older than the last ones
-// applied are ignored.
-void applyRunLists(HostAgent &agent, const WorkerAnswer &answer)
+// True when the run was ordered under a token that the worker no longer accepts. `acceptedToken` is
+// that of the poll whose list does not contain the run.
+bool canNoLongerStart(const AgentRun &run, std::uint64_t acceptedToken)
+{
+    return run.state == RunState::Starting && run.orderToken < acceptedToken;
+}
+
+// Updates the runs and ends from the lists in the answer to a poll that carried `token`. Lists
+// older than the last ones applied are ignored.
+void applyRunLists(HostAgent &agent, const WorkerAnswer &answer, std::uint64_t token)
 {
     if (answer.clockMs < agent.listClockMs)
         return;
@@ -159,7 +159,12 @@
             ++item;
             continue;
         }
-        if (finished) {
+        const bool withdrawn = canNoLongerStart(run, token);
+        if (withdrawn)
+            logDecision(agent,
+                        "event=start_withdrawn " + runFields(key) + " order_token="
+                            + std::to_string(run.orderToken) + " token=" + std::to_string(token));
+        if (finished || withdrawn) {
             item = agent.runs.erase(item);
             agent.reportNeeded = true;
             continue;
@@ -196,7 +201,7 @@
         agent.tokenInForce = call.fencingToken;
         agent.reportNeeded = true;
     }
-    applyRunLists(agent, answer);
+    applyRunLists(agent, answer, call.fencingToken);
 }
 
 void applyStartAnswer(HostAgent &agent, const StartCall &call, const WorkerAnswer &answer,
@@ -207,6 +212,9 @@
     if (found == agent.runs.end() || found->second.state != RunState::Starting)
         return;
     AgentRun &run = found->second;
+    // The run was ordered again after the worker had accepted a later token than this call's.
+    if (call.fencingToken != run.orderToken)
+        return;
     run.callOutstanding = false;
     switch (answer.result) {
     case CallResult::Done:
@@ -573,10 +581,14 @@
                 beginStop(agent, run, "the worker is draining", now);
             } else {
                 const std::int64_t until = leaseUntil(agent, now);
-                if (until == 0)
+                if (until == 0 || run.orderToken != token)
                     continue;
                 run.callOutstanding = true;
-                logStart(agent, key, run, token);
+                ++run.startsSent;
+                logDecision(agent,
+                            "event=start_sent " + runFields(key)
+                                + " attempt=" + std::to_string(run.startsSent)
+                                + " token=" + std::to_string(token));
                 calls.emplace_back(StartCall{agent.worker->id, token, until, run.order});
                 continue;
             }
--- a/flamingo/scheduler/host_agent.h
+++ b/flamingo/scheduler/host_agent.h
@@ -10,6 +10,12 @@
 // reads the worker's list of runs again to confirm that the run is absent. An answer alone does not
 // end a stop: it is repeated while a list that was read after its time still contains the run.
 //
+// A start is sent only under the fencing token of the orders that contained it. When the worker has
+// accepted a later token, of another leader or of another lease by the same one, it refuses every
+// start under the former one. A run that its next list does not contain therefore cannot begin any
+// more and is forgotten; the leader orders it again if it should run. Stops are kept: a run number
+// is not used again, so stopping a run that may have begun is safe under any token.
+//
 // Answers may arrive out of order. Each carries the worker's clock, which orders them.
 //
 // A heartbeat may be delayed or have another author, so it does not replace the current worker. The
@@ -100,7 +106,9 @@
     std::string reason; // why the run is being stopped or is gone
     bool startRefusedAsBusy = false; // the worker was too busy to start the run
     bool startUnanswered = false; // the worker may still execute a start that was not answered
-    std::uint64_t orderToken = 0; // fencing token of the orders that contained the start
+    // Fencing token of the orders that contained the start. The start is sent only under this
+    // token.
+    std::uint64_t orderToken = 0;
     std::uint32_t startsSent = 0;
     bool callOutstanding = false; // a start or stop of this run has not been answered yet
     TimeMs nextCallAt = 0; // earliest time of the next start or stop call
--- a/tests/host_agent_test.cc
+++ b/tests/host_agent_test.cc
@@ -49,12 +49,12 @@
         }
     }
 
-    HostOrders orders(std::uint64_t epoch = 1) const
+    HostOrders orders(std::uint64_t epoch = 1, std::uint64_t token = leaderToken) const
     {
         HostOrders result;
         result.epoch = epoch;
         result.workerKey = workerKey("h1", *this->agent.worker);
-        result.fencingToken = leaderToken;
+        result.fencingToken = token;
         result.grantMs = grantMs;
         return result;
     }
@@ -177,6 +177,68 @@
     CHECK(fixture.nextCall<StartCall>().has_value());
 }
 
+// Guards against a task of a cancelled job that starts when its worker answers again: its start was
+// ordered by a leader that has been replaced meanwhile.
+TEST(HostAgent, startOfAFormerLeaderIsNotSentUnderTheTokenOfTheNext)
+{
+    fixture.fenceWorker();
+    fixture.orderStart();
+    const auto start = fixture.nextCall<StartCall>();
+    applyAnswer(fixture.agent, *start, fixture.answer(CallResult::NoAnswer), fixture.now);
+    fixture.apply(fixture.orders(2, leaderToken + 1));
+    CHECK(!fixture.nextCall<StartCall>().has_value());
+    CHECK_EQUAL(leaderToken + 1, fixture.agent.tokenInForce);
+    CHECK(fixture.reportedState("t") == RunState::Unknown);
+}
+
+// Guards against two runs of a task at a time: while a host was paused, its lease lapsed and the
+// task was placed elsewhere; its worker was then found again by the same leader.
+TEST(HostAgent, startFromBeforeALapsedLeaseIsNotSentUnderTheNextToken)
+{
+    fixture.fenceWorker();
+    fixture.orderStart();
+    const auto start = fixture.nextCall<StartCall>();
+    applyAnswer(fixture.agent, *start, fixture.answer(CallResult::NoAnswer), fixture.now);
+    fixture.advance(11000);
+    fixture.apply(fixture.orders(1, leaderToken + 1));
+    CHECK(!fixture.nextCall<StartCall>().has_value());
+    CHECK(fixture.reportedState("t") == RunState::Unknown);
+}
+
+// The next leader orders the start again when the task should still run.
+TEST(HostAgent, startThatTheNextLeaderOrdersAgainIsSentUnderItsToken)
+{
+    fixture.fenceWorker();
+    fixture.orderStart();
+    const auto former = fixture.nextCall<StartCall>();
+    applyAnswer(fixture.agent, *former, fixture.answer(CallResult::NoAnswer), fixture.now);
+    HostOrders orders = fixture.orders(2, leaderToken + 1);
+    fixture.apply(orders);
+    CHECK(!fixture.nextCall<StartCall>().has_value());
+    orders.starts.push_back({"t", 1, "payload", ""});
+    fixture.apply(orders);
+    const auto start = fixture.nextCall<StartCall>();
+    CHECK(start.has_value());
+    CHECK_EQUAL(leaderToken + 1, start->fencingToken);
+    // A late answer to the former start says nothing about this one.
+    applyAnswer(fixture.agent, *former, fixture.answer(CallResult::Fenced), fixture.now);
+    CHECK(fixture.reportedState("t") == RunState::Starting);
+    CHECK_EQUAL(leaderToken + 1, fixture.agent.tokenInForce);
+}
+
+// A start that was carried out but not answered is found in the worker's list.
+TEST(HostAgent, runThatBeganUnderAFormerTokenIsKept)
+{
+    fixture.fenceWorker();
+    fixture.orderStart();
+    const auto start = fixture.nextCall<StartCall>();
+    applyAnswer(fixture.agent, *start, fixture.answer(CallResult::NoAnswer), fixture.now);
+    fixture.listedRuns = {{"t", 1, RunState::Running, 10, "", ""}};
+    fixture.apply(fixture.orders(2, leaderToken + 1));
+    CHECK(!fixture.nextCall<StartCall>().has_value());
+    CHECK(fixture.reportedState("t") == RunState::Running);
+}
+
 // An earlier, unanswered start may still reach the worker after a refusal. The agent must stop the
 // run, after which the worker refuses it permanently, before the task may start elsewhere.
 TEST(HostAgent, refusedRunIsGoneOnlyAfterItsStopAndAPoll)
