Send no start that the leader has not confirmed within the time of a cancellation

Shown by the simulation only: a task of a cancelled job started 3.2 s and more after the cancellation, at a worker that had not answered, while hosts had no leader (scheduler_fuzz_test, promptCancellationsBesideMuteWorkers with the check switched off: oracleDetectsStartsThatNoLeaderConfirms).

Cause: an unanswered start is repeated for as long as the lease grant lasts, up to 9 s, whether or not a leader answers, and also when the leader no longer reads the job log. A leader's stored append is no sign that it reads.

Change: orders carry the time since the leader last read the job log to its end. The agent sends a start only if orders as of the last 2.5 s (Bounds.cancel_ms less 0.5 s) contain it or leave it in place. The first sending is not delayed: a start arrives with such orders.

The simulation has workers that do not answer, and judges each start of a cancelled job instead of those after the end of all faults. Changes of the leader and faults of the worker excuse no late start.

--- a/flamingo/adapters/scheduler_service.cc
+++ b/flamingo/adapters/scheduler_service.cc
@@ -605,6 +605,7 @@
     HostOrders orders = scheduler::ordersFor(this->scheduling, host);
     orders.leaderAddress = this->options.agentAddress;
     orders.storeSilentMs = Loop::now() - this->logConfirmedAt;
+    orders.jobLogAgeMs = std::max<TimeMs>(0, Loop::now() - this->tableReadAt);
     // Another entry may lead by now. It waits for the end of leases that were extended within this
     // limit, so no lease is extended after it.
     if (orders.storeSilentMs > this->scheduling.options.maxStoreUnreachableMs)
--- a/flamingo/scheduler/host_agent.cc
+++ b/flamingo/scheduler/host_agent.cc
@@ -448,6 +448,7 @@
     if (orders.fencingToken < agent.fencingToken)
         return;
     agent.grantUntil = std::max(agent.grantUntil, reportSentAt + orders.grantMs);
+    agent.ordersAsOf = std::max(agent.ordersAsOf, reportSentAt - orders.jobLogAgeMs);
     if (orders.fencingToken > agent.tokenInForce && orders.fencingToken != agent.fencingToken)
         agent.pollNeeded = true;
     agent.fencingToken = orders.fencingToken;
@@ -573,6 +574,7 @@
     }
     if (agent.workerGone || agent.tokenInForce == 0 || agent.tokenInForce != agent.fencingToken)
         return calls;
+    const bool startsAreValid = now - agent.ordersAsOf <= agent.options.startValidMs;
     for (auto &[key, run] : agent.runs) {
         if (run.callOutstanding || now < run.nextCallAt)
             continue;
@@ -581,7 +583,7 @@
                 beginStop(agent, run, "the worker is draining", now);
             } else {
                 const std::int64_t until = leaseUntil(agent, now);
-                if (until == 0 || run.orderToken != token)
+                if (until == 0 || run.orderToken != token || !startsAreValid)
                     continue;
                 run.callOutstanding = true;
                 ++run.startsSent;
--- a/flamingo/scheduler/host_agent.h
+++ b/flamingo/scheduler/host_agent.h
@@ -16,6 +16,10 @@
 // more and is forgotten; the leader orders it again if it should run. Stops are kept: a run number
 // is not used again, so stopping a run that may have begun is safe under any token.
 //
+// A start is also not sent, or repeated, when the leader has not confirmed for `startValidMs` that
+// it should run: while no leader answers, or the leader does not read the job log, a cancellation
+// of the job is not known.
+//
 // Answers may arrive out of order. Each carries the worker's clock, which orders them.
 //
 // A heartbeat may be delayed or have another author, so it does not replace the current worker. The
@@ -94,6 +98,9 @@
     TimeMs retryMs = 300; // delay before an unanswered call is repeated
     TimeMs busyRetryMs = 100; // delay before a poll or stop is repeated to a worker that is busy
     TimeMs stopMs = 1000; // a worker takes up to this long to stop a run, by its own clock
+    // A start is sent only this long after the time as of which the leader knew the job log in its
+    // last answer. Must be shorter than the time in which a cancellation takes effect.
+    TimeMs startValidMs = 2500;
 };
 
 // The agent's state of one run of a task.
@@ -145,6 +152,8 @@
     std::uint64_t minimumToken = 0;
     std::uint64_t acknowledgedEnd = 0; // ends up to this number are stored by the leader
     TimeMs grantUntil = 0; // end of the leader's lease grant, on the agent's clock
+    // The leader's orders take into account all cancellations before this time.
+    TimeMs ordersAsOf = 0;
     std::int64_t workerClockMs = 0; // newest reading of the worker's clock ...
     TimeMs workerClockReceivedAt = 0; // ... and when it arrived, on the agent's clock
     std::int64_t listClockMs = 0; // worker's clock of the newest lists that were applied
--- a/flamingo/scheduler/host_messages.h
+++ b/flamingo/scheduler/host_messages.h
@@ -108,6 +108,8 @@
     TimeMs grantMs = 0; // lease of the worker, counted from the sending of the report
     std::uint64_t acknowledgedEnd = 0; // ends up to this number are stored in the job log
     TimeMs storeSilentMs = 0; // time since the store of the job log last answered the leader
+    // Time since the leader last read the job log to its end: it does not know later cancellations.
+    TimeMs jobLogAgeMs = 0;
     std::vector<StartOrder> starts;
     std::vector<StopOrder> stops;
 };
--- a/flamingo/scheduler/records.cc
+++ b/flamingo/scheduler/records.cc
@@ -135,6 +135,7 @@
             {"grantMs", orders.grantMs},
             {"acknowledgedEnd", orders.acknowledgedEnd},
             {"storeSilentMs", orders.storeSilentMs},
+            {"jobLogAgeMs", orders.jobLogAgeMs},
             {"starts", orders.starts},
             {"stops", orders.stops}};
 }
@@ -345,6 +346,7 @@
     reader.integer("acknowledgedEnd", 0, maxCounter, orders.acknowledgedEnd);
     // Negative if a read of the log was confirmed after this time was taken.
     reader.integer("storeSilentMs", -maxMilliseconds, maxMilliseconds, orders.storeSilentMs);
+    reader.integer("jobLogAgeMs", 0, maxMilliseconds, orders.jobLogAgeMs);
     reader.list("starts", orders.starts, readStartOrder);
     reader.list("stops", orders.stops, readStopOrder);
     return reader.valid();
--- a/tests/host_agent_test.cc
+++ b/tests/host_agent_test.cc
@@ -205,6 +205,38 @@
     CHECK(fixture.reportedState("t") == RunState::Unknown);
 }
 
+// Guards against a task of a cancelled job that starts when its worker answers again, while there
+// is no leader that could stop it.
+TEST(HostAgent, startIsNotRepeatedWhenNoLeaderHasAnsweredForLong)
+{
+    fixture.fenceWorker();
+    fixture.orderStart();
+    const auto start = fixture.nextCall<StartCall>();
+    applyAnswer(fixture.agent, *start, fixture.answer(CallResult::NoAnswer), fixture.now);
+    CHECK(fixture.nextCall<StartCall>().has_value());
+    applyAnswer(fixture.agent, *start, fixture.answer(CallResult::NoAnswer), fixture.now);
+    fixture.advance(fixture.agent.options.startValidMs);
+    CHECK(!fixture.nextCall<StartCall>().has_value());
+    CHECK(fixture.reportedState("t") == RunState::Starting);
+    fixture.apply(fixture.orders()); // an answer that does not stop the run
+    CHECK(fixture.nextCall<StartCall>().has_value());
+}
+
+// As above, while the leader does not read the job log and so cannot know of the cancellation.
+TEST(HostAgent, startIsNotSentForALeaderThatHasLostTheJobLog)
+{
+    fixture.fenceWorker();
+    fixture.advance(fixture.agent.options.startValidMs);
+    HostOrders orders = fixture.orders();
+    orders.jobLogAgeMs = fixture.agent.options.startValidMs + 1;
+    orders.starts.push_back({"t", 1, "payload", ""});
+    fixture.apply(orders);
+    CHECK(!fixture.nextCall<StartCall>().has_value());
+    orders.jobLogAgeMs = 0;
+    fixture.apply(orders);
+    CHECK(fixture.nextCall<StartCall>().has_value());
+}
+
 // The next leader orders the start again when the task should still run.
 TEST(HostAgent, startThatTheNextLeaderOrdersAgainIsSentUnderItsToken)
 {
--- a/tests/odd_entries_test.cc
+++ b/tests/odd_entries_test.cc
@@ -201,7 +201,7 @@
 
 const std::string hostOrders =
     R"({"epoch":65537,"leaderAddress":"10.0.0.1:7000","leaderEpoch":0,"workerKey":"h/i@1",)"
-    R"("fencingToken":262145,"grantMs":9000,"acknowledgedEnd":1,"storeSilentMs":0,)"
+    R"("fencingToken":262145,"grantMs":9000,"acknowledgedEnd":1,"storeSilentMs":0,"jobLogAgeMs":0,)"
     R"("starts":[{"task":"a.0.0.0","run":1,"payload":"","checkpoint":""}],)"
     R"("stops":[{"task":"a.0.0.1","run":2}]})";
 
--- a/tests/scheduler_fuzz_test.cc
+++ b/tests/scheduler_fuzz_test.cc
@@ -80,6 +80,38 @@
     return faults;
 }
 
+// Leaders change often while workers do not answer.
+SimulationFaults muteWorkers()
+{
+    SimulationFaults faults = promptCancellations();
+    faults.muteWorkersPerSecond = 0.1;
+    faults.leaderChangesPerSecond = 0.3;
+    return faults;
+}
+
+// Hosts are disconnected for longer than a lease while workers do not answer.
+SimulationFaults lapsedLeases()
+{
+    SimulationFaults faults;
+    faults.muteWorkersPerSecond = 0.15;
+    faults.longestMuteMs = 20000;
+    faults.hostDisconnectsPerSecond = 0.2;
+    faults.workerCrashesPerSecond = 0.01;
+    faults.agentRestartsPerSecond = 0.01;
+    return faults;
+}
+
+// Sends the starts that are still open under any token, as if the present leader had ordered them.
+void keepStartsOfFormerOrders(HostAgent &agent, TimeMs /*now*/)
+{
+    for (auto &[key, run] : agent.runs) {
+        if (run.orderToken >= agent.fencingToken)
+            continue;
+        run.orderToken = agent.fencingToken;
+        run.callOutstanding = false;
+    }
+}
+
 } // namespace
 
 TEST_GROUP(SchedulerFuzz){};
@@ -158,6 +190,20 @@
     STRCMP_EQUAL("", runSeeds(faults, numberOr("FLAMINGO_FUZZ_RUNS", shortRuns)).c_str());
 }
 
+// Guards against a task of a cancelled job that starts when its worker answers again: the start was
+// ordered by a leader that has been replaced, or that is not there.
+TEST(SchedulerFuzz, promptCancellationsBesideMuteWorkers)
+{
+    STRCMP_EQUAL("", runSeeds(muteWorkers(), numberOr("FLAMINGO_FUZZ_RUNS", shortRuns)).c_str());
+}
+
+// Guards against two runs of a task at a time: the start was ordered before the lease of the worker
+// lapsed, and the worker answers again after the task was placed elsewhere.
+TEST(SchedulerFuzz, lapsedLeasesBesideMuteWorkers)
+{
+    STRCMP_EQUAL("", runSeeds(lapsedLeases(), numberOr("FLAMINGO_FUZZ_RUNS", shortRuns)).c_str());
+}
+
 // The oracle detects a scheduler that starts tasks before their record is stored.
 TEST(SchedulerFuzz, oracleDetectsUnstoredStarts)
 {
@@ -225,3 +271,26 @@
     });
     CHECK(violation.find("runs on after its job was cancelled") != std::string::npos);
 }
+
+// The oracle detects an agent that sends starts which only a former leader has ordered.
+TEST(SchedulerFuzz, oracleDetectsStartsOfFormerLeaders)
+{
+    const std::string violation = runSeeds(muteWorkers(), 100, nullptr, keepStartsOfFormerOrders);
+    CHECK(violation.find("after its job was cancelled") != std::string::npos);
+}
+
+// The oracle detects an agent that sends starts from before its worker's lease lapsed.
+TEST(SchedulerFuzz, oracleDetectsStartsFromBeforeALapsedLease)
+{
+    const std::string violation = runSeeds(lapsedLeases(), 100, nullptr, keepStartsOfFormerOrders);
+    CHECK(violation.find("twice") != std::string::npos
+          || violation.find("success") != std::string::npos);
+}
+
+// The oracle detects an agent that repeats starts while no leader confirms them.
+TEST(SchedulerFuzz, oracleDetectsStartsThatNoLeaderConfirms)
+{
+    const std::string violation = runSeeds(
+        muteWorkers(), 100, nullptr, [](HostAgent &agent, TimeMs now) { agent.ordersAsOf = now; });
+    CHECK(violation.find("after its job was cancelled") != std::string::npos);
+}
--- a/tests/scheduler_simulation.cc
+++ b/tests/scheduler_simulation.cc
@@ -180,6 +180,9 @@
         if (this->faults.busyWorkersPerSecond > 0
             && this->occurs(this->faults.busyWorkersPerSecond * share))
             host.busyUntil = this->now + this->randomBetween(1000, 6000);
+        if (this->faults.muteWorkersPerSecond > 0
+            && this->occurs(this->faults.muteWorkersPerSecond * share))
+            host.muteUntil = this->now + this->randomBetween(500, this->faults.longestMuteMs);
     }
 }
 
@@ -240,6 +243,7 @@
 
 void SchedulerSimulation::followLog(Entry &entry)
 {
+    entry.readAt = this->now;
     for (; entry.offset < this->log.size(); ++entry.offset) {
         const Record &record = this->log[entry.offset];
         Reason reason;
@@ -362,6 +366,10 @@
         return;
     }
     this->scheduleAfter(this->randomBetween(1, 10), [this, &host, call, reply] {
+        if (this->now < host.muteUntil) {
+            this->scheduleAfter(unansweredCallMs, [reply] { reply({}); });
+            return;
+        }
         const WorkerAnswer answer = this->execute(host, call);
         const bool lost = this->faultsEnabled && this->occurs(this->faults.lostAnswer);
         this->scheduleAfter(lost ? unansweredCallMs : this->randomBetween(1, 10),
@@ -475,7 +483,7 @@
         return;
     }
     const Step &step = job->steps[parseTaskName(key.first)->position.step];
-    this->checkStart(host, key.first, step);
+    this->checkStart(host, key.first, step, late);
     FakeWorker::Running run;
     run.leftMs = std::max<TimeMs>(50, step.estimateMs * this->randomBetween(20, 200) / 100);
     run.fails = this->faultsEnabled && this->occurs(this->faults.failedRun);
@@ -488,7 +496,8 @@
     ++this->startCount;
 }
 
-void SchedulerSimulation::checkStart(const Host &host, const std::string &task, const Step &step)
+void SchedulerSimulation::checkStart(const Host &host, const std::string &task, const Step &step,
+                                     bool late)
 {
     for (const Host &other : this->hosts) {
         for (const auto &[key, run] : other.worker.runs) {
@@ -503,12 +512,8 @@
         used += run.need;
     if (!fits(used, {64000, 100000, 8}))
         this->recordViolation("allocations exceed the worker's capacity: " + task);
+    this->checkCancelledStart(host, task, late);
     const auto name = parseTaskName(task);
-    const auto cancelled = this->cancelledAt.find(name->jobId);
-    // A late order may still be carried out after the bound for the cancellation.
-    if (cancelled != this->cancelledAt.end() && !this->faultsEnabled
-        && this->now - cancelled->second > cancelBoundMs + longestLateOrderMs)
-        this->recordViolation("started long after its job was cancelled: " + task);
     for (const std::uint32_t before : step.after) {
         const Job &job = this->jobs.at(name->jobId);
         for (std::uint32_t i = 0; i < job.steps[before].count; ++i) {
@@ -520,11 +525,28 @@
     }
 }
 
+void SchedulerSimulation::checkCancelledStart(const Host &host, const std::string &task, bool late)
+{
+    const auto cancelled = this->cancelledAt.find(parseTaskName(task)->jobId);
+    if (cancelled == this->cancelledAt.end())
+        return;
+    const TimeMs sinceMs = this->now - cancelled->second;
+    const TimeMs lastFault =
+        std::max({this->logDownUntil, host.agentDownUntil, host.disconnectedUntil});
+    const bool inTouch = this->now >= lastFault + contactMs;
+    // A late order may still be carried out after the bound for the cancellation.
+    const bool calmEnd = !this->faultsEnabled && sinceMs > cancelBoundMs + longestLateOrderMs;
+    if (calmEnd || (!late && inTouch && sinceMs > cancelBoundMs))
+        this->recordViolation("started " + std::to_string(sinceMs)
+                              + " ms after its job was cancelled: " + task + " on " + host.name);
+}
+
 // The end of the last fault that may delay a stop on the host.
 TimeMs SchedulerSimulation::lastFaultAt(const Host &host) const
 {
-    TimeMs result = std::max({this->logDownUntil, this->lastLeaderChangeAt, host.agentDownUntil,
-                              host.workerDownUntil, host.disconnectedUntil, host.busyUntil});
+    TimeMs result =
+        std::max({this->logDownUntil, this->lastLeaderChangeAt, host.agentDownUntil,
+                  host.workerDownUntil, host.disconnectedUntil, host.busyUntil, host.muteUntil});
     for (const Entry &entry : this->entries)
         result = std::max(result, entry.pausedUntil);
     return result;
@@ -674,7 +696,8 @@
                                 return;
                             }
                             applyReport(entry.scheduler, report, this->now);
-                            const HostOrders orders = ordersFor(entry.scheduler, host.name);
+                            HostOrders orders = ordersFor(entry.scheduler, host.name);
+                            orders.jobLogAgeMs = this->now - entry.readAt;
                             this->scheduleAfter(this->randomBetween(2, 20),
                                                 [this, &host, orders, sentAt, generation,
                                                  sequence = report.sequence] {
--- a/tests/scheduler_simulation.h
+++ b/tests/scheduler_simulation.h
@@ -7,9 +7,13 @@
 // The scheduler and the host agents are the production code. Faults are injected around them:
 // orders are lost, not answered and carried out seconds later, or carried out and not answered;
 // reports are lost; leaders are replaced while they are paused; agents and workers crash and
-// restart; the log is unavailable; busy workers refuse calls; workers ignore stops.
+// restart; the log is unavailable; busy workers refuse calls; mute workers neither answer calls nor
+// carry them out; workers ignore stops.
 //
-// An oracle checks the workers' runs against the rules, without using the scheduler's state. It
+// An oracle checks the workers' runs against the rules, without using the scheduler's state. No run
+// of a cancelled job starts later than `cancelBoundMs` after the cancellation, unless the order was
+// a late one, or the host, its agent or the log had a fault in the last `contactMs`; changes of the
+// leader and faults of the worker are no excuse. The oracle
 // also checks that the runs of a cancelled job end: none is in progress after a stretch of
 // `cancelBoundMs` and the time of a stop in which its host is calm. A host is calm when there has
 // been no fault of its connection, worker, agent, the leaders or the log for `contactMs`. A lost
@@ -41,6 +45,8 @@
     bool lateOrdersReachRestartedWorkers = false;
     double busyWorkersPerSecond = 0; // a worker refuses calls for some seconds
     double refusedCall = 0.8; // of a call to a busy worker
+    double muteWorkersPerSecond = 0; // a worker does nothing and gives no answers for some seconds
+    TimeMs longestMuteMs = 8000;
     double ignoredStop = 0; // of a run: its first stop is accepted and not carried out
     double cancelledJob = 0.15;
     TimeMs longestCancelDelayMs = 6000; // from the submission to the cancellation
@@ -112,6 +118,7 @@
     {
         scheduler::Scheduler scheduler;
         std::size_t offset = 0;
+        TimeMs readAt = 0; // when it last read the log to its end
         std::uint64_t sequence = 0;
         bool flushing = false;
         TimeMs pausedUntil = 0;
@@ -129,6 +136,7 @@
         TimeMs workerDownUntil = 0;
         TimeMs disconnectedUntil = 0;
         TimeMs busyUntil = 0; // the worker refuses calls
+        TimeMs muteUntil = 0; // the worker neither answers calls nor carries them out
         std::uint64_t agentGeneration = 0;
     };
     struct SuccessfulEnd // of a run whose end may still be acknowledged
@@ -172,7 +180,9 @@
                      std::uint64_t sequence);
     std::int64_t workerClock(const FakeWorker &worker) const;
     void acknowledge(FakeWorker &worker, std::uint64_t upTo);
-    void checkStart(const Host &host, const std::string &task, const scheduler::Step &step);
+    void checkStart(const Host &host, const std::string &task, const scheduler::Step &step,
+                    bool late);
+    void checkCancelledStart(const Host &host, const std::string &task, bool late);
     void recordViolation(const std::string &text);
     const scheduler::Job *findJob(const std::string &task) const;
     bool allEnded() const;
