Do not take a run for ended while the worker's list of ends is cut

Cause: a worker lists at most 500 ends in one answer, and the next ones when these have been acknowledged. While the store is down nothing is acknowledged. A run that is neither running nor in such a list was taken for absent: the agent removed it, the leader ordered it again, the worker refused the number as old, and after a stop the run was reported as gone, so that the task was placed again. The class: a list that is cut at a limit is taken for the whole.

Ruled out: that the lease lapsed (no such line in the case's record), and that the leader acknowledged ends before they were stored.

Until a complete one is read, a run that is in neither list stays as it is, in each of the three places that drew a conclusion from its absence: running runs, stopped runs, and starts of a former token. Its progress is reported as unknown, so it does not count as stalled. The stand-in of the worker cuts its list as well.

--- a/flamingo/scheduler/host_agent.cc
+++ b/flamingo/scheduler/host_agent.cc
@@ -14,6 +14,9 @@
 // accepted a later token than that of the order and does not list the run. If the worker is
 // draining, a start order and a Starting run lead to Stopping.
 //
+// A run that is not listed leaves Running, Starting or Stopping only if the worker's list of ends
+// was complete.
+//
 // A Gone run is kept until the leader has answered a report that lists it.
 
 #include "flamingo/scheduler/host_agent.h"
@@ -145,6 +148,7 @@
             run.state = RunState::Running;
             agent.reportNeeded = true;
         }
+        run.listed = true;
         run.percent = running.percent;
         run.checkpoint = running.checkpoint;
         repeatOverdueStop(agent, key, run, answer.clockMs);
@@ -152,14 +156,14 @@
     for (auto item = agent.runs.begin(); item != agent.runs.end();) {
         const RunKey key = item->first;
         AgentRun &run = item->second;
-        const bool listIsNewer = answer.clockMs > run.confirmedClockMs;
-        const bool ended = endIsListed(agent, key);
-        const bool finished = ended || (run.state == RunState::Running && listIsNewer);
         if (listed.count(key) > 0 || run.state == RunState::Gone) {
             ++item;
             continue;
         }
-        const bool withdrawn = canNoLongerStart(run, token);
+        run.listed = false;
+        const bool absent = answer.endsComplete && answer.clockMs > run.confirmedClockMs;
+        const bool finished = endIsListed(agent, key) || (run.state == RunState::Running && absent);
+        const bool withdrawn = answer.endsComplete && canNoLongerStart(run, token);
         if (withdrawn)
             logDecision(agent,
                         "event=start_withdrawn " + runFields(key) + " order_token="
@@ -169,7 +173,7 @@
             agent.reportNeeded = true;
             continue;
         }
-        if (run.state == RunState::Stopping && run.stopAnswered && listIsNewer) {
+        if (run.state == RunState::Stopping && run.stopAnswered && absent) {
             run.state = RunState::Gone;
             agent.reportNeeded = true;
             logDecision(agent,
@@ -617,8 +621,8 @@
         if (run.state == RunState::Gone && run.goneReportSequence == 0)
             run.goneReportSequence = report.sequence;
         report.workerBusy = report.workerBusy || run.startRefusedAsBusy;
-        // The start was answered after the newest list was read.
-        const bool listed = run.confirmedClockMs <= agent.listClockMs;
+        // A start or stop may have been answered after the newest list was read.
+        const bool listed = run.listed && run.confirmedClockMs <= agent.listClockMs;
         report.runs.push_back({key.first, key.second, run.state,
                                listed ? run.percent : unknownPercent, run.checkpoint, run.reason});
     }
--- a/flamingo/scheduler/host_agent.h
+++ b/flamingo/scheduler/host_agent.h
@@ -20,6 +20,10 @@
 // it should run: while no leader answers, or the leader does not read the job log, a cancellation
 // of the job is not known.
 //
+// A worker limits the number of ends in one answer, and lists more only when these have been
+// acknowledged. While its list is cut, a run that neither list contains may have ended with any
+// result: it keeps its state, and its progress is unknown.
+//
 // Answers may arrive out of order. Each carries the worker's clock, which orders them.
 //
 // A heartbeat may be delayed or have another author, so it does not replace the current worker. The
@@ -87,6 +91,7 @@
     // In the answer to a poll only.
     std::vector<ReportedRun> running;
     std::vector<ReportedEnd> ends;
+    bool endsComplete = true; // false: the worker may have ends after the last one of `ends`
 };
 
 struct AgentOptions
@@ -108,7 +113,8 @@
 {
     RunState state = RunState::Starting;
     StartOrder order;
-    std::int64_t percent = 0;
+    bool listed = false; // in the newest list of the worker's runs
+    std::int64_t percent = 0; // as of the newest list that contains the run
     std::string checkpoint;
     std::string reason; // why the run is being stopped or is gone
     bool startRefusedAsBusy = false; // the worker was too busy to start the run
--- a/standin/platform_worker.cc
+++ b/standin/platform_worker.cc
@@ -6,6 +6,7 @@
 #include "flamingo/adapters/http_status.h"
 #include "flamingo/json_parse.h"
 
+#include <absl/types/span.h>
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -25,6 +26,7 @@
 
 constexpr TimeMs pollIntervalMs = 5;
 constexpr std::int64_t maxLeaseMs = 10000;
+constexpr std::size_t maxListedEnds = 500;
 constexpr std::int64_t maxWorkMs = 86400000;
 constexpr std::int64_t maxNumber = std::numeric_limits<std::int64_t>::max();
 
@@ -233,7 +235,8 @@
     for (const auto &[key, run] : this->runs)
         running.push_back({key.first, key.second, "", Loop::now() / 10 % 100, 0});
     Json ended = Json::array();
-    for (const EndedRun &endedRun : this->endedRuns)
+    const std::size_t count = std::min(this->endedRuns.size(), maxListedEnds);
+    for (const EndedRun &endedRun : absl::MakeConstSpan(this->endedRuns).first(count))
         ended.push_back(
             {endedRun.number, endedRun.key.first, endedRun.key.second, endedRun.outcome, ""});
     const Json body = {{"ClockMs", this->clock()},
--- a/standin/platform_worker.h
+++ b/standin/platform_worker.h
@@ -9,8 +9,9 @@
 // request may extend the lease, up to 10 s ahead of the worker's clock; when the lease ends, so do
 // all runs. A run is rejected when its task has had an ended or stopped run with the same or a
 // higher run id. A run takes as many milliseconds as its TaskSpec says. Ended runs are listed until
-// a request acknowledges them by their number (`LastSeen`). An overloaded or unhealthy worker
-// answers a share of its requests with status 429 or 503 and does nothing for them.
+// a request acknowledges them by their number (`LastSeen`), the oldest 500 at a time. An overloaded
+// or unhealthy worker answers a share of its requests with status 429 or 503 and does nothing for
+// them.
 
 #include "flamingo/adapters/http_client.h"
 #include "flamingo/adapters/http_server.h"
--- a/tests/host_agent_test.cc
+++ b/tests/host_agent_test.cc
@@ -3,6 +3,7 @@
 // leader's grant.
 
 #include "flamingo/scheduler/host_agent.h"
+#include "flamingo/scheduler/run_progress.h"
 
 #include <CppUTest/TestHarness.h>
 
@@ -102,6 +103,7 @@
         WorkerAnswer answer = this->answer();
         answer.running = this->listedRuns;
         answer.ends = this->listedEnds;
+        answer.endsComplete = this->endsComplete;
         applyAnswer(this->agent, call, answer, this->now);
     }
 
@@ -144,6 +146,7 @@
     // The worker's lists, for its answers to polls.
     std::vector<ReportedRun> listedRuns;
     std::vector<ReportedEnd> listedEnds;
+    bool endsComplete = true;
 };
 
 } // namespace
@@ -379,6 +382,64 @@
     CHECK(fixture.nextCall<StopCall>().has_value());
 }
 
+// Guards against a task that runs twice: the worker's list of ends is full, so runs that have ended
+// are in neither of its lists.
+TEST(HostAgent, runIsKeptWhileTheListOfEndsIsCut)
+{
+    fixture.fenceWorker();
+    fixture.listedRuns = {{"t", 1, RunState::Running, 90, "", ""}};
+    fixture.pollNow();
+    fixture.listedRuns.clear();
+    fixture.listedEnds = {{1, "other", 1, EndKind::Done, ""}};
+    fixture.endsComplete = false;
+    fixture.pollNow();
+    CHECK(fixture.reportedState("t") == RunState::Running);
+    HostAgent copy = fixture.agent;
+    CHECK_EQUAL(unknownPercent, makeReport(copy).runs.at(0).percent);
+    HostOrders orders = fixture.orders();
+    orders.acknowledgedEnd = 1;
+    fixture.apply(orders);
+    fixture.listedEnds = {{2, "t", 1, EndKind::Done, ""}};
+    fixture.endsComplete = true;
+    fixture.pollNow();
+    CHECK(fixture.reportedState("t") == RunState::Unknown);
+    copy = fixture.agent;
+    CHECK_EQUAL(2, makeReport(copy).ends.at(0).number);
+}
+
+// As above, for a run that has been stopped or whose start was refused: it may have ended before.
+TEST(HostAgent, stoppedRunIsNotGoneWhileTheListOfEndsIsCut)
+{
+    fixture.fenceWorker();
+    fixture.orderStart();
+    const auto start = fixture.nextCall<StartCall>();
+    applyAnswer(fixture.agent, *start, fixture.answer(CallResult::Refused), fixture.now);
+    const auto stop = fixture.nextCall<StopCall>();
+    applyAnswer(fixture.agent, *stop, fixture.answer(), fixture.now);
+    fixture.endsComplete = false;
+    fixture.pollNow();
+    CHECK(fixture.reportedState("t") == RunState::Stopping);
+    fixture.endsComplete = true;
+    fixture.pollNow();
+    CHECK(fixture.reportedState("t") == RunState::Gone);
+}
+
+// As above, for a start that the next leader would order again.
+TEST(HostAgent, startIsNotWithdrawnWhileTheListOfEndsIsCut)
+{
+    fixture.fenceWorker();
+    fixture.orderStart();
+    const auto start = fixture.nextCall<StartCall>();
+    applyAnswer(fixture.agent, *start, fixture.answer(CallResult::NoAnswer), fixture.now);
+    fixture.endsComplete = false;
+    fixture.apply(fixture.orders(2, leaderToken + 1));
+    fixture.pollNow();
+    CHECK(fixture.reportedState("t") == RunState::Starting);
+    fixture.endsComplete = true;
+    fixture.pollNow();
+    CHECK(fixture.reportedState("t") == RunState::Unknown);
+}
+
 // Answers may arrive out of order: a list that the worker made before the start must not remove the
 // run.
 TEST(HostAgent, olderListDoesNotHideANewerStart)
--- a/tests/scheduler_fuzz_test.cc
+++ b/tests/scheduler_fuzz_test.cc
@@ -101,6 +101,14 @@
     return faults;
 }
 
+SimulationFaults cutLists()
+{
+    SimulationFaults faults;
+    faults.endsPerAnswer = 2;
+    faults.logOutagesPerSecond = 0.2;
+    return faults;
+}
+
 // Sends the starts that are still open under any token, as if the present leader had ordered them.
 void keepStartsOfFormerOrders(HostAgent &agent, TimeMs /*now*/)
 {
@@ -204,6 +212,13 @@
     STRCMP_EQUAL("", runSeeds(lapsedLeases(), numberOr("FLAMINGO_FUZZ_RUNS", shortRuns)).c_str());
 }
 
+// Guards against tasks that run again because their ends are not listed yet: no end is acknowledged
+// while the log is unavailable, and the workers list a few ends at a time.
+TEST(SchedulerFuzz, logOutagesBesideCutListsOfEnds)
+{
+    STRCMP_EQUAL("", runSeeds(cutLists(), numberOr("FLAMINGO_FUZZ_RUNS", shortRuns)).c_str());
+}
+
 // The oracle detects a scheduler that starts tasks before their record is stored.
 TEST(SchedulerFuzz, oracleDetectsUnstoredStarts)
 {
@@ -294,3 +309,11 @@
         muteWorkers(), 100, nullptr, [](HostAgent &agent, TimeMs now) { agent.ordersAsOf = now; });
     CHECK(violation.find("after its job was cancelled") != std::string::npos);
 }
+
+// The oracle detects an agent that takes a cut list of ends for the whole.
+TEST(SchedulerFuzz, oracleDetectsCutListsThatAreTakenAsWhole)
+{
+    SimulationFaults faults = cutLists();
+    faults.cutListsLookComplete = true;
+    CHECK(runSeeds(faults, 100).find("success") != std::string::npos);
+}
--- a/tests/scheduler_simulation.cc
+++ b/tests/scheduler_simulation.cc
@@ -437,7 +437,9 @@
         for (const auto &[key, run] : worker.runs)
             answer.running.push_back(
                 {key.first, key.second, RunState::Running, run.leftMs, "", ""});
-        answer.ends = worker.ends;
+        const std::size_t count = std::min(worker.ends.size(), this->faults.endsPerAnswer);
+        answer.ends.assign(worker.ends.begin(), worker.ends.begin() + static_cast<long>(count));
+        answer.endsComplete = this->faults.cutListsLookComplete || count == worker.ends.size();
     } else if (const auto *stop = std::get_if<StopCall>(&call)) {
         this->stop(worker, stop->order);
     } else {
--- a/tests/scheduler_simulation.h
+++ b/tests/scheduler_simulation.h
@@ -47,6 +47,8 @@
     double refusedCall = 0.8; // of a call to a busy worker
     double muteWorkersPerSecond = 0; // a worker does nothing and gives no answers for some seconds
     TimeMs longestMuteMs = 8000;
+    std::size_t endsPerAnswer = 500; // a worker lists at most this many ends
+    bool cutListsLookComplete = false; // answers do not tell that a list of ends is cut
     double ignoredStop = 0; // of a run: its first stop is accepted and not carried out
     double cancelledJob = 0.15;
     TimeMs longestCancelDelayMs = 6000; // from the submission to the cancellation
