--- a/standin/keyed_store.cc
+++ b/standin/keyed_store.cc
@@ -20,6 +20,7 @@
 
 constexpr TimeMs pollIntervalMs = 5;
 constexpr int bitsPerByte = 8;
+constexpr std::size_t maxListedRecords = 500;
 
 std::string queryParameter(const HttpRequest &request, std::string_view name)
 {
@@ -194,14 +195,18 @@
     for (std::uint64_t i = 0; i < topic.records.size(); ++i)
         newestOffsets[topic.records[i].key] = i;
     Json items = Json::array();
+    bool more = false;
     for (const auto &[key, offset] : newestOffsets) {
         const std::string &stored = topic.records[offset].value;
         const std::string value = listener.transform ? listener.transform(stored) : stored;
-        if (key > queryParameter(request, "After") && !value.empty())
-            items.push_back(
-                {{"Key", key}, {"Value", absl::Base64Escape(value)}, {"Offset", offset}});
+        if (key <= queryParameter(request, "After") || value.empty())
+            continue;
+        more = items.size() == maxListedRecords;
+        if (more)
+            break;
+        items.push_back({{"Key", key}, {"Value", absl::Base64Escape(value)}, {"Offset", offset}});
     }
-    const Json body = {{"items", items}, {"HasMore", false}, {"End", topic.records.size()}};
+    const Json body = {{"items", items}, {"HasMore", more}, {"End", topic.records.size()}};
     listener.server->respond(request.id, {adapters::statusOk, body.dump()});
 }
 
--- a/standin/keyed_store.h
+++ b/standin/keyed_store.h
@@ -10,6 +10,8 @@
 // nothing; any other append but the first must have the next sequence number. A fenced append
 // without a body appends nothing and only announces its epoch.
 //
+// A list of the newest records holds at most 500; the next ones follow the last key (`After`).
+//
 // Topics grow without bound; their contents end with the process.
 
 #include "flamingo/adapters/http_server.h"
--- a/tests/platform_test.cc
+++ b/tests/platform_test.cc
@@ -290,6 +290,20 @@
     LONGS_EQUAL(410, fixture.call("127.0.0.2", "GET", "/q/00000000000000dd", "", "fresh1").status);
 }
 
+// Guards against an entry that finds no configuration, because the store lists its newest records
+// in pages and other records come first.
+TEST(Platform, configurationBehindTheFirstPageOfRecordsIsRead)
+{
+    Fixture fixture;
+    for (int i = 1000; i < 1600; ++i)
+        fixture.store->appendUnfenced("keyed.op", "a" + std::to_string(i), "{}");
+    fixture.store->compact("keyed.op");
+    fixture.addEntry("e1", "127.0.0.2");
+    CHECK(fixture.waitUntil([&fixture] {
+        return fixture.call("127.0.0.2", "GET", "/q/00000000000000dd").status == 410;
+    }));
+}
+
 TEST(Platform, drainingWorkerReceivesNoTasks)
 {
     Fixture fixture;
