Count on no long-running task to end, and let one that has ended return at once

Cause: a reservation took each run for one that ends by its estimate. A gang that needs capacity of long-running tasks was expected to fit soon, reserved all that was free, and never fitted. Units of long-running tasks may not use reserved capacity, so a task that had failed waited for the gang.

Ruled out: quarantine and the exclusion of the worker where the task failed; they end after 8 s and 5 s, the case watches 30 s.

Change: a reservation does not count on runs that go on until their job is cancelled. Long-running tasks that have run before may use reserved capacity: no reservation was computed with theirs, so they delay none.

--- a/flamingo/scheduler/placement.cc
+++ b/flamingo/scheduler/placement.cc
@@ -124,7 +124,7 @@
 {
     std::vector<std::size_t> byEnd;
     for (std::size_t i = 0; i < worker.allocations.size(); ++i) {
-        if (!candidate.countedAsFree[i])
+        if (!candidate.countedAsFree[i] && !worker.allocations[i].neverFree)
             byEnd.push_back(i);
     }
     std::sort(byEnd.begin(), byEnd.end(), [&worker](std::size_t a, std::size_t b) {
--- a/flamingo/scheduler/placement.h
+++ b/flamingo/scheduler/placement.h
@@ -11,7 +11,7 @@
 // `findPlacement` uses capacity that is free now. `findReclaim` may also use resources that are
 // still allocated: it returns the runs to stop and their cost. `findReservation` stops nothing; it
 // returns where capacity for the tasks becomes free first, by the estimated end
-// (`Allocation::freeInMs`) of the runs that use it.
+// (`Allocation::freeInMs`) of the runs that use it. It does not count on runs that never end.
 
 #include "flamingo/scheduler/job.h"
 
@@ -29,6 +29,7 @@
 {
     Resources resources;
     TimeMs freeInMs = 0; // estimated time until the resources are free
+    bool neverFree = false; // the run goes on until its job is cancelled; `freeInMs` has no meaning
     bool stopping = false; // the run is being stopped
     bool reclaimable = false; // the run may be stopped for more urgent work
     double cost = 0; // core-seconds of work lost when its run group is stopped
@@ -88,7 +89,7 @@
 
 struct Reservation
 {
-    // Empty: the workers cannot hold the tasks even when all runs have ended.
+    // Empty: the workers cannot hold the tasks even when all runs that will end have ended.
     Placement placement;
     TimeMs freeInMs = 0; // estimated time until all tasks fit
 };
--- a/flamingo/scheduler/planner.cc
+++ b/flamingo/scheduler/planner.cc
@@ -17,8 +17,9 @@
 //   * all other units wait.
 //
 // Capacity that is free but reserved for a unit that is not urgent is used by units that are
-// estimated to end before the reservation is complete, and by units that have waited for
-// `maxHeldBackMs`. The latter delay the holder of the reservation, within limits (see mayDelay()).
+// estimated to end before the reservation is complete, by tasks that never end and are placed
+// again, and by units that have waited for `maxHeldBackMs`. The latter delay the holder of the
+// reservation, within limits (see mayDelay()).
 //
 // A unit waits for a preferred rack as long as its tasks would lose on another one, then it is
 // placed on any rack.
@@ -248,6 +249,7 @@
         allocation.runGroup = this->runGroupOf(name, worker, key);
         allocation.freeInMs = allocation.stopping ? this->scheduler.options.stopMs
                                                   : estimatedRemainingMs(step, run, this->now);
+        allocation.neverFree = step.longRunning && !allocation.stopping;
         allocation.reclaimable = job.priority > 0;
         if (job.priority == 0)
             this->urgentGroups.insert(allocation.runGroup);
@@ -643,6 +645,16 @@
     return endsByItself(unit) && now + unit.estimateMs <= *held.holder->expectedAt;
 }
 
+// True when the unit's tasks never end and have run before. No reservation counts on the capacity
+// of such tasks, so they do not delay its holder when they return.
+bool returnsAfterAnEnd(const PlacementUnit &unit)
+{
+    return !endsByItself(unit)
+        && std::all_of(unit.tasks.begin(), unit.tasks.end(), [&unit](std::size_t task) {
+               return unit.row->progress.tasks[task].run > 0;
+           });
+}
+
 // Reserves capacity for a unit that does not fit, or the rest of one. The time when it is expected
 // to fit only decreases: with each run that is placed on the reserved capacity the reservation
 // would move back, and short runs could take it for ever.
@@ -690,7 +702,7 @@
     std::vector<HeldReservation *> usable;
     std::vector<HeldReservation *> delayed;
     for (HeldReservation &held : capacity.held) {
-        const bool harmless = endsBefore(unit, held, now);
+        const bool harmless = endsBefore(unit, held, now) || returnsAfterAnEnd(unit);
         if (!harmless && !(heldBack && mayDelay(unit, held, now)))
             continue;
         usable.push_back(&held);
--- a/tests/reservation_test.cc
+++ b/tests/reservation_test.cc
@@ -69,6 +69,18 @@
         }
     }
 
+    // Name of the host on which the task runs; empty: none.
+    std::string hostOf(const std::string &task)
+    {
+        for (const std::string &host : this->hosts) {
+            for (const ReportedRun &run : this->rig.nextReports.at(host).runs) {
+                if (run.task == task)
+                    return host;
+            }
+        }
+        return "";
+    }
+
     // Number of the job's tasks that run now.
     std::size_t runCount(const std::string &jobId)
     {
@@ -220,6 +232,41 @@
     CHECK_EQUAL(4, cluster.runCount("wide"));
 }
 
+// Guards against a service that is not restarted while a gang waits for its capacity: the gang
+// counts on the end of tasks that never end, and reserves what is free meanwhile.
+TEST(Reservation, longRunningTaskReturnsBesideAGangThatDoesNotFit)
+{
+    Cluster cluster(2);
+    Job service = cluster.rig.makeJob("service", 2, 1, 2);
+    service.steps[0].longRunning = true;
+    service.steps[0].maxPerWorker = 1;
+    cluster.accept(service, 200, 1000000);
+    cluster.advance(500);
+    cluster.accept(cluster.gang("wide", 2), 5000, 5000);
+    cluster.advance(1000);
+    cluster.rig.endRun("h0", "service.0.0.0", 1, EndKind::Failed);
+    cluster.advance(6000);
+    CHECK_EQUAL(2, cluster.runCount("service"));
+}
+
+// As above, for a gang that fits as soon as another one ends.
+TEST(Reservation, longRunningTaskReturnsToCapacityThatIsReserved)
+{
+    Cluster cluster(3);
+    Job service = cluster.rig.makeJob("service", 1, 1, 2);
+    service.steps[0].longRunning = true;
+    cluster.accept(service, 200, 1000000);
+    cluster.advance(500);
+    cluster.accept(cluster.gang("running", 2), 60000, 60000);
+    cluster.advance(500);
+    cluster.accept(cluster.gang("wide", 2), 5000, 5000);
+    cluster.advance(500);
+    const std::string host = cluster.hostOf("service.0.0.0");
+    cluster.rig.endRun(host, "service.0.0.0", 1, EndKind::Done);
+    cluster.advance(1500);
+    CHECK_EQUAL(1, cluster.runCount("service"));
+}
+
 // Guards against lower priorities that take capacity which a guaranteed gang waits for: it would
 // have to stop them again.
 TEST(Reservation, workThatHasWaitedDoesNotTakeWhatUrgentWorkReserves)
