Place a long-running task again however its run ends

Cause: an end with success completes a task of every kind of step; whether a step is long-running was looked at for failures only.

Change: the end of a long-running run with success is handled as any other end of it: the task is placed again, after 200 ms, so that a task that ends at once does not take all of the leader's time.

--- a/flamingo/scheduler/scheduler.cc
+++ b/flamingo/scheduler/scheduler.cc
@@ -181,10 +181,13 @@
     const auto number = taskNumber(*row.job, name->position);
     if (!number)
         return;
+    // A long-running task is placed again however its run ends.
+    const bool longRunning = row.job->steps[name->position.step].longRunning;
+    const bool success = end.how == EndKind::Done && !longRunning;
     // A success counts even if its run has been dropped meanwhile, because the work is done.
     const TaskProgress &task = row.progress.tasks[*number];
-    const bool lateSuccess = end.how == EndKind::Done && end.run <= task.run
-        && task.phase != TaskPhase::Done && row.progress.outcome == Outcome::Open;
+    const bool lateSuccess = success && end.run <= task.run && task.phase != TaskPhase::Done
+        && row.progress.outcome == Outcome::Open;
     const bool current = isCurrentRun(row, *number, end.run) && task.worker == worker.key;
     if (!current && !lateSuccess)
         return;
@@ -197,7 +200,7 @@
         for (std::size_t i = members.first; i < members.first + members.count; ++i)
             row.progress.tasks[i].checkpoint = end.checkpoint;
     }
-    if (end.how == EndKind::Done) {
+    if (success) {
         recordSuccess(scheduler, worker, row, *number, now);
         if (!ended.empty())
             updateHostSpeeds(scheduler, worker, row, ended.mapped(), now);
@@ -205,6 +208,8 @@
     }
     if (end.how == EndKind::Failed)
         recordFailure(scheduler, worker, row, *number, end.run, now);
+    if (end.how == EndKind::Done)
+        row.notBefore = now + scheduler.options.failureBackoffMs;
     requeueTask(row, *number);
 }
 
--- a/flamingo/scheduler/scheduler.h
+++ b/flamingo/scheduler/scheduler.h
@@ -79,7 +79,7 @@
     bool cancellationHandled = false; // the cancellation has been applied to `progress`
     bool acceptanceLogged = false; // this leader has logged event=job_known
     TimeMs endedAt = 0; // when this leader set the outcome, or took over after it was set
-    TimeMs notBefore = 0; // earliest next placement; set when a run is dropped
+    TimeMs notBefore = 0; // earliest next placement; see SchedulerOptions::failureBackoffMs
     std::map<std::size_t, FailedWorker> lastFailedWorker; // by task number
     // Run times of the tasks completed under this leader, by the number of their step's first task.
     // Removed when all tasks of the step are done.
@@ -121,7 +121,8 @@
     // A leader that has not reached the store for this long stops extending leases.
     TimeMs maxStoreUnreachableMs = 2500;
     TimeMs retainMs = 300000; // ended jobs are kept this long
-    TimeMs failureBackoffMs = 200; // before a task whose run was dropped is placed again
+    // Before a task is placed again whose run was dropped, or a long-running one that has ended.
+    TimeMs failureBackoffMs = 200;
     // After a failed run, a worker is the last choice for this long, and is not used for the failed
     // task.
     TimeMs suspectMs = 5000;
--- a/tests/scheduler_test.cc
+++ b/tests/scheduler_test.cc
@@ -193,6 +193,34 @@
     CHECK_EQUAL(std::string("failed"), rig.jobState("a"));
 }
 
+// Guards against a service that is shown as completed and does not run any more, because its tasks
+// have ended with success.
+TEST(Scheduler, longRunningTaskIsPlacedAgainHoweverItEnds)
+{
+    rig.addWorker("h1");
+    Job job = rig.makeJob("a", 2, 2);
+    job.steps[0].longRunning = true;
+    rig.accept(job);
+    rig.sendReport("h1");
+    std::uint32_t run = 0;
+    for (const EndKind how : {EndKind::Done, EndKind::Failed, EndKind::Stopped, EndKind::Done}) {
+        ++run;
+        rig.endRun("h1", "a.0.0.0", run, how);
+        rig.endRun("h1", "a.0.0.1", run, how);
+        rig.sendReport("h1");
+        CHECK_EQUAL(std::string("running"), rig.jobState("a"));
+        rig.advance(rig.scheduler.options.quarantineMs + 100);
+        rig.sendReport("h1");
+        rig.sendReport("h1");
+        CHECK_EQUAL(2, rig.runCount("h1"));
+    }
+    rig.cancel("a");
+    rig.sendReport("h1");
+    rig.sendReport("h1");
+    CHECK_EQUAL(0, rig.runCount("h1"));
+    CHECK_EQUAL(std::string("cancelled"), rig.jobState("a"));
+}
+
 // Guards against work that is sent again and again to a worker that sheds load while others are
 // free. Its runs that end with success show nothing about the next start.
 TEST(Scheduler, workerThatWasTooBusyForAStartIsTheLastChoice)
