--- a/tests/platform_test.cc
+++ b/tests/platform_test.cc
@@ -44,6 +44,7 @@
     settings.readinessAddress = ip + ":18602";
     settings.heartbeatAddress = ip + ":18603";
     settings.workerAddress = ip + ":18604";
+    settings.workerService = "s";
     settings.storeAddress = storeAddress;
     settings.seedIps = {"127.0.0.2", "127.0.0.3"};
     settings.stopMs = 20;
@@ -363,6 +364,26 @@
     LONGS_EQUAL(400, result->status); // the report is empty
 }
 
+// Guards against a worker that gets no work any more, because a heartbeat of another writer under
+// its id names a service that it does not have.
+TEST(Platform, heartbeatWithTheServiceOfAnotherWorkerIsRefused)
+{
+    Fixture fixture;
+    fixture.addHost("h1", "127.0.0.4");
+    for (const auto &[service, status] : {std::make_pair("other", 400), std::make_pair("s", 200)}) {
+        std::optional<HttpResult> result;
+        HttpCall call;
+        call.address = "127.0.0.4:18603";
+        call.method = "POST";
+        call.target = "/api/Instances.Heartbeat/i-h1";
+        call.body = R"({"Service":")" + std::string(service)
+            + R"(","Sequence":1000,"born":1,"State":"ready","Capacity":{"Cpu":1,"MemMb":1}})";
+        fixture.client.call(call, [&result](const HttpResult &answer) { result = answer; });
+        CHECK(fixture.waitUntil([&result] { return result.has_value(); }));
+        LONGS_EQUAL(status, result->status);
+    }
+}
+
 TEST(Platform, settingsReportEveryError)
 {
     std::vector<std::string> errors;
