Ignore late reports of every former process of an agent

A report of an agent's process that arrived after the agent had been restarted twice was taken for that of a new process. The reports of the real one were then ignored until the leader changed, and its worker counted as lost after its lease.

Cause: the leader kept the start time of one former process per host.

Change: it keeps those of all that have reported to it. Start times are still compared for equality only, because a clock may be set back.

Measured: lateReportOfAFormerAgentIsIgnored fails before (the late report is applied) and passes now with all of scheduler_test.

--- a/flamingo/scheduler/scheduler.cc
+++ b/flamingo/scheduler/scheduler.cc
@@ -560,11 +560,11 @@
     HostState &host = scheduler.hosts[report.host];
     // Agent starts are compared for equality only, not for order: if the host's clock was set back,
     // the reports of a restarted agent must still be accepted.
-    if (report.agentStart == host.previousAgentStart
+    if (host.formerAgentStarts.count(report.agentStart) > 0
         || (report.agentStart == host.agentStart && report.sequence <= host.sequence))
         return false;
     if (report.agentStart != host.agentStart)
-        host.previousAgentStart = std::exchange(host.agentStart, report.agentStart);
+        host.formerAgentStarts.insert(std::exchange(host.agentStart, report.agentStart));
     host.sequence = report.sequence;
     host.lastReport = now;
     if (!report.worker) {
--- a/flamingo/scheduler/scheduler.h
+++ b/flamingo/scheduler/scheduler.h
@@ -188,7 +188,7 @@
 struct HostState
 {
     std::uint64_t agentStart = 0;
-    std::uint64_t previousAgentStart = 0; // reports of the previous agent process are rejected
+    std::set<std::uint64_t> formerAgentStarts; // reports of former agent processes are rejected
     std::uint64_t sequence = 0;
     TimeMs lastReport = 0;
     std::string workerKey;
--- a/tests/scheduler_test.cc
+++ b/tests/scheduler_test.cc
@@ -193,6 +193,23 @@
     CHECK_EQUAL(std::string("failed"), rig.jobState("a"));
 }
 
+// Guards against an agent whose reports are ignored until the leader changes: a report of a former
+// process of the agent arrives late, after the agent was restarted twice.
+TEST(Scheduler, lateReportOfAFormerAgentIsIgnored)
+{
+    rig.addWorker("h1");
+    HostReport late = rig.nextReports.at("h1");
+    late.sequence = 1000;
+    for (const std::uint64_t agentStart : {2, 3}) {
+        rig.reportOf("h1").agentStart = agentStart;
+        rig.sendReport("h1");
+    }
+    CHECK(!applyReport(rig.scheduler, late, rig.now));
+    HostReport next = rig.nextReports.at("h1");
+    next.sequence = 1001;
+    CHECK(applyReport(rig.scheduler, next, rig.now));
+}
+
 // Guards against a service that is shown as completed and does not run any more, because its tasks
 // have ended with success.
 TEST(Scheduler, longRunningTaskIsPlacedAgainHoweverItEnds)
