Wait for the lease of a former leader until a worker is fenced

Cause: a worker that has reported once to a new leader counted as lost 10.6 s later. Its agent may not have received that leader's orders, and may still follow a former leader that does not know of its successor: that one extends leases until 2.5 s after it lost the store. The lease could then outlast the time at which the task was placed again. For workers that never report to a new leader the 2.5 s were waited for already.

Change: they are waited for until the worker has accepted the new leader's token; its agent then ignores former leaders.

Measured: leaseOfAFormerLeaderIsWaitedForUntilTheWorkerIsFenced fails before (the worker is dropped 2.5 s too early) and passes now with all of scheduler_test.

--- a/flamingo/scheduler/planner.cc
+++ b/flamingo/scheduler/planner.cc
@@ -814,7 +814,10 @@
         scheduler.options.leaseMaxMs * 103 / 100 + scheduler.options.leaseSlackMs;
     std::vector<std::string> lapsed;
     for (const auto &[key, worker] : scheduler.workers) {
-        if (now - worker.lastReport > leaseTimeoutMs)
+        // The agent may not have received this leader's orders yet. An earlier leader may extend
+        // the lease until `maxStoreUnreachableMs` after it lost contact with the store.
+        const TimeMs otherLeaderMs = worker.fenced ? 0 : scheduler.options.maxStoreUnreachableMs;
+        if (now - worker.lastReport > leaseTimeoutMs + otherLeaderMs)
             lapsed.push_back(key);
     }
     for (const std::string &key : lapsed)
--- a/tests/scheduler_test.cc
+++ b/tests/scheduler_test.cc
@@ -193,6 +193,27 @@
     CHECK_EQUAL(std::string("failed"), rig.jobState("a"));
 }
 
+// Guards against two runs of a task at a time: the former leader, which does not know yet that it
+// has been replaced, extends the lease of a worker that has reported to the next one.
+TEST(Scheduler, leaseOfAFormerLeaderIsWaitedForUntilTheWorkerIsFenced)
+{
+    rig.addWorker("h1");
+    rig.accept(rig.makeJob("a", 1, 1));
+    rig.sendReport("h1");
+    HostReport last = rig.nextReports.at("h1");
+    last.sequence = 1000;
+    rig.takeOver(2 << 20);
+    applyReport(rig.scheduler, last, rig.now);
+    const SchedulerOptions &options = rig.scheduler.options;
+    const TimeMs leaseMs = options.leaseMaxMs * 103 / 100 + options.leaseSlackMs;
+    rig.advance(leaseMs + options.maxStoreUnreachableMs);
+    rig.planAndStore();
+    CHECK_EQUAL(1, rig.scheduler.workers.size());
+    rig.advance(1);
+    rig.planAndStore();
+    CHECK_EQUAL(0, rig.scheduler.workers.size());
+}
+
 // Guards against an agent whose reports are ignored until the leader changes: a report of a former
 // process of the agent arrives late, after the agent was restarted twice.
 TEST(Scheduler, lateReportOfAFormerAgentIsIgnored)
