--- a/flamingo/scheduler/host_agent.cc
+++ b/flamingo/scheduler/host_agent.cc
@@ -242,7 +242,6 @@
     case CallResult::Misdirected:
     case CallResult::NoAnswer:
     case CallResult::NoListener:
-        run.startUnanswered = true;
         run.nextCallAt = now + agent.options.retryMs;
         logDecision(agent,
                     "event=start_unanswered " + runFields(key) + " reason=\"" + answer.reason
--- a/flamingo/scheduler/host_agent.h
+++ b/flamingo/scheduler/host_agent.h
@@ -118,11 +118,9 @@
     std::string checkpoint;
     std::string reason; // why the run is being stopped or is gone
     bool startRefusedAsBusy = false; // the worker was too busy to start the run
-    bool startUnanswered = false; // the worker may still execute a start that was not answered
-    // Fencing token of the orders that contained the start. The start is sent only under this
-    // token.
+    // Fencing token of the orders that contained the start, which is sent only under this token.
     std::uint64_t orderToken = 0;
-    std::uint32_t startsSent = 0;
+    std::uint32_t startsSent = 0; // number of start calls so far
     bool callOutstanding = false; // a start or stop of this run has not been answered yet
     TimeMs nextCallAt = 0; // earliest time of the next start or stop call
     // The worker's clock when it last answered a start or stop of this run. Only a list that was
@@ -158,8 +156,7 @@
     std::uint64_t minimumToken = 0;
     std::uint64_t acknowledgedEnd = 0; // ends up to this number are stored by the leader
     TimeMs grantUntil = 0; // end of the leader's lease grant, on the agent's clock
-    // The leader's orders take into account all cancellations before this time.
-    TimeMs ordersAsOf = 0;
+    TimeMs ordersAsOf = 0; // the leader's orders take all earlier cancellations into account
     std::int64_t workerClockMs = 0; // newest reading of the worker's clock ...
     TimeMs workerClockReceivedAt = 0; // ... and when it arrived, on the agent's clock
     std::int64_t listClockMs = 0; // worker's clock of the newest lists that were applied
--- a/tests/scheduler_fuzz_test.cc
+++ b/tests/scheduler_fuzz_test.cc
@@ -202,7 +202,8 @@
 // ordered by a leader that has been replaced, or that is not there.
 TEST(SchedulerFuzz, promptCancellationsBesideMuteWorkers)
 {
-    STRCMP_EQUAL("", runSeeds(muteWorkers(), numberOr("FLAMINGO_FUZZ_RUNS", shortRuns)).c_str());
+    STRCMP_EQUAL("",
+                 runSeeds(muteWorkers(), numberOr("FLAMINGO_FUZZ_RUNS", 3 * shortRuns)).c_str());
 }
 
 // Guards against two runs of a task at a time: the start was ordered before the lease of the worker
--- a/tests/scheduler_simulation.h
+++ b/tests/scheduler_simulation.h
@@ -10,14 +10,16 @@
 // restart; the log is unavailable; busy workers refuse calls; mute workers neither answer calls nor
 // carry them out; workers ignore stops.
 //
-// An oracle checks the workers' runs against the rules, without using the scheduler's state. No run
-// of a cancelled job starts later than `cancelBoundMs` after the cancellation, unless the order was
-// a late one, or the host, its agent or the log had a fault in the last `contactMs`; changes of the
-// leader and faults of the worker are no excuse. The oracle
-// also checks that the runs of a cancelled job end: none is in progress after a stretch of
-// `cancelBoundMs` and the time of a stop in which its host is calm. A host is calm when there has
-// been no fault of its connection, worker, agent, the leaders or the log for `contactMs`. A lost
-// report or a late stop lengthens the stretch by the time until the agent tries again.
+// An oracle checks the workers' runs against the rules, without using the scheduler's state. Of the
+// runs of a cancelled job it checks that
+//   * none starts later than `cancelBoundMs` after the cancellation, unless the order was a late
+//   one,
+//     or the agent, its connection or the log had a fault in the last `contactMs`. Changes of the
+//     leader and faults of the worker are no excuse;
+//   * they end: none is in progress after a stretch of `cancelBoundMs` and the time of a stop in
+//     which its host is calm. A host is calm when there has been no fault of its connection,
+//     worker, agent, the leaders or the log for `contactMs`. A lost report or a late stop lengthens
+//     the stretch by the time until the agent tries again.
 
 #include "flamingo/scheduler/host_agent.h"
 #include "flamingo/scheduler/scheduler.h"
