Log the runs that no worker confirms, and whether an agent's last report was answered

Between the beginning of a term and event=run_dropped no line told which tasks the leader held as assigned without hearing of their worker, nor until when; an agent logged nothing when it ended. event=runs_unconfirmed names worker, cause, number of runs and the time of release; event=end of an agent says whether a leader has answered the report of the worker's end.

No decision changes: the two lease timeouts moved into functions of their own, which the log line shares.

--- a/flamingo/adapters/host_agent_service.cc
+++ b/flamingo/adapters/host_agent_service.cc
@@ -69,6 +69,17 @@
         || this->outstandingAtCurrentEntry() > 1;
 }
 
+void HostAgentService::logEnd()
+{
+    const bool answered = this->goneSequence != 0 && this->answeredSequence >= this->goneSequence;
+    this->decisions.write("event=end worker=" + (this->agent.worker ? this->agent.worker->id : "")
+                          + " worker_gone=" + (this->agent.workerGone ? "true" : "false")
+                          + " end_reported=" + (answered ? "true" : "false")
+                          + " epoch=" + std::to_string(this->agent.epoch)
+                          + " reports=" + std::to_string(this->agent.sequence)
+                          + " answered=" + std::to_string(this->answeredSequence));
+}
+
 HostReport HostAgentService::currentReport() const
 {
     HostAgent copy = this->agent;
@@ -178,6 +189,10 @@
     call.body = encode(report);
     call.timeoutMs = this->options.reportTimeoutMs;
     call.keepAlive = true;
+    if (!report.workerGone)
+        this->goneSequence = 0;
+    else if (this->goneSequence == 0)
+        this->goneSequence = report.sequence;
     this->outstanding[address].insert(report.sequence);
     this->lastReportAt = now;
     this->nextReportAt = now + minReportIntervalMs;
@@ -208,6 +223,7 @@
     }
     if (orders->epoch >= this->agent.epoch) {
         this->leaderAnsweredAt = Loop::now();
+        this->answeredSequence = std::max(this->answeredSequence, sequence);
         this->leaderStoreUnreachableMs = orders->storeSilentMs;
         this->setCurrentEntry(address);
         if (!std::exchange(this->leaderKnown, true))
--- a/flamingo/adapters/host_agent_service.h
+++ b/flamingo/adapters/host_agent_service.h
@@ -61,6 +61,9 @@
     // and the leader has received the report that says so.
     bool finalReportPending() const;
 
+    // Logs at the end of the process whether a leader has answered a report of the worker's end.
+    void logEnd();
+
     // Returns the contents of the next report, for a dump of the state.
     scheduler::HostReport currentReport() const;
 
@@ -103,6 +106,8 @@
     TimeMs leaderAnsweredAt = 0;
     TimeMs leaderStoreUnreachableMs = 0; // storeSilentMs of the leader's last answer
     TimeMs lastLookUpAt = 0;
+    std::uint64_t answeredSequence = 0; // newest report that a leader has answered
+    std::uint64_t goneSequence = 0; // first report that the worker is gone; 0: it is not
     bool leaderKnown = false; // a leader has answered, and no report to it has failed since
     Random random;
 };
--- a/flamingo/scheduler/planner.cc
+++ b/flamingo/scheduler/planner.cc
@@ -809,15 +809,9 @@
 
 void dropLapsedWorkers(Scheduler &scheduler, TimeMs now)
 {
-    // Clocks of workers may run 2% slow; 3% adds a margin for rounding.
-    const TimeMs leaseTimeoutMs =
-        scheduler.options.leaseMaxMs * 103 / 100 + scheduler.options.leaseSlackMs;
     std::vector<std::string> lapsed;
     for (const auto &[key, worker] : scheduler.workers) {
-        // The agent may not have received this leader's orders yet. An earlier leader may extend
-        // the lease until `maxStoreUnreachableMs` after it lost contact with the store.
-        const TimeMs otherLeaderMs = worker.fenced ? 0 : scheduler.options.maxStoreUnreachableMs;
-        if (now - worker.lastReport > leaseTimeoutMs + otherLeaderMs)
+        if (now - worker.lastReport > leaseTimeoutMs(scheduler.options, worker.fenced))
             lapsed.push_back(key);
     }
     for (const std::string &key : lapsed)
@@ -825,13 +819,10 @@
 }
 
 // Requeues tasks that are assigned to workers that never reported to this leader, once their leases
-// must have lapsed. An earlier leader may have extended leases until `maxStoreUnreachableMs` after
-// it lost contact with the store.
+// must have lapsed.
 void releaseOrphanedTasks(Scheduler &scheduler, TimeMs now)
 {
-    const TimeMs orphanTimeoutMs = scheduler.options.maxStoreUnreachableMs
-        + scheduler.options.leaseMaxMs * 103 / 100 + scheduler.options.leaseSlackMs;
-    if (now - scheduler.leadingSince <= orphanTimeoutMs)
+    if (now - scheduler.leadingSince <= orphanTimeoutMs(scheduler.options))
         return;
     for (auto &[id, row] : scheduler.table.jobs) {
         if (!row.job)
@@ -963,6 +954,20 @@
 
 } // namespace
 
+TimeMs leaseTimeoutMs(const SchedulerOptions &options, bool fenced)
+{
+    // Clocks of workers may run 2% slow; 3% adds a margin for rounding.
+    const TimeMs timeoutMs = options.leaseMaxMs * 103 / 100 + options.leaseSlackMs;
+    // The agent may not have received this leader's orders yet. An earlier leader may extend the
+    // lease until `maxStoreUnreachableMs` after it lost contact with the store.
+    return fenced ? timeoutMs : timeoutMs + options.maxStoreUnreachableMs;
+}
+
+TimeMs orphanTimeoutMs(const SchedulerOptions &options)
+{
+    return leaseTimeoutMs(options, false);
+}
+
 void plan(Scheduler &scheduler, TimeMs now, std::uint64_t unixNow)
 {
     dropLapsedWorkers(scheduler, now);
@@ -991,6 +996,7 @@
                     .first;
         placeUnit(scheduler, unit, capacity->second, reservations[service], now);
     }
+    logUnconfirmedRuns(scheduler, now);
 }
 
 } // namespace flamingo::scheduler
--- a/flamingo/scheduler/scheduler.cc
+++ b/flamingo/scheduler/scheduler.cc
@@ -533,6 +533,8 @@
     scheduler.workers.clear();
     scheduler.hosts.clear();
     scheduler.speeds.hosts.clear();
+    scheduler.unconfirmed.checkedAt = 0;
+    scheduler.unconfirmed.since.clear();
     scheduler.issuedTokens = 0;
     scheduler.flush = 1;
     scheduler.storedFlush = 0;
--- a/flamingo/scheduler/scheduler.h
+++ b/flamingo/scheduler/scheduler.h
@@ -32,6 +32,7 @@
 #include "flamingo/scheduler/placement.h"
 #include "flamingo/scheduler/records.h"
 #include "flamingo/scheduler/run_progress.h"
+#include "flamingo/scheduler/unconfirmed_runs.h"
 #include "flamingo/scheduler/wait_cause.h"
 
 #include <functional>
@@ -207,6 +208,7 @@
     std::uint64_t issuedTokens = 0; // number of fencing tokens issued in this epoch
     std::uint64_t flush = 1; // number of the flush that will store changes made now
     std::uint64_t storedFlush = 0; // all flushes up to this number are stored
+    UnconfirmedLog unconfirmed;
     std::vector<std::string> decisions; // log lines; cleared by the caller
 };
 
--- a/flamingo/scheduler/scheduler_parts.h
+++ b/flamingo/scheduler/scheduler_parts.h
@@ -19,6 +19,14 @@
 // members of its gang to be stopped.
 void requeueTask(JobRow &row, std::size_t taskNumber);
 
+// Time after the last report of a worker's host when the worker's lease must have lapsed. A worker
+// that is not `fenced` may hold a lease of an earlier leader.
+TimeMs leaseTimeoutMs(const SchedulerOptions &options, bool fenced);
+
+// Time after the beginning of a term when the leases of all workers that have never reported to
+// this leader must have lapsed.
+TimeMs orphanTimeoutMs(const SchedulerOptions &options);
+
 // Removes a worker whose incarnation has ended or whose lease has lapsed, and requeues the tasks of
 // its runs.
 void dropWorker(Scheduler &scheduler, const std::string &key, std::string_view cause, TimeMs now);
