--- a/tests/host_agent_service_test.cc
+++ b/tests/host_agent_service_test.cc
@@ -26,6 +26,7 @@
 constexpr const char *unresponsiveAddress = "127.0.0.1:18721";
 constexpr const char *leaderAddress = "127.0.0.1:18722";
 constexpr const char *formerLeaderAddress = "127.0.0.1:18723";
+constexpr const char *killedEntryAddress = "127.0.0.1:18725"; // nothing listens there
 constexpr const char *followerAddress = "127.0.0.1:18724";
 constexpr std::uint64_t leaderEpoch = 5;
 
@@ -102,12 +103,15 @@
     {
     }
 
+    bool hasLeft = false; // nothing listens at its address
+
     void call(const scheduler::WorkerCall & /*call*/,
               std::function<void(scheduler::WorkerAnswer)> done) override
     {
-        this->loop.after(50, [done = std::move(done)] {
+        this->loop.after(50, [this, done = std::move(done)] {
             scheduler::WorkerAnswer answer;
-            answer.result = scheduler::CallResult::Done;
+            answer.result =
+                this->hasLeft ? scheduler::CallResult::NoListener : scheduler::CallResult::Done;
             answer.clockMs = Loop::now();
             done(answer);
         });
@@ -205,6 +209,16 @@
         return info;
     }
 
+    // The worker announces that it leaves, deregisters and ends.
+    void workerLeaves(HostAgentService &service)
+    {
+        scheduler::WorkerInfo info = workerInfo();
+        info.draining = true;
+        service.handleHeartbeat(info, 2);
+        service.handleDeregistration(info.id);
+        this->worker.hasLeft = true;
+    }
+
     void runFor(TimeMs ms)
     {
         this->loop.after(ms, [this] { this->loop.stop(); });
@@ -292,3 +306,19 @@
     STRCMP_CONTAINS("event=leader_lost address=127.0.0.1:18722 reason=\"status 400 unknown field\"",
                     text.c_str());
 }
+
+// Guards against tasks that wait for the lease of a worker that has left: its agent ended although
+// no leader had received the report of the worker's end, and nobody else knows of it.
+TEST(HostAgentService, agentOfAWorkerThatHasLeftRunsUntilALeaderKnows)
+{
+    HostAgentService service(fixture.loop, fixture.worker, fixture.log, fixture.decisions,
+                             fixture.metrics, Fixture::options({killedEntryAddress}));
+    service.start();
+    service.handleHeartbeat(Fixture::workerInfo(), 1);
+    fixture.log.unresponsive = true;
+    fixture.workerLeaves(service);
+    for (int i = 0; i < 10; ++i) {
+        fixture.runFor(300);
+        CHECK(service.finalReportPending());
+    }
+}
