Keep the agent of a worker that has ended running until the job log shows it

The class: news counted as delivered when it is sent. The same held under a leader that stays, when the last report was lost with its connection or its answer came from a leader that failed before it stored anything.

Change: the leader confirms the end of a worker when the flush that requeues its tasks is stored (storedWorkerEnd), as it does with the ends of runs. The agent reports until it is confirmed, at most as long as the platform lets it run.

Evidence: host_agent_service_test agentOfAWorkerThatHasLeftRunsUntilALeaderKnows failed before and holds now; endOfAWorkerIsConfirmedOnlyWhenItIsStored and agentOfAWorkerThatHasLeftRunsUntilItsEndIsStored use the new field.

--- a/flamingo/adapters/host_agent_service.cc
+++ b/flamingo/adapters/host_agent_service.cc
@@ -63,18 +63,16 @@
 
 bool HostAgentService::finalReportPending() const
 {
-    if (!this->agent.worker || !this->agent.worker->draining)
+    if (!this->agent.worker)
         return false;
-    return !this->agent.workerGone || this->agent.reportNeeded
-        || this->outstandingAtCurrentEntry() > 1;
+    return this->agent.workerGone ? !this->agent.workerEndStored : this->agent.worker->draining;
 }
 
 void HostAgentService::logEnd()
 {
-    const bool answered = this->goneSequence != 0 && this->answeredSequence >= this->goneSequence;
     this->decisions.write("event=end worker=" + (this->agent.worker ? this->agent.worker->id : "")
                           + " worker_gone=" + (this->agent.workerGone ? "true" : "false")
-                          + " end_reported=" + (answered ? "true" : "false")
+                          + " end_stored=" + (this->agent.workerEndStored ? "true" : "false")
                           + " epoch=" + std::to_string(this->agent.epoch)
                           + " reports=" + std::to_string(this->agent.sequence)
                           + " answered=" + std::to_string(this->answeredSequence));
@@ -189,10 +187,6 @@
     call.body = encode(report);
     call.timeoutMs = this->options.reportTimeoutMs;
     call.keepAlive = true;
-    if (!report.workerGone)
-        this->goneSequence = 0;
-    else if (this->goneSequence == 0)
-        this->goneSequence = report.sequence;
     this->outstanding[address].insert(report.sequence);
     this->lastReportAt = now;
     this->nextReportAt = now + minReportIntervalMs;
--- a/flamingo/adapters/host_agent_service.h
+++ b/flamingo/adapters/host_agent_service.h
@@ -57,11 +57,11 @@
     void handleHeartbeat(const scheduler::WorkerInfo &info, std::uint64_t sequence);
     void handleDeregistration(const std::string &workerId);
 
-    // Returns true while the agent of a draining worker must keep running: until the worker is gone
-    // and the leader has received the report that says so.
+    // Returns true while the agent must keep running: until a draining worker is gone, and until
+    // the end of a worker that is gone is stored in the job log.
     bool finalReportPending() const;
 
-    // Logs at the end of the process whether a leader has answered a report of the worker's end.
+    // Logs at the end of the process whether the worker's end is stored.
     void logEnd();
 
     // Returns the contents of the next report, for a dump of the state.
@@ -107,7 +107,6 @@
     TimeMs leaderStoreUnreachableMs = 0; // storeSilentMs of the leader's last answer
     TimeMs lastLookUpAt = 0;
     std::uint64_t answeredSequence = 0; // newest report that a leader has answered
-    std::uint64_t goneSequence = 0; // first report that the worker is gone; 0: it is not
     bool leaderKnown = false; // a leader has answered, and no report to it has failed since
     Random random;
 };
--- a/flamingo/scheduler/host_agent.cc
+++ b/flamingo/scheduler/host_agent.cc
@@ -47,6 +47,7 @@
 void resetWorkerState(HostAgent &agent)
 {
     agent.workerGone = false;
+    agent.workerEndStored = false;
     agent.deregistered = false;
     agent.noListenerSince = 0;
     // A delayed call for the former incarnation may still reach the new one, if both have the same
@@ -305,6 +306,7 @@
     if (agent.workerGone || now - agent.noListenerSince < wait)
         return;
     agent.workerGone = true;
+    agent.workerEndStored = false;
     agent.runs.clear();
     agent.ends.clear();
     agent.tokenInForce = 0;
@@ -445,8 +447,12 @@
             run->second.goneReportSequence != 0 && run->second.goneReportSequence <= reportSequence;
         run = acknowledged ? agent.runs.erase(run) : std::next(run);
     }
-    if (!agent.worker || orders.workerKey != workerKey(agent.options.host, *agent.worker)
-        || agent.workerGone)
+    if (!agent.worker)
+        return;
+    const std::string key = workerKey(agent.options.host, *agent.worker);
+    if (agent.workerGone && orders.storedWorkerEnd == key)
+        agent.workerEndStored = true;
+    if (orders.workerKey != key || agent.workerGone)
         return;
     if (orders.fencingToken < agent.fencingToken)
         return;
@@ -614,6 +620,7 @@
     report.sequence = ++agent.sequence;
     report.worker = agent.worker;
     report.workerGone = agent.workerGone;
+    report.workerEndStored = agent.workerEndStored;
     report.fencingToken = agent.tokenInForce;
     report.listClockMs = agent.listClockMs;
     for (auto &[key, run] : agent.runs) {
--- a/flamingo/scheduler/host_agent.h
+++ b/flamingo/scheduler/host_agent.h
@@ -145,6 +145,9 @@
     bool probeOutstanding = false; // a probe has not been answered
     TimeMs nextProbeAt = 0; // earliest time of the next probe
     bool workerGone = false; // no worker process listens on the host
+    // The end of the worker that is gone is stored in the job log. Until then the agent must report
+    // it: nobody else knows that the worker's runs have ended.
+    bool workerEndStored = false;
     bool deregistered = false; // the worker has announced its shutdown
     TimeMs noListenerSince = 0; // first failed connection; 0: none since the last answer
     std::uint64_t fencingToken = 0; // from the leader's orders
--- a/flamingo/scheduler/host_messages.h
+++ b/flamingo/scheduler/host_messages.h
@@ -73,6 +73,7 @@
     std::uint64_t sequence = 0; // increases within an incarnation
     std::optional<WorkerInfo> worker; // nullopt: the agent has received no heartbeat
     bool workerGone = false; // no worker process exists on the host
+    bool workerEndStored = false; // the agent knows that the worker's end is stored in the job log
     bool workerBusy = false; // the worker was too busy to start one of `runs`
     std::uint64_t lostLeader = 0; // epoch of the leader that the agent cannot reach; 0: none
     std::uint64_t fencingToken = 0; // in force at the worker; `runs` and `ends` were read under it
@@ -107,6 +108,9 @@
     std::uint64_t fencingToken = 0;
     TimeMs grantMs = 0; // lease of the worker, counted from the sending of the report
     std::uint64_t acknowledgedEnd = 0; // ends up to this number are stored in the job log
+    // Key of the host's worker that was reported as gone, once the log shows that its runs have
+    // ended; empty: none.
+    std::string storedWorkerEnd;
     TimeMs storeSilentMs = 0; // time since the store of the job log last answered the leader
     // Time since the leader last read the job log to its end: it does not know later cancellations.
     TimeMs jobLogAgeMs = 0;
--- a/flamingo/scheduler/records.cc
+++ b/flamingo/scheduler/records.cc
@@ -134,6 +134,7 @@
             {"fencingToken", orders.fencingToken},
             {"grantMs", orders.grantMs},
             {"acknowledgedEnd", orders.acknowledgedEnd},
+            {"storedWorkerEnd", orders.storedWorkerEnd},
             {"storeSilentMs", orders.storeSilentMs},
             {"jobLogAgeMs", orders.jobLogAgeMs},
             {"starts", orders.starts},
@@ -301,6 +302,7 @@
     reader.integer("agentStart", 0, maxIncarnation, report.agentStart);
     reader.integer("sequence", 0, maxCounter, report.sequence);
     reader.flag("workerGone", report.workerGone);
+    reader.flag("workerEndStored", report.workerEndStored);
     reader.flag("workerBusy", report.workerBusy);
     reader.integer("lostLeader", 0, maxEpoch, report.lostLeader);
     reader.integer("fencingToken", 0, maxCounter, report.fencingToken);
@@ -344,6 +346,7 @@
     reader.integer("fencingToken", 0, maxCounter, orders.fencingToken);
     reader.integer("grantMs", 0, maxLeaseGrantMs, orders.grantMs);
     reader.integer("acknowledgedEnd", 0, maxCounter, orders.acknowledgedEnd);
+    reader.text("storedWorkerEnd", orders.storedWorkerEnd);
     // Negative if a read of the log was confirmed after this time was taken.
     reader.integer("storeSilentMs", -maxMilliseconds, maxMilliseconds, orders.storeSilentMs);
     reader.integer("jobLogAgeMs", 0, maxMilliseconds, orders.jobLogAgeMs);
@@ -462,6 +465,7 @@
             {"agentStart", report.agentStart},
             {"sequence", report.sequence},
             {"workerGone", report.workerGone},
+            {"workerEndStored", report.workerEndStored},
             {"workerBusy", report.workerBusy},
             {"lostLeader", report.lostLeader},
             {"fencingToken", report.fencingToken},
--- a/flamingo/scheduler/scheduler.cc
+++ b/flamingo/scheduler/scheduler.cc
@@ -579,8 +579,13 @@
         dropWorker(scheduler, key, "its process has ended", now);
         dropOtherIncarnations(scheduler, report.host, "", now);
         host.workerKey.clear();
+        if (host.endedWorker != key) {
+            host.endedWorker = key;
+            host.endedWorkerFlush = scheduler.flush;
+        }
         return true;
     }
+    host.endedWorker.clear();
     Worker &worker = findOrAddWorker(scheduler, key, report);
     host.workerKey = key;
     worker.info = *report.worker;
@@ -624,9 +629,11 @@
     orders.epoch = scheduler.epoch;
     orders.grantMs = scheduler.options.grantMs;
     const auto state = scheduler.hosts.find(host);
-    const auto found = state == scheduler.hosts.end()
-        ? scheduler.workers.end()
-        : scheduler.workers.find(state->second.workerKey);
+    if (state == scheduler.hosts.end())
+        return orders;
+    if (state->second.endedWorkerFlush <= scheduler.storedFlush)
+        orders.storedWorkerEnd = state->second.endedWorker;
+    const auto found = scheduler.workers.find(state->second.workerKey);
     if (found == scheduler.workers.end())
         return orders;
     const Worker &worker = found->second;
@@ -655,7 +662,7 @@
     if (!orders.starts.empty() || !orders.stops.empty())
         return true;
     if (orders.workerKey.empty())
-        return false;
+        return !orders.storedWorkerEnd.empty() && !lastReport.workerEndStored;
     if (orders.fencingToken != lastReport.fencingToken)
         return true;
     return std::any_of(
--- a/flamingo/scheduler/scheduler.h
+++ b/flamingo/scheduler/scheduler.h
@@ -193,6 +193,8 @@
     std::uint64_t sequence = 0;
     TimeMs lastReport = 0;
     std::string workerKey;
+    std::string endedWorker; // the worker that was last reported as gone; empty: none
+    std::uint64_t endedWorkerFlush = 0; // flush that stores the end of its runs
 };
 
 struct Scheduler
@@ -228,8 +230,8 @@
 // Orders for a host's worker, based on the host's newest report.
 HostOrders ordersFor(const Scheduler &scheduler, const std::string &host);
 
-// True when `orders` holds a start, a stop, a fencing token or an acknowledgement that the host had
-// not received when it sent `lastReport`.
+// True when `orders` holds a start, a stop, a fencing token, an acknowledgement or a stored end of
+// the worker that the host had not received when it sent `lastReport`.
 bool hasOrders(const HostOrders &orders, const HostReport &lastReport);
 
 // Removes workers whose leases have lapsed, requeues tasks of workers that never reported, applies
--- a/tests/host_agent_service_test.cc
+++ b/tests/host_agent_service_test.cc
@@ -136,6 +136,7 @@
     std::size_t formerLeaderReports = 0;
     std::size_t unansweredReports = 0; // the leader leaves the first N reports unanswered
     bool reportsAreRefused = false;
+    bool workerEndIsStored = false; // as the leader answers
 
     Fixture()
     {
@@ -156,6 +157,8 @@
         scheduler::HostOrders orders;
         orders.epoch = leaderEpoch;
         orders.leaderAddress = leaderAddress;
+        if (this->workerEndIsStored)
+            orders.storedWorkerEnd = scheduler::workerKey("h1", workerInfo());
         this->loop.after(20, [this, id = request.id, text = encode(orders)] {
             this->leader->respond(id, {200, text});
         });
@@ -322,3 +325,20 @@
         CHECK(service.finalReportPending());
     }
 }
+
+// Guards against the same wait when the leader fails after its answer: the report counts only when
+// the log shows that the runs have ended.
+TEST(HostAgentService, agentOfAWorkerThatHasLeftRunsUntilItsEndIsStored)
+{
+    HostAgentService service(fixture.loop, fixture.worker, fixture.log, fixture.decisions,
+                             fixture.metrics, Fixture::options({leaderAddress}));
+    service.start();
+    service.handleHeartbeat(Fixture::workerInfo(), 1);
+    fixture.workerLeaves(service);
+    fixture.runFor(500);
+    CHECK(fixture.reports.back().workerGone);
+    CHECK(service.finalReportPending());
+    fixture.workerEndIsStored = true;
+    fixture.runFor(200);
+    CHECK_FALSE(service.finalReportPending());
+}
--- a/tests/scheduler_test.cc
+++ b/tests/scheduler_test.cc
@@ -664,3 +664,24 @@
     rig.planAndStore();
     CHECK_EQUAL(0, ordersFor(rig.scheduler, "h1").stops.size());
 }
+
+// Guards against an agent that ends before the job log shows that the runs of its worker have
+// ended: the next leader would wait for the worker's lease.
+TEST(Scheduler, endOfAWorkerIsConfirmedOnlyWhenItIsStored)
+{
+    rig.addWorker("h1");
+    rig.accept(rig.makeJob("a", 1, 2));
+    rig.sendReport("h1");
+    HostReport report = rig.reportOf("h1");
+    report.sequence = 1000; // higher than that of any earlier report
+    report.workerGone = true;
+    applyReport(rig.scheduler, report, rig.now);
+    CHECK(ordersFor(rig.scheduler, "h1").storedWorkerEnd.empty());
+    CHECK_FALSE(hasOrders(ordersFor(rig.scheduler, "h1"), report));
+    rig.storeRecords();
+    const HostOrders orders = ordersFor(rig.scheduler, "h1");
+    CHECK_EQUAL(workerKey("h1", *report.worker), orders.storedWorkerEnd);
+    CHECK(hasOrders(orders, report)); // the agent waits for it
+    report.workerEndStored = true;
+    CHECK_FALSE(hasOrders(orders, report)); // the agent knows
+}
