Store the end of a worker in the job log when no leader confirms it

Change: after 1 s without a leader's confirmation the agent appends a record with the worker's key. The next leader requeues the worker's tasks in its first plan and deletes the record in the same append. A worker whose host reports is not affected by the record: its agent decides.

Evidence: scheduler_test nextLeaderPlacesTheTasksOfAWorkerWhoseEndIsStored, storedEndOfAWorkerWhoseHostIsSilentEndsItsRuns, storedEndOfAWorkerThatReportsHasNoEffect, storedEndOfAWorkerIsDeletedTogetherWithTheRequeuedTasks; host_agent_service_test endOfAWorkerIsStoredWhenNoLeaderConfirmsIt, endOfAWorkerThatTheLeaderConfirmsIsNotStoredByItsAgent.

--- a/flamingo/scheduler/planner.cc
+++ b/flamingo/scheduler/planner.cc
@@ -970,6 +970,7 @@
 
 void plan(Scheduler &scheduler, TimeMs now, std::uint64_t unixNow)
 {
+    releaseEndedWorkers(scheduler, now);
     dropLapsedWorkers(scheduler, now);
     releaseOrphanedTasks(scheduler, now);
     applyCancellations(scheduler, now);
--- a/flamingo/scheduler/records.cc
+++ b/flamingo/scheduler/records.cc
@@ -152,6 +152,7 @@
 constexpr std::string_view acceptancePrefix = "a/";
 constexpr std::string_view cancellationPrefix = "c/";
 constexpr std::string_view progressPrefix = "p/";
+constexpr std::string_view workerEndPrefix = "w/";
 
 // Decodes the text of one message or record with `read(json, value, reason)`.
 template <typename Type, typename Read>
@@ -416,9 +417,9 @@
     return reader.valid();
 }
 
-std::string recordKey(std::string_view prefix, std::string_view jobId)
+std::string recordKey(std::string_view prefix, std::string_view name)
 {
-    return std::string(prefix) + std::string(jobId);
+    return std::string(prefix) + std::string(name);
 }
 
 // Removes the fields at the end of `fields` that have their default value.
@@ -496,6 +497,11 @@
     return {recordKey(cancellationPrefix, jobId), "{}"};
 }
 
+Record workerEndRecord(std::string_view workerKey)
+{
+    return {recordKey(workerEndPrefix, workerKey), "{}"};
+}
+
 Record leaderRecord(const Leader &leader)
 {
     return {std::string(leaderKey), jsonText(Json(leader))};
@@ -509,17 +515,19 @@
 std::optional<ParsedKey> parseKey(std::string_view key)
 {
     if (key == candidateKey)
-        return ParsedKey{RecordKind::Candidate, ""};
+        return ParsedKey{RecordKind::Candidate, "", ""};
     if (key == leaderKey)
-        return ParsedKey{RecordKind::Leader, ""};
+        return ParsedKey{RecordKind::Leader, "", ""};
     const std::string_view prefix = key.substr(0, 2);
-    const std::string jobId(key.substr(prefix.size()));
+    const std::string name(key.substr(prefix.size()));
     if (prefix == acceptancePrefix)
-        return ParsedKey{RecordKind::Acceptance, jobId};
+        return ParsedKey{RecordKind::Acceptance, name, ""};
     if (prefix == progressPrefix)
-        return ParsedKey{RecordKind::Progress, jobId};
+        return ParsedKey{RecordKind::Progress, name, ""};
     if (prefix == cancellationPrefix)
-        return ParsedKey{RecordKind::Cancellation, jobId};
+        return ParsedKey{RecordKind::Cancellation, name, ""};
+    if (prefix == workerEndPrefix)
+        return ParsedKey{RecordKind::WorkerEnd, "", name};
     return std::nullopt;
 }
 
--- a/flamingo/scheduler/records.h
+++ b/flamingo/scheduler/records.h
@@ -7,14 +7,22 @@
 // A job has up to three keys, because different entries (see job_log.h) write its acceptance (any
 // entry), its progress (the leader) and its cancellation (any entry) at any time, and none may
 // overwrite the record of another. A repeated acceptance or cancellation replaces a record with the
-// same content. All records are in one partition, so that a single fence and a single order apply
-// to them.
+// same content. The end of a worker is written by its agent while no leader confirms it, and
+// deleted by a leader that has requeued the worker's tasks. All records are in one partition, so
+// that a single fence and a single order apply to them.
 
 #include "flamingo/scheduler/job.h"
 
 namespace flamingo::scheduler {
 
-enum class RecordKind : std::uint8_t { Acceptance, Progress, Cancellation, Candidate, Leader };
+enum class RecordKind : std::uint8_t {
+    Acceptance,
+    Progress,
+    Cancellation,
+    WorkerEnd,
+    Candidate,
+    Leader
+};
 
 struct Record
 {
@@ -37,6 +45,8 @@
 Record acceptanceRecord(const Job &job);
 Record progressRecord(std::string_view jobId, const JobProgress &progress);
 Record cancellationRecord(std::string_view jobId);
+// States that the incarnation of a worker has ended, with all its runs. See workerKey().
+Record workerEndRecord(std::string_view workerKey);
 Record leaderRecord(const Leader &leader);
 // Announces that an entry is about to lead.
 Record candidateRecord(const Leader &candidate);
@@ -48,7 +58,8 @@
 struct ParsedKey
 {
     RecordKind kind = RecordKind::Acceptance;
-    std::string jobId; // empty for Candidate and Leader
+    std::string jobId; // of Acceptance, Progress and Cancellation
+    std::string workerKey; // of WorkerEnd
 };
 
 // Returns nullopt for a key of unknown kind.
--- a/flamingo/scheduler/scheduler.cc
+++ b/flamingo/scheduler/scheduler.cc
@@ -392,6 +392,12 @@
     if (value.empty()) {
         if (parsed->kind == RecordKind::Acceptance)
             table.jobs.erase(parsed->jobId);
+        if (parsed->kind == RecordKind::WorkerEnd)
+            table.endedWorkers.erase(parsed->workerKey);
+        return true;
+    }
+    if (parsed->kind == RecordKind::WorkerEnd) {
+        table.endedWorkers.try_emplace(parsed->workerKey);
         return true;
     }
     if (parsed->kind == RecordKind::Cancellation) {
@@ -497,8 +503,29 @@
         dropRun(scheduler, run, key, cause, now);
 }
 
+// Requeues the tasks that the table assigns to the workers for which `ended` is true, also those
+// that an earlier leader assigned to workers that have never reported to this one.
+void dropAssignments(Scheduler &scheduler, const std::function<bool(const std::string &)> &ended,
+                     std::string_view cause, TimeMs now)
+{
+    for (auto &[id, row] : scheduler.table.jobs) {
+        if (!row.job)
+            continue;
+        for (std::size_t i = 0; i < row.progress.tasks.size(); ++i) {
+            const TaskProgress &task = row.progress.tasks[i];
+            if (!ended(task.worker))
+                continue;
+            Run run;
+            run.jobId = id;
+            run.taskNumber = i;
+            run.run = task.run;
+            dropRun(scheduler, run, task.worker, cause, now);
+        }
+    }
+}
+
 // Removes all workers of the host other than `currentKey`; all of them when it is empty. Requeues
-// their tasks, also those that an earlier leader assigned.
+// their tasks.
 void dropOtherIncarnations(Scheduler &scheduler, const std::string &host,
                            const std::string &currentKey, TimeMs now)
 {
@@ -509,21 +536,41 @@
     }
     for (const std::string &key : old)
         dropWorker(scheduler, key, "replaced by another incarnation", now);
-    // An earlier leader may have assigned tasks to incarnations that never reported to this leader.
-    for (auto &[id, row] : scheduler.table.jobs) {
-        if (!row.job)
+    dropAssignments(
+        scheduler,
+        [&](const std::string &worker) {
+            return worker != currentKey && hostOfWorkerKey(worker) == host;
+        },
+        "replaced by another incarnation", now);
+}
+
+// A report of the worker's agent is newer than the stored end or will follow, so the end decides
+// only when the worker's host is silent. One that a reporting worker contradicts is deleted.
+void releaseEndedWorkers(Scheduler &scheduler, TimeMs now)
+{
+    std::set<std::string> released;
+    for (auto &[key, ended] : scheduler.table.endedWorkers) {
+        if (ended.released)
+            continue;
+        if (ended.seenAt == 0)
+            ended.seenAt = now;
+        const auto worker = scheduler.workers.find(key);
+        if (worker != scheduler.workers.end()
+            && now - worker->second.lastReport <= scheduler.options.reportTimeoutMs) {
+            ended.released = now - ended.seenAt > scheduler.options.reportTimeoutMs;
             continue;
-        for (std::size_t i = 0; i < row.progress.tasks.size(); ++i) {
-            const TaskProgress &task = row.progress.tasks[i];
-            if (task.worker == currentKey || hostOfWorkerKey(task.worker) != host)
-                continue;
-            Run run;
-            run.jobId = id;
-            run.taskNumber = i;
-            run.run = task.run;
-            dropRun(scheduler, run, task.worker, "replaced by another incarnation", now);
         }
+        ended.released = true;
+        released.insert(key);
     }
+    if (released.empty())
+        return;
+    constexpr std::string_view cause = "its agent has stored its end";
+    for (const std::string &key : released)
+        dropWorker(scheduler, key, cause, now);
+    dropAssignments(
+        scheduler, [&released](const std::string &worker) { return released.count(worker) > 0; },
+        cause, now);
 }
 
 void beginLeading(Scheduler &scheduler, std::uint64_t epoch, TimeMs now)
@@ -538,6 +585,8 @@
     scheduler.issuedTokens = 0;
     scheduler.flush = 1;
     scheduler.storedFlush = 0;
+    for (auto &[key, ended] : scheduler.table.endedWorkers)
+        ended = {};
     for (auto &[id, row] : scheduler.table.jobs) {
         row.dirty = false;
         row.cancellationHandled = false;
@@ -691,6 +740,12 @@
             records.push_back({record.key, ""});
         scheduler.table.jobs.erase(id);
     }
+    auto &endedWorkers = scheduler.table.endedWorkers;
+    for (auto item = endedWorkers.begin(); item != endedWorkers.end();) {
+        if (item->second.released)
+            records.push_back({workerEndRecord(item->first).key, ""});
+        item = item->second.released ? endedWorkers.erase(item) : std::next(item);
+    }
     ++scheduler.flush;
     return records;
 }
--- a/flamingo/scheduler/scheduler.h
+++ b/flamingo/scheduler/scheduler.h
@@ -88,9 +88,17 @@
     std::map<std::size_t, WaitState> waits; // by the number of the step's first task
 };
 
+// The end of a worker's incarnation, as its agent has stored it. Leader only:
+struct EndedWorker
+{
+    TimeMs seenAt = 0; // when a plan of this leader first considered it; 0: not yet
+    bool released = false; // its tasks are requeued; the next flush deletes the record
+};
+
 struct JobTable
 {
     std::map<std::string, JobRow> jobs;
+    std::map<std::string, EndedWorker> endedWorkers; // by worker key; see workerEndRecord()
     Leader leader; // the leader record with the highest epoch that was read
     Leader candidate; // the candidate record with the highest epoch that was read
 };
@@ -234,9 +242,9 @@
 // the worker that the host had not received when it sent `lastReport`.
 bool hasOrders(const HostOrders &orders, const HostReport &lastReport);
 
-// Removes workers whose leases have lapsed, requeues tasks of workers that never reported, applies
-// cancellations, stops stalled runs, places the waiting tasks that fit, and stops runs of lower
-// priorities for urgent tasks that do not.
+// Removes workers whose leases have lapsed or whose end is stored, requeues tasks of workers that
+// never reported, applies cancellations, stops stalled runs, places the waiting tasks that fit, and
+// stops runs of lower priorities for urgent tasks that do not.
 void plan(Scheduler &scheduler, TimeMs now, std::uint64_t unixNow);
 
 // Returns the records of all changes since the last call, and those that delete expired jobs; they
--- a/flamingo/scheduler/scheduler_parts.h
+++ b/flamingo/scheduler/scheduler_parts.h
@@ -31,6 +31,9 @@
 // its runs.
 void dropWorker(Scheduler &scheduler, const std::string &key, std::string_view cause, TimeMs now);
 
+// Requeues the tasks of workers whose end their agents have stored (JobTable::endedWorkers).
+void releaseEndedWorkers(Scheduler &scheduler, TimeMs now);
+
 } // namespace flamingo::scheduler
 
 #endif
--- a/tests/host_agent_service_test.cc
+++ b/tests/host_agent_service_test.cc
@@ -342,3 +342,36 @@
     fixture.runFor(200);
     CHECK_FALSE(service.finalReportPending());
 }
+
+// Guards against the loss of the news when the host is taken away before an entry leads.
+TEST(HostAgentService, endOfAWorkerIsStoredWhenNoLeaderConfirmsIt)
+{
+    HostAgentService service(fixture.loop, fixture.worker, fixture.log, fixture.decisions,
+                             fixture.metrics, Fixture::options({killedEntryAddress}));
+    service.start();
+    service.handleHeartbeat(Fixture::workerInfo(), 1);
+    fixture.log.rejectsCalls = true;
+    fixture.workerLeaves(service);
+    fixture.runFor(1500);
+    CHECK(fixture.logState.records.empty());
+    CHECK(service.finalReportPending());
+    fixture.log.rejectsCalls = false;
+    fixture.runFor(800);
+    CHECK_EQUAL(1, fixture.logState.records.size());
+    const std::string key = scheduler::workerKey("h1", Fixture::workerInfo());
+    CHECK_EQUAL(scheduler::workerEndRecord(key).key, fixture.logState.records[0].record.key);
+    CHECK_FALSE(service.finalReportPending());
+}
+
+// Guards against an append for each worker that ends while a leader answers.
+TEST(HostAgentService, endOfAWorkerThatTheLeaderConfirmsIsNotStoredByItsAgent)
+{
+    fixture.workerEndIsStored = true;
+    HostAgentService service(fixture.loop, fixture.worker, fixture.log, fixture.decisions,
+                             fixture.metrics, Fixture::options({leaderAddress}));
+    service.start();
+    service.handleHeartbeat(Fixture::workerInfo(), 1);
+    fixture.workerLeaves(service);
+    fixture.runFor(2000);
+    CHECK(fixture.logState.records.empty());
+}
--- a/tests/scheduler_rig.h
+++ b/tests/scheduler_rig.h
@@ -82,6 +82,14 @@
         applyRecord(this->scheduler.table, record.key, record.value, true, reason);
     }
 
+    // Stores the end of a worker as its agent does.
+    void storeWorkerEnd(const std::string &key)
+    {
+        const scheduler::Record record = scheduler::workerEndRecord(key);
+        Reason reason;
+        applyRecord(this->scheduler.table, record.key, record.value, true, reason);
+    }
+
     scheduler::HostReport &reportOf(const std::string &host, const std::string &rack = "r1",
                                     std::uint64_t startedUnixMs = 1)
     {
--- a/tests/scheduler_test.cc
+++ b/tests/scheduler_test.cc
@@ -685,3 +685,70 @@
     report.workerEndStored = true;
     CHECK_FALSE(hasOrders(orders, report)); // the agent knows
 }
+
+// Guards against tasks that wait for the lease of a worker that left while no entry led: its agent
+// stored its end in the job log and is gone, so no report tells the next leader of it.
+TEST(Scheduler, nextLeaderPlacesTheTasksOfAWorkerWhoseEndIsStored)
+{
+    rig.addWorker("h1");
+    rig.accept(rig.makeJob("a", 1, 2));
+    rig.sendReport("h1");
+    const std::string key = workerKey("h1", *rig.reportOf("h1").worker);
+    rig.storeWorkerEnd(key);
+    rig.takeOver(2 << 20);
+    rig.addWorker("h2");
+    rig.advance(rig.scheduler.options.failureBackoffMs);
+    CHECK_EQUAL(1, rig.sendReport("h2").starts.size());
+    CHECK(rig.scheduler.table.endedWorkers.empty());
+}
+
+// Guards against two runs of a task at a time: the worker goes on and its agent reports it.
+TEST(Scheduler, storedEndOfAWorkerThatReportsHasNoEffect)
+{
+    rig.addWorker("h1");
+    Job job = rig.makeJob("a", 1, 2);
+    job.steps[0].longRunning = true; // is never taken for stalled
+    rig.accept(job);
+    rig.sendReport("h1");
+    rig.addWorker("h2");
+    const std::string key = workerKey("h1", *rig.reportOf("h1").worker);
+    rig.storeWorkerEnd(key);
+    for (int i = 0; i < 10; ++i) {
+        rig.advance(500);
+        CHECK(rig.sendReport("h1").stops.empty());
+        CHECK(rig.sendReport("h2").starts.empty());
+    }
+    CHECK(rig.scheduler.table.endedWorkers.empty()); // the record is deleted
+}
+
+// Guards against the whole lease when a worker leaves under a leader that stays and its agent's
+// last report is lost.
+TEST(Scheduler, storedEndOfAWorkerWhoseHostIsSilentEndsItsRuns)
+{
+    rig.addWorker("h1");
+    rig.accept(rig.makeJob("a", 1, 2));
+    rig.sendReport("h1");
+    rig.addWorker("h2");
+    rig.storeWorkerEnd(workerKey("h1", *rig.reportOf("h1").worker));
+    rig.advance(rig.scheduler.options.reportTimeoutMs + 1);
+    rig.sendReport("h2");
+    rig.advance(rig.scheduler.options.failureBackoffMs);
+    CHECK_EQUAL(1, rig.sendReport("h2").starts.size());
+}
+
+// Guards against a record that outlives a leader that failed before its deletion was stored.
+TEST(Scheduler, storedEndOfAWorkerIsDeletedTogetherWithTheRequeuedTasks)
+{
+    rig.addWorker("h1");
+    rig.accept(rig.makeJob("a", 1, 2));
+    rig.sendReport("h1");
+    const std::string key = workerKey("h1", *rig.reportOf("h1").worker);
+    rig.storeWorkerEnd(key);
+    rig.takeOver(2 << 20);
+    plan(rig.scheduler, rig.now, rig.unixNow);
+    const std::vector<Record> records = takeRecords(rig.scheduler, rig.now);
+    CHECK_EQUAL(2, records.size());
+    STRCMP_EQUAL("p/a", records[0].key.c_str());
+    CHECK_EQUAL(workerEndRecord(key).key, records[1].key);
+    CHECK(records[1].value.empty());
+}
