Decide in the host agent when the end of a worker is stored

It moves to the pure functions dueWorkerEnd() and applyWorkerEndResult(); no change of behaviour (host_agent_service_test, scheduler_test, host_agent_test).

--- a/flamingo/adapters/host_agent_service.cc
+++ b/flamingo/adapters/host_agent_service.cc
@@ -7,7 +7,6 @@
 #include "flamingo/adapters/http_status.h"
 
 #include <algorithm>
-#include <limits>
 #include <utility>
 
 namespace flamingo::adapters {
@@ -111,39 +110,16 @@
     this->storeWorkerEnd(now);
 }
 
-// Stores the end of the worker in the job log when no leader confirms it. The next leader then
-// knows that the worker's runs have ended, also when this host is taken away before it leads.
 void HostAgentService::storeWorkerEnd(TimeMs now)
 {
-    if (!this->agent.worker || !this->agent.workerGone || this->agent.workerEndStored) {
-        this->workerGoneSince = 0;
+    const auto record = dueWorkerEnd(this->agent, now);
+    if (!record)
         return;
-    }
-    if (this->workerGoneSince == 0) {
-        this->workerGoneSince = now;
-        this->nextWorkerEndAt = now + this->options.storeWorkerEndAfterMs;
-    }
-    if (now < this->nextWorkerEndAt)
-        return;
-    this->nextWorkerEndAt = std::numeric_limits<TimeMs>::max(); // until the append is answered
-    const std::string key = workerKey(this->options.agent.host, *this->agent.worker);
-    const Record record = workerEndRecord(key);
-    this->log.append({&record, 1}, [this, key](const AppendResult &result) {
-        this->handleWorkerEndStored(key, result);
-    });
-}
-
-void HostAgentService::handleWorkerEndStored(const std::string &key, const AppendResult &result)
-{
-    this->nextWorkerEndAt = Loop::now() + this->options.storeWorkerEndEveryMs;
-    if (result.status != AppendStatus::Stored) {
-        this->decisions.write("event=worker_end_not_stored worker=" + key + " reason=\""
-                              + result.error + "\"");
-        return;
-    }
-    this->decisions.write("event=worker_end_stored worker=" + key);
-    if (this->agent.workerGone && key == workerKey(this->options.agent.host, *this->agent.worker))
-        this->agent.workerEndStored = true;
+    this->log.append({&*record, 1},
+                     [this, key = parseKey(record->key)->workerKey](const AppendResult &result) {
+                         applyWorkerEndResult(this->agent, key, result, Loop::now());
+                         this->step();
+                     });
 }
 
 std::size_t HostAgentService::outstandingAtCurrentEntry() const
--- a/flamingo/adapters/host_agent_service.h
+++ b/flamingo/adapters/host_agent_service.h
@@ -37,10 +37,6 @@
     std::size_t maxUnansweredReports = 5;
     TimeMs lookUpAfterMs = 1500; // time without an answer of a leader until the job log is read
     TimeMs lookUpEveryMs = 400; // minimum interval between reads of the job log
-    // While no leader confirms the end of the worker, the agent stores it in the job log after this
-    // time, and tries again at this interval.
-    TimeMs storeWorkerEndAfterMs = 1000;
-    TimeMs storeWorkerEndEveryMs = 500;
     // Another entry may lead if the leader has had no contact to the log for longer than this.
     TimeMs staleLeaderMs = 900;
 };
@@ -92,7 +88,6 @@
     void tryNextEntry();
     void lookUpLeader();
     void storeWorkerEnd(TimeMs now);
-    void handleWorkerEndStored(const std::string &key, const scheduler::AppendResult &result);
     void addEntry(const std::string &address);
 
     Loop &loop;
@@ -112,8 +107,6 @@
     TimeMs leaderAnsweredAt = 0;
     TimeMs leaderStoreUnreachableMs = 0; // storeSilentMs of the leader's last answer
     TimeMs lastLookUpAt = 0;
-    TimeMs workerGoneSince = 0; // 0: it is not gone, or its end is stored
-    TimeMs nextWorkerEndAt = 0; // earliest time of the next append of the worker's end
     std::uint64_t answeredSequence = 0; // newest report that a leader has answered
     bool leaderKnown = false; // a leader has answered, and no report to it has failed since
     Random random;
--- a/flamingo/scheduler/host_agent.cc
+++ b/flamingo/scheduler/host_agent.cc
@@ -48,6 +48,7 @@
 {
     agent.workerGone = false;
     agent.workerEndStored = false;
+    agent.workerEndOutstanding = false;
     agent.deregistered = false;
     agent.noListenerSince = 0;
     // A delayed call for the former incarnation may still reach the new one, if both have the same
@@ -307,6 +308,7 @@
         return;
     agent.workerGone = true;
     agent.workerEndStored = false;
+    agent.storeWorkerEndAt = now + agent.options.storeWorkerEndAfterMs;
     agent.runs.clear();
     agent.ends.clear();
     agent.tokenInForce = 0;
@@ -612,6 +614,30 @@
     return calls;
 }
 
+std::optional<Record> dueWorkerEnd(HostAgent &agent, TimeMs now)
+{
+    if (!agent.worker || !agent.workerGone || agent.workerEndStored || agent.workerEndOutstanding
+        || now < agent.storeWorkerEndAt)
+        return std::nullopt;
+    agent.workerEndOutstanding = true;
+    return workerEndRecord(workerKey(agent.options.host, *agent.worker));
+}
+
+void applyWorkerEndResult(HostAgent &agent, std::string_view workerKey, const AppendResult &result,
+                          TimeMs now)
+{
+    const bool stored = result.status == AppendStatus::Stored;
+    logDecision(agent,
+                stored ? "event=worker_end_stored worker=" + std::string(workerKey)
+                       : "event=worker_end_not_stored worker=" + std::string(workerKey)
+                        + " reason=\"" + result.error + "\"");
+    if (!agent.worker || workerKey != scheduler::workerKey(agent.options.host, *agent.worker))
+        return;
+    agent.workerEndOutstanding = false;
+    agent.storeWorkerEndAt = now + agent.options.storeWorkerEndEveryMs;
+    agent.workerEndStored = agent.workerEndStored || (stored && agent.workerGone);
+}
+
 HostReport makeReport(HostAgent &agent)
 {
     HostReport report;
--- a/flamingo/scheduler/host_agent.h
+++ b/flamingo/scheduler/host_agent.h
@@ -26,6 +26,9 @@
 //
 // Answers may arrive out of order. Each carries the worker's clock, which orders them.
 //
+// The agent alone knows that its worker has ended. It reports that until the leader confirms that
+// the job log shows it, and stores it in the log itself while no leader does.
+//
 // A heartbeat may be delayed or have another author, so it does not replace the current worker. The
 // agent first probes the worker that the heartbeat names, by a poll under its id that changes
 // nothing, and follows it when it answers.
@@ -34,6 +37,7 @@
 // to send, and their answers are passed to applyAnswer().
 
 #include "flamingo/scheduler/host_messages.h"
+#include "flamingo/scheduler/job_log.h"
 
 #include <map>
 #include <string>
@@ -103,6 +107,10 @@
     TimeMs retryMs = 300; // delay before an unanswered call is repeated
     TimeMs busyRetryMs = 100; // delay before a poll or stop is repeated to a worker that is busy
     TimeMs stopMs = 1000; // a worker takes up to this long to stop a run, by its own clock
+    // While no leader confirms the end of the worker, the agent stores it in the job log after this
+    // time, and tries again at this interval.
+    TimeMs storeWorkerEndAfterMs = 1000;
+    TimeMs storeWorkerEndEveryMs = 500;
     // A start is sent only this long after the time as of which the leader knew the job log in its
     // last answer. Must be shorter than the time in which a cancellation takes effect.
     TimeMs startValidMs = 2500;
@@ -148,6 +156,8 @@
     // The end of the worker that is gone is stored in the job log. Until then the agent must report
     // it: nobody else knows that the worker's runs have ended.
     bool workerEndStored = false;
+    TimeMs storeWorkerEndAt = 0; // earliest time of the next append of the worker's end
+    bool workerEndOutstanding = false; // such an append has not been answered
     bool deregistered = false; // the worker has announced its shutdown
     TimeMs noListenerSince = 0; // first failed connection; 0: none since the last answer
     std::uint64_t fencingToken = 0; // from the leader's orders
@@ -198,6 +208,13 @@
 // answer to each, also a failure, to applyAnswer().
 std::vector<WorkerCall> dueCalls(HostAgent &agent, TimeMs now);
 
+// Returns the record of the worker's end when it is due to be stored in the job log; nullopt
+// otherwise. The caller appends it and passes the result, for the record's worker, to
+// applyWorkerEndResult().
+std::optional<Record> dueWorkerEnd(HostAgent &agent, TimeMs now);
+void applyWorkerEndResult(HostAgent &agent, std::string_view workerKey, const AppendResult &result,
+                          TimeMs now);
+
 // Builds the next report to the leader: advances the sequence and clears `reportNeeded`.
 HostReport makeReport(HostAgent &agent);
 
