Limit the time for which a data centre is reserved for one job

What callers saw: jobs that fit wait while workers are idle, until the longest run in the data centre ends, or without end if it does not. In system_fuzz_test, region east, all three workers but one are idle for up to 32 s while jobs of one worker wait (443.9 to 476.6 s), and again after the next long run.

Cause: a data centre was reserved for a job that was overtaken 16 times until the job fits. Workers that drain or are set aside counted as capacity that the job could get.

Change: a reservation ends after reservationMs (5 s). The data centre is then open for as long as it was reserved, and the limit doubles for the job's next reservation, up to reservationMaxMs (1 h). It also ends when too few usable workers are left. Begin and end are logged with their cause; `explain` names the job that holds a data centre and for how long at most.

--- a/flamingo/adapters/entry_service.cc
+++ b/flamingo/adapters/entry_service.cc
@@ -123,6 +123,9 @@
 void EntryService::applyEffects(const Outbox &out)
 {
     logIgnoredRecords(out.ignoredRecords);
+    for (const std::string &line : out.logLines)
+        LOG_IF(INFO, this->reservationLogLimiter.allowLine(Loop::now()))
+            << line << this->reservationLogLimiter.takeSuppressedField();
     for (const Send &send : out.sends)
         this->peers->send(send.to, send.message);
     for (const Append &append : out.appends)
--- a/flamingo/adapters/entry_service.h
+++ b/flamingo/adapters/entry_service.h
@@ -62,6 +62,7 @@
     std::unique_ptr<LogClient> log;
     Metrics metrics;
     LogRateLimiter replyLogLimiter{100, 100};
+    LogRateLimiter reservationLogLimiter{100, 100};
     bool stopping = false;
     std::uint64_t nextJobNumber = 1; // last part of the next job id
 
--- a/flamingo/entry.cc
+++ b/flamingo/entry.cc
@@ -302,18 +302,6 @@
     }
 }
 
-// Releases reservations of data centres for jobs that are no longer queued.
-void releaseStaleReservations(Entry &entry)
-{
-    for (auto &centre : entry.view.dataCentres) {
-        if (centre.reservedForJob == 0)
-            continue;
-        const auto job = entry.jobs.find(centre.reservedForJob);
-        if (job == entry.jobs.end() || !job->second->queued)
-            centre.reservedForJob = 0;
-    }
-}
-
 // Appends the records that proposeTakeovers() returns to the claims stream: unreachable agents as
 // lost, and new owners for key ranges whose owner is missing, replaced or unreachable.
 void proposeRangeTakeovers(EntryContext context)
@@ -343,7 +331,7 @@
     proposeRangeTakeovers(context);
     removeFinishedJobs(context);
     refillRetryBudget(entry.budget, context.now);
-    releaseStaleReservations(entry);
+    endDueReservations(context);
     // The whole queue is examined at least once per second, because jobs may also be able to start
     // for other reasons than freed capacity, for example a new retry token.
     entry.capacityChanged = entry.capacityChanged || entry.queue.size != 0;
--- a/flamingo/entry.h
+++ b/flamingo/entry.h
@@ -74,6 +74,10 @@
     // before it is refused. Longer than the redial delay of the peers (flamingo/adapters/peers.h).
     TimeMs regionWaitMs = 2000;
     std::size_t maxLookups = 1000; // in progress
+    // First reservation of a data centre for a job (flamingo/queue.h). Each further one for the
+    // same job may last twice as long, up to reservationMaxMs.
+    TimeMs reservationMs = 5000;
+    TimeMs reservationMaxMs = 3600000;
 };
 
 // ---- Requests of callers and operators ----
--- a/flamingo/entry_json.cc
+++ b/flamingo/entry_json.cc
@@ -8,6 +8,7 @@
 //   freedBy               what would let the waiting job start
 //   heardMsAgo            time since the last message or version summary
 //   heldForAnotherJob     the data centre is reserved for another job
+//   heldFor               that job, and heldAtMostMs: the time until this reservation ends
 //   holds                 data centres that are reserved for a job
 //   logAvailable          the last append to the log was acknowledged
 //   neverRuns             why the workers of the region could never hold the job
@@ -247,13 +248,16 @@
     return json;
 }
 
-Json reservationsJson(const Entry &entry)
+Json reservationsJson(const Entry &entry, TimeMs now)
 {
     auto rows = Json::array();
     for (const auto &centre : entry.view.dataCentres) {
         const auto job = entry.jobs.find(centre.reservedForJob);
         if (job != entry.jobs.end())
-            rows.push_back({{"dataCentre", centre.name}, {"job", job->second->spec.job}});
+            rows.push_back({{"dataCentre", centre.name},
+                            {"job", job->second->spec.job},
+                            {"heldMs", now - centre.reservedSince},
+                            {"heldAtMostMs", std::max<TimeMs>(0, centre.reservedUntil - now)}});
     }
     return rows;
 }
@@ -300,16 +304,21 @@
 // Number of workers in each data centre with enough adjacent free accelerators for a member of the
 // job, inside or outside guaranteed blocks; cores and memory are not compared. `run` is the length
 // of a worker's longest run of adjacent free accelerators.
-Json freeWorkersJson(const Entry &entry, const Job &job)
+Json freeWorkersJson(const Entry &entry, const Job &job, TimeMs now)
 {
     auto json = Json::object();
     for (const auto &centre : entry.view.dataCentres) {
         std::size_t count = 0;
         for (std::size_t run = job.spec.accelerators; run < blockSizeCount; ++run)
             count += centre.byFreeRun[run].size();
-        json[centre.name] = {{"workersWithRoom", count},
-                             {"heldForAnotherJob",
-                              centre.reservedForJob != 0 && centre.reservedForJob != job.serial}};
+        const bool held = centre.reservedForJob != 0 && centre.reservedForJob != job.serial;
+        auto &row = json[centre.name];
+        row = {{"workersWithRoom", count}, {"heldForAnotherJob", held}};
+        const auto holder = entry.jobs.find(centre.reservedForJob);
+        if (!held || holder == entry.jobs.end())
+            continue;
+        row["heldFor"] = holder->second->spec.job;
+        row["heldAtMostMs"] = std::max<TimeMs>(0, centre.reservedUntil - now);
     }
     return json;
 }
@@ -324,7 +333,7 @@
                        {"retryTokens", entry.budget.tokens},
                        {"fragmentation", fragmentationOf(entry.view)},
                        {"usage", usageJson(entry)},
-                       {"holds", reservationsJson(entry)},
+                       {"holds", reservationsJson(entry, now)},
                        {"owners", rangeOwnersJson(entry)},
                        {"targets", targetsArray(entry, now)},
                        {"jobs", jobsJson(entry, now)}});
@@ -352,7 +361,7 @@
         json["neverRuns"] = reasonJson(reason);
     if (known.state == JobState::Queued) {
         json["freedBy"] = unblockingCondition(entry, known);
-        json["room"] = freeWorkersJson(entry, known);
+        json["room"] = freeWorkersJson(entry, known, now);
     }
     return formatJson(json);
 }
--- a/flamingo/jobs.cc
+++ b/flamingo/jobs.cc
@@ -113,13 +113,28 @@
     return nullptr;
 }
 
-void releaseReservation(Entry &entry, const Job &job)
+// Ends a reservation. Unless the job starts, the data centre is open to all jobs for as long as it
+// was reserved.
+void endReservation(EntryContext context, DataCentreView &centre, std::string_view cause,
+                    bool starts = false)
+{
+    const auto lastedMs = context.now - centre.reservedSince;
+    const auto job = context.entry.jobs.find(centre.reservedForJob);
+    context.out.logLines.push_back(
+        "reservation ended data_centre=" + centre.name
+        + " job=" + (job == context.entry.jobs.end() ? std::string() : job->second->spec.job)
+        + " lasted_ms=" + std::to_string(lastedMs) + " cause=\"" + std::string(cause) + "\"");
+    centre.reservedForJob = 0;
+    centre.reservableAt = starts ? context.now : context.now + lastedMs;
+    context.entry.capacityChanged = true;
+}
+
+void releaseReservation(EntryContext context, const Job &job, std::string_view cause,
+                        bool starts = false)
 {
-    for (auto &centre : entry.view.dataCentres) {
-        if (centre.reservedForJob != job.serial)
-            continue;
-        centre.reservedForJob = 0;
-        entry.capacityChanged = true;
+    for (auto &centre : context.entry.view.dataCentres) {
+        if (centre.reservedForJob == job.serial)
+            endReservation(context, centre, cause, starts);
     }
 }
 
@@ -176,7 +191,7 @@
     if (verdict == Verdict::NotRun && (job.mayHaveRun || !job.attempts.empty()))
         verdict = Verdict::MayHaveRun;
     dequeue(entry.queue, job);
-    releaseReservation(entry, job);
+    releaseReservation(context, job, "the job ended");
     closeAllAttempts(context, job, verdict);
     setTimer(entry, job, 0);
     if (!job.forwardRequest.empty())
@@ -332,7 +347,7 @@
 {
     auto &entry = context.entry;
     dequeue(entry.queue, job);
-    releaseReservation(entry, job);
+    releaseReservation(context, job, "the job starts", true);
     JobAttempt attempt;
     attempt.id = entry.options.name + "." + std::to_string(entry.options.incarnation) + "#"
         + std::to_string(++entry.lastAttempt);
@@ -362,7 +377,7 @@
         return false;
     auto &entry = context.entry;
     dequeue(entry.queue, job);
-    releaseReservation(entry, job);
+    releaseReservation(context, job, "the job is forwarded");
     if (job.forwardRequest.empty())
         job.forwardRequest = entry.options.name + "." + std::to_string(entry.options.incarnation)
             + "/" + std::to_string(job.serial);
@@ -535,6 +550,18 @@
     return true;
 }
 
+// Why no placement was found, with the data centres that are reserved for other jobs.
+Reason noCapacityReason(const Entry &entry, const Job &job)
+{
+    std::string text = "accelerators: no free block can hold the job at present";
+    for (const auto &centre : entry.view.dataCentres) {
+        const auto holder = entry.jobs.find(centre.reservedForJob);
+        if (holder != entry.jobs.end() && holder->first != job.serial)
+            text += "; " + centre.name + " is reserved for job " + holder->second->spec.job;
+    }
+    return makeReason(ReasonCode::NoRoom, std::move(text));
+}
+
 // No placement was found: refuses the job if it can never be placed, offers it to another region,
 // or leaves it in the queue.
 TryResult onNoCapacity(EntryContext context, Job &job)
@@ -544,8 +571,7 @@
         finishJob(context, job, Verdict::NotRun, std::move(reason));
         return TryResult::Ended;
     }
-    job.waitReason =
-        makeReason(ReasonCode::NoRoom, "accelerators: no free block can hold the job at present");
+    job.waitReason = noCapacityReason(context.entry, job);
     // An entry of another region offered the job; that entry requeues it on this reply.
     if (job.fromPeer && job.spec.homeRegion != context.entry.options.region) {
         finishJob(context, job, Verdict::NotRun, job.waitReason);
@@ -587,7 +613,7 @@
         return TryResult::Ended;
     }
     if (!mayStart(context, job)) {
-        releaseReservation(context.entry, job);
+        releaseReservation(context, job, "the job has to wait for something else");
         return TryResult::NotEligible;
     }
     // No placement is searched for a job that is knownUnplaceable. One such job per pass, at most
@@ -623,15 +649,36 @@
     return result;
 }
 
+// The time limit of the job's next reservation: reservationMs, doubled for each one that ended at
+// its limit. A limit that grows in this way exceeds the remaining time of the runs in the data
+// centre at some time, whatever they take.
+TimeMs reservationLimitMs(const Entry &entry, const Job &job)
+{
+    auto limitMs = entry.options.reservationMs;
+    for (std::uint32_t i = 0; i < job.expiredReservations; ++i)
+        limitMs = std::min(limitMs * 2, entry.options.reservationMaxMs);
+    return limitMs;
+}
+
 // Reserves the free capacity of a data centre for a job that was overtaken too often.
-void reserveDataCentre(Entry &entry, const Job &job)
+void reserveDataCentre(EntryContext context, const Job &job)
 {
-    const int index = hasReservation(entry, job) ? -1 : dataCentreToReserve(entry.view, job.spec);
+    auto &entry = context.entry;
+    const int index =
+        hasReservation(entry, job) ? -1 : dataCentreToReserve(entry.view, job.spec, context.now);
     if (index < 0)
         return;
+    const auto limitMs = reservationLimitMs(entry, job);
     auto &centre = entry.view.dataCentres[static_cast<std::size_t>(index)];
     centre.reservedForJob = job.serial;
     centre.reservedForUrgent = job.spec.jobClass == JobClass::Urgent;
+    centre.reservedSince = context.now;
+    centre.reservedUntil = context.now + limitMs;
+    context.out.logLines.push_back(
+        "reservation began data_centre=" + centre.name + " job=" + job.spec.job
+        + " organisation=" + job.spec.organisation + " limit_ms=" + std::to_string(limitMs)
+        + " overtaken=" + std::to_string(job.overtakenUnits / unitsPerOvertake)
+        + " waited_ms=" + std::to_string(context.now - job.submittedAt));
 }
 
 // Counts the start as an overtaking of each job of the pass that waits for capacity and was not
@@ -645,7 +692,7 @@
             continue;
         job.overtakenUnits += overtakeCost(started.spec.jobClass, job.spec.jobClass);
         if (job.overtakenUnits >= maxOvertakes * unitsPerOvertake)
-            reserveDataCentre(entry, job);
+            reserveDataCentre(context, job);
     }
 }
 
@@ -924,7 +971,7 @@
     if (!acceptedLate && (job.state != JobState::Starting || job.currentAttempt != attemptId))
         return;
     dequeue(context.entry.queue, job);
-    releaseReservation(context.entry, job);
+    releaseReservation(context, job, "the job runs");
     setTimer(context.entry, job, 0);
     job.state = JobState::Running;
     job.currentAttempt = attemptId;
@@ -1237,6 +1284,25 @@
     entry.newJobSerials.push_back(job.serial);
 }
 
+void endDueReservations(EntryContext context)
+{
+    auto &entry = context.entry;
+    for (std::size_t i = 0; i < entry.view.dataCentres.size(); ++i) {
+        auto &centre = entry.view.dataCentres[i];
+        if (centre.reservedForJob == 0)
+            continue;
+        const auto found = entry.jobs.find(centre.reservedForJob);
+        if (found == entry.jobs.end() || !found->second->queued) {
+            endReservation(context, centre, "the job is not queued");
+        } else if (context.now >= centre.reservedUntil) {
+            ++found->second->expiredReservations;
+            endReservation(context, centre, "time limit");
+        } else if (!couldHoldWhenIdle(entry.view, i, found->second->spec)) {
+            endReservation(context, centre, "too few workers can be used");
+        }
+    }
+}
+
 void schedule(EntryContext context)
 {
     auto &entry = context.entry;
@@ -1483,7 +1549,7 @@
         return;
     }
     dequeue(context.entry.queue, job);
-    releaseReservation(context.entry, job);
+    releaseReservation(context, job, "the job is cancelled");
     for (const auto &attempt : job.attempts)
         sendCancel(context, job, attempt);
     job.state = JobState::Cancelling;
--- a/flamingo/jobs.h
+++ b/flamingo/jobs.h
@@ -83,6 +83,10 @@
 // Handles every job timer that is due.
 void fireTimers(EntryContext context);
 
+// Ends the reservations of data centres that have reached their time limit or cannot serve their
+// job any more.
+void endDueReservations(EntryContext context);
+
 // Removes jobs that finished more than EntryOptions::finishedRetentionMs ago.
 void removeFinishedJobs(EntryContext context);
 
--- a/flamingo/messages.h
+++ b/flamingo/messages.h
@@ -228,6 +228,7 @@
     std::vector<WorkerCommand> commands;
     std::vector<Reply> replies;
     std::vector<IgnoredRecord> ignoredRecords;
+    std::vector<std::string> logLines; // decisions that hold work back, for the process's log
 };
 
 } // namespace flamingo
--- a/flamingo/queue.h
+++ b/flamingo/queue.h
@@ -16,6 +16,12 @@
 // then placed in that data centre only on guaranteed blocks of their own organisations. Urgent jobs
 // are exempt if the reservation is for a job of another class. This bounds how long large jobs
 // starve behind small ones.
+//
+// A reservation keeps capacity idle until the job fits, so it ends after a time limit
+// (EntryOptions::reservationMs). The data centre is then open to all jobs for as long as it was
+// reserved, and the limit of the job's next reservation is twice as long. So a data centre is
+// reserved in vain for at most half of the time, and a large job starts once its limit exceeds the
+// remaining time of the runs that it waits for.
 
 #include "flamingo/table.h"
 #include "flamingo/types.h"
@@ -89,6 +95,7 @@
     std::uint32_t failedAttempts = 0; // attempts that were lost, timed out or failed
     std::uint32_t consecutiveRefusals = 0;
     std::uint32_t overtakenUnits = 0; // unitsPerOvertake per overtaking by the same class
+    std::uint32_t expiredReservations = 0; // that ended at their time limit
     // Agents that refused the job or did not reply to its Start; skipped in searches until cleared.
     std::vector<AgentId> excluded;
     std::vector<AgentId> failedWorkers; // workers on which the job failed; skipped too
--- a/flamingo/settings.cc
+++ b/flamingo/settings.cc
@@ -106,6 +106,11 @@
          "An edit that is not in force everywhere by then is answered as pending."},
         {"finishedRetentionMs", "ms", &options.finishedRetentionMs, secondMs, dayMs,
          "Answers of finished jobs are kept this long."},
+        {"reservationMs", "ms", &options.reservationMs, secondMs, hourMs,
+         "A data centre is first reserved this long for a job that others overtook; each further "
+         "time twice as long."},
+        {"reservationMaxMs", "ms", &options.reservationMaxMs, secondMs, dayMs,
+         "Longest reservation of a data centre for one job."},
         {"fragmentationWeight", "share", &options.fragmentationWeight, 0, 1,
          "Weight in placement; 0: only completion time counts, 1: only fragmentation."},
     };
@@ -491,6 +496,10 @@
     if (options.maxJobs < options.maxQueued)
         errors.push_back("maxJobs: found " + std::to_string(options.maxJobs)
                          + "; allowed is at least maxQueued, " + std::to_string(options.maxQueued));
+    if (options.reservationMaxMs < options.reservationMs)
+        errors.push_back("reservationMaxMs: found " + std::to_string(options.reservationMaxMs)
+                         + "; allowed is at least reservationMs, "
+                         + std::to_string(options.reservationMs));
     if (errors.size() > errorsBefore)
         return std::nullopt;
     return settings;
--- a/flamingo/view.cc
+++ b/flamingo/view.cc
@@ -774,19 +774,28 @@
     return false;
 }
 
-int dataCentreToReserve(const View &view, const JobSpec &spec)
+bool couldHoldWhenIdle(const View &view, std::size_t dataCentre, const JobSpec &spec)
 {
-    std::vector<std::size_t> capable(view.dataCentres.size());
-    for (const auto &agent : view.agents) {
-        if (agent.lostAt == 0 && couldHoldMember(agent.report, spec))
-            ++capable[agent.dataCentre];
+    std::size_t capable = 0;
+    for (const auto rack : view.dataCentres[dataCentre].racks) {
+        for (const auto id : view.racks[rack].agents) {
+            if (view.agentCapacities[id].usable && couldHoldMember(view.agents[id].report, spec))
+                ++capable;
+        }
     }
+    return capable >= spec.members;
+}
+
+int dataCentreToReserve(const View &view, const JobSpec &spec, TimeMs now)
+{
     int best = -1;
     std::size_t bestFree = 0;
     for (std::size_t i = 0; i < view.dataCentres.size(); ++i) {
-        if (capable[i] < spec.members || view.dataCentres[i].reservedForJob != 0)
+        const auto &centre = view.dataCentres[i];
+        if (centre.reservedForJob != 0 || now < centre.reservableAt
+            || !couldHoldWhenIdle(view, i, spec))
             continue;
-        const auto free = countWorkersWithRun(view.dataCentres[i].byFreeRun, spec.accelerators);
+        const auto free = countWorkersWithRun(centre.byFreeRun, spec.accelerators);
         if (best >= 0 && free <= bestFree)
             continue;
         best = static_cast<int>(i);
--- a/flamingo/view.h
+++ b/flamingo/view.h
@@ -101,6 +101,9 @@
     // Serial of the starving job that the data centre is reserved for, 0 = none.
     std::uint64_t reservedForJob = 0;
     bool reservedForUrgent = false; // that job is urgent; if not, other urgent jobs are exempt
+    TimeMs reservedSince = 0; // valid while reserved, like reservedUntil
+    TimeMs reservedUntil = 0;
+    TimeMs reservableAt = 0; // earliest next reservation
 };
 
 struct RackView
@@ -222,10 +225,13 @@
 // member of the job when idle; `reason` then gives the field and the cause.
 bool couldEverHold(const View &view, const JobSpec &spec, Reason &reason);
 
-// Index of the data centre to reserve for a starving job. It has enough workers that could hold a
-// member when idle, is not reserved, and among such has the most workers with enough adjacent free
-// accelerators. -1 when there is none.
-int dataCentreToReserve(const View &view, const JobSpec &spec);
+// True if the data centre has enough usable workers that could hold a member of the job when idle.
+bool couldHoldWhenIdle(const View &view, std::size_t dataCentre, const JobSpec &spec);
+
+// Index of the data centre to reserve for a starving job: one for which couldHoldWhenIdle() is true
+// and that may be reserved at `now`, and among such the one with the most workers with enough
+// adjacent free accelerators. -1 when there is none.
+int dataCentreToReserve(const View &view, const JobSpec &spec, TimeMs now);
 
 // Shortest interval between two reports of an agent, at least 1 s, at which the reports of all
 // agents to this entry together stay within the bandwidth that is budgeted for control messages.
--- /dev/null
+++ b/tests/entry_wait_test.cc
@@ -0,0 +1,162 @@
+// Tests how long accepted jobs are held back by reservations of data centres although there is room
+// for them.
+
+#include "tests/entry_rig.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <algorithm>
+#include <map>
+
+using namespace flamingo;
+using namespace flamingo::tests;
+
+namespace {
+
+// One data centre with the workers w0 and w1 of 8 accelerators, and a stream of runs that fill one
+// worker each. A gang of two such members waits for both workers at once.
+struct WideJobRig
+{
+    static constexpr TimeMs stepMs = 500;
+
+    Rig rig;
+    std::map<std::string, std::pair<std::string, Start>> runs; // by attempt
+    std::map<std::string, TimeMs> endsAt; // by attempt
+    TimeMs runMs = 0; // of the next runs that start
+    TimeMs begin = 0;
+    TimeMs wideStartedAt = 0; // 0: not started
+    TimeMs idleSince = 0; // last moment without an idle worker
+    TimeMs longestIdleMs = 0;
+    TimeMs idleMs = 0; // total
+
+    // The run on one worker takes `firstRunMs`, all others `runMs`.
+    WideJobRig(TimeMs firstRunMs, TimeMs runMs)
+        : rig(rigWithAgents(2))
+        , runMs(firstRunMs)
+        , begin(this->rig.now)
+    {
+        this->rig.submit("first", job("a", 8));
+        this->takeStarts();
+        this->runMs = runMs;
+        auto wide = job("b", 8);
+        wide.members = 2;
+        this->rig.submit("wide", wide);
+        this->idleSince = this->rig.now;
+    }
+
+    void sendReport(const std::string &worker)
+    {
+        auto report = this->rig.report(worker);
+        for (const auto &[attempt, run] : this->runs) {
+            if (run.first != worker)
+                continue;
+            report.freeMask = 0;
+            report.tasks.emplace_back();
+            report.tasks.back().attempt = attempt;
+            report.tasks.back().organisation = run.second.spec->organisation;
+            report.tasks.back().accelerators = 8;
+        }
+        this->rig.handleFrom(worker, report);
+    }
+
+    void takeStarts()
+    {
+        for (const auto &[agent, start] : this->rig.takeSent<Start>()) {
+            this->rig.handleFrom(agent, accepted(start));
+            if (start.spec->members == 2)
+                this->wideStartedAt = this->rig.now;
+            this->runs[start.attempt] = {agent, start};
+            this->endsAt[start.attempt] = this->rig.now + this->runMs;
+        }
+    }
+
+    void step()
+    {
+        this->rig.now += stepMs;
+        while (this->rig.entry.queue.size < 3)
+            this->rig.submit("r", job("a", 8));
+        this->rig.handle(Tick{});
+        const auto ends = this->endsAt;
+        for (const auto &[attempt, at] : ends) {
+            if (this->rig.now < at)
+                continue;
+            const auto [agent, start] = this->runs.at(attempt);
+            this->runs.erase(attempt);
+            this->endsAt.erase(attempt);
+            this->sendReport(agent);
+            this->rig.handleFrom(agent, ran(start, ""));
+        }
+        this->takeStarts();
+        this->sendReport("w0");
+        this->sendReport("w1");
+        this->takeStarts();
+        if (this->runs.size() >= 2) {
+            this->idleSince = this->rig.now;
+            return;
+        }
+        this->longestIdleMs = std::max(this->longestIdleMs, this->rig.now - this->idleSince);
+        this->idleMs += stepMs;
+    }
+
+    void runUntilWideStarts(TimeMs limitMs)
+    {
+        while (this->rig.now < this->begin + limitMs && this->wideStartedAt == 0)
+            this->step();
+    }
+};
+
+constexpr TimeMs hourMs = 3600000;
+
+} // namespace
+
+TEST_GROUP(EntryWait){};
+
+// ---- Reservations ----
+
+// Guards against a data centre that is kept idle without end for a wide job, because a run that it
+// waits for does not end.
+TEST(EntryWait, aReservationKeepsCapacityIdleForALimitedTime)
+{
+    WideJobRig wide(1000 * hourMs, 2000);
+    wide.runUntilWideStarts(hourMs);
+    CHECK(wide.wideStartedAt == 0);
+    CHECK(wide.longestIdleMs > 10000); // capacity was reserved
+    CHECK(wide.longestIdleMs <= hourMs / 2);
+    // Half of the time, and the last reservation may be about as long as all before it together.
+    CHECK(wide.idleMs <= hourMs * 2 / 3);
+    // The log and `flamingoctl explain` name the cause.
+    const auto &lines = wide.rig.out.logLines;
+    CHECK(std::any_of(lines.begin(), lines.end(), [](const auto &line) {
+        return line.find("reservation ended data_centre=dc-1 job=entry-1.1.2 lasted_ms=5")
+            != std::string::npos
+            && line.find("cause=\"time limit\"") != std::string::npos;
+    }));
+}
+
+TEST(EntryWait, explainNamesTheReservationThatHoldsAJobBack)
+{
+    WideJobRig wide(1000 * hourMs, 2000);
+    const auto reserved = [&wide] {
+        return wide.rig.entry.view.dataCentres.at(0).reservedForJob != 0;
+    };
+    while (!reserved() || wide.runs.size() > 1)
+        wide.step();
+    auto spec = job("a", 8);
+    spec.job = "held";
+    wide.rig.submit("held", spec);
+    const auto text = explainJob(wide.rig.entry, "held", wide.rig.now);
+    CHECK(text.find("dc-1 is reserved for job entry-1.1.2") != std::string::npos);
+    CHECK(text.find("\"heldFor\": \"entry-1.1.2\"") != std::string::npos);
+    CHECK(text.find("heldAtMostMs") != std::string::npos);
+}
+
+// Guards against a wide job that never starts, because its reservations end before the runs do that
+// it waits for.
+TEST(EntryWait, aWideJobStartsAlthoughRunsOutlastItsFirstReservation)
+{
+    for (const TimeMs runMs : {2000, 20000, 100000}) {
+        WideJobRig wide(runMs / 2, runMs);
+        wide.runUntilWideStarts(40 * runMs);
+        CHECK(wide.wideStartedAt != 0);
+    }
+}
--- a/tests/settings_test.cc
+++ b/tests/settings_test.cc
@@ -167,6 +167,7 @@
     checkEntryValue("httpAddress", "127.0.0.1:19011");
     checkEntryValue("maxJobs", 10);
     checkEntryValue("ownerSilentAfterMs", 2000);
+    checkEntryValue("reservationMaxMs", 4000);
     Json json = entryJson();
     json["seeds"] = {"127.0.0.1:19011"};
     checkEntryError(json.dump(), "seeds: ");
