Stop counting the tasks of a lost worker against limits after 10 s

What callers saw: the jobs of an organisation with a limit wait with reason LimitReached for as long as the entry lives, because a worker of that organisation's tasks failed and does not return. The job that ran there is among them: its retry waits for the end of its own lost task.

Cause: the usage of an organisation is the sum of the last reports. The last report of a lost worker counted until its next one.

Change: lostTasksCountMs (10 s) after the last message of a lost worker its tasks are forgotten; this is logged. They count again when the worker reports them.

Evidence, on the code before: tests/entry_wait_test.cc:165: error: Failure in TEST(EntryWait, theTasksOfALostWorkerCountAgainstTheLimitForALimitedTime) expected <1> but was <0>

--- a/flamingo/entry.cc
+++ b/flamingo/entry.cc
@@ -99,6 +99,25 @@
     }
 }
 
+// Forgets the tasks of workers that have been silent for lostTasksCountMs, so that jobs do not wait
+// for the end of tasks that nobody will report.
+void forgetTasksOfLostAgents(EntryContext context)
+{
+    auto &entry = context.entry;
+    for (AgentId id = 0; id < entry.view.agents.size(); ++id) {
+        const auto &agent = entry.view.agents[id];
+        const auto silentMs = context.now - agent.lastContactAt;
+        if (agent.lostAt == 0 || agent.report.tasks.empty()
+            || silentMs < entry.options.lostTasksCountMs)
+            continue;
+        context.out.logLines.push_back(
+            "tasks of a lost worker no longer count agent=" + agent.report.agent + " tasks="
+            + std::to_string(agent.report.tasks.size()) + " silent_ms=" + std::to_string(silentMs));
+        forgetTasks(entry.view, id);
+        entry.capacityChanged = true;
+    }
+}
+
 void recordContact(EntryContext context, std::string_view from)
 {
     auto &view = context.entry.view;
@@ -328,6 +347,7 @@
     auto &entry = context.entry;
     entry.lastSlowTickAt = context.now;
     markUnreachableAgents(context);
+    forgetTasksOfLostAgents(context);
     proposeRangeTakeovers(context);
     removeFinishedJobs(context);
     refillRetryBudget(entry.budget, context.now);
--- a/flamingo/entry.h
+++ b/flamingo/entry.h
@@ -78,6 +78,10 @@
     // same job may last twice as long, up to reservationMaxMs.
     TimeMs reservationMs = 5000;
     TimeMs reservationMaxMs = 3600000;
+    // The tasks of a lost worker count against the limits of their organisations for this long
+    // after its last message. Then they have ended, unless the worker is cut off from this entry
+    // only.
+    TimeMs lostTasksCountMs = 10000;
 };
 
 // ---- Requests of callers and operators ----
--- a/flamingo/settings.cc
+++ b/flamingo/settings.cc
@@ -111,6 +111,8 @@
          "time twice as long."},
         {"reservationMaxMs", "ms", &options.reservationMaxMs, secondMs, dayMs,
          "Longest reservation of a data centre for one job."},
+        {"lostTasksCountMs", "ms", &options.lostTasksCountMs, secondMs, dayMs,
+         "Tasks of a lost worker count against limits of their organisations for this long."},
         {"fragmentationWeight", "share", &options.fragmentationWeight, 0, 1,
          "Weight in placement; 0: only completion time counts, 1: only fragmentation."},
     };
--- a/flamingo/view.cc
+++ b/flamingo/view.cc
@@ -677,6 +677,15 @@
     refreshCapacity(view, agent);
 }
 
+void forgetTasks(View &view, AgentId agent)
+{
+    auto &report = view.agents[agent].report;
+    addTasksToUsage(view, report, -1);
+    view.reportBytes -= estimateReportBytes(report);
+    report.tasks.clear();
+    view.reportBytes += estimateReportBytes(report);
+}
+
 void setDrainRequested(View &view, AgentId agent, bool requested)
 {
     view.agents[agent].drainRequested = requested;
--- a/flamingo/view.h
+++ b/flamingo/view.h
@@ -178,6 +178,10 @@
 // no work until its next report.
 void setLost(View &view, AgentId agent, TimeMs lostAt);
 
+// Forgets the tasks that a lost agent reported last, so that they no longer count in the usage of
+// their organisations. They count again when a report lists them.
+void forgetTasks(View &view, AgentId agent);
+
 // `requested` true: the agent receives no new work. The request ends with a report that has
 // `draining` set, which then has the same effect, or that comes from a restarted agent.
 void setDrainRequested(View &view, AgentId agent, bool requested);
--- a/tests/entry_wait_test.cc
+++ b/tests/entry_wait_test.cc
@@ -1,5 +1,5 @@
-// Tests how long accepted jobs are held back by reservations of data centres although there is room
-// for them.
+// Tests how long accepted jobs are held back although there is room for them: by reservations of
+// data centres, by tasks of lost workers, and by the limits of a scheduling pass.
 
 #include "tests/entry_rig.h"
 
@@ -160,3 +160,41 @@
         CHECK(wide.wideStartedAt != 0);
     }
 }
+
+// ---- Lost workers ----
+
+// Guards against a job that waits without end for its organisation's limit, because the tasks of a
+// worker that never returns still count against it.
+TEST(EntryWait, theTasksOfALostWorkerCountAgainstTheLimitForALimitedTime)
+{
+    auto rig = rigWithAgents(2);
+    rig.editTable(
+        R"({"organisations": [{"name": "a", "homeRegion": "west", "limitAccelerators": 8}]})");
+    rig.deliverAppends();
+    rig.submit("r", job("a", 8));
+    const auto [lost, start] = rig.takeSent<Start>().at(0);
+    const std::string other = lost == "w0" ? "w1" : "w0";
+    rig.handleFrom(lost, accepted(start));
+    auto report = rig.report(lost, 0);
+    report.tasks.emplace_back();
+    report.tasks.back().attempt = start.attempt;
+    report.tasks.back().organisation = "a";
+    report.tasks.back().accelerators = 8;
+    rig.handleFrom(lost, report);
+    rig.handle(PeerDown{lost});
+    std::vector<std::pair<std::string, Start>> starts;
+    for (int second = 0; second < 60 && starts.empty(); ++second) {
+        rig.advance(1000);
+        rig.handleFrom(other, rig.report(other));
+        starts = rig.takeSent<Start>();
+    }
+    CHECK_EQUAL(1U, starts.size());
+    CHECK_EQUAL(other, starts[0].first);
+    // The worker returns with the task, which counts again.
+    rig.connectPeer(lost, ProcessKind::Agent);
+    report.sequence = ++rig.sequence;
+    rig.handleFrom(lost, report);
+    CHECK_EQUAL(16, usageOf(rig.entry.view, "a").accelerators);
+    rig.handleFrom(lost, rig.report(lost));
+    CHECK_EQUAL(8, usageOf(rig.entry.view, "a").accelerators);
+}
