Try each queued job although many before it do not fit

What callers saw: nothing was started, although jobs that fit were queued, as long as 64 jobs before them in the queue did not fit and none of these needed as much as another one in every respect, or 5,000 before them were skipped. `explain` named no cause.

Cause: each pass over the queue began at its first job and ended at its limits (64 failed searches, 5,000 skipped jobs).

Change: the second half of each limit is open only to jobs that no pass has reached since the whole queue was covered last.

Evidence, with the former rule in the same code: tests/entry_wait_test.cc:231: error: Failure in TEST(EntryWait, jobsBehindManyThatDoNotFitAreStarted) CHECK(!starts.empty()) failed

--- a/flamingo/entry.h
+++ b/flamingo/entry.h
@@ -236,6 +236,7 @@
     bool capacityChanged = false; // the next scheduling pass covers the whole queue
     TimeMs nextPassAt = 0; // earliest next pass over the whole queue; later after a long pass
     bool passIncomplete = false; // the last pass over the whole queue reached a limit
+    std::uint64_t passRound = 1; // counts the rounds of passes (flamingo/jobs.cc)
     std::vector<std::uint64_t> newJobSerials; // submitted since the last pass
     std::vector<std::uint64_t> blockedJobs; // no free capacity found in the last pass
 };
--- a/flamingo/jobs.cc
+++ b/flamingo/jobs.cc
@@ -2,6 +2,11 @@
 // smallest share, until every job has been tried or the pass reaches a limit. A job that could not
 // be placed is recorded, so that equal or larger jobs after it need no search in this pass.
 //
+// A pass that reaches a limit is followed by others until one covers the rest of the queue. These
+// passes form a round. The first half of each limit is open to every job, so that capacity that
+// becomes free goes to the first jobs first; the second half only to jobs that were not tried yet
+// in the round, so that each job is tried however many before it do not fit.
+//
 // Retries: a refused attempt has ended. An attempt without a StartReply stays open and the job is
 // retried. The open attempt is cancelled if the job is idempotent. Otherwise it is not, because the
 // owner grants the key to one attempt only. Callers of finishJob may pass NotRun for a job that may
@@ -454,6 +459,7 @@
     std::vector<std::uint64_t> blockedJobs;
     std::size_t searches = 0; // searches that found no placement
     std::size_t skips = 0; // jobs that were not searched for, because they are knownUnplaceable
+    std::size_t passedOver = 0; // jobs that were tried in an earlier pass of the round
     std::size_t starts = 0;
     std::size_t rechecks = 0; // searches for jobs that are knownUnplaceable
 };
@@ -616,6 +622,13 @@
         releaseReservation(context, job, "the job has to wait for something else");
         return TryResult::NotEligible;
     }
+    const bool firstHalf =
+        pass.searches < maxSearchesPerPass / 2 && pass.skips < maxSkipsPerPass / 2;
+    if (!firstHalf && job.triedInRound == context.entry.passRound) {
+        ++pass.passedOver;
+        return TryResult::NoCapacity;
+    }
+    job.triedInRound = context.entry.passRound;
     // No placement is searched for a job that is knownUnplaceable. One such job per pass, at most
     // once in recheckIntervalMs, is an exception, so that it is refused if it can never be placed,
     // or offered to another region.
@@ -762,7 +775,9 @@
     for (std::size_t jobClass = 0; jobClass < jobClasses; ++jobClass)
         scheduleClass(context, jobClass, pass);
     entry.passIncomplete = passLimitReached(pass);
-    entry.nextPassAt = context.now + static_cast<TimeMs>(pass.skips / skipsPerMs);
+    entry.passRound += entry.passIncomplete ? 0 : 1;
+    entry.nextPassAt =
+        context.now + static_cast<TimeMs>((pass.skips + pass.passedOver) / skipsPerMs);
     entry.capacityChanged = entry.capacityChanged || pass.starts >= maxStartsPerPass;
     entry.blockedJobs = std::move(pass.blockedJobs);
 }
--- a/flamingo/queue.h
+++ b/flamingo/queue.h
@@ -101,6 +101,7 @@
     std::vector<AgentId> failedWorkers; // workers on which the job failed; skipped too
     std::uint32_t failedRuns = 0; // attempts that ended as TaskFailed or WorkerFailed
     TimeMs lastSearchAt = 0; // last search for a placement
+    std::uint64_t triedInRound = 0; // Entry::passRound when a pass last reached the job
     bool mayHaveRun = false; // may have run at least in part, so that NotRun is ruled out
     bool needsRetryToken = false; // the next start is a retry and takes a token of the retry budget
     bool fromPeer = false; // forwarded by an entry of another region
--- a/tests/entry_wait_test.cc
+++ b/tests/entry_wait_test.cc
@@ -198,3 +198,36 @@
     rig.handleFrom(lost, rig.report(lost));
     CHECK_EQUAL(8, usageOf(rig.entry.view, "a").accelerators);
 }
+
+// ---- Limits of a scheduling pass ----
+
+// Guards against a job that never starts although it fits, because the jobs before it that do not
+// fit use up all searches of every pass.
+TEST(EntryWait, jobsBehindManyThatDoNotFitAreStarted)
+{
+    auto rig = rigWithAgents(1);
+    auto report = rig.report("w0");
+    report.freeCores = 0;
+    rig.handleFrom("w0", report);
+    // No job needs as much as an earlier one in every respect, so each is searched for.
+    for (std::uint32_t i = 0; i < 200; ++i) {
+        auto large = job("a", 1);
+        large.cores = 60 - i / 5;
+        large.memoryMib = 1000 + 100 * (i / 5) - i % 5;
+        rig.submit("large", large);
+    }
+    auto small = job("a", 1);
+    small.cores = 1;
+    small.memoryMib = 2000;
+    rig.submit("small", small);
+    std::vector<std::pair<std::string, Start>> starts;
+    for (int second = 0; second < 20 && starts.empty(); ++second) {
+        report = rig.report("w0");
+        report.freeCores = 10;
+        rig.handleFrom("w0", report);
+        rig.advance(1000);
+        starts = rig.takeSent<Start>();
+    }
+    CHECK(!starts.empty());
+    CHECK_EQUAL(1U, starts[0].second.spec->cores);
+}
