Repeat the Cancel of a job until its end is reported

What callers saw: a cancelled job ran on to its end, for a task that runs until it is cancelled for ever, and kept its capacity, when its Cancel was lost with a connection. A cancelled job of another region ran on and its canceller got no reply.

Cause: a Cancel was sent once. The entry answered MayHaveRun after 10 s and forgot the attempt; a forwarded job was only queried.

Change: the entry remembers an attempt that it cancelled until its end is reported, and cancels it again, at most once per second, when a report lists it; this is logged. The Cancel of a forwarded job is repeated with the query, every 10 s.

--- a/flamingo/entry.cc
+++ b/flamingo/entry.cc
@@ -71,8 +71,10 @@
     removeDeductionsSentBefore(entry.view, agent, context.now - deductionTimeoutMs);
     if (result == ReportResult::Restarted)
         onAgentLost(context, agent, AgentLoss::Restarted);
-    for (const auto &task : report.tasks)
+    for (const auto &task : report.tasks) {
         onAttemptListed(context, task.attempt);
+        repeatCancel(context, task.attempt);
+    }
     answerConfirmedDrains(context, report);
     entry.capacityChanged = true;
 }
@@ -350,6 +352,7 @@
     forgetTasksOfLostAgents(context);
     proposeRangeTakeovers(context);
     removeFinishedJobs(context);
+    removeOldCancels(context);
     refillRetryBudget(entry.budget, context.now);
     endDueReservations(context);
     // The whole queue is examined at least once per second, because jobs may also be able to start
--- a/flamingo/entry.h
+++ b/flamingo/entry.h
@@ -170,6 +170,14 @@
     TimeMs lastContactAt = 0; // last JobReply of the holder
 };
 
+// An attempt to whose leader a Cancel was sent, and whose end has not been reported since.
+struct UnconfirmedCancel
+{
+    std::string job;
+    std::string agent;
+    TimeMs sentAt = 0; // last Cancel
+};
+
 // A drain request that the agent has not confirmed by a report yet.
 struct PendingDrain
 {
@@ -222,6 +230,7 @@
     std::map<std::string, Peer, std::less<>> peers;
     std::vector<Lookup> lookups;
     std::vector<PendingDrain> drains;
+    std::unordered_map<std::string, UnconfirmedCancel> unconfirmedCancels; // by attempt
     EntryCounters counters;
     std::uint64_t lastSerial = 0;
     std::uint64_t lastAttempt = 0;
--- a/flamingo/jobs.cc
+++ b/flamingo/jobs.cc
@@ -41,6 +41,7 @@
 // This delay is several times the duration of the pass.
 constexpr std::size_t skipsPerMs = 100;
 constexpr TimeMs queueFullRetryMs = 1000;
+constexpr TimeMs cancelRepeatMs = 1000; // least time between two Cancels of one attempt
 constexpr std::size_t maxAliases = 100; // limit of Job::aliases
 
 Reason makeReason(ReasonCode code, std::string text)
@@ -85,7 +86,11 @@
     Cancel cancel;
     cancel.job = job.spec.job;
     cancel.attempt = attempt.id;
-    sendMessage(context, agentName(context.entry, attempt.agents.front()), std::move(cancel));
+    const std::string agent(agentName(context.entry, attempt.agents.front()));
+    auto &unconfirmed = context.entry.unconfirmedCancels;
+    if (unconfirmed.size() < context.entry.options.maxJobs)
+        unconfirmed[attempt.id] = {job.spec.job, agent, context.now};
+    sendMessage(context, agent, std::move(cancel));
 }
 
 void restoreCapacity(Entry &entry, const JobAttempt &attempt)
@@ -1095,6 +1100,11 @@
     query.job = job.spec.job;
     setTimer(context.entry, job, context.now + forwardQueryIntervalMs);
     sendMessage(context, job.forwardedTo, std::move(query));
+    if (!job.cancelled)
+        return;
+    Cancel cancel;
+    cancel.job = job.spec.job;
+    sendMessage(context, job.forwardedTo, std::move(cancel));
 }
 
 void onTimer(EntryContext context, Job &job)
@@ -1335,6 +1345,8 @@
 void onStartReply(EntryContext context, const StartReply &reply)
 {
     auto &entry = context.entry;
+    if (!reply.accepted)
+        entry.unconfirmedCancels.erase(reply.attempt);
     const auto found = entry.byAttempt.find(reply.attempt);
     if (found == entry.byAttempt.end())
         return;
@@ -1377,6 +1389,7 @@
     ack.job = outcome.job;
     ack.attempt = outcome.attempt;
     sendMessage(context, from, std::move(ack));
+    entry.unconfirmedCancels.erase(outcome.attempt);
     const auto found = entry.byAttempt.find(outcome.attempt);
     if (found == entry.byAttempt.end())
         return;
@@ -1524,6 +1537,31 @@
     entry.capacityChanged = true;
 }
 
+void repeatCancel(EntryContext context, std::string_view attempt)
+{
+    auto &unconfirmed = context.entry.unconfirmedCancels;
+    const auto found = unconfirmed.find(std::string(attempt));
+    if (found == unconfirmed.end() || context.now - found->second.sentAt < cancelRepeatMs)
+        return;
+    found->second.sentAt = context.now;
+    Cancel cancel;
+    cancel.job = found->second.job;
+    cancel.attempt = attempt;
+    context.out.logLines.push_back("cancel repeated job=" + cancel.job + " attempt="
+                                   + cancel.attempt + " agent=" + found->second.agent);
+    sendMessage(context, found->second.agent, std::move(cancel));
+}
+
+void removeOldCancels(EntryContext context)
+{
+    auto &unconfirmed = context.entry.unconfirmedCancels;
+    for (auto at = unconfirmed.begin(); at != unconfirmed.end();) {
+        const bool expired =
+            context.now - at->second.sentAt > context.entry.options.finishedRetentionMs;
+        at = expired ? unconfirmed.erase(at) : std::next(at);
+    }
+}
+
 void onAttemptListed(EntryContext context, std::string_view attempt)
 {
     auto &entry = context.entry;
--- a/flamingo/jobs.h
+++ b/flamingo/jobs.h
@@ -73,6 +73,13 @@
 // the agent had been unreachable.
 void onAttemptListed(EntryContext context, std::string_view attempt);
 
+// The agent's report lists the attempt: cancels it again if it was cancelled and its end has not
+// been reported. A Cancel may be lost with a connection, and the task would run on.
+void repeatCancel(EntryContext context, std::string_view attempt);
+
+// Forgets Cancels without a reported end after EntryOptions::finishedRetentionMs.
+void removeOldCancels(EntryContext context);
+
 // Replies to `waiter` when the job ends, or immediately with its state when `wait` is false.
 void addWaiter(EntryContext context, Job &job, const Waiter &waiter, bool wait);
 
--- a/tests/entry_wait_test.cc
+++ b/tests/entry_wait_test.cc
@@ -231,3 +231,63 @@
     CHECK(!starts.empty());
     CHECK_EQUAL(1U, starts[0].second.spec->cores);
 }
+
+// ---- Cancels that are lost ----
+
+// Guards against a task that runs on without end after its job was cancelled, because the Cancel
+// was lost with a connection.
+TEST(EntryWait, aCancelIsRepeatedWhileTheAgentReportsTheTask)
+{
+    auto rig = rigWithAgents(1);
+    rig.submit("r", job("a", 8));
+    const auto [agent, start] = rig.takeSent<Start>().at(0);
+    rig.handleFrom(agent, accepted(start));
+    rig.handle(CancelJob{"c", start.spec->job});
+    CHECK_EQUAL(1U, rig.takeSent<Cancel>().size());
+    rig.handle(PeerDown{agent});
+    rig.connectPeer(agent, ProcessKind::Agent);
+    rig.advance(20000); // the entry answers the caller and drops the attempt
+    rig.takeReplies();
+    rig.takeSent<Cancel>();
+    auto report = rig.report(agent, 0);
+    report.tasks.emplace_back();
+    report.tasks.back().job = start.spec->job;
+    report.tasks.back().attempt = start.attempt;
+    report.tasks.back().organisation = "a";
+    report.tasks.back().accelerators = 8;
+    rig.handleFrom(agent, report);
+    const auto cancels = rig.takeSent<Cancel>();
+    CHECK_EQUAL(1U, cancels.size());
+    CHECK_EQUAL(agent, cancels[0].first);
+    CHECK_EQUAL(start.attempt, cancels[0].second.attempt);
+    auto stopped = ran(start, "");
+    stopped.verdict = Verdict::NotRun;
+    stopped.reason = ReasonCode::Cancelled;
+    rig.handleFrom(agent, stopped);
+    report.sequence = ++rig.sequence;
+    rig.advance(2000);
+    rig.handleFrom(agent, report);
+    CHECK(rig.takeSent<Cancel>().empty());
+}
+
+// Guards against a job that runs on in another region after it was cancelled, because the Cancel
+// was lost while the connection stayed open.
+TEST(EntryWait, theCancelOfAForwardedJobIsRepeated)
+{
+    auto rig = rigWithAgents(1);
+    rig.connectPeer("entry-2", ProcessKind::Entry, "east");
+    auto spec = job("a", 1);
+    spec.job = "j";
+    spec.key = "k";
+    spec.idempotent = false;
+    spec.homeRegion = "east";
+    rig.submit("r", spec);
+    const auto forward = rig.takeSent<Forward>().at(0).second;
+    rig.handle(CancelJob{"c", "j"});
+    CHECK_EQUAL(1U, rig.takeSent<Cancel>().size());
+    rig.advance(30000);
+    const auto cancels = rig.takeSent<Cancel>();
+    CHECK(cancels.size() >= 1 && cancels.size() <= 3);
+    CHECK_EQUAL(std::string("entry-2"), cancels[0].first);
+    CHECK_EQUAL(std::string("j"), cancels[0].second.job);
+}
