Report at once that a worker takes no jobs or takes them again

What callers saw: jobs wait although a worker that was set aside would take a probe, until the worker's next report. In a large region reports are up to 10 minutes apart. After the worker's lease lapsed, entries sent jobs there until the next report.

Cause: a report is sent early after a change of the agent's state. These two changes come with time, without an event.

Evidence, on the code before: tests/agent_test.cc:837: error: Failure in TEST(Agent, reportsAtOnceThatItIsSetAsideOrNoLongerIs) CHECK(!lastReport().setAside) failed

--- a/flamingo/agent.cc
+++ b/flamingo/agent.cc
@@ -118,6 +118,11 @@
 
 // ---- Reports ----
 
+bool takesNoJobs(const AgentStep &step)
+{
+    return rejectsAllJobs(step.agent, step.now) || !leaseCurrent(step);
+}
+
 Report makeReport(const AgentStep &step)
 {
     auto &agent = step.agent;
@@ -141,7 +146,7 @@
     report.freeCores = free.cores;
     report.freeMemoryMib = free.memoryMib;
     report.draining = agent.draining;
-    report.setAside = rejectsAllJobs(agent, step.now) || !leaseCurrent(step);
+    report.setAside = takesNoJobs(step);
     report.tableVersion = step.table.version;
     for (const auto &[id, task] : agent.tasks) {
         wire::TaskInfoT info;
@@ -163,6 +168,10 @@
     if (agent.tableVersion != step.table.version)
         agent.changeCount += 1;
     agent.tableVersion = step.table.version;
+    // It changes with time, without an event.
+    if (agent.tookNoJobs != takesNoJobs(step))
+        agent.changeCount += 1;
+    agent.tookNoJobs = takesNoJobs(step);
     for (auto &[entry, target] : agent.reportTargets) {
         const bool changed = target.sentChangeCount != agent.changeCount
             && step.now - target.sentAt >= agent.options.reportMinGapMs;
--- a/flamingo/agent.h
+++ b/flamingo/agent.h
@@ -272,6 +272,7 @@
     std::map<std::string, ReportTarget, std::less<>> reportTargets;
     Health health;
     bool draining = false;
+    bool tookNoJobs = false; // Report::setAside at the last event
     std::uint64_t changeCount = 1; // counts the changes that a report shows
     std::uint64_t reportSequence = 0;
     std::uint64_t tableVersion = 0; // version of the table at the last event
--- a/tests/agent_test.cc
+++ b/tests/agent_test.cc
@@ -812,6 +812,35 @@
     CHECK(!f.agent.health.setAside);
 }
 
+// Guards against a worker that stays unused in a large region, where reports are far apart, because
+// no report says that it accepts a probe or that its lease has lapsed.
+TEST(Agent, reportsAtOnceThatItIsSetAsideOrNoLongerIs)
+{
+    Fixture f;
+    PeerUp up;
+    up.peer.process = "e1";
+    up.peer.kind = ProcessKind::Entry;
+    f.event(up);
+    ReportAck ack;
+    ack.intervalMs = 300000;
+    f.message("e1", ack);
+    const auto lastReport = [&f] { return f.sent<Report>().back(); };
+    for (const auto *job : {"j1", "j2", "j3"}) {
+        auto start = makeStart(job, "borrower", 1);
+        start.spec->job = job;
+        f.message("e1", start);
+        f.event(TaskStarted{job, false, "no driver"});
+    }
+    f.advance(200);
+    CHECK(lastReport().setAside);
+    f.advance(f.agent.options.probeMs);
+    CHECK(!lastReport().setAside);
+    f.advance(f.agent.options.workerLeaseMs + 200, false);
+    CHECK(lastReport().setAside);
+    f.advance(200);
+    CHECK(!lastReport().setAside);
+}
+
 // Guards against an agent that accepts a grant of a replaced owner, or omits a granted key from its
 // reply to the new owner.
 TEST(Agent, answersAWitnessAndRefusesOlderGrants)
