Notice a disconnected agent after 3 s in large regions too

What callers saw: in a region whose reports are 60 s apart, a job that ran on a failed machine was started again, and keys of that machine were granted again, only after 180 s, although its connections were closed at once.

Cause: the time without contact after which an agent is unreachable is three report intervals, also for an agent without a connection, from which no report can come.

Change: without a connection the time is agentSilentAfterMs (3 s), and ownerSilentAfterMs (10 s) for a takeover of its key ranges.

Evidence, on the code before: tests/entry_wait_test.cc:334: error: Failure in TEST(EntryWait, aJobOfADisconnectedAgentIsRetriedWhateverTheReportInterval) expected <1> but was <0>

--- a/flamingo/entry.cc
+++ b/flamingo/entry.cc
@@ -86,15 +86,28 @@
     return entry.options.agentSilentAfterMs * reportIntervalMs(entry.view) / 1000;
 }
 
+// The time from which an agent without further contact is silent; it is unreachable `timeoutMs`
+// later. A connected agent is given the time between two reports. Without a connection it has
+// nothing to wait for but the next connection.
+TimeMs silentSince(const Entry &entry, const AgentView &agent, TimeMs timeoutMs)
+{
+    const auto nextReportAt =
+        agent.lastContactAt + std::max<TimeMs>(0, agentContactTimeout(entry) - timeoutMs);
+    const auto peer = entry.peers.find(agent.report.agent);
+    if (agent.connected || peer == entry.peers.end())
+        return nextReportAt;
+    return std::min(nextReportAt, std::max(agent.lastContactAt, peer->second.disconnectedAt));
+}
+
 void markUnreachableAgents(EntryContext context)
 {
     auto &entry = context.entry;
     if (context.now < entry.contactGraceUntil)
         return;
-    const auto contactTimeoutMs = agentContactTimeout(entry);
+    const auto timeoutMs = entry.options.agentSilentAfterMs;
     for (AgentId id = 0; id < entry.view.agents.size(); ++id) {
         const auto &agent = entry.view.agents[id];
-        if (agent.lostAt != 0 || context.now - agent.lastContactAt <= contactTimeoutMs)
+        if (agent.lostAt != 0 || context.now - silentSince(entry, agent, timeoutMs) <= timeoutMs)
             continue;
         setLost(entry.view, id, context.now);
         onAgentLost(context, id, AgentLoss::Unreachable);
@@ -333,11 +346,11 @@
     std::map<std::string, TimeMs, std::less<>> lastContact;
     for (const auto &agent : entry.view.agents) {
         if (!agent.report.agent.empty())
-            lastContact.emplace(agent.report.agent, agent.lastContactAt);
+            lastContact.emplace(agent.report.agent,
+                                silentSince(entry, agent, entry.options.ownerSilentAfterMs));
     }
     TakeoverOptions options;
-    options.contactTimeoutMs =
-        std::max(entry.options.ownerSilentAfterMs, agentContactTimeout(entry));
+    options.contactTimeoutMs = entry.options.ownerSilentAfterMs;
     auto lines = proposeTakeovers(entry.ranges, entry.options.region, lastContact, options,
                                   context.now, entry.takeovers, context.random);
     if (!lines.empty())
--- a/flamingo/entry.h
+++ b/flamingo/entry.h
@@ -48,7 +48,7 @@
     // time that a lookup waits for the processes that it queried.
     TimeMs replyTimeoutMs = 1000;
     // An agent that has sent no message for this time is unreachable. The time holds for a report
-    // interval of 1 s and grows in proportion to the interval.
+    // interval of 1 s and, for agents with a connection, grows in proportion to the interval.
     TimeMs agentSilentAfterMs = 3000;
     TimeMs ownerSilentAfterMs = 10000; // a takeover is proposed after this time without contact
     TimeMs acceptTimeoutMs = 6000; // an edit not in force everywhere by then is reported as pending
--- a/tests/entry_wait_test.cc
+++ b/tests/entry_wait_test.cc
@@ -1,5 +1,6 @@
 // Tests how long accepted jobs are held back although there is room for them: by reservations of
-// data centres, by tasks of lost workers, and by the limits of a scheduling pass.
+// data centres, by what the entry believes of workers that are lost, silent or set aside, and by
+// the limits of a scheduling pass.
 
 #include "tests/entry_rig.h"
 
@@ -7,6 +8,7 @@
 
 #include <algorithm>
 #include <map>
+#include <set>
 
 using namespace flamingo;
 using namespace flamingo::tests;
@@ -291,3 +293,44 @@
     CHECK_EQUAL(std::string("entry-2"), cancels[0].first);
     CHECK_EQUAL(std::string("j"), cancels[0].second.job);
 }
+
+// ---- Large regions, in which reports are far apart ----
+
+namespace {
+
+// Adds an agent with so many tasks that an agent is asked for a report every `seconds`.
+void addAgentWithLargeReport(Rig &rig, std::string_view name, std::size_t seconds)
+{
+    rig.connectPeer(name, ProcessKind::Agent);
+    auto report = rig.report(name, 0);
+    report.freeSlots = 0;
+    for (std::size_t i = 0; i < seconds * 21; ++i) {
+        report.tasks.emplace_back();
+        report.tasks.back().attempt = "elsewhere" + std::to_string(i);
+        report.tasks.back().organisation = "b";
+    }
+    rig.handleFrom(name, report);
+    rig.out.sends.clear();
+}
+
+} // namespace
+
+// Guards against a job that is not started again for minutes after its agent's machine failed,
+// because agents of large regions may be silent for that long.
+TEST(EntryWait, aJobOfADisconnectedAgentIsRetriedWhateverTheReportInterval)
+{
+    auto rig = rigWithAgents(2);
+    addAgentWithLargeReport(rig, "busy", 60);
+    rig.submit("r", job("a", 8));
+    const auto [agent, start] = rig.takeSent<Start>().at(0);
+    rig.handleFrom(agent, accepted(start));
+    rig.advance(20000); // silent, which is in order
+    CHECK(rig.takeSent<Start>().empty());
+    rig.handle(PeerDown{agent});
+    rig.advance(rig.entry.options.agentSilentAfterMs - 500);
+    CHECK(rig.takeSent<Start>().empty()); // it may connect again
+    rig.advance(2000);
+    const auto starts = rig.takeSent<Start>();
+    CHECK_EQUAL(1U, starts.size());
+    CHECK(starts[0].first != agent);
+}
