Use the capacity of a lost Start again without waiting for a report

What callers saw: a worker stayed unused after a Start to it was lost, until its next report; in a large region reports are up to 10 minutes apart. A job could wait for the capacity that its own lost Start had deducted.

Cause: a deduction ended with a report that lists the attempt, or with the first report 8 s after the Start.

Change: it ends 8 s after the Start, also without a report.

Evidence, on the code before: tests/entry_wait_test.cc:346: error: Failure in TEST(EntryWait, theCapacityOfALostStartIsUsedAgainWhateverTheReportInterval) CHECK(!rig.takeSent<Start>().empty()) failed

--- a/flamingo/entry.cc
+++ b/flamingo/entry.cc
@@ -15,8 +15,8 @@
 // If two ticks are at least this far apart, the process is assumed to have been paused.
 constexpr TimeMs pauseDetectionMs = 1000;
 constexpr TimeMs drainTimeoutMs = 3000;
-// Each report ends the agent's deductions for Starts that were sent more than this time before.
-// With default options this exceeds every wait for a StartReply, except that of a gang that is not
+// Deductions end this long after their Start, also without a report, which may be far off. With
+// default options this exceeds every wait for a StartReply, except that of a gang that is not
 // idempotent and starts on guaranteed blocks (9000 ms).
 constexpr TimeMs deductionTimeoutMs = 8000;
 
@@ -68,7 +68,6 @@
     if (peer != entry.peers.end() && !peer->second.connected)
         setConnected(entry.view, from, false);
     const auto agent = findAgent(entry.view, from);
-    removeDeductionsSentBefore(entry.view, agent, context.now - deductionTimeoutMs);
     if (result == ReportResult::Restarted)
         onAgentLost(context, agent, AgentLoss::Restarted);
     for (const auto &task : report.tasks) {
@@ -133,6 +132,15 @@
     }
 }
 
+void endOldDeductions(EntryContext context)
+{
+    auto &view = context.entry.view;
+    for (AgentId id = 0; id < view.agents.size(); ++id) {
+        if (!view.agents[id].deductions.empty())
+            removeDeductionsSentBefore(view, id, context.now - deductionTimeoutMs);
+    }
+}
+
 void recordContact(EntryContext context, std::string_view from)
 {
     auto &view = context.entry.view;
@@ -363,6 +371,7 @@
     entry.lastSlowTickAt = context.now;
     markUnreachableAgents(context);
     forgetTasksOfLostAgents(context);
+    endOldDeductions(context);
     proposeRangeTakeovers(context);
     removeFinishedJobs(context);
     removeOldCancels(context);
--- a/tests/entry_wait_test.cc
+++ b/tests/entry_wait_test.cc
@@ -334,3 +334,14 @@
     CHECK_EQUAL(1U, starts.size());
     CHECK(starts[0].first != agent);
 }
+
+// Guards against capacity that stays unused until the next report, because a Start was lost.
+TEST(EntryWait, theCapacityOfALostStartIsUsedAgainWhateverTheReportInterval)
+{
+    auto rig = rigWithAgents(1);
+    addAgentWithLargeReport(rig, "busy", 300);
+    rig.submit("r", job("a", 8));
+    CHECK_EQUAL(1U, rig.takeSent<Start>().size());
+    rig.advance(12000); // no reply, and no report
+    CHECK(!rig.takeSent<Start>().empty());
+}
