Do not count refusals of failed workers as failed runs of the job

What callers saw: NotRun with "failed 3 times on 3 workers" for a job that never ran, because it met three workers that are set aside or do not answer, although others had room. Work that is not idempotent meets them for 10 s after each probe time.

Cause: an agent refuses a Start with WorkerFailed only for the state of its worker; the entry counted that like a run that failed.

Change: such a refusal is handled like any other: the job goes to another worker at once. The delay after several refusals in a row is at most 1 s, because the time of the refusal (up to 300 s) holds for one worker.

--- a/flamingo/jobs.cc
+++ b/flamingo/jobs.cc
@@ -7,10 +7,11 @@
 // becomes free goes to the first jobs first; the second half only to jobs that were not tried yet
 // in the round, so that each job is tried however many before it do not fit.
 //
-// Retries: a refused attempt has ended. An attempt without a StartReply stays open and the job is
-// retried. The open attempt is cancelled if the job is idempotent. Otherwise it is not, because the
-// owner grants the key to one attempt only. Callers of finishJob may pass NotRun for a job that may
-// have run: finishJob changes the verdict to MayHaveRun.
+// Retries: a refused attempt has ended; the job did not run, so it does not count as a failed run.
+// An attempt without a StartReply stays open and the job is retried. The open attempt is cancelled
+// if the job is idempotent. Otherwise it is not, because the owner grants the key to one attempt
+// only. Callers of finishJob may pass NotRun for a job that may have run: finishJob changes the
+// verdict to MayHaveRun.
 
 #include "flamingo/jobs.h"
 
@@ -27,6 +28,7 @@
 constexpr TimeMs ownerExtraMs = 3000; // the owner waits 2 s for the log before it grants the key
 
 constexpr TimeMs retryDelayMs = 200;
+constexpr TimeMs maxRefusalDelayMs = 1000;
 constexpr TimeMs ownerRetryDelayMs = 500;
 constexpr TimeMs ownerQueryIntervalMs = 1000;
 constexpr TimeMs forwardQueryIntervalMs = 10000;
@@ -948,7 +950,8 @@
     }
     job.excluded.clear();
     job.consecutiveRefusals = 0;
-    requeue(context, job, std::max<TimeMs>(reply.retryAfterMs, retryDelayMs));
+    // The time of the refusal holds for that worker; another one may take the job earlier.
+    requeue(context, job, std::clamp<TimeMs>(reply.retryAfterMs, retryDelayMs, maxRefusalDelayMs));
 }
 
 void onRefused(EntryContext context, Job &job, AgentId agent, const StartReply &reply)
@@ -966,7 +969,6 @@
     case ReasonCode::StaleEpoch:
         onOwnerRefusal(context, job, reply);
         return;
-    case ReasonCode::WorkerFailed:
     case ReasonCode::TaskFailed: {
         Outcome outcome;
         outcome.reason = reply.reason;
--- a/tests/entry_wait_test.cc
+++ b/tests/entry_wait_test.cc
@@ -345,3 +345,42 @@
     rig.advance(12000); // no reply, and no report
     CHECK(!rig.takeSent<Start>().empty());
 }
+
+// ---- Refusals of workers that are set aside ----
+
+// Guards against a job that is ended as failed although it never ran, because it met three workers
+// that do not answer or are set aside.
+TEST(EntryWait, refusalsOfFailedWorkersDoNotCountAsRunsOfTheJob)
+{
+    auto rig = rigWithAgents(6);
+    std::set<std::string> refusing;
+    const auto sendReports = [&rig, &refusing] {
+        for (const auto *name : {"w0", "w1", "w2", "w3", "w4", "w5"}) {
+            auto report = rig.report(name);
+            report.setAside = refusing.count(name) > 0;
+            rig.handleFrom(name, report);
+        }
+    };
+    rig.submit("r", job("a", 8));
+    bool started = false;
+    for (int second = 0; second < 10 && !started; ++second) {
+        for (auto starts = rig.takeSent<Start>(); !starts.empty() && !started;
+             starts = rig.takeSent<Start>()) {
+            const auto &[agent, start] = starts.front();
+            started = refusing.size() == 5;
+            if (started)
+                break;
+            refusing.insert(agent);
+            StartReply refused;
+            refused.job = start.spec->job;
+            refused.attempt = start.attempt;
+            refused.reason = ReasonCode::WorkerFailed;
+            refused.retryAfterMs = 300000;
+            rig.handleFrom(agent, refused);
+        }
+        sendReports();
+        rig.advance(1000);
+    }
+    CHECK(rig.takeReplies().empty());
+    CHECK(started);
+}
