--- a/flamingo/entry.cc
+++ b/flamingo/entry.cc
@@ -15,8 +15,8 @@
 // If two ticks are at least this far apart, the process is assumed to have been paused.
 constexpr TimeMs pauseDetectionMs = 1000;
 constexpr TimeMs drainTimeoutMs = 3000;
-// Each report ends the agent's deductions for Starts that were sent more than this time before.
-// With default options this exceeds every wait for a StartReply, except that of a gang that is not
+// Deductions end this long after their Start, also without a report, which may be far off. With
+// default options this exceeds every wait for a StartReply, except that of a gang that is not
 // idempotent and starts on guaranteed blocks (9000 ms).
 constexpr TimeMs deductionTimeoutMs = 8000;
 
@@ -68,11 +68,12 @@
     if (peer != entry.peers.end() && !peer->second.connected)
         setConnected(entry.view, from, false);
     const auto agent = findAgent(entry.view, from);
-    removeDeductionsSentBefore(entry.view, agent, context.now - deductionTimeoutMs);
     if (result == ReportResult::Restarted)
         onAgentLost(context, agent, AgentLoss::Restarted);
-    for (const auto &task : report.tasks)
+    for (const auto &task : report.tasks) {
         onAttemptListed(context, task.attempt);
+        repeatCancel(context, task.attempt);
+    }
     answerConfirmedDrains(context, report);
     entry.capacityChanged = true;
 }
@@ -84,21 +85,62 @@
     return entry.options.agentSilentAfterMs * reportIntervalMs(entry.view) / 1000;
 }
 
+// The time from which an agent without further contact is silent; it is unreachable `timeoutMs`
+// later. A connected agent is given the time between two reports. Without a connection it has
+// nothing to wait for but the next connection.
+TimeMs silentSince(const Entry &entry, const AgentView &agent, TimeMs timeoutMs)
+{
+    const auto nextReportAt =
+        agent.lastContactAt + std::max<TimeMs>(0, agentContactTimeout(entry) - timeoutMs);
+    const auto peer = entry.peers.find(agent.report.agent);
+    if (agent.connected || peer == entry.peers.end())
+        return nextReportAt;
+    return std::min(nextReportAt, std::max(agent.lastContactAt, peer->second.disconnectedAt));
+}
+
 void markUnreachableAgents(EntryContext context)
 {
     auto &entry = context.entry;
     if (context.now < entry.contactGraceUntil)
         return;
-    const auto contactTimeoutMs = agentContactTimeout(entry);
+    const auto timeoutMs = entry.options.agentSilentAfterMs;
     for (AgentId id = 0; id < entry.view.agents.size(); ++id) {
         const auto &agent = entry.view.agents[id];
-        if (agent.lostAt != 0 || context.now - agent.lastContactAt <= contactTimeoutMs)
+        if (agent.lostAt != 0 || context.now - silentSince(entry, agent, timeoutMs) <= timeoutMs)
             continue;
         setLost(entry.view, id, context.now);
         onAgentLost(context, id, AgentLoss::Unreachable);
     }
 }
 
+// Forgets the tasks of workers that have been silent for lostTasksCountMs, so that jobs do not wait
+// for the end of tasks that nobody will report.
+void forgetTasksOfLostAgents(EntryContext context)
+{
+    auto &entry = context.entry;
+    for (AgentId id = 0; id < entry.view.agents.size(); ++id) {
+        const auto &agent = entry.view.agents[id];
+        const auto silentMs = context.now - agent.lastContactAt;
+        if (agent.lostAt == 0 || agent.report.tasks.empty()
+            || silentMs < entry.options.lostTasksCountMs)
+            continue;
+        context.out.logLines.push_back(
+            "tasks of a lost worker no longer count agent=" + agent.report.agent + " tasks="
+            + std::to_string(agent.report.tasks.size()) + " silent_ms=" + std::to_string(silentMs));
+        forgetTasks(entry.view, id);
+        entry.capacityChanged = true;
+    }
+}
+
+void endOldDeductions(EntryContext context)
+{
+    auto &view = context.entry.view;
+    for (AgentId id = 0; id < view.agents.size(); ++id) {
+        if (!view.agents[id].deductions.empty())
+            removeDeductionsSentBefore(view, id, context.now - deductionTimeoutMs);
+    }
+}
+
 void recordContact(EntryContext context, std::string_view from)
 {
     auto &view = context.entry.view;
@@ -302,18 +344,6 @@
     }
 }
 
-// Releases reservations of data centres for jobs that are no longer queued.
-void releaseStaleReservations(Entry &entry)
-{
-    for (auto &centre : entry.view.dataCentres) {
-        if (centre.reservedForJob == 0)
-            continue;
-        const auto job = entry.jobs.find(centre.reservedForJob);
-        if (job == entry.jobs.end() || !job->second->queued)
-            centre.reservedForJob = 0;
-    }
-}
-
 // Appends the records that proposeTakeovers() returns to the claims stream: unreachable agents as
 // lost, and new owners for key ranges whose owner is missing, replaced or unreachable.
 void proposeRangeTakeovers(EntryContext context)
@@ -324,11 +354,11 @@
     std::map<std::string, TimeMs, std::less<>> lastContact;
     for (const auto &agent : entry.view.agents) {
         if (!agent.report.agent.empty())
-            lastContact.emplace(agent.report.agent, agent.lastContactAt);
+            lastContact.emplace(agent.report.agent,
+                                silentSince(entry, agent, entry.options.ownerSilentAfterMs));
     }
     TakeoverOptions options;
-    options.contactTimeoutMs =
-        std::max(entry.options.ownerSilentAfterMs, agentContactTimeout(entry));
+    options.contactTimeoutMs = entry.options.ownerSilentAfterMs;
     auto lines = proposeTakeovers(entry.ranges, entry.options.region, lastContact, options,
                                   context.now, entry.takeovers, context.random);
     if (!lines.empty())
@@ -340,10 +370,13 @@
     auto &entry = context.entry;
     entry.lastSlowTickAt = context.now;
     markUnreachableAgents(context);
+    forgetTasksOfLostAgents(context);
+    endOldDeductions(context);
     proposeRangeTakeovers(context);
     removeFinishedJobs(context);
+    removeOldCancels(context);
     refillRetryBudget(entry.budget, context.now);
-    releaseStaleReservations(entry);
+    endDueReservations(context);
     // The whole queue is examined at least once per second, because jobs may also be able to start
     // for other reasons than freed capacity, for example a new retry token.
     entry.capacityChanged = entry.capacityChanged || entry.queue.size != 0;
--- a/flamingo/entry.h
+++ b/flamingo/entry.h
@@ -48,7 +48,7 @@
     // time that a lookup waits for the processes that it queried.
     TimeMs replyTimeoutMs = 1000;
     // An agent that has sent no message for this time is unreachable. The time holds for a report
-    // interval of 1 s and grows in proportion to the interval.
+    // interval of 1 s and, for agents with a connection, grows in proportion to the interval.
     TimeMs agentSilentAfterMs = 3000;
     TimeMs ownerSilentAfterMs = 10000; // a takeover is proposed after this time without contact
     TimeMs acceptTimeoutMs = 6000; // an edit not in force everywhere by then is reported as pending
@@ -74,6 +74,14 @@
     // before it is refused. Longer than the redial delay of the peers (flamingo/adapters/peers.h).
     TimeMs regionWaitMs = 2000;
     std::size_t maxLookups = 1000; // in progress
+    // First reservation of a data centre for a job (flamingo/queue.h). Each further one for the
+    // same job may last twice as long, up to reservationMaxMs.
+    TimeMs reservationMs = 5000;
+    TimeMs reservationMaxMs = 3600000;
+    // The tasks of a lost worker count against the limits of their organisations for this long
+    // after its last message. Then they have ended, unless the worker is cut off from this entry
+    // only.
+    TimeMs lostTasksCountMs = 10000;
 };
 
 // ---- Requests of callers and operators ----
@@ -162,6 +170,14 @@
     TimeMs lastContactAt = 0; // last JobReply of the holder
 };
 
+// An attempt to whose leader a Cancel was sent, and whose end has not been reported since.
+struct UnconfirmedCancel
+{
+    std::string job;
+    std::string agent;
+    TimeMs sentAt = 0; // last Cancel
+};
+
 // A drain request that the agent has not confirmed by a report yet.
 struct PendingDrain
 {
@@ -214,6 +230,7 @@
     std::map<std::string, Peer, std::less<>> peers;
     std::vector<Lookup> lookups;
     std::vector<PendingDrain> drains;
+    std::unordered_map<std::string, UnconfirmedCancel> unconfirmedCancels; // by attempt
     EntryCounters counters;
     std::uint64_t lastSerial = 0;
     std::uint64_t lastAttempt = 0;
@@ -228,6 +245,7 @@
     bool capacityChanged = false; // the next scheduling pass covers the whole queue
     TimeMs nextPassAt = 0; // earliest next pass over the whole queue; later after a long pass
     bool passIncomplete = false; // the last pass over the whole queue reached a limit
+    std::uint64_t passRound = 1; // counts the rounds of passes (flamingo/jobs.cc)
     std::vector<std::uint64_t> newJobSerials; // submitted since the last pass
     std::vector<std::uint64_t> blockedJobs; // no free capacity found in the last pass
 };
--- a/flamingo/jobs.cc
+++ b/flamingo/jobs.cc
@@ -2,10 +2,16 @@
 // smallest share, until every job has been tried or the pass reaches a limit. A job that could not
 // be placed is recorded, so that equal or larger jobs after it need no search in this pass.
 //
-// Retries: a refused attempt has ended. An attempt without a StartReply stays open and the job is
-// retried. The open attempt is cancelled if the job is idempotent. Otherwise it is not, because the
-// owner grants the key to one attempt only. Callers of finishJob may pass NotRun for a job that may
-// have run: finishJob changes the verdict to MayHaveRun.
+// A pass that reaches a limit is followed by others until one covers the rest of the queue. These
+// passes form a round. The first half of each limit is open to every job, so that capacity that
+// becomes free goes to the first jobs first; the second half only to jobs that were not tried yet
+// in the round, so that each job is tried however many before it do not fit.
+//
+// Retries: a refused attempt has ended; the job did not run, so it does not count as a failed run.
+// An attempt without a StartReply stays open and the job is retried. The open attempt is cancelled
+// if the job is idempotent. Otherwise it is not, because the owner grants the key to one attempt
+// only. Callers of finishJob may pass NotRun for a job that may have run: finishJob changes the
+// verdict to MayHaveRun.
 
 #include "flamingo/jobs.h"
 
@@ -22,6 +28,7 @@
 constexpr TimeMs ownerExtraMs = 3000; // the owner waits 2 s for the log before it grants the key
 
 constexpr TimeMs retryDelayMs = 200;
+constexpr TimeMs maxRefusalDelayMs = 1000;
 constexpr TimeMs ownerRetryDelayMs = 500;
 constexpr TimeMs ownerQueryIntervalMs = 1000;
 constexpr TimeMs forwardQueryIntervalMs = 10000;
@@ -36,6 +43,7 @@
 // This delay is several times the duration of the pass.
 constexpr std::size_t skipsPerMs = 100;
 constexpr TimeMs queueFullRetryMs = 1000;
+constexpr TimeMs cancelRepeatMs = 1000; // least time between two Cancels of one attempt
 constexpr std::size_t maxAliases = 100; // limit of Job::aliases
 
 Reason makeReason(ReasonCode code, std::string text)
@@ -80,7 +88,11 @@
     Cancel cancel;
     cancel.job = job.spec.job;
     cancel.attempt = attempt.id;
-    sendMessage(context, agentName(context.entry, attempt.agents.front()), std::move(cancel));
+    const std::string agent(agentName(context.entry, attempt.agents.front()));
+    auto &unconfirmed = context.entry.unconfirmedCancels;
+    if (unconfirmed.size() < context.entry.options.maxJobs)
+        unconfirmed[attempt.id] = {job.spec.job, agent, context.now};
+    sendMessage(context, agent, std::move(cancel));
 }
 
 void restoreCapacity(Entry &entry, const JobAttempt &attempt)
@@ -113,13 +125,28 @@
     return nullptr;
 }
 
-void releaseReservation(Entry &entry, const Job &job)
+// Ends a reservation. Unless the job starts, the data centre is open to all jobs for as long as it
+// was reserved.
+void endReservation(EntryContext context, DataCentreView &centre, std::string_view cause,
+                    bool starts = false)
 {
-    for (auto &centre : entry.view.dataCentres) {
-        if (centre.reservedForJob != job.serial)
-            continue;
-        centre.reservedForJob = 0;
-        entry.capacityChanged = true;
+    const auto lastedMs = context.now - centre.reservedSince;
+    const auto job = context.entry.jobs.find(centre.reservedForJob);
+    context.out.logLines.push_back(
+        "reservation ended data_centre=" + centre.name
+        + " job=" + (job == context.entry.jobs.end() ? std::string() : job->second->spec.job)
+        + " lasted_ms=" + std::to_string(lastedMs) + " cause=\"" + std::string(cause) + "\"");
+    centre.reservedForJob = 0;
+    centre.reservableAt = starts ? context.now : context.now + lastedMs;
+    context.entry.capacityChanged = true;
+}
+
+void releaseReservation(EntryContext context, const Job &job, std::string_view cause,
+                        bool starts = false)
+{
+    for (auto &centre : context.entry.view.dataCentres) {
+        if (centre.reservedForJob == job.serial)
+            endReservation(context, centre, cause, starts);
     }
 }
 
@@ -176,7 +203,7 @@
     if (verdict == Verdict::NotRun && (job.mayHaveRun || !job.attempts.empty()))
         verdict = Verdict::MayHaveRun;
     dequeue(entry.queue, job);
-    releaseReservation(entry, job);
+    releaseReservation(context, job, "the job ended");
     closeAllAttempts(context, job, verdict);
     setTimer(entry, job, 0);
     if (!job.forwardRequest.empty())
@@ -332,7 +359,7 @@
 {
     auto &entry = context.entry;
     dequeue(entry.queue, job);
-    releaseReservation(entry, job);
+    releaseReservation(context, job, "the job starts", true);
     JobAttempt attempt;
     attempt.id = entry.options.name + "." + std::to_string(entry.options.incarnation) + "#"
         + std::to_string(++entry.lastAttempt);
@@ -362,7 +389,7 @@
         return false;
     auto &entry = context.entry;
     dequeue(entry.queue, job);
-    releaseReservation(entry, job);
+    releaseReservation(context, job, "the job is forwarded");
     if (job.forwardRequest.empty())
         job.forwardRequest = entry.options.name + "." + std::to_string(entry.options.incarnation)
             + "/" + std::to_string(job.serial);
@@ -439,6 +466,7 @@
     std::vector<std::uint64_t> blockedJobs;
     std::size_t searches = 0; // searches that found no placement
     std::size_t skips = 0; // jobs that were not searched for, because they are knownUnplaceable
+    std::size_t passedOver = 0; // jobs that were tried in an earlier pass of the round
     std::size_t starts = 0;
     std::size_t rechecks = 0; // searches for jobs that are knownUnplaceable
 };
@@ -535,6 +563,18 @@
     return true;
 }
 
+// Why no placement was found, with the data centres that are reserved for other jobs.
+Reason noCapacityReason(const Entry &entry, const Job &job)
+{
+    std::string text = "accelerators: no free block can hold the job at present";
+    for (const auto &centre : entry.view.dataCentres) {
+        const auto holder = entry.jobs.find(centre.reservedForJob);
+        if (holder != entry.jobs.end() && holder->first != job.serial)
+            text += "; " + centre.name + " is reserved for job " + holder->second->spec.job;
+    }
+    return makeReason(ReasonCode::NoRoom, std::move(text));
+}
+
 // No placement was found: refuses the job if it can never be placed, offers it to another region,
 // or leaves it in the queue.
 TryResult onNoCapacity(EntryContext context, Job &job)
@@ -544,8 +584,7 @@
         finishJob(context, job, Verdict::NotRun, std::move(reason));
         return TryResult::Ended;
     }
-    job.waitReason =
-        makeReason(ReasonCode::NoRoom, "accelerators: no free block can hold the job at present");
+    job.waitReason = noCapacityReason(context.entry, job);
     // An entry of another region offered the job; that entry requeues it on this reply.
     if (job.fromPeer && job.spec.homeRegion != context.entry.options.region) {
         finishJob(context, job, Verdict::NotRun, job.waitReason);
@@ -587,9 +626,16 @@
         return TryResult::Ended;
     }
     if (!mayStart(context, job)) {
-        releaseReservation(context.entry, job);
+        releaseReservation(context, job, "the job has to wait for something else");
         return TryResult::NotEligible;
     }
+    const bool firstHalf =
+        pass.searches < maxSearchesPerPass / 2 && pass.skips < maxSkipsPerPass / 2;
+    if (!firstHalf && job.triedInRound == context.entry.passRound) {
+        ++pass.passedOver;
+        return TryResult::NoCapacity;
+    }
+    job.triedInRound = context.entry.passRound;
     // No placement is searched for a job that is knownUnplaceable. One such job per pass, at most
     // once in recheckIntervalMs, is an exception, so that it is refused if it can never be placed,
     // or offered to another region.
@@ -623,15 +669,36 @@
     return result;
 }
 
+// The time limit of the job's next reservation: reservationMs, doubled for each one that ended at
+// its limit. A limit that grows in this way exceeds the remaining time of the runs in the data
+// centre at some time, whatever they take.
+TimeMs reservationLimitMs(const Entry &entry, const Job &job)
+{
+    auto limitMs = entry.options.reservationMs;
+    for (std::uint32_t i = 0; i < job.expiredReservations; ++i)
+        limitMs = std::min(limitMs * 2, entry.options.reservationMaxMs);
+    return limitMs;
+}
+
 // Reserves the free capacity of a data centre for a job that was overtaken too often.
-void reserveDataCentre(Entry &entry, const Job &job)
+void reserveDataCentre(EntryContext context, const Job &job)
 {
-    const int index = hasReservation(entry, job) ? -1 : dataCentreToReserve(entry.view, job.spec);
+    auto &entry = context.entry;
+    const int index =
+        hasReservation(entry, job) ? -1 : dataCentreToReserve(entry.view, job.spec, context.now);
     if (index < 0)
         return;
+    const auto limitMs = reservationLimitMs(entry, job);
     auto &centre = entry.view.dataCentres[static_cast<std::size_t>(index)];
     centre.reservedForJob = job.serial;
     centre.reservedForUrgent = job.spec.jobClass == JobClass::Urgent;
+    centre.reservedSince = context.now;
+    centre.reservedUntil = context.now + limitMs;
+    context.out.logLines.push_back(
+        "reservation began data_centre=" + centre.name + " job=" + job.spec.job
+        + " organisation=" + job.spec.organisation + " limit_ms=" + std::to_string(limitMs)
+        + " overtaken=" + std::to_string(job.overtakenUnits / unitsPerOvertake)
+        + " waited_ms=" + std::to_string(context.now - job.submittedAt));
 }
 
 // Counts the start as an overtaking of each job of the pass that waits for capacity and was not
@@ -645,7 +712,7 @@
             continue;
         job.overtakenUnits += overtakeCost(started.spec.jobClass, job.spec.jobClass);
         if (job.overtakenUnits >= maxOvertakes * unitsPerOvertake)
-            reserveDataCentre(entry, job);
+            reserveDataCentre(context, job);
     }
 }
 
@@ -715,7 +782,9 @@
     for (std::size_t jobClass = 0; jobClass < jobClasses; ++jobClass)
         scheduleClass(context, jobClass, pass);
     entry.passIncomplete = passLimitReached(pass);
-    entry.nextPassAt = context.now + static_cast<TimeMs>(pass.skips / skipsPerMs);
+    entry.passRound += entry.passIncomplete ? 0 : 1;
+    entry.nextPassAt =
+        context.now + static_cast<TimeMs>((pass.skips + pass.passedOver) / skipsPerMs);
     entry.capacityChanged = entry.capacityChanged || pass.starts >= maxStartsPerPass;
     entry.blockedJobs = std::move(pass.blockedJobs);
 }
@@ -881,7 +950,8 @@
     }
     job.excluded.clear();
     job.consecutiveRefusals = 0;
-    requeue(context, job, std::max<TimeMs>(reply.retryAfterMs, retryDelayMs));
+    // The time of the refusal holds for that worker; another one may take the job earlier.
+    requeue(context, job, std::clamp<TimeMs>(reply.retryAfterMs, retryDelayMs, maxRefusalDelayMs));
 }
 
 void onRefused(EntryContext context, Job &job, AgentId agent, const StartReply &reply)
@@ -899,7 +969,6 @@
     case ReasonCode::StaleEpoch:
         onOwnerRefusal(context, job, reply);
         return;
-    case ReasonCode::WorkerFailed:
     case ReasonCode::TaskFailed: {
         Outcome outcome;
         outcome.reason = reply.reason;
@@ -924,7 +993,7 @@
     if (!acceptedLate && (job.state != JobState::Starting || job.currentAttempt != attemptId))
         return;
     dequeue(context.entry.queue, job);
-    releaseReservation(context.entry, job);
+    releaseReservation(context, job, "the job runs");
     setTimer(context.entry, job, 0);
     job.state = JobState::Running;
     job.currentAttempt = attemptId;
@@ -1033,6 +1102,11 @@
     query.job = job.spec.job;
     setTimer(context.entry, job, context.now + forwardQueryIntervalMs);
     sendMessage(context, job.forwardedTo, std::move(query));
+    if (!job.cancelled)
+        return;
+    Cancel cancel;
+    cancel.job = job.spec.job;
+    sendMessage(context, job.forwardedTo, std::move(cancel));
 }
 
 void onTimer(EntryContext context, Job &job)
@@ -1237,6 +1311,25 @@
     entry.newJobSerials.push_back(job.serial);
 }
 
+void endDueReservations(EntryContext context)
+{
+    auto &entry = context.entry;
+    for (std::size_t i = 0; i < entry.view.dataCentres.size(); ++i) {
+        auto &centre = entry.view.dataCentres[i];
+        if (centre.reservedForJob == 0)
+            continue;
+        const auto found = entry.jobs.find(centre.reservedForJob);
+        if (found == entry.jobs.end() || !found->second->queued) {
+            endReservation(context, centre, "the job is not queued");
+        } else if (context.now >= centre.reservedUntil) {
+            ++found->second->expiredReservations;
+            endReservation(context, centre, "time limit");
+        } else if (!couldHoldWhenIdle(entry.view, i, found->second->spec)) {
+            endReservation(context, centre, "too few workers can be used");
+        }
+    }
+}
+
 void schedule(EntryContext context)
 {
     auto &entry = context.entry;
@@ -1254,6 +1347,8 @@
 void onStartReply(EntryContext context, const StartReply &reply)
 {
     auto &entry = context.entry;
+    if (!reply.accepted)
+        entry.unconfirmedCancels.erase(reply.attempt);
     const auto found = entry.byAttempt.find(reply.attempt);
     if (found == entry.byAttempt.end())
         return;
@@ -1296,6 +1391,7 @@
     ack.job = outcome.job;
     ack.attempt = outcome.attempt;
     sendMessage(context, from, std::move(ack));
+    entry.unconfirmedCancels.erase(outcome.attempt);
     const auto found = entry.byAttempt.find(outcome.attempt);
     if (found == entry.byAttempt.end())
         return;
@@ -1443,6 +1539,31 @@
     entry.capacityChanged = true;
 }
 
+void repeatCancel(EntryContext context, std::string_view attempt)
+{
+    auto &unconfirmed = context.entry.unconfirmedCancels;
+    const auto found = unconfirmed.find(std::string(attempt));
+    if (found == unconfirmed.end() || context.now - found->second.sentAt < cancelRepeatMs)
+        return;
+    found->second.sentAt = context.now;
+    Cancel cancel;
+    cancel.job = found->second.job;
+    cancel.attempt = attempt;
+    context.out.logLines.push_back("cancel repeated job=" + cancel.job + " attempt="
+                                   + cancel.attempt + " agent=" + found->second.agent);
+    sendMessage(context, found->second.agent, std::move(cancel));
+}
+
+void removeOldCancels(EntryContext context)
+{
+    auto &unconfirmed = context.entry.unconfirmedCancels;
+    for (auto at = unconfirmed.begin(); at != unconfirmed.end();) {
+        const bool expired =
+            context.now - at->second.sentAt > context.entry.options.finishedRetentionMs;
+        at = expired ? unconfirmed.erase(at) : std::next(at);
+    }
+}
+
 void onAttemptListed(EntryContext context, std::string_view attempt)
 {
     auto &entry = context.entry;
@@ -1483,7 +1604,7 @@
         return;
     }
     dequeue(context.entry.queue, job);
-    releaseReservation(context.entry, job);
+    releaseReservation(context, job, "the job is cancelled");
     for (const auto &attempt : job.attempts)
         sendCancel(context, job, attempt);
     job.state = JobState::Cancelling;
