flamingoctl account: list the times in which jobs had nothing running

Callers saw accepted jobs with nothing running while capacity was free. The account summed waits and discarded work, but a job can be idle without a wait: its task is assigned to a worker that does not run it, there is no leader, or the leader does not know the job.

It reads the decisions of the leaders, and from other lines where they exist: request (stored, cancelled), campaign, worker_found, worker_fenced, worker_gone and runs_unconfirmed. Time in which the leader suppressed lines is shown as such. job_known has the due time of the first occurrence, so that the time between occurrences is not counted.

Tests: 9 new in day_account_test.cc. They concern a new list, so before the change they did not compile.

--- a/daemons/ctl.cc
+++ b/daemons/ctl.cc
@@ -24,6 +24,7 @@
 ABSL_FLAG(std::string, job, "", "job of which account lists the waits and runs");
 ABSL_FLAG(std::uint64_t, from_ms, 0, "begin of the period of account, Unix time; 0: of the log");
 ABSL_FLAG(std::uint64_t, to_ms, 0, "end of the period of account, Unix time; 0: of the log");
+ABSL_FLAG(std::uint64_t, idle_ms, 3000, "shortest time without runs that account lists");
 ABSL_FLAG(std::string, plot, "", "file to which account writes an SVG image");
 
 namespace {
@@ -74,6 +75,7 @@
     options.job = absl::GetFlag(FLAGS_job);
     options.fromMs = absl::GetFlag(FLAGS_from_ms);
     options.toMs = absl::GetFlag(FLAGS_to_ms);
+    options.idleMs = absl::GetFlag(FLAGS_idle_ms);
     options.plotFile = absl::GetFlag(FLAGS_plot);
     const std::vector<std::string> words(positional.begin() + 1, positional.end());
     Loop loop;
--- a/flamingo/adapters/ctl.cc
+++ b/flamingo/adapters/ctl.cc
@@ -758,7 +758,8 @@
     DayPeriod period;
     period.fromMs = this->options.fromMs;
     period.toMs = this->options.toMs;
-    const DayAccount account = makeDayAccount(day.events, period);
+    period.idleMs = this->options.idleMs;
+    const DayAccount account = makeDayAccount(day.events, period, day.signs);
     const auto job = account.jobs.find(this->options.job);
     if (!this->options.job.empty() && job == account.jobs.end()) {
         this->err << "the log files have no decision about job " << this->options.job
@@ -900,9 +901,9 @@
     {"account", 0, 0, &Ctl::account, "",
      "Sums the waits and the discarded work of jobs on the platform by cause, from the logs of "
      "its\n"
-     "processes; with --job, lists the waits and runs of one job. Needs no entry. --plot writes "
-     "an\n"
-     "SVG image.",
+     "processes, and lists the times in which a job had nothing running; with --job, lists the "
+     "waits and\n"
+     "runs of one job. Needs no entry. --plot writes an SVG image.",
      "flamingoctl account --log=entry-1.log,entry-2.log --plot=day.svg\n"
      "flamingoctl account --log=day.log --job=7a54f7980f875eda\n"
      "flamingoctl account --log=day.log --from_ms=1778042828000 --to_ms=1778042861000"},
--- a/flamingo/adapters/ctl.h
+++ b/flamingo/adapters/ctl.h
@@ -43,6 +43,7 @@
     std::string job; // of which `account` lists the waits and runs; empty: sums over all jobs
     std::uint64_t fromMs = 0; // begin of the period of `account`, Unix time; 0: of the log
     std::uint64_t toMs = 0; // end of the period of `account`, Unix time; 0: of the log
+    std::uint64_t idleMs = 3000; // shortest time without runs that `account` lists
     std::string plotFile; // to which `account` writes an SVG image; empty: none
     TimeMs readTimeoutMs = 5000;
     // Above the highest maxWaitMs of an entry, 100 s, and below the 120 s of HttpClient.
--- a/flamingo/adapters/day_account.cc
+++ b/flamingo/adapters/day_account.cc
@@ -5,6 +5,8 @@
 
 #include "flamingo/adapters/day_account.h"
 
+#include "flamingo/adapters/idle_jobs.h"
+
 #include <algorithm>
 #include <charconv>
 #include <set>
@@ -107,7 +109,8 @@
     return step;
 }
 
-// The fields objective_ms, last_due_unix_ms and steps are missing in the logs of older versions.
+// The fields objective_ms, first_due_unix_ms, last_due_unix_ms and steps are missing in the logs of
+// older versions.
 bool readFacts(const LogLine &line, DayEvent &event)
 {
     JobFacts facts;
@@ -117,6 +120,7 @@
     facts.gang = textOf(line, "gang") == "true";
     facts.checkpointing = textOf(line, "checkpointing") == "true";
     readNumber(line, "objective_ms", facts.objectiveMs);
+    readNumber(line, "first_due_unix_ms", facts.firstDueMs);
     readNumber(line, "last_due_unix_ms", facts.lastDueMs);
     for (const std::string_view text : split(textOf(line, "steps"), ',')) {
         const auto step = parseStep(text);
@@ -137,6 +141,7 @@
 {
     std::int64_t cpuMilli = 0;
     event.cause = textOf(line, "cause");
+    readNumber(line, "places_free", event.placesFree);
     const bool complete = readNumber(line, "occurrence", event.occurrence)
         && readNumber(line, "step", event.step) && readNumber(line, "tasks", event.tasks)
         && readNumber(line, "priority", event.priority) && readNumber(line, "cpu_milli", cpuMilli)
@@ -371,6 +376,7 @@
         const auto found = this->waits.find(key);
         if (found != this->waits.end()) {
             if (job.waits[found->second.number].cause == event.cause) {
+                job.waits[found->second.number].loggedMs = event.unixMs;
                 countTasks(job, found->second, event.unixMs);
                 found->second.tasks = event.tasks;
                 return;
@@ -383,7 +389,10 @@
         wait.occurrence = event.occurrence;
         wait.step = event.step;
         wait.beginMs = begin;
+        wait.loggedMs = event.unixMs;
         wait.cause = event.cause;
+        wait.tasks = event.tasks;
+        wait.placesFree = event.placesFree;
         job.waits.push_back(std::move(wait));
         OpenWait open = {job.waits.size() - 1, event.tasks, begin};
         countTasks(job, open, event.unixMs);
@@ -471,6 +480,9 @@
         RunAccount *run = findRun(event, job, replay);
         if (run == nullptr) {
             ++this->account.runsWithoutStart;
+            job.unassignedRuns.push_back(
+                {event.occurrence, event.step, event.index, event.unixMs,
+                 event.kind == DayEventKind::RunDropped ? std::string(endDropped) : event.cause});
             return;
         }
         const bool dropped = event.kind == DayEventKind::RunDropped;
@@ -681,6 +693,19 @@
     }
 }
 
+void sumIdleIntervals(DayAccount &account)
+{
+    for (const IdleInterval &interval : account.idle) {
+        for (const IdlePart &part : interval.parts) {
+            IdleSum &sum = account.idleByReason[part.reason];
+            const double seconds = double(part.lengthMs) / msPerSecond;
+            ++sum.intervals;
+            sum.seconds += seconds;
+            sum.longestSeconds = std::max(sum.longestSeconds, seconds);
+        }
+    }
+}
+
 } // namespace
 
 bool isDayEvent(std::string_view event)
@@ -737,7 +762,8 @@
                                                                       : Punctuality::TooLate;
 }
 
-DayAccount makeDayAccount(std::vector<DayEvent> events, const DayPeriod &period)
+DayAccount makeDayAccount(std::vector<DayEvent> events, const DayPeriod &period,
+                          std::vector<DaySign> signs)
 {
     DayAccount account;
     if (events.empty())
@@ -756,6 +782,10 @@
     account.series.binMs = std::max(1.0, double(account.endMs - account.beginMs)) / double(bins);
     account.series.runs.resize(bins);
     account.series.accelerators.resize(bins);
+    std::stable_sort(signs.begin(), signs.end(),
+                     [](const DaySign &a, const DaySign &b) { return a.unixMs < b.unixMs; });
+    account.idle = findIdleIntervals(account, events, signs, period.idleMs);
+    sumIdleIntervals(account);
     for (auto job = account.jobs.begin(); job != account.jobs.end();) {
         sumWaits(job->second, bins, account);
         sumRuns(job->second, bins, account);
--- a/flamingo/adapters/day_account.h
+++ b/flamingo/adapters/day_account.h
@@ -3,7 +3,8 @@
 
 // An account of the waits and of the discarded work of jobs, from the decisions that the leaders on
 // the platform logged: what each job waited for and how long, where and when its runs started, why
-// they ended, and how the job ended against its objective; and the sums by cause.
+// they ended, when it had nothing running, and how the job ended against its objective; and the
+// sums by cause.
 //
 // Times are Unix times in ms. Work is measured in core-seconds of the resources that a run held
 // from its assignment to its end; an accelerator counts as 8 cores, as in the planner.
@@ -66,6 +67,7 @@
     bool gang = false; // of the first step
     bool checkpointing = false; // of the first step
     std::uint64_t acceptedMs = 0;
+    std::uint64_t firstDueMs = 0; // of a repeating job; 0: not logged
     std::uint64_t lastDueMs = 0; // due time of the last occurrence; 0 unless the job repeats
     std::uint64_t objectiveMs = 0; // 0: not logged
     std::vector<StepFacts> steps; // the first ones; empty: not logged
@@ -87,6 +89,7 @@
     std::uint32_t priority = 0; // of a wait
     std::uint32_t tasks = 0; // that wait
     std::uint64_t waitedMs = 0;
+    std::uint64_t placesFree = 0; // for tasks like those that wait, without reservations
     StepFacts need; // of the tasks that wait
     std::shared_ptr<const JobFacts> facts; // of `JobKnown`
 };
@@ -98,6 +101,32 @@
 // cut off.
 std::optional<DayEvent> toDayEvent(const LogLine &line);
 
+enum class DaySignKind : std::uint8_t {
+    JobStored, // an entry answered that the job is stored
+    CancellationStored,
+    Campaign, // an entry campaigns under `epoch`
+    WorkerSeen, // the leader heard from `worker`
+    WorkerGone, // an agent's worker has ended
+    RunsUnconfirmed, // the leader has no confirmation of runs on `worker`
+    LinesSuppressed, // by `process`
+};
+
+// A line that is no decision, but tells why a job had nothing running. Fields that its kind does
+// not name are empty.
+struct DaySign
+{
+    DaySignKind kind = DaySignKind::JobStored;
+    std::uint64_t unixMs = 0;
+    std::uint64_t epoch = 0;
+    std::string process;
+    std::string jobId;
+    std::string worker; // key; HOST/ID, without the time of its start, for `WorkerGone`
+    std::string cause;
+    std::uint64_t sinceMs = 0; // time for which this has lasted; age of the former leader's sign
+    std::uint64_t runs = 0;
+    std::string firstTask; // one of `runs`
+};
+
 enum class JobEnd : std::uint8_t { Open, Completed, Failed, Cancelled };
 
 struct WaitAccount
@@ -106,7 +135,10 @@
     std::uint32_t step = 0;
     std::uint64_t beginMs = 0;
     std::uint64_t endMs = 0;
+    std::uint64_t loggedMs = 0; // time of the last line about it
     std::string cause;
+    std::uint32_t tasks = 0; // that waited at the begin
+    std::uint64_t placesFree = 0; // as in DayEvent, at the begin
     double taskSeconds = 0; // sum over the waiting tasks
 };
 
@@ -127,6 +159,16 @@
     double coreSeconds = 0; // held from its assignment to its end
 };
 
+// The end of a run whose assignment is not in the log.
+struct UnassignedRun
+{
+    std::uint32_t occurrence = 0;
+    std::uint32_t step = 0;
+    std::uint32_t index = 0;
+    std::uint64_t endMs = 0;
+    std::string end; // as in RunAccount
+};
+
 struct JobAccount
 {
     std::string id;
@@ -137,6 +179,7 @@
     std::uint64_t endMs = 0;
     std::vector<WaitAccount> waits;
     std::vector<RunAccount> runs; // in the order of assignment
+    std::vector<UnassignedRun> unassignedRuns;
 };
 
 // How a completed job ended against its objective: within it, within three times the objective, or
@@ -173,6 +216,33 @@
         0; // of runs with checkpoints, which keep an unknown part of it
 };
 
+// A part of an interval with one reason.
+struct IdlePart
+{
+    std::string reason;
+    std::uint64_t lengthMs = 0;
+};
+
+// Time in which a job had nothing running although a task's turn had come.
+struct IdleInterval
+{
+    std::string jobId;
+    std::uint64_t beginMs = 0;
+    std::uint64_t endMs = 0;
+    std::vector<IdlePart> parts; // one for each reason, longest first
+    bool leaderChanged = false; // a leader began to lead meanwhile
+    // Of the last wait meanwhile; nullopt: none.
+    std::optional<std::uint32_t> tasksWaiting;
+    std::uint64_t placesFree = 0;
+};
+
+struct IdleSum
+{
+    std::uint64_t intervals = 0; // with this reason
+    double seconds = 0; // of their parts with this reason
+    double longestSeconds = 0; // of one part
+};
+
 // Averages over bins of equal length, for plots. Lost work is a sum over the bin.
 struct DaySeries
 {
@@ -190,6 +260,7 @@
     std::uint64_t fromMs = 0; // 0: from the first decision
     std::uint64_t toMs = 0; // 0: to the last decision
     std::size_t bins = 200; // of the series
+    std::uint64_t idleMs = 3000; // shortest time without runs that is listed
 };
 
 struct DayAccount
@@ -205,12 +276,16 @@
         jobs; // that were known, ran or waited in the period
     std::map<CauseKey, WaitSum> waits; // within the period
     std::map<CauseKey, LossSum> losses; // of runs that ended within the period
+    std::vector<IdleInterval> idle; // within the period, longest first
+    std::map<std::string, IdleSum> idleByReason;
     DaySeries series;
 };
 
-// The events may be in any order. Waits are cut at the ends of the period, discarded runs count
-// when they end within it.
-DayAccount makeDayAccount(std::vector<DayEvent> events, const DayPeriod &period);
+// The events and signs may be in any order. Waits and idle intervals are cut at the ends of the
+// period, discarded runs count when they end within it. Signs only add reasons, and jobs that no
+// leader knew, to the idle intervals.
+DayAccount makeDayAccount(std::vector<DayEvent> events, const DayPeriod &period,
+                          std::vector<DaySign> signs = {});
 
 } // namespace flamingo::adapters
 
--- a/flamingo/adapters/day_report.cc
+++ b/flamingo/adapters/day_report.cc
@@ -3,6 +3,8 @@
 
 #include "flamingo/adapters/day_report.h"
 
+#include "flamingo/adapters/idle_jobs.h"
+
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
 #include <absl/strings/str_format.h>
@@ -181,6 +183,58 @@
     return rows;
 }
 
+Json idleSumRows(const DayAccount &account)
+{
+    std::vector<std::pair<std::string, IdleSum>> sorted(account.idleByReason.begin(),
+                                                        account.idleByReason.end());
+    std::stable_sort(sorted.begin(), sorted.end(), [](const auto &a, const auto &b) {
+        return a.second.seconds > b.second.seconds;
+    });
+    Json rows = Json::array();
+    for (const auto &[reason, sum] : sorted) {
+        rows.push_back({{"reason", reason},
+                        {"intervals", sum.intervals},
+                        {"seconds", rounded(sum.seconds)},
+                        {"longest_s", rounded(sum.longestSeconds)}});
+    }
+    return rows;
+}
+
+// The reasons after the first with their lengths, without those of less than 0.1 s.
+std::string otherReasons(const IdleInterval &interval)
+{
+    constexpr std::uint64_t shownMs = 100;
+    std::vector<std::string> reasons;
+    for (std::size_t i = 1; i < interval.parts.size() && interval.parts[i].lengthMs >= shownMs; ++i)
+        reasons.push_back(absl::StrFormat("%s %.1f s", interval.parts[i].reason,
+                                          double(interval.parts[i].lengthMs) / msPerSecond));
+    return absl::StrJoin(reasons, "; ");
+}
+
+Json idleRows(const DayAccount &account)
+{
+    Json rows = Json::array();
+    for (const IdleInterval &interval : account.idle) {
+        const auto job = account.jobs.find(interval.jobId);
+        const bool known = job != account.jobs.end();
+        Json row = {{"job", interval.jobId},
+                    {"queue", queueName(known ? job->second.facts.queue : "")},
+                    {"from_s", seconds(account.beginMs, interval.beginMs)},
+                    {"seconds", seconds(interval.beginMs, interval.endMs)},
+                    {"leader_changed", interval.leaderChanged},
+                    {"tasks_waiting", ""},
+                    {"places_free", ""},
+                    {"mostly", interval.parts.front().reason},
+                    {"also", otherReasons(interval)}};
+        if (interval.tasksWaiting) {
+            row["tasks_waiting"] = *interval.tasksWaiting;
+            row["places_free"] = interval.placesFree;
+        }
+        rows.push_back(std::move(row));
+    }
+    return rows;
+}
+
 // The key with the largest value; empty when there is none.
 std::string largest(const std::map<std::string, double> &values)
 {
@@ -343,7 +397,8 @@
     for (std::string text; std::getline(log, text);) {
         const std::string_view event = eventOf(text);
         const bool decision = isDayEvent(event);
-        if (!decision && text.find(" left_out_") == std::string::npos) {
+        const bool sign = isDaySign(event);
+        if (!decision && !sign && text.find(" left_out_") == std::string::npos) {
             day.lines += !event.empty() && text.find("unix_ms=") != std::string::npos ? 1 : 0;
             continue;
         }
@@ -355,8 +410,16 @@
         ++day.lines;
         const std::uint64_t suppressed =
             countOf(*line, "left_out_before") + countOf(*line, "left_out_blocked");
-        if (suppressed > 0)
+        if (suppressed > 0) {
             day.suppressedLines[line->process] += suppressed;
+            DaySign suppression;
+            suppression.kind = DaySignKind::LinesSuppressed;
+            suppression.unixMs = line->unixMs;
+            suppression.process = line->process;
+            day.signs.push_back(std::move(suppression));
+        }
+        if (auto parsed = toDaySign(*line))
+            day.signs.push_back(std::move(*parsed));
         if (!decision)
             continue;
         auto parsed = toDayEvent(*line);
@@ -397,6 +460,8 @@
             {"queues", queueRows(account)},
             {"waits", waitRows(account)},
             {"discarded_work", lossRows(account)},
+            {"idle_by_reason", idleSumRows(account)},
+            {"idle_jobs", idleRows(account)},
             {"jobs", jobRows}};
 }
 
--- a/flamingo/adapters/day_report.h
+++ b/flamingo/adapters/day_report.h
@@ -18,16 +18,18 @@
 struct DayLog
 {
     std::vector<DayEvent> events;
+    std::vector<DaySign> signs;
     std::uint64_t lines = 0; // with the fields unix_ms and event
     std::uint64_t incompleteLines = 0; // decisions without a field that the account needs
     std::map<std::string, std::uint64_t> suppressedLines; // by process, as the lines themselves say
 };
 
-// Reads one log line by line and adds its decisions. Other text and other events are skipped.
+// Reads one log line by line and adds its decisions and signs. Other text and other events are
+// skipped.
 void readDayLog(std::istream &log, DayLog &day);
 
-// The period, the jobs by queue, the sums of waits and of discarded work by queue and cause, and
-// one row for each job in the order of acceptance.
+// The period, the jobs by queue, the sums of waits and of discarded work by queue and cause, the
+// times in which jobs had nothing running, and one row for each job in the order of acceptance.
 nlohmann::ordered_json accountSummary(const DayAccount &account, const DayLog &day);
 
 // All waits and runs of a job. Times are in seconds after its acceptance, or after the first
--- a/flamingo/scheduler/planner.cc
+++ b/flamingo/scheduler/planner.cc
@@ -957,6 +957,7 @@
             + " checkpointing=" + (job.steps[0].checkpointing ? "true" : "false")
             + " chain_ms=" + std::to_string(longestChainMs(job)) + " accepted_unix_ms="
             + std::to_string(job.acceptedUnixMs) + " objective_ms=" + std::to_string(objectiveMs)
+            + " first_due_unix_ms=" + std::to_string(dueUnixMs(job, 0))
             + " last_due_unix_ms=" + std::to_string(dueUnixMs(job, occurrences(job) - 1))
             + " steps=" + describeSteps(job));
 }
--- a/tests/day_account_test.cc
+++ b/tests/day_account_test.cc
@@ -2,6 +2,7 @@
 // counted twice, missed or given the cause of another.
 
 #include "flamingo/adapters/day_report.h"
+#include "flamingo/adapters/idle_jobs.h"
 #include "scheduler_rig.h"
 
 #include <CppUTest/TestHarness.h>
@@ -88,6 +89,75 @@
         + "\n";
 }
 
+std::string leading(const std::string &time, const std::string &process, const std::string &epoch)
+{
+    return "unix_ms=" + time + " process=" + process + " event=leading epoch=" + epoch
+        + " jobs=0 offset=2\n";
+}
+
+// A job of one task; `due` are fields of a repeating job.
+std::string known(const std::string &time, const std::string &job, const std::string &epoch = "5",
+                  const std::string &due = "occurrences=1 last_due_unix_ms=0")
+{
+    return "unix_ms=" + time + " process=e1 event=job_known job=" + job
+        + " queue=q1 organisation=o priority=1 guaranteed=false tasks=1 accelerators=0 gang=false "
+          "checkpointing=false chain_ms=5000 accepted_unix_ms=1000 objective_ms=10000 "
+        + due + " steps=1:2000:100:0:- epoch=" + epoch + "\n";
+}
+
+std::string waiting(const std::string &time, const std::string &job, const std::string &waited,
+                    const std::string &cause)
+{
+    return "unix_ms=" + time + " process=e1 event=tasks_waiting job=" + job
+        + " occurrence=0 step=0 priority=1 tasks=1 cpu_milli=2000 memory_mb=100 accelerators=0 "
+          "waited_ms="
+        + waited + " cause=\"" + cause + "\" places_free=7 epoch=5\n";
+}
+
+std::string ended(const std::string &time, const std::string &task, const std::string &how = "done",
+                  const std::string &epoch = "5")
+{
+    return "unix_ms=" + time + " process=e1 event=run_ended task=" + task + " run=1 how=" + how
+        + " worker=h/w@1 end=1 epoch=" + epoch + "\n";
+}
+
+std::string dropped(const std::string &time, const std::string &task, const std::string &cause,
+                    const std::string &epoch = "5")
+{
+    return "unix_ms=" + time + " process=e1 event=run_dropped task=" + task
+        + " run=1 worker=h/w@1 cause=\"" + cause + "\" epoch=" + epoch + "\n";
+}
+
+std::string unconfirmed(const std::string &time, const std::string &since, const std::string &runs,
+                        const std::string &task)
+{
+    return "unix_ms=" + time
+        + " process=e1 event=runs_unconfirmed worker=h/w@1 cause=\"its host "
+          "does not report\" runs="
+        + runs + " first_task=" + task + " release_in_ms=4000 since_ms=" + since + " epoch=5\n";
+}
+
+std::string stored(const std::string &time, const std::string &job)
+{
+    return "unix_ms=" + time + " process=e3 event=request method=POST job=" + job
+        + " status=200 cause=\"stored\" took_ms=9\n";
+}
+
+// The idle intervals as "JOB BEGIN-END: REASON LENGTH, REASON LENGTH", separated by " | ".
+std::string idleOf(const std::string &text, const DayPeriod &period = {})
+{
+    const DayLog day = readLog(text);
+    std::string result;
+    for (const IdleInterval &interval : makeDayAccount(day.events, period, day.signs).idle) {
+        result += (result.empty() ? "" : " | ") + interval.jobId + " "
+            + std::to_string(interval.beginMs) + "-" + std::to_string(interval.endMs) + ":";
+        for (const IdlePart &part : interval.parts)
+            result += (&part == interval.parts.data() ? " " : ", ") + part.reason + " "
+                + std::to_string(part.lengthMs);
+    }
+    return result;
+}
+
 double sumOf(const std::vector<double> &values)
 {
     double sum = 0;
@@ -293,6 +363,196 @@
     CHECK(plot.find("nan") == std::string::npos && plot.find("inf") == std::string::npos);
 }
 
+// Guards against an interval that lacks a time without runs, or contains one with a run. The wait
+// is logged 0.5 s after its begin.
+TEST(DayAccount, aJobIsIdleFromItsStorageToItsFirstRunAndBetweenRuns)
+{
+    const std::string text = leading("500", "e1", "5") + stored("1000", "aa") + known("1100", "aa")
+        + waiting("1700", "aa", "500", "no free capacity") + assigned("4500", "aa.0.0.0", "1")
+        + ended("6000", "aa.0.0.0", "failed") + waiting("7000", "aa", "900", "reserved")
+        + waiting("9000", "aa", "2900", "quarantined") + assigned("12000", "aa.0.0.0", "2")
+        + jobEvent("20000", "job_completed", "aa");
+    STRCMP_EQUAL("aa 6000-12000: quarantined 3000, reserved 2900, no reason in the log 100 | "
+                 "aa 1000-4500: no free capacity 3300, no reason in the log 100, "
+                 "not known to a leader 100",
+                 idleOf(text).c_str());
+    DayPeriod period;
+    period.idleMs = 4000;
+    const DayLog day = readLog(text);
+    const DayAccount account = makeDayAccount(day.events, period, day.signs);
+    CHECK_EQUAL(1, account.idle.size());
+    CHECK_EQUAL(1, account.idle[0].tasksWaiting.value());
+    CHECK_EQUAL(7, account.idle[0].placesFree);
+    CHECK_EQUAL(3, account.idleByReason.size());
+    DOUBLES_EQUAL(2.9, account.idleByReason.at("reserved").longestSeconds, 1e-9);
+    period.idleMs = 1000;
+    period.fromMs = 2000;
+    period.toMs = 11000;
+    STRCMP_EQUAL("aa 6000-11000: reserved 2900, quarantined 2000, no reason in the log 100 | "
+                 "aa 2000-4500: no free capacity 2500",
+                 idleOf(text, period).c_str());
+}
+
+// Guards against waits for a leader that count as waits for capacity, and against a gap that begins
+// before the former leader is lost: it was last heard of at 9,000 ms.
+TEST(DayAccount, timeWithoutALeaderIsAReason)
+{
+    const std::string text = leading("500", "e1", "5") + known("1000", "aa")
+        + waiting("1500", "aa", "500", "no free capacity") + "unix_ms=10600 process=e2 "
+        + "event=campaign epoch=9 former=5 last_sign_age_ms=1600\n" + leading("11000", "e2", "9")
+        + known("11200", "aa", "9") + assigned("12000", "aa.0.0.0", "1", "9");
+    STRCMP_EQUAL("aa 1000-12000: no free capacity 8000, no leader 2000, no reason in the log 800, "
+                 "not known to a leader 200",
+                 idleOf(text).c_str());
+    CHECK(makeDayAccount(readLog(text).events, {}, readLog(text).signs).idle[0].leaderChanged);
+}
+
+// Guards against a stored job that no leader ever learns of.
+TEST(DayAccount, aStoredJobThatNoLeaderKnowsIsIdle)
+{
+    const std::string text =
+        leading("500", "e1", "5") + stored("1000", "aa") + jobEvent("9000", "job_completed", "bb");
+    STRCMP_EQUAL("aa 1000-9000: not known to a leader 8000", idleOf(text).c_str());
+    STRCMP_EQUAL("",
+                 idleOf(text
+                        + "unix_ms=2000 process=e3 event=request method=DELETE job=aa "
+                          "status=200 cause=\"cancelled\"\n")
+                     .c_str());
+}
+
+// Guards against a reason, or idle time, that is due to lines that the leader suppressed.
+TEST(DayAccount, suppressedLinesLeaveTheReasonOpen)
+{
+    const std::string begin = leading("500", "e1", "5") + known("1000", "aa");
+    const std::string suppressed =
+        "unix_ms=8000 process=e2 event=job_completed job=bb epoch=9 left_out_before=1\n";
+    // The second leader may know a job that the first one knew.
+    STRCMP_EQUAL("aa 1000-8000: lines are missing 6000, no leader 1000",
+                 idleOf(begin + leading("2000", "e2", "9") + suppressed).c_str());
+    // The assignments of the runs are missing.
+    STRCMP_EQUAL("aa 1000-5000: no reason in the log 3990, reserved 10",
+                 idleOf(begin + waiting("5000", "aa", "10", "reserved") + ended("9000", "aa.0.0.0")
+                        + jobEvent("20000", "job_completed", "bb"))
+                     .c_str());
+    STRCMP_EQUAL(
+        "",
+        idleOf(begin + ended("9000", "aa.0.0.0", "failed") + assigned("9000", "aa.0.0.0", "2"))
+            .c_str());
+    STRCMP_EQUAL(
+        "",
+        idleOf(begin + ended("9000", "aa.0.0.0") + jobEvent("20000", "job_completed", "bb"))
+            .c_str());
+}
+
+// Guards against an assigned run that counts as running while nothing confirms it: its worker is
+// silent until the run is dropped, or until its end is reported.
+TEST(DayAccount, aRunThatIsNotConfirmedIsNotInProgress)
+{
+    const std::string begin =
+        leading("500", "e1", "5") + known("1000", "aa") + assigned("1000", "aa.0.0.0", "1");
+    const std::string line = unconfirmed("5000", "2000", "1", "aa.0.0.0");
+    const std::string silent = "aa 3000-11000: "
+                               "assigned, not confirmed: its host does not report 8000";
+    STRCMP_EQUAL(silent.c_str(),
+                 idleOf(begin + line + dropped("11000", "aa.0.0.0", "its lease has lapsed")
+                        + jobEvent("11000", "job_failed", "aa"))
+                     .c_str());
+    STRCMP_EQUAL(
+        silent.c_str(),
+        idleOf(begin + line + ended("11000", "aa.0.0.0") + jobEvent("11000", "job_completed", "aa"))
+            .c_str());
+    const std::string seen = "unix_ms=6500 process=e1 event=worker_fenced worker=h/w@1 epoch=5\n";
+    STRCMP_EQUAL("aa 3000-6500: assigned, not confirmed: its host does not report 3500",
+                 idleOf(begin + line + seen + jobEvent("20000", "job_completed", "aa")).c_str());
+    // Without a later sign, the silence is certain until the line only.
+    STRCMP_EQUAL("", idleOf(begin + line + jobEvent("20000", "job_completed", "aa")).c_str());
+    // The line of a worker with two runs names the one that is not confirmed.
+    const std::string two = begin + assigned("1000", "bb.0.0.0", "1") + line
+        + ended("11000", "aa.0.0.0") + ended("11000", "bb.0.0.0")
+        + jobEvent("11000", "job_completed", "aa");
+    STRCMP_EQUAL(silent.c_str(), idleOf(two).c_str());
+    // Without the line, the job seems to run.
+    STRCMP_EQUAL("", idleOf(begin + dropped("11000", "aa.0.0.0", "its lease has lapsed")).c_str());
+}
+
+// Guards against runs of an earlier leader that count as running although their workers have ended,
+// and against assignments that were never stored.
+TEST(DayAccount, runsThatALeaderCannotConfirmAreNotInProgress)
+{
+    const std::string begin =
+        leading("500", "e1", "5") + known("1000", "aa") + assigned("1000", "aa.0.0.0", "1");
+    const std::string neverReported = begin + leading("4000", "e2", "9") + known("4000", "aa", "9")
+        + dropped("17000", "aa.0.0.0", "its worker never reported to this leader", "9")
+        + assigned("17000", "aa.0.0.0", "2", "9");
+    STRCMP_EQUAL("aa 4000-17000: assigned, not confirmed: its worker never reported to this leader "
+                 "13000",
+                 idleOf(neverReported).c_str());
+    const std::string notStored = begin + leading("5000", "e2", "9") + known("5000", "aa", "9")
+        + assigned("5000", "aa.0.0.0", "1", "9");
+    STRCMP_EQUAL("aa 1000-5000: no leader 4000", idleOf(notStored).c_str());
+    const std::string gone = begin + "unix_ms=2000 process=h event=worker_gone worker=w\n"
+        + dropped("6000", "aa.0.0.0", "its process has ended") + assigned("6000", "aa.0.0.0", "2");
+    STRCMP_EQUAL("aa 2000-6000: assigned, not confirmed: its worker has ended, and the leader has "
+                 "not heard of it 4000",
+                 idleOf(gone).c_str());
+}
+
+// Guards against times between the occurrences of a repeating job that count as idle. Due at 2,000,
+// 12,000 and 22,000 ms.
+TEST(DayAccount, aRepeatingJobIsIdleOnlyWhenAnOccurrenceIsDue)
+{
+    const std::string runs = assigned("3000", "aa.0.0.0", "1") + ended("4000", "aa.0.0.0")
+        + assigned("16000", "aa.1.0.0", "1") + ended("17000", "aa.1.0.0")
+        + jobEvent("30000", "job_cancelled", "aa");
+    const std::string newer = leading("500", "e1", "5")
+        + known("1000", "aa", "5", "occurrences=3 first_due_unix_ms=2000 last_due_unix_ms=22000");
+    STRCMP_EQUAL("aa 22000-30000: no reason in the log 8000 | "
+                 "aa 12000-16000: no reason in the log 4000",
+                 idleOf(newer + runs).c_str());
+    // Without the first due time, an occurrence is due when it waits or runs.
+    const std::string older = leading("500", "e1", "5")
+        + known("1000", "aa", "5", "occurrences=3 last_due_unix_ms=22000");
+    STRCMP_EQUAL("aa 22000-30000: no reason in the log 8000", idleOf(older + runs).c_str());
+}
+
+TEST(DayAccount, cutSignsAreSkipped)
+{
+    const std::string request = stored("1000", "aa");
+    const std::string line = unconfirmed("5000", "2000", "1", "a.0.0.0");
+    for (const auto &[text, last] : {std::pair(request, "stored"), std::pair(line, "epoch=5")}) {
+        const std::size_t complete = text.find(last) + std::string(last).size();
+        for (std::size_t size = 0; size < complete; ++size)
+            CHECK_EQUAL(0, readLog(text.substr(0, size)).signs.size());
+        CHECK_EQUAL(1, readLog(text).signs.size());
+    }
+    CHECK_EQUAL(0,
+                readLog("unix_ms=1 process=e event=runs_unconfirmed left_out=3 runs=9 epoch=5")
+                    .signs.size());
+    CHECK_EQUAL(0, readLog(stored("1000", "aa").replace(8, 4, "xxxx")).signs.size());
+    CHECK_EQUAL(0,
+                readLog("unix_ms=1 event=request method=POST job=aa status=503 cause=\"log\"\n")
+                    .signs.size());
+}
+
+TEST(DayAccount, theReportListsIdleJobsAndSumsTheirReasons)
+{
+    const DayLog day = readLog(
+        leading("500", "e1", "5") + stored("1000", "aa") + known("1100", "aa")
+        + waiting("1700", "aa", "500", "no free capacity") + jobEvent("9000", "job_failed", "aa"));
+    const auto summary = accountSummary(makeDayAccount(day.events, {}, day.signs), day);
+    const auto &idle = summary["idle_jobs"];
+    CHECK_EQUAL(1, idle.size());
+    CHECK_EQUAL(std::string("no free capacity"), idle[0]["mostly"].get<std::string>());
+    CHECK_EQUAL(std::string("no reason in the log 0.1 s; not known to a leader 0.1 s"),
+                idle[0]["also"].get<std::string>());
+    DOUBLES_EQUAL(8.0, idle[0]["seconds"].get<double>(), 1e-9);
+    CHECK_EQUAL(7, idle[0]["places_free"].get<int>());
+    const auto &sums = summary["idle_by_reason"];
+    CHECK_EQUAL(3, sums.size());
+    CHECK_EQUAL(std::string("no free capacity"), sums[0]["reason"].get<std::string>());
+    DOUBLES_EQUAL(7.8, sums[0]["seconds"].get<double>(), 1e-9);
+}
+
 // The account must understand the lines that the scheduler writes.
 TEST(DayAccount, readsTheDecisionsOfTheScheduler)
 {
@@ -321,4 +581,5 @@
     DOUBLES_EQUAL(36.0, runCores(gang.runs[0]), 1e-9);
     CHECK_EQUAL(11000, gang.facts.objectiveMs);
     CHECK_EQUAL(1, account.jobs.at("bb22").waits.size());
+    CHECK(text.find(" first_due_unix_ms=0 ") != std::string::npos);
 }
