Place single tasks beside a reservation up to its limit

Callers saw: a step of hundreds of single tasks has nothing running although its tasks would fit.

Cause: a unit that has waited for 2 s may delay the holder of a reservation by a limited amount of work. The work of all its waiting tasks was compared with the limit, so a wide step was refused as a whole, and a step of which a part was placed was charged for all of its tasks.

Change: single tasks are placed up to the limit of each reservation, and only those on reserved workers are charged. Gangs as before. No copy of all workers is made for the search, and none is searched when the reserved workers have no room.

--- a/flamingo/scheduler/planner.cc
+++ b/flamingo/scheduler/planner.cc
@@ -671,70 +671,150 @@
     capacity.held.push_back({reservation.placement, need, &wait, workOf(unit), spareMs});
 }
 
-// True when the unit may be placed on capacity that is reserved for the holder and delay it by its
-// work. The holder still meets its objective or misses it in any case. In all it is delayed by at
-// most its own amount of work, and by what the reserved capacity could have done since the holder
-// was expected to fit: an expectation that was wrong does not keep the capacity idle.
-bool mayDelay(const PlacementUnit &unit, const HeldReservation &held, TimeMs now)
+// The part of the unit without its first `placed` tasks.
+PlacementUnit restOf(const PlacementUnit &unit, std::size_t placed)
 {
-    if (!endsByItself(unit))
-        return false;
+    PlacementUnit rest = unit;
+    rest.tasks.erase(rest.tasks.begin(), rest.tasks.begin() + static_cast<std::ptrdiff_t>(placed));
+    return rest;
+}
+
+// True when the unit's use of reserved capacity does not delay the holder.
+bool isHarmless(const PlacementUnit &unit, const HeldReservation &held, TimeMs now)
+{
+    return endsBefore(unit, held, now) || returnsAfterAnEnd(unit);
+}
+
+// Number of the unit's tasks that may be placed on capacity that is reserved for the holder and
+// delay it by their work. The holder still meets its objective or misses it in any case. In all it
+// is delayed by at most its own amount of work, and by what the reserved capacity could have done
+// since the holder was expected to fit: an expectation that was wrong does not keep the capacity
+// idle.
+std::size_t tasksThatMayDelay(const PlacementUnit &unit, const HeldReservation &held, TimeMs now)
+{
+    const bool meetsObjective = held.spareMs == 0 || unit.estimateMs <= held.spareMs;
+    if (!endsByItself(unit) || !meetsObjective)
+        return 0;
     const TimeMs overdueMs = std::max<TimeMs>(0, now - *held.holder->expectedAt);
     const double idleWork =
         equivalentCores(held.need) * double(held.placement.size()) * double(overdueMs) / 1000;
-    const bool meetsObjective = held.spareMs == 0 || unit.estimateMs <= held.spareMs;
-    return meetsObjective && held.holder->delayingWork + workOf(unit) <= held.holderWork + idleWork;
+    const double allowed = held.holderWork + idleWork - held.holder->delayingWork;
+    const double work = workOf(unit);
+    if (work <= allowed)
+        return unit.tasks.size();
+    if (unit.row->job->steps[unit.step].gang || allowed <= 0)
+        return 0;
+    return static_cast<std::size_t>(allowed / work * double(unit.tasks.size()));
 }
 
-bool overlaps(const Placement &a, const Placement &b)
+// Adds the work of the unit's tasks that were placed on capacity of the reservation to what delays
+// its holder. A gang ends as a whole, so all of it counts.
+void recordDelay(const PlacementUnit &unit, const Placement &placement, HeldReservation &held)
 {
-    return std::any_of(a.begin(), a.end(), [&b](std::size_t worker) {
-        return std::find(b.begin(), b.end(), worker) != b.end();
-    });
+    const auto delaying =
+        std::count_if(placement.begin(), placement.end(), [&held](std::size_t worker) {
+            return std::find(held.placement.begin(), held.placement.end(), worker)
+                != held.placement.end();
+        });
+    if (delaying == 0)
+        return;
+    const bool gang = unit.row->job->steps[unit.step].gang;
+    held.holder->delayingWork +=
+        workOf(unit) * (gang ? 1.0 : double(delaying) / double(unit.tasks.size()));
 }
 
-// Places a unit, or the rest of one, also on capacity that is reserved for others (see the top of
-// this file), and adds its work to what delays their holders.
-Placement placeOnReservedCapacity(Scheduler &scheduler, const PlacementUnit &unit,
-                                  ServiceCapacity &capacity, TimeMs now)
+using Reservations = absl::Span<HeldReservation *const>;
+
+// Adds the capacity of the reservations to what is free, for a search.
+void lendReserved(Reservations reservations, ServiceCapacity &capacity)
 {
-    const bool heldBack = now - waitOf(unit, now).since >= scheduler.options.maxHeldBackMs;
-    std::vector<HeldReservation *> usable;
-    std::vector<HeldReservation *> delayed;
-    for (HeldReservation &held : capacity.held) {
-        const bool harmless = endsBefore(unit, held, now) || returnsAfterAnEnd(unit);
-        if (!harmless && !(heldBack && mayDelay(unit, held, now)))
-            continue;
-        usable.push_back(&held);
-        if (!harmless)
-            delayed.push_back(&held);
+    for (const HeldReservation *held : reservations) {
+        for (const std::size_t worker : held->placement)
+            capacity.workers[worker].freeCapacity += held->need;
     }
-    if (usable.empty())
-        return {};
-    std::vector<WorkerResources> workers = capacity.workers;
-    for (const HeldReservation *held : usable) {
+}
+
+void returnLent(Reservations reservations, ServiceCapacity &capacity)
+{
+    for (const HeldReservation *held : reservations) {
         for (const std::size_t worker : held->placement)
-            workers[worker].freeCapacity += held->need;
+            capacity.workers[worker].freeCapacity -= held->need;
     }
-    Placement placement = findPlacement(demandOf(unit, capacity), workers);
+}
+
+// Places at most `limit` tasks of the unit, or the whole of a gang, and adds their work to what
+// delays the holders of the reservations that were lent. Returns the tasks that are left.
+PlacementUnit placeBeside(Scheduler &scheduler, const PlacementUnit &unit, std::size_t limit,
+                          Reservations lent, ServiceCapacity &capacity, TimeMs now)
+{
+    Demand demand = demandOf(unit, capacity);
+    demand.count = static_cast<std::uint32_t>(std::min<std::size_t>(demand.count, limit));
+    const Placement placement = findPlacement(demand, capacity.workers);
     if (placement.empty())
-        return {};
+        return unit;
     assignTasks(scheduler, unit, placement, capacity, now);
-    for (HeldReservation *held : delayed) {
-        if (overlaps(held->placement, placement))
-            held->holder->delayingWork += workOf(unit);
+    for (HeldReservation *held : lent) {
+        if (!isHarmless(unit, *held, now))
+            recordDelay(unit, placement, *held);
     }
-    return placement;
+    return restOf(unit, placement.size());
 }
 
-// The part of the unit without its first `placed` tasks.
-PlacementUnit restOf(const PlacementUnit &unit, std::size_t placed)
+// As placeBeside(), after lending the reservations. The unit is one that does not fit beside them.
+PlacementUnit placeOnLentCapacity(Scheduler &scheduler, const PlacementUnit &unit,
+                                  std::size_t limit, Reservations lent, ServiceCapacity &capacity,
+                                  TimeMs now)
 {
-    PlacementUnit rest = unit;
-    rest.tasks.erase(rest.tasks.begin(), rest.tasks.begin() + static_cast<std::ptrdiff_t>(placed));
+    if (unit.tasks.empty() || lent.empty() || limit == 0)
+        return unit;
+    const Resources need = allocationFor(unit.row->job->steps[unit.step]);
+    lendReserved(lent, capacity);
+    const bool hasRoom = std::any_of(lent.begin(), lent.end(), [&](const HeldReservation *held) {
+        return std::any_of(held->placement.begin(), held->placement.end(), [&](std::size_t worker) {
+            return fits(need, capacity.workers[worker].freeCapacity);
+        });
+    });
+    PlacementUnit rest = hasRoom ? placeBeside(scheduler, unit, limit, lent, capacity, now) : unit;
+    returnLent(lent, capacity);
     return rest;
 }
 
+// Places a unit, or the rest of one, also on capacity that is reserved for others (see the top of
+// this file). Returns the tasks that are left.
+PlacementUnit placeOnReservedCapacity(Scheduler &scheduler, const PlacementUnit &unit,
+                                      ServiceCapacity &capacity, TimeMs now)
+{
+    const bool heldBack = now - waitOf(unit, now).since >= scheduler.options.maxHeldBackMs;
+    std::vector<HeldReservation *> harmless;
+    std::vector<HeldReservation *> delayed;
+    for (HeldReservation &held : capacity.held) {
+        if (isHarmless(unit, held, now))
+            harmless.push_back(&held);
+        else if (heldBack && tasksThatMayDelay(unit, held, now) > 0)
+            delayed.push_back(&held);
+    }
+    std::vector<HeldReservation *> all = harmless;
+    all.insert(all.end(), delayed.begin(), delayed.end());
+    const auto place = [&](const PlacementUnit &part, Reservations lent) {
+        std::size_t limit = part.tasks.size();
+        for (const HeldReservation *held : lent) {
+            if (!isHarmless(part, *held, now))
+                limit = std::min(limit, tasksThatMayDelay(part, *held, now));
+        }
+        return placeOnLentCapacity(scheduler, part, limit, lent, capacity, now);
+    };
+    if (delayed.empty() || unit.row->job->steps[unit.step].gang)
+        return place(unit, all);
+    // Each reservation has its own limit, so single tasks use one after another.
+    PlacementUnit rest = place(unit, harmless);
+    for (HeldReservation *held : delayed) {
+        std::vector<HeldReservation *> lent = harmless;
+        lent.push_back(held);
+        rest = place(rest, lent);
+    }
+    return delayed.size() > 1 ? place(rest, all) : rest;
+}
+
 // True when the unit has waited for its preferred rack for as long as its tasks lose on another,
 // and not only for a moment.
 bool hasWaitedForRack(const Scheduler &scheduler, const PlacementUnit &unit, TimeMs now)
@@ -763,7 +843,7 @@
     if (placement.size() == demand.count)
         return;
     PlacementUnit rest = restOf(unit, placement.size());
-    rest = restOf(rest, placeOnReservedCapacity(scheduler, rest, capacity, now).size());
+    rest = placeOnReservedCapacity(scheduler, rest, capacity, now);
     if (rest.tasks.empty())
         return;
     const Demand remaining = demandOf(rest, capacity);
--- a/tests/reservation_test.cc
+++ b/tests/reservation_test.cc
@@ -318,3 +318,20 @@
     cluster.advance(500);
     CHECK_EQUAL(1, cluster.runCount("plain"));
 }
+
+// Guards against a step of hundreds of single tasks of which none is placed beside a reservation,
+// because all of them together would delay the holder for too long.
+TEST(Reservation, wideStepUsesReservedCapacityUpToTheLimit)
+{
+    Cluster cluster(12);
+    cluster.accept(cluster.gang("running", 7), 5000, 100000);
+    cluster.advance(1000);
+    Job wide = cluster.gang("wide", 8);
+    wide.stretch = 1; // it misses its objective in any case
+    cluster.accept(wide, 10000, 10000); // 5,760 core-seconds
+    Job singles = cluster.rig.makeJob("singles", 300, 1, 2);
+    cluster.accept(singles, 20000, 20000); // 180 core-seconds a task
+    cluster.advance(2500);
+    CHECK_EQUAL(0, cluster.runCount("wide"));
+    CHECK_EQUAL(32, cluster.runCount("singles"));
+}
