Find a task's worker by its key

For a step with a limit per worker, each placed task was compared with each worker. The workers are sorted by key, so a binary search finds it. No change in behaviour; reservation_test passes.

--- a/flamingo/scheduler/planner.cc
+++ b/flamingo/scheduler/planner.cc
@@ -157,7 +157,7 @@
 // or a single run).
 struct ServiceCapacity
 {
-    std::vector<WorkerResources> workers; // free capacity less reservations
+    std::vector<WorkerResources> workers; // by key; free capacity less reservations
     std::vector<Resources> reserved; // by worker index
     std::vector<WorkerResources> unusable; // quarantined or draining; without allocations
     std::vector<HeldReservation> held; // the part of `reserved` that urgent units do not hold
@@ -454,8 +454,11 @@
         const TaskProgress &task = unit.row->progress.tasks[i];
         if (task.phase == TaskPhase::Waiting || task.phase == TaskPhase::Done)
             continue;
-        for (std::size_t worker = 0; worker < capacity.workers.size(); ++worker)
-            demand.placedPerWorker[worker] += capacity.workers[worker].key == task.worker ? 1 : 0;
+        const auto worker = std::lower_bound(
+            capacity.workers.begin(), capacity.workers.end(), task.worker,
+            [](const WorkerResources &a, const std::string &key) { return a.key < key; });
+        if (worker != capacity.workers.end() && worker->key == task.worker)
+            ++demand.placedPerWorker[static_cast<std::size_t>(worker - capacity.workers.begin())];
     }
     return demand;
 }
