Use reserved capacity without a limit while most of a service is idle

Callers saw: work that fits several times over is not started for longer than the 3 s of the users' rule, while under half of the service is in use.

Cause: a unit that would delay the holder of a reservation by more than the holder's own work waits until the reservation is overdue for long enough, and a long-running task never uses reserved capacity at its first start.

Change: a unit that has waited for `maxHeldBackMs` while the use of its service was below `maxUseToLift` (half; the larger share of accelerators and cores) is placed in spite of reservations of work that is not urgent. Each use is logged (event=restriction_lifted).

Measured: longGangDoesNotWaitForAWiderOneWhileMostIsIdle and longRunningTaskDoesNotWaitForAGangWhileMostIsIdle fail before (0 runs instead of 2 after 2.5 s) and pass now with all of reservation_test. wideGangStartsAmongAModerateStreamOfSmallOnes passes before and after.

--- a/flamingo/scheduler/planner.cc
+++ b/flamingo/scheduler/planner.cc
@@ -23,10 +23,17 @@
 //
 // A unit waits for a preferred rack as long as its tasks would lose on another one, then it is
 // placed on any rack.
+//
+// These limits protect work that would use the capacity later. While most of a service is idle (see
+// SchedulerOptions::maxUseToLift), a unit that has waited for `maxHeldBackMs` meanwhile is placed
+// on any worker that may run it: its restrictions are lifted one after another until it fits. What
+// urgent units reserve is never lifted. A service that is idle for a moment, while runs end that a
+// reservation waits for, does not count.
 
 #include "flamingo/scheduler/scheduler_parts.h"
 
 #include <algorithm>
+#include <array>
 #include <limits>
 #include <set>
 #include <tuple>
@@ -68,6 +75,9 @@
 constexpr double reclaimBaseCost = 400;
 constexpr double reclaimCostPerWork = 3;
 
+// What is lifted for a unit that has waited for long, in this order; named as in wait_cause.h.
+constexpr std::array<WaitCause, 1> liftedRestrictions = {WaitCause::Reserved};
+
 // Whether a unit that starts now can end within its objective, by its estimate.
 enum class Lateness : std::uint8_t {
     InTime,
@@ -106,10 +116,9 @@
     return worker.labels.empty() ? "" : worker.labels.back();
 }
 
-bool usable(const Scheduler &scheduler, const Worker &worker, TimeMs now)
+bool reports(const Scheduler &scheduler, const Worker &worker, TimeMs now)
 {
-    return worker.fenced && !worker.info.draining && now >= worker.quarantinedUntil
-        && now - worker.lastReport <= scheduler.options.reportTimeoutMs;
+    return now - worker.lastReport <= scheduler.options.reportTimeoutMs;
 }
 
 double equivalentCores(const Resources &need)
@@ -161,6 +170,9 @@
     std::vector<Resources> reserved; // by worker index
     std::vector<WorkerResources> unusable; // quarantined or draining; without allocations
     std::vector<HeldReservation> held; // the part of `reserved` that urgent units do not hold
+    // Of the workers that report and are not draining, and what runs use of it.
+    Resources total;
+    Resources inUse;
     TimeMs collectedAt = 0;
     // Worker key and run of each run in a group, by group number.
     std::vector<std::vector<std::pair<std::string, RunKey>>> groupRuns;
@@ -181,15 +193,13 @@
         for (const auto &[key, worker] : this->scheduler.workers) {
             if (worker.info.service != service)
                 continue;
+            if (!reports(this->scheduler, worker, this->now))
+                continue;
             WorkerResources resources = this->resourcesOf(worker);
-            if (usable(this->scheduler, worker, this->now)) {
-                this->addAllocations(worker, resources);
-                this->result.workers.push_back(std::move(resources));
-            } else if (worker.fenced
-                       && this->now - worker.lastReport
-                           <= this->scheduler.options.reportTimeoutMs) {
-                this->result.unusable.push_back(std::move(resources));
-            }
+            if (!worker.info.draining)
+                this->addUse(resources);
+            if (worker.fenced)
+                this->addWorker(worker, std::move(resources));
         }
         this->result.reserved.resize(this->result.workers.size());
         this->result.collectedAt = this->now;
@@ -223,6 +233,23 @@
         return resources;
     }
 
+    void addUse(const WorkerResources &resources)
+    {
+        this->result.total += resources.capacity;
+        this->result.inUse += resources.capacity;
+        this->result.inUse -= resources.freeCapacity;
+    }
+
+    void addWorker(const Worker &worker, WorkerResources resources)
+    {
+        if (worker.info.draining || this->now < worker.quarantinedUntil) {
+            this->result.unusable.push_back(std::move(resources));
+            return;
+        }
+        this->addAllocations(worker, resources);
+        this->result.workers.push_back(std::move(resources));
+    }
+
     void addAllocations(const Worker &worker, WorkerResources &resources)
     {
         for (const auto &[key, run] : worker.runs)
@@ -492,6 +519,7 @@
         run.assignedAt = now;
         run.resumed = !task.checkpoint.empty();
         worker.freeCapacity -= run.need;
+        capacity.inUse += run.need;
         const std::string name = taskName(*row.job, taskPosition(*row.job, number));
         logDecision(scheduler,
                     "event=task_assigned task=" + name + " run=" + std::to_string(task.run)
@@ -818,6 +846,100 @@
     return delayed.size() > 1 ? place(rest, all) : rest;
 }
 
+// See SchedulerOptions::maxUseToLift.
+bool mostlyIdle(const Scheduler &scheduler, const ServiceCapacity &capacity)
+{
+    const auto belowLimit = [&scheduler](std::int64_t inUse, std::int64_t total) {
+        return total == 0 || double(inUse) < scheduler.options.maxUseToLift * double(total);
+    };
+    return belowLimit(capacity.inUse.accelerators, capacity.total.accelerators)
+        && belowLimit(capacity.inUse.cpuMilli, capacity.total.cpuMilli);
+}
+
+// Lifts one more restriction of the unit. Returns the number of its tasks that may then be placed;
+// 0: nothing changes for it.
+std::size_t liftRestriction(WaitCause restriction, const ServiceCapacity &capacity,
+                            PlacementUnit &unit)
+{
+    switch (restriction) {
+    case WaitCause::Reserved:
+        return capacity.held.empty() ? 0 : unit.tasks.size();
+    case WaitCause::PreferredRack:
+    case WaitCause::FailedWorker:
+    case WaitCause::UnusableWorkers:
+    case WaitCause::NoFreeCapacity:
+    case WaitCause::NeverFits:
+        break;
+    }
+    return 0;
+}
+
+// True when a task of the unit has room on some worker once all its restrictions are lifted, and
+// for a gang all of them. It is a quick check: racks and limits per worker are not considered.
+bool mayFit(const PlacementUnit &unit, const ServiceCapacity &capacity)
+{
+    const Step &step = unit.row->job->steps[unit.step];
+    Demand demand;
+    demand.need = allocationFor(step);
+    demand.count = static_cast<std::uint32_t>(unit.tasks.size());
+    demand.allOrNothing = step.gang;
+    demand.requiredLabel = step.requiredLabel;
+    demand.maxPerWorker = step.maxPerWorker;
+    return countPlaces(demand, capacity.workers) >= (demand.allOrNothing ? demand.count : 1);
+}
+
+void logLiftedRestriction(Scheduler &scheduler, const PlacementUnit &unit, std::size_t tasks,
+                          WaitCause restriction, TimeMs waitedMs)
+{
+    logDecision(scheduler,
+                "event=restriction_lifted job=" + unit.row->job->id + " occurrence="
+                    + std::to_string(unit.occurrence) + " step=" + std::to_string(unit.step)
+                    + " tasks=" + std::to_string(tasks) + " waited_ms=" + std::to_string(waitedMs)
+                    + " cause=\"" + std::string(waitCauseName(restriction)) + "\"");
+}
+
+// Places a unit that has waited for long, or the rest of one, on any worker that may run it while
+// most of the service is idle. Returns the tasks that are left.
+PlacementUnit placeDespiteRestrictions(Scheduler &scheduler, const PlacementUnit &unit,
+                                       ServiceCapacity &capacity, TimeMs now)
+{
+    if (unit.tasks.empty())
+        return unit;
+    WaitState &wait = waitOf(unit, now);
+    if (!mostlyIdle(scheduler, capacity)) {
+        wait.idleSince.reset();
+        return unit;
+    }
+    wait.idleSince = wait.idleSince.value_or(now);
+    // By the last search for the cause, which lifts the same restrictions.
+    const bool hasNoRoom =
+        wait.cause == WaitCause::NoFreeCapacity || wait.cause == WaitCause::NeverFits;
+    if (hasNoRoom || now - *wait.idleSince < scheduler.options.maxHeldBackMs)
+        return unit;
+    const TimeMs waitedMs = now - wait.since;
+    std::vector<HeldReservation *> lent;
+    for (HeldReservation &held : capacity.held)
+        lent.push_back(&held);
+    lendReserved(lent, capacity);
+    PlacementUnit left = unit;
+    if (mayFit(unit, capacity)) {
+        for (const WaitCause restriction : liftedRestrictions) {
+            const std::size_t limit = liftRestriction(restriction, capacity, left);
+            if (limit == 0 || left.tasks.empty())
+                continue;
+            PlacementUnit rest = placeBeside(scheduler, left, limit, lent, capacity, now);
+            const std::size_t placed = left.tasks.size() - rest.tasks.size();
+            if (placed > 0)
+                logLiftedRestriction(scheduler, unit, placed, restriction, waitedMs);
+            left = std::move(rest);
+        }
+    }
+    returnLent(lent, capacity);
+    PlacementUnit rest = unit;
+    rest.tasks = left.tasks;
+    return rest;
+}
+
 // True when the unit has waited for its preferred rack for as long as its tasks lose on another,
 // and not only for a moment.
 bool hasWaitedForRack(const Scheduler &scheduler, const PlacementUnit &unit, TimeMs now)
@@ -847,6 +969,7 @@
         return;
     PlacementUnit rest = restOf(unit, placement.size());
     rest = placeOnReservedCapacity(scheduler, rest, capacity, now);
+    rest = placeDespiteRestrictions(scheduler, rest, capacity, now);
     if (rest.tasks.empty())
         return;
     const Demand remaining = demandOf(rest, capacity);
--- a/flamingo/scheduler/scheduler.h
+++ b/flamingo/scheduler/scheduler.h
@@ -58,6 +58,8 @@
     TimeMs since = 0; // when a plan first failed to place them
     TimeMs checkedAt = 0; // when the cause was last searched for
     std::optional<WaitCause> cause; // nullopt: not searched for yet
+    // Since when most of the service has been idle meanwhile; nullopt: it was not in the last plan.
+    std::optional<TimeMs> idleSince;
     bool reserving = false; // they hold a reservation
     // When they were expected to fit, by the earliest of their reservations; nullopt: before the
     // first one.
@@ -148,6 +150,11 @@
     TimeMs minRackWaitMs = 2000;
     // Tasks that have waited for this long may be placed on capacity that is reserved for others.
     TimeMs maxHeldBackMs = 2000;
+    // When the use of a service has been below this for `maxHeldBackMs`, tasks that have waited all
+    // the while are placed on any worker that may run them: reservations of work that is not urgent
+    // do not count. The use of a service is the share of accelerators, or of cores if that is
+    // larger, that runs hold on its workers that report and are not draining.
+    double maxUseToLift = 0.5;
     // The cause of a wait is searched for and logged after this time, and again after each such
     // time.
     TimeMs waitCheckMs = 500;
--- a/tests/reservation_test.cc
+++ b/tests/reservation_test.cc
@@ -335,3 +335,56 @@
     CHECK_EQUAL(0, cluster.runCount("wide"));
     CHECK_EQUAL(32, cluster.runCount("singles"));
 }
+
+// Guards against accepted work that is not started within 3 s although it fits three times over and
+// most of the service is idle: it would delay the holder of a reservation by more than its work.
+TEST(Reservation, longGangDoesNotWaitForAWiderOneWhileMostIsIdle)
+{
+    Cluster cluster(12);
+    cluster.accept(cluster.gang("running", 5), 5000, 100000);
+    cluster.advance(1000);
+    cluster.accept(cluster.gang("wide", 8), 2000, 2000);
+    Job small = cluster.gang("small", 2);
+    small.priority = 2;
+    cluster.accept(small, 20000, 20000);
+    cluster.advance(1900);
+    CHECK_EQUAL(0, cluster.runCount("small"));
+    cluster.advance(600);
+    CHECK_EQUAL(2, cluster.runCount("small"));
+}
+
+// As above, for tasks that never end, which may not use reserved capacity at their first start.
+TEST(Reservation, longRunningTaskDoesNotWaitForAGangWhileMostIsIdle)
+{
+    Cluster cluster(12);
+    cluster.accept(cluster.gang("running", 5), 5000, 100000);
+    cluster.advance(1000);
+    cluster.accept(cluster.gang("wide", 8), 5000, 5000);
+    Job service = cluster.rig.makeJob("service", 2, 8, 2);
+    service.steps[0].longRunning = true;
+    cluster.accept(service, 200, 1000000);
+    cluster.advance(2500);
+    CHECK_EQUAL(2, cluster.runCount("service"));
+}
+
+// Guards against a wide gang that never starts because more urgent needs of others lift its
+// reservation again and again: at most 10 of 12 workers are busy at a time.
+TEST(Reservation, wideGangStartsAmongAModerateStreamOfSmallOnes)
+{
+    Cluster cluster(12);
+    const auto acceptSmall = [&cluster](int number) {
+        cluster.accept(cluster.gang("small" + std::to_string(number), 2), 4000, 4000);
+    };
+    for (int i = 0; i < 6; ++i) {
+        acceptSmall(i);
+        cluster.advance(1500);
+    }
+    cluster.accept(cluster.gang("wide", 10), 4000, 4000);
+    TimeMs waited = 0;
+    for (int i = 6; cluster.runCount("wide") == 0 && waited < 60000; ++i) {
+        acceptSmall(i);
+        cluster.advance(1500);
+        waited += 1500;
+    }
+    CHECK_COMPARE(waited, <=, 16000);
+}
