Wait at most 2 s for a preferred rack while most of a service is idle

Callers saw: a gang has nothing running while its rack is busy and others are idle.

Cause: a unit waits for its rack for as long as its tasks would lose elsewhere, twice their estimate: 13.6 s for 6.8 s. Estimates are off by up to 90%. The wait begins anew under the next leader.

Change: the preferred rack is the second restriction that is lifted after `maxHeldBackMs` while most of the service is idle. Where more is in use the wait is as before.

Measured: gangDoesNotWaitForItsRackWhileMostIsIdle (0 runs instead of 2 after 2.5 s) and gangOfOneRackDoesNotWaitWhileMostIsIdle (0 instead of 5) fail before and pass now with all of reservation_test.

--- a/flamingo/scheduler/planner.cc
+++ b/flamingo/scheduler/planner.cc
@@ -76,7 +76,8 @@
 constexpr double reclaimCostPerWork = 3;
 
 // What is lifted for a unit that has waited for long, in this order; named as in wait_cause.h.
-constexpr std::array<WaitCause, 1> liftedRestrictions = {WaitCause::Reserved};
+constexpr std::array<WaitCause, 2> liftedRestrictions = {WaitCause::Reserved,
+                                                         WaitCause::PreferredRack};
 
 // Whether a unit that starts now can end within its objective, by its estimate.
 enum class Lateness : std::uint8_t {
@@ -858,13 +859,19 @@
 
 // Lifts one more restriction of the unit. Returns the number of its tasks that may then be placed;
 // 0: nothing changes for it.
-std::size_t liftRestriction(WaitCause restriction, const ServiceCapacity &capacity,
-                            PlacementUnit &unit)
+std::size_t liftRestriction(const Scheduler &scheduler, WaitCause restriction,
+                            const ServiceCapacity &capacity, PlacementUnit &unit)
 {
     switch (restriction) {
     case WaitCause::Reserved:
         return capacity.held.empty() ? 0 : unit.tasks.size();
     case WaitCause::PreferredRack:
+        if (!prefersRack(unit) || unit.anyRack)
+            return 0;
+        unit.anyRack = true;
+        unit.estimateMs =
+            static_cast<TimeMs>(scheduler.options.offRackFactor * double(unit.estimateMs));
+        return unit.tasks.size();
     case WaitCause::FailedWorker:
     case WaitCause::UnusableWorkers:
     case WaitCause::NoFreeCapacity:
@@ -924,7 +931,7 @@
     PlacementUnit left = unit;
     if (mayFit(unit, capacity)) {
         for (const WaitCause restriction : liftedRestrictions) {
-            const std::size_t limit = liftRestriction(restriction, capacity, left);
+            const std::size_t limit = liftRestriction(scheduler, restriction, capacity, left);
             if (limit == 0 || left.tasks.empty())
                 continue;
             PlacementUnit rest = placeBeside(scheduler, left, limit, lent, capacity, now);
--- a/flamingo/scheduler/scheduler.h
+++ b/flamingo/scheduler/scheduler.h
@@ -151,9 +151,9 @@
     // Tasks that have waited for this long may be placed on capacity that is reserved for others.
     TimeMs maxHeldBackMs = 2000;
     // When the use of a service has been below this for `maxHeldBackMs`, tasks that have waited all
-    // the while are placed on any worker that may run them: reservations of work that is not urgent
-    // do not count. The use of a service is the share of accelerators, or of cores if that is
-    // larger, that runs hold on its workers that report and are not draining.
+    // the while are placed on any worker that may run them: neither reservations of work that is
+    // not urgent nor preferred racks count. The use of a service is the share of accelerators, or
+    // of cores if that is larger, that runs hold on its workers that report and are not draining.
     double maxUseToLift = 0.5;
     // The cause of a wait is searched for and logged after this time, and again after each such
     // time.
--- a/tests/reservation_test.cc
+++ b/tests/reservation_test.cc
@@ -367,6 +367,41 @@
     CHECK_EQUAL(2, cluster.runCount("service"));
 }
 
+// Guards against accepted work that is not started within 3 s although it fits twice over and most
+// of the service is idle: the rack of its data is busy.
+TEST(Reservation, gangDoesNotWaitForItsRackWhileMostIsIdle)
+{
+    Cluster cluster(15);
+    Job running = cluster.gang("running", 5);
+    running.steps[0].dataRack = "r0";
+    cluster.accept(running, 6800, 60000);
+    cluster.advance(1000);
+    Job gang = cluster.gang("gang", 2);
+    gang.steps[0].dataRack = "r0";
+    cluster.accept(gang, 6800, 6800);
+    cluster.advance(1900);
+    CHECK_EQUAL(0, cluster.runCount("gang"));
+    cluster.advance(600);
+    CHECK_EQUAL(2, cluster.runCount("gang"));
+}
+
+// As above, for a gang of one rack, of which none has room.
+TEST(Reservation, gangOfOneRackDoesNotWaitWhileMostIsIdle)
+{
+    Cluster cluster(10);
+    cluster.accept(cluster.gang("running0", 1), 60000, 60000);
+    cluster.advance(1000);
+    Job other = cluster.gang("running1", 1);
+    other.steps[0].dataRack = cluster.hostOf("running0.0.0.0") < "h5" ? "r1" : "r0";
+    cluster.accept(other, 60000, 60000);
+    cluster.advance(1000);
+    Job gang = cluster.gang("gang", 5);
+    gang.steps[0].sameRack = true;
+    cluster.accept(gang, 6800, 6800);
+    cluster.advance(2500);
+    CHECK_EQUAL(5, cluster.runCount("gang"));
+}
+
 // Guards against a wide gang that never starts because more urgent needs of others lift its
 // reservation again and again: at most 10 of 12 workers are busy at a time.
 TEST(Reservation, wideGangStartsAmongAModerateStreamOfSmallOnes)
