Return to a worker where the task failed while most of a service is idle

Callers saw: a task that failed is not started again although the only worker with its label is idle.

Cause: the worker of a failed run is not used for the task for 5 s, also when no other may run it.

Change: this exclusion is the third restriction that is lifted after `maxHeldBackMs` while most of the service is idle.

taskReturnsToAWorkerWhereItFailedWhenThereIsNoOther failed with this change: it checks that the task runs 6 s after its failure, and its run of 1 s had ended with success by then. Its service is now 5/8 in use, where the exclusion lasts as before; its checks are the same. The idle service is the case of the new test.

Measured: taskReturnsToTheOnlyWorkerOfItsLabelWhileMostIsIdle fails before (0 runs instead of 1 after 2.8 s) and passes now with all of reservation_test.

--- a/flamingo/scheduler/planner.cc
+++ b/flamingo/scheduler/planner.cc
@@ -76,8 +76,8 @@
 constexpr double reclaimCostPerWork = 3;
 
 // What is lifted for a unit that has waited for long, in this order; named as in wait_cause.h.
-constexpr std::array<WaitCause, 2> liftedRestrictions = {WaitCause::Reserved,
-                                                         WaitCause::PreferredRack};
+constexpr std::array<WaitCause, 3> liftedRestrictions = {
+    WaitCause::Reserved, WaitCause::PreferredRack, WaitCause::FailedWorker};
 
 // Whether a unit that starts now can end within its objective, by its estimate.
 enum class Lateness : std::uint8_t {
@@ -99,6 +99,7 @@
     std::uint32_t priority = 0;
     bool guaranteed = false;
     bool anyRack = false; // preferred racks are ignored
+    bool anyWorker = false; // workers on which its tasks failed may be used
     TimeMs estimateMs = 0; // of the run time of one task
     TimeMs reclaimTimeoutMs = 0; // urgent work may wait this long before it reclaims
     Lateness lateness = Lateness::InTime;
@@ -469,6 +470,8 @@
     if (unit.priority == 0)
         demand.slownessWeight = urgentSlownessWeight;
     for (const std::size_t task : unit.tasks) {
+        if (unit.anyWorker)
+            break;
         const auto failed = unit.row->lastFailedWorker.find(task);
         if (failed != unit.row->lastFailedWorker.end()
             && capacity.collectedAt < failed->second.excludedUntil)
@@ -873,6 +876,10 @@
             static_cast<TimeMs>(scheduler.options.offRackFactor * double(unit.estimateMs));
         return unit.tasks.size();
     case WaitCause::FailedWorker:
+        if (demandOf(unit, capacity).excludedWorkers.empty())
+            return 0;
+        unit.anyWorker = true;
+        return unit.tasks.size();
     case WaitCause::UnusableWorkers:
     case WaitCause::NoFreeCapacity:
     case WaitCause::NeverFits:
--- a/tests/reservation_test.cc
+++ b/tests/reservation_test.cc
@@ -69,6 +69,13 @@
         }
     }
 
+    // Replaces the kind of the host's worker.
+    void label(const std::string &host, const std::string &kind)
+    {
+        this->rig.nextReports.at(host).worker->labels.front() = kind;
+        this->rig.sendReport(host);
+    }
+
     // Name of the host on which the task runs; empty: none.
     std::string hostOf(const std::string &task)
     {
@@ -296,6 +303,8 @@
 TEST(Reservation, taskReturnsToAWorkerWhereItFailedWhenThereIsNoOther)
 {
     Cluster cluster(1);
+    cluster.accept(cluster.rig.makeJob("running", 1, 5), 60000, 60000); // most is in use
+    cluster.advance(100);
     Job job = cluster.rig.makeJob("job", 1, 1);
     job.maxAttempts = 5;
     cluster.accept(job, 1000, 1000);
@@ -423,3 +432,22 @@
     }
     CHECK_COMPARE(waited, <=, 16000);
 }
+
+// Guards against accepted work that is not started within 3 s although a worker that may run it is
+// idle: one of its tasks failed there, and no other worker has the required label.
+TEST(Reservation, taskReturnsToTheOnlyWorkerOfItsLabelWhileMostIsIdle)
+{
+    Cluster cluster(3);
+    cluster.label("h0", "special");
+    Job job = cluster.rig.makeJob("job", 1, 1);
+    job.maxAttempts = 5;
+    job.steps[0].requiredLabel = "special";
+    cluster.accept(job, 1000, 10000);
+    cluster.advance(500);
+    CHECK_EQUAL(1, cluster.runCount("job"));
+    cluster.rig.endRun("h0", "job.0.0.0", 1, EndKind::Failed);
+    cluster.advance(1900);
+    CHECK_EQUAL(0, cluster.runCount("job"));
+    cluster.advance(900);
+    CHECK_EQUAL(1, cluster.runCount("job"));
+}
