Use workers in quarantine as last choice while most of a service is idle

Callers saw: a job has nothing running for the 8 s of a quarantine although the only worker with its label is idle.

Cause: a worker in quarantine gets no work, also when no other may run it.

Change: quarantine is the last restriction that is lifted after `maxHeldBackMs` while most of the service is idle, and only for tasks of which one more failed run does not fail the job. Workers that drain get no work as before.

Measured: quarantinedWorkerIsTheLastChoiceWhileMostIsIdle, lastAttemptWaitsForTheEndOfAQuarantine (its other task did not run either) and liftedRestrictionIsLogged fail before and pass now; quarantineLastsWhileMostIsInUse and drainingWorkerGetsNoWorkHoweverIdleTheServiceIs pass before and after.

--- a/flamingo/scheduler/placement.cc
+++ b/flamingo/scheduler/placement.cc
@@ -52,6 +52,8 @@
 
 bool isEligible(const Demand &demand, const WorkerResources &worker)
 {
+    if (worker.quarantined && !demand.quarantinedWorkers)
+        return false;
     if (!demand.requiredLabel.empty()
         && std::find(worker.labels.begin(), worker.labels.end(), demand.requiredLabel)
             == worker.labels.end())
@@ -68,7 +70,8 @@
     return share(available.accelerators, worker.capacity.accelerators)
         + 0.1 * share(available.cpuMilli, worker.capacity.cpuMilli)
         + 0.1 * share(available.memoryMb, worker.capacity.memoryMb)
-        + demand.slownessWeight * (worker.slowness - 1) + (worker.suspect ? suspectWeight : 0.0);
+        + demand.slownessWeight * (worker.slowness - 1)
+        + (worker.suspect || worker.quarantined ? suspectWeight : 0.0);
 }
 
 Resources subtract(Resources from, const Resources &need)
--- a/flamingo/scheduler/placement.h
+++ b/flamingo/scheduler/placement.h
@@ -45,6 +45,7 @@
     Resources freeCapacity; // free now, less reservations; may be negative
     // A run failed or could not start here recently; used only when no other worker fits.
     bool suspect = false;
+    bool quarantined = false; // used only by a demand with `quarantinedWorkers`, as last choice
     double slowness = 1; // run time on this worker as a multiple of the usual one
     std::vector<Allocation> allocations;
 };
@@ -67,6 +68,7 @@
     double slownessWeight = 0.5;
     std::vector<std::uint32_t> placedPerWorker; // tasks of the step already there, by worker index
     std::vector<std::string> excludedWorkers; // keys of workers that must not be used
+    bool quarantinedWorkers = false; // workers in quarantine may be used
 };
 
 // Worker index of each placed task; fewer than `count` when not all tasks fit, none for a gang.
--- a/flamingo/scheduler/planner.cc
+++ b/flamingo/scheduler/planner.cc
@@ -76,8 +76,9 @@
 constexpr double reclaimCostPerWork = 3;
 
 // What is lifted for a unit that has waited for long, in this order; named as in wait_cause.h.
-constexpr std::array<WaitCause, 3> liftedRestrictions = {
-    WaitCause::Reserved, WaitCause::PreferredRack, WaitCause::FailedWorker};
+constexpr std::array<WaitCause, 4> liftedRestrictions = {
+    WaitCause::Reserved, WaitCause::PreferredRack, WaitCause::FailedWorker,
+    WaitCause::UnusableWorkers};
 
 // Whether a unit that starts now can end within its objective, by its estimate.
 enum class Lateness : std::uint8_t {
@@ -100,6 +101,7 @@
     bool guaranteed = false;
     bool anyRack = false; // preferred racks are ignored
     bool anyWorker = false; // workers on which its tasks failed may be used
+    bool quarantinedWorkers = false; // workers in quarantine may be used
     TimeMs estimateMs = 0; // of the run time of one task
     TimeMs reclaimTimeoutMs = 0; // urgent work may wait this long before it reclaims
     Lateness lateness = Lateness::InTime;
@@ -168,7 +170,8 @@
 // or a single run).
 struct ServiceCapacity
 {
-    std::vector<WorkerResources> workers; // by key; free capacity less reservations
+    // By key; free capacity less reservations. Includes workers in quarantine, without allocations.
+    std::vector<WorkerResources> workers;
     std::vector<Resources> reserved; // by worker index
     std::vector<WorkerResources> unusable; // quarantined or draining; without allocations
     std::vector<HeldReservation> held; // the part of `reserved` that urgent units do not hold
@@ -244,11 +247,14 @@
 
     void addWorker(const Worker &worker, WorkerResources resources)
     {
-        if (worker.info.draining || this->now < worker.quarantinedUntil) {
-            this->result.unusable.push_back(std::move(resources));
+        const bool quarantined = this->now < worker.quarantinedUntil;
+        if (worker.info.draining || quarantined)
+            this->result.unusable.push_back(resources);
+        if (worker.info.draining)
             return;
-        }
-        this->addAllocations(worker, resources);
+        resources.quarantined = quarantined;
+        if (!quarantined)
+            this->addAllocations(worker, resources);
         this->result.workers.push_back(std::move(resources));
     }
 
@@ -469,6 +475,7 @@
     demand.maxPerWorker = step.maxPerWorker;
     if (unit.priority == 0)
         demand.slownessWeight = urgentSlownessWeight;
+    demand.quarantinedWorkers = unit.quarantinedWorkers;
     for (const std::size_t task : unit.tasks) {
         if (unit.anyWorker)
             break;
@@ -860,8 +867,17 @@
         && belowLimit(capacity.inUse.cpuMilli, capacity.total.cpuMilli);
 }
 
+// True when one more failed run does not fail the job.
+bool mayFailOnce(const PlacementUnit &unit, std::size_t task)
+{
+    const Job &job = *unit.row->job;
+    const Step &step = job.steps[unit.step];
+    const std::size_t counter = step.gang ? firstTaskNumber(unit) : task;
+    return step.longRunning || unit.row->progress.tasks[counter].failures + 1 < job.maxAttempts;
+}
+
 // Lifts one more restriction of the unit. Returns the number of its tasks that may then be placed;
-// 0: nothing changes for it.
+// 0: nothing changes for it. These tasks are moved to the front.
 std::size_t liftRestriction(const Scheduler &scheduler, WaitCause restriction,
                             const ServiceCapacity &capacity, PlacementUnit &unit)
 {
@@ -881,6 +897,14 @@
         unit.anyWorker = true;
         return unit.tasks.size();
     case WaitCause::UnusableWorkers:
+        if (std::none_of(capacity.workers.begin(), capacity.workers.end(),
+                         [](const WorkerResources &worker) { return worker.quarantined; }))
+            return 0;
+        unit.quarantinedWorkers = true;
+        return static_cast<std::size_t>(
+            std::stable_partition(unit.tasks.begin(), unit.tasks.end(),
+                                  [&unit](std::size_t task) { return mayFailOnce(unit, task); })
+            - unit.tasks.begin());
     case WaitCause::NoFreeCapacity:
     case WaitCause::NeverFits:
         break;
@@ -899,6 +923,7 @@
     demand.allOrNothing = step.gang;
     demand.requiredLabel = step.requiredLabel;
     demand.maxPerWorker = step.maxPerWorker;
+    demand.quarantinedWorkers = true;
     return countPlaces(demand, capacity.workers) >= (demand.allOrNothing ? demand.count : 1);
 }
 
--- a/flamingo/scheduler/scheduler.h
+++ b/flamingo/scheduler/scheduler.h
@@ -152,9 +152,9 @@
     TimeMs maxHeldBackMs = 2000;
     // When the use of a service has been below this for `maxHeldBackMs`, tasks that have waited all
     // the while are placed on any worker that may run them: neither reservations of work that is
-    // not urgent nor preferred racks count, nor `suspectMs`. The use of a service is the share of
-    // accelerators, or of cores if that is larger, that runs hold on its workers that report and
-    // are not draining.
+    // not urgent nor preferred racks count, nor `suspectMs`, nor, while one more failure does not
+    // fail the job, quarantine. The use of a service is the share of accelerators, or of cores if
+    // that is larger, that runs hold on its workers that report and are not draining.
     double maxUseToLift = 0.5;
     // The cause of a wait is searched for and logged after this time, and again after each such
     // time.
--- a/tests/reservation_test.cc
+++ b/tests/reservation_test.cc
@@ -76,6 +76,14 @@
         this->rig.sendReport(host);
     }
 
+    void quarantine(const std::string &host)
+    {
+        for (auto &[key, worker] : this->rig.scheduler.workers) {
+            if (worker.host == host)
+                worker.quarantinedUntil = this->rig.now + this->rig.scheduler.options.quarantineMs;
+        }
+    }
+
     // Name of the host on which the task runs; empty: none.
     std::string hostOf(const std::string &task)
     {
@@ -451,3 +459,90 @@
     cluster.advance(900);
     CHECK_EQUAL(1, cluster.runCount("job"));
 }
+
+// As above, for a worker in quarantine.
+TEST(Reservation, quarantinedWorkerIsTheLastChoiceWhileMostIsIdle)
+{
+    Cluster cluster(3);
+    cluster.label("h0", "special");
+    cluster.quarantine("h0");
+    Job job = cluster.rig.makeJob("job", 1, 1);
+    job.steps[0].requiredLabel = "special";
+    cluster.accept(job, 1000, 10000);
+    Job other = cluster.rig.makeJob("other", 1, 1);
+    cluster.accept(other, 1000, 10000);
+    cluster.advance(1900);
+    CHECK_EQUAL(0, cluster.runCount("job"));
+    CHECK(cluster.hostOf("other.0.0.0") != "h0");
+    cluster.advance(600);
+    CHECK_EQUAL(1, cluster.runCount("job"));
+    CHECK_EQUAL(1, cluster.rig.runCount("h0"));
+}
+
+// Guards against a job that fails because its last attempt is used on a worker in quarantine.
+TEST(Reservation, lastAttemptWaitsForTheEndOfAQuarantine)
+{
+    Cluster cluster(3);
+    cluster.label("h0", "special");
+    Job job = cluster.rig.makeJob("job", 2, 1); // of two attempts
+    job.steps[0].requiredLabel = "special";
+    cluster.accept(job, 1000, 20000);
+    cluster.advance(500);
+    cluster.rig.endRun("h0", "job.0.0.0", 1, EndKind::Failed);
+    cluster.rig.endRun("h0", "job.0.0.1", 1, EndKind::Stopped);
+    cluster.quarantine("h0");
+    cluster.advance(4000);
+    CHECK_EQUAL(std::string(), cluster.hostOf("job.0.0.0"));
+    CHECK_EQUAL(std::string("h0"), cluster.hostOf("job.0.0.1"));
+    cluster.advance(5000);
+    CHECK_EQUAL(std::string("h0"), cluster.hostOf("job.0.0.0"));
+}
+
+// Urgent work that must not wait, and workers that are still needed by others: where more than half
+// of the service is in use, quarantine lasts.
+TEST(Reservation, quarantineLastsWhileMostIsInUse)
+{
+    Cluster cluster(3);
+    cluster.label("h0", "special");
+    cluster.quarantine("h0");
+    cluster.accept(cluster.gang("running", 2), 60000, 60000);
+    Job job = cluster.rig.makeJob("job", 1, 1);
+    job.steps[0].requiredLabel = "special";
+    cluster.accept(job, 1000, 10000);
+    cluster.advance(4000);
+    CHECK_EQUAL(2, cluster.runCount("running"));
+    CHECK_EQUAL(0, cluster.runCount("job"));
+}
+
+// Guards against orders to a worker that leaves.
+TEST(Reservation, drainingWorkerGetsNoWorkHoweverIdleTheServiceIs)
+{
+    Cluster cluster(3);
+    cluster.label("h0", "special");
+    cluster.rig.nextReports.at("h0").worker->draining = true;
+    Job job = cluster.rig.makeJob("job", 1, 1);
+    job.steps[0].requiredLabel = "special";
+    cluster.advance(100);
+    cluster.accept(job, 1000, 10000);
+    cluster.advance(4000);
+    CHECK_EQUAL(0, cluster.runCount("job"));
+}
+
+// A line names what was lifted for a unit, for operators.
+TEST(Reservation, liftedRestrictionIsLogged)
+{
+    Cluster cluster(3);
+    cluster.label("h0", "special");
+    cluster.quarantine("h0");
+    Job job = cluster.rig.makeJob("job", 1, 1);
+    job.steps[0].requiredLabel = "special";
+    cluster.accept(job, 1000, 10000);
+    cluster.advance(2500);
+    int lines = 0;
+    for (const std::string &line : cluster.rig.scheduler.decisions)
+        lines += line.find("event=restriction_lifted job=job occurrence=0 step=0 tasks=1 ") == 0
+                && line.find("cause=\"workers are quarantined or draining\"") != std::string::npos
+            ? 1
+            : 0;
+    CHECK_EQUAL(1, lines);
+}
