--- a/tests/reservation_test.cc
+++ b/tests/reservation_test.cc
@@ -402,6 +402,26 @@
     CHECK_EQUAL(2, cluster.runCount("gang"));
 }
 
+// Guards against a wait for a rack that is as long again under each leader.
+TEST(Reservation, gangDoesNotWaitForItsRackAfterAChangeOfLeader)
+{
+    Cluster cluster(15);
+    Job running = cluster.gang("running", 5);
+    running.steps[0].dataRack = "r0";
+    cluster.accept(running, 6800, 60000);
+    cluster.advance(1000);
+    Job gang = cluster.gang("gang", 2);
+    gang.steps[0].dataRack = "r0";
+    cluster.accept(gang, 6800, 6800);
+    cluster.advance(1500);
+    const std::map<std::string, HostReport> reports = cluster.rig.nextReports;
+    cluster.rig.takeOver(1 << 21);
+    cluster.rig.nextReports = reports;
+    cluster.advance(2500);
+    CHECK_EQUAL(5, cluster.runCount("running"));
+    CHECK_EQUAL(2, cluster.runCount("gang"));
+}
+
 // As above, for a gang of one rack, of which none has room.
 TEST(Reservation, gangOfOneRackDoesNotWaitWhileMostIsIdle)
 {
@@ -419,8 +439,8 @@
     CHECK_EQUAL(5, cluster.runCount("gang"));
 }
 
-// Guards against a wide gang that never starts because more urgent needs of others lift its
-// reservation again and again: at most 10 of 12 workers are busy at a time.
+// Guards against a wide gang that never starts because small ones that have waited use what it
+// reserves, again and again.
 TEST(Reservation, wideGangStartsAmongAModerateStreamOfSmallOnes)
 {
     Cluster cluster(12);
@@ -498,8 +518,7 @@
     CHECK_EQUAL(std::string("h0"), cluster.hostOf("job.0.0.0"));
 }
 
-// Urgent work that must not wait, and workers that are still needed by others: where more than half
-// of the service is in use, quarantine lasts.
+// Guards against work on workers in quarantine while the others are needed.
 TEST(Reservation, quarantineLastsWhileMostIsInUse)
 {
     Cluster cluster(3);
