--- a/flamingo/scheduler/planner.cc
+++ b/flamingo/scheduler/planner.cc
@@ -23,10 +23,17 @@
 //
 // A unit waits for a preferred rack as long as its tasks would lose on another one, then it is
 // placed on any rack.
+//
+// These limits protect work that would use the capacity later. While most of a service is idle (see
+// SchedulerOptions::maxUseToLift), a unit that has waited for `maxHeldBackMs` meanwhile is placed
+// on any worker that may run it: its restrictions are lifted one after another until it fits. What
+// urgent units reserve is never lifted. A service that is idle for a moment, while runs end that a
+// reservation waits for, does not count.
 
 #include "flamingo/scheduler/scheduler_parts.h"
 
 #include <algorithm>
+#include <array>
 #include <limits>
 #include <set>
 #include <tuple>
@@ -68,6 +75,11 @@
 constexpr double reclaimBaseCost = 400;
 constexpr double reclaimCostPerWork = 3;
 
+// What is lifted for a unit that has waited for long, in this order; named as in wait_cause.h.
+constexpr std::array<WaitCause, 4> liftedRestrictions = {
+    WaitCause::Reserved, WaitCause::PreferredRack, WaitCause::FailedWorker,
+    WaitCause::UnusableWorkers};
+
 // Whether a unit that starts now can end within its objective, by its estimate.
 enum class Lateness : std::uint8_t {
     InTime,
@@ -88,6 +100,8 @@
     std::uint32_t priority = 0;
     bool guaranteed = false;
     bool anyRack = false; // preferred racks are ignored
+    bool anyWorker = false; // workers on which its tasks failed may be used
+    bool quarantinedWorkers = false; // workers in quarantine may be used
     TimeMs estimateMs = 0; // of the run time of one task
     TimeMs reclaimTimeoutMs = 0; // urgent work may wait this long before it reclaims
     Lateness lateness = Lateness::InTime;
@@ -106,10 +120,9 @@
     return worker.labels.empty() ? "" : worker.labels.back();
 }
 
-bool usable(const Scheduler &scheduler, const Worker &worker, TimeMs now)
+bool reports(const Scheduler &scheduler, const Worker &worker, TimeMs now)
 {
-    return worker.fenced && !worker.info.draining && now >= worker.quarantinedUntil
-        && now - worker.lastReport <= scheduler.options.reportTimeoutMs;
+    return now - worker.lastReport <= scheduler.options.reportTimeoutMs;
 }
 
 double equivalentCores(const Resources &need)
@@ -157,10 +170,14 @@
 // or a single run).
 struct ServiceCapacity
 {
-    std::vector<WorkerResources> workers; // free capacity less reservations
+    // By key; free capacity less reservations. Includes workers in quarantine, without allocations.
+    std::vector<WorkerResources> workers;
     std::vector<Resources> reserved; // by worker index
     std::vector<WorkerResources> unusable; // quarantined or draining; without allocations
     std::vector<HeldReservation> held; // the part of `reserved` that urgent units do not hold
+    // Of the workers that report and are not draining, and what runs use of it.
+    Resources total;
+    Resources inUse;
     TimeMs collectedAt = 0;
     // Worker key and run of each run in a group, by group number.
     std::vector<std::vector<std::pair<std::string, RunKey>>> groupRuns;
@@ -181,15 +198,13 @@
         for (const auto &[key, worker] : this->scheduler.workers) {
             if (worker.info.service != service)
                 continue;
+            if (!reports(this->scheduler, worker, this->now))
+                continue;
             WorkerResources resources = this->resourcesOf(worker);
-            if (usable(this->scheduler, worker, this->now)) {
-                this->addAllocations(worker, resources);
-                this->result.workers.push_back(std::move(resources));
-            } else if (worker.fenced
-                       && this->now - worker.lastReport
-                           <= this->scheduler.options.reportTimeoutMs) {
-                this->result.unusable.push_back(std::move(resources));
-            }
+            if (!worker.info.draining)
+                this->addUse(resources);
+            if (worker.fenced)
+                this->addWorker(worker, std::move(resources));
         }
         this->result.reserved.resize(this->result.workers.size());
         this->result.collectedAt = this->now;
@@ -223,6 +238,26 @@
         return resources;
     }
 
+    void addUse(const WorkerResources &resources)
+    {
+        this->result.total += resources.capacity;
+        this->result.inUse += resources.capacity;
+        this->result.inUse -= resources.freeCapacity;
+    }
+
+    void addWorker(const Worker &worker, WorkerResources resources)
+    {
+        const bool quarantined = this->now < worker.quarantinedUntil;
+        if (worker.info.draining || quarantined)
+            this->result.unusable.push_back(resources);
+        if (worker.info.draining)
+            return;
+        resources.quarantined = quarantined;
+        if (!quarantined)
+            this->addAllocations(worker, resources);
+        this->result.workers.push_back(std::move(resources));
+    }
+
     void addAllocations(const Worker &worker, WorkerResources &resources)
     {
         for (const auto &[key, run] : worker.runs)
@@ -440,7 +475,10 @@
     demand.maxPerWorker = step.maxPerWorker;
     if (unit.priority == 0)
         demand.slownessWeight = urgentSlownessWeight;
+    demand.quarantinedWorkers = unit.quarantinedWorkers;
     for (const std::size_t task : unit.tasks) {
+        if (unit.anyWorker)
+            break;
         const auto failed = unit.row->lastFailedWorker.find(task);
         if (failed != unit.row->lastFailedWorker.end()
             && capacity.collectedAt < failed->second.excludedUntil)
@@ -454,8 +492,11 @@
         const TaskProgress &task = unit.row->progress.tasks[i];
         if (task.phase == TaskPhase::Waiting || task.phase == TaskPhase::Done)
             continue;
-        for (std::size_t worker = 0; worker < capacity.workers.size(); ++worker)
-            demand.placedPerWorker[worker] += capacity.workers[worker].key == task.worker ? 1 : 0;
+        const auto worker = std::lower_bound(
+            capacity.workers.begin(), capacity.workers.end(), task.worker,
+            [](const WorkerResources &a, const std::string &key) { return a.key < key; });
+        if (worker != capacity.workers.end() && worker->key == task.worker)
+            ++demand.placedPerWorker[static_cast<std::size_t>(worker - capacity.workers.begin())];
     }
     return demand;
 }
@@ -489,6 +530,7 @@
         run.assignedAt = now;
         run.resumed = !task.checkpoint.empty();
         worker.freeCapacity -= run.need;
+        capacity.inUse += run.need;
         const std::string name = taskName(*row.job, taskPosition(*row.job, number));
         logDecision(scheduler,
                     "event=task_assigned task=" + name + " run=" + std::to_string(task.run)
@@ -671,67 +713,269 @@
     capacity.held.push_back({reservation.placement, need, &wait, workOf(unit), spareMs});
 }
 
-// True when the unit may be placed on capacity that is reserved for the holder and delay it by its
-// work. The holder still meets its objective or misses it in any case. In all it is delayed by at
-// most its own amount of work, and by what the reserved capacity could have done since the holder
-// was expected to fit: an expectation that was wrong does not keep the capacity idle.
-bool mayDelay(const PlacementUnit &unit, const HeldReservation &held, TimeMs now)
+// The part of the unit without its first `placed` tasks.
+PlacementUnit restOf(const PlacementUnit &unit, std::size_t placed)
 {
-    if (!endsByItself(unit))
-        return false;
+    PlacementUnit rest = unit;
+    rest.tasks.erase(rest.tasks.begin(), rest.tasks.begin() + static_cast<std::ptrdiff_t>(placed));
+    return rest;
+}
+
+// True when the unit's use of reserved capacity does not delay the holder.
+bool isHarmless(const PlacementUnit &unit, const HeldReservation &held, TimeMs now)
+{
+    return endsBefore(unit, held, now) || returnsAfterAnEnd(unit);
+}
+
+// Number of the unit's tasks that may be placed on capacity that is reserved for the holder and
+// delay it by their work. The holder still meets its objective or misses it in any case. In all it
+// is delayed by at most its own amount of work, and by what the reserved capacity could have done
+// since the holder was expected to fit: an expectation that was wrong does not keep the capacity
+// idle.
+std::size_t tasksThatMayDelay(const PlacementUnit &unit, const HeldReservation &held, TimeMs now)
+{
+    const bool meetsObjective = held.spareMs == 0 || unit.estimateMs <= held.spareMs;
+    if (!endsByItself(unit) || !meetsObjective)
+        return 0;
     const TimeMs overdueMs = std::max<TimeMs>(0, now - *held.holder->expectedAt);
     const double idleWork =
         equivalentCores(held.need) * double(held.placement.size()) * double(overdueMs) / 1000;
-    const bool meetsObjective = held.spareMs == 0 || unit.estimateMs <= held.spareMs;
-    return meetsObjective && held.holder->delayingWork + workOf(unit) <= held.holderWork + idleWork;
+    const double allowed = held.holderWork + idleWork - held.holder->delayingWork;
+    const double work = workOf(unit);
+    if (work <= allowed)
+        return unit.tasks.size();
+    if (unit.row->job->steps[unit.step].gang || allowed <= 0)
+        return 0;
+    return static_cast<std::size_t>(allowed / work * double(unit.tasks.size()));
+}
+
+// Adds the work of the unit's tasks that were placed on capacity of the reservation to what delays
+// its holder. A gang ends as a whole, so all of it counts.
+void recordDelay(const PlacementUnit &unit, const Placement &placement, HeldReservation &held)
+{
+    const auto delaying =
+        std::count_if(placement.begin(), placement.end(), [&held](std::size_t worker) {
+            return std::find(held.placement.begin(), held.placement.end(), worker)
+                != held.placement.end();
+        });
+    if (delaying == 0)
+        return;
+    const bool gang = unit.row->job->steps[unit.step].gang;
+    held.holder->delayingWork +=
+        workOf(unit) * (gang ? 1.0 : double(delaying) / double(unit.tasks.size()));
+}
+
+using Reservations = absl::Span<HeldReservation *const>;
+
+// Adds the capacity of the reservations to what is free, for a search.
+void lendReserved(Reservations reservations, ServiceCapacity &capacity)
+{
+    for (const HeldReservation *held : reservations) {
+        for (const std::size_t worker : held->placement)
+            capacity.workers[worker].freeCapacity += held->need;
+    }
 }
 
-bool overlaps(const Placement &a, const Placement &b)
+void returnLent(Reservations reservations, ServiceCapacity &capacity)
 {
-    return std::any_of(a.begin(), a.end(), [&b](std::size_t worker) {
-        return std::find(b.begin(), b.end(), worker) != b.end();
+    for (const HeldReservation *held : reservations) {
+        for (const std::size_t worker : held->placement)
+            capacity.workers[worker].freeCapacity -= held->need;
+    }
+}
+
+// Places at most `limit` tasks of the unit, or the whole of a gang, and adds their work to what
+// delays the holders of the reservations that were lent. Returns the tasks that are left.
+PlacementUnit placeBeside(Scheduler &scheduler, const PlacementUnit &unit, std::size_t limit,
+                          Reservations lent, ServiceCapacity &capacity, TimeMs now)
+{
+    Demand demand = demandOf(unit, capacity);
+    demand.count = static_cast<std::uint32_t>(std::min<std::size_t>(demand.count, limit));
+    const Placement placement = findPlacement(demand, capacity.workers);
+    if (placement.empty())
+        return unit;
+    assignTasks(scheduler, unit, placement, capacity, now);
+    for (HeldReservation *held : lent) {
+        if (!isHarmless(unit, *held, now))
+            recordDelay(unit, placement, *held);
+    }
+    return restOf(unit, placement.size());
+}
+
+// As placeBeside(), after lending the reservations. The unit is one that does not fit beside them.
+PlacementUnit placeOnLentCapacity(Scheduler &scheduler, const PlacementUnit &unit,
+                                  std::size_t limit, Reservations lent, ServiceCapacity &capacity,
+                                  TimeMs now)
+{
+    if (unit.tasks.empty() || lent.empty() || limit == 0)
+        return unit;
+    const Resources need = allocationFor(unit.row->job->steps[unit.step]);
+    lendReserved(lent, capacity);
+    const bool hasRoom = std::any_of(lent.begin(), lent.end(), [&](const HeldReservation *held) {
+        return std::any_of(held->placement.begin(), held->placement.end(), [&](std::size_t worker) {
+            return fits(need, capacity.workers[worker].freeCapacity);
+        });
     });
+    PlacementUnit rest = hasRoom ? placeBeside(scheduler, unit, limit, lent, capacity, now) : unit;
+    returnLent(lent, capacity);
+    return rest;
 }
 
 // Places a unit, or the rest of one, also on capacity that is reserved for others (see the top of
-// this file), and adds its work to what delays their holders.
-Placement placeOnReservedCapacity(Scheduler &scheduler, const PlacementUnit &unit,
-                                  ServiceCapacity &capacity, TimeMs now)
+// this file). Returns the tasks that are left.
+PlacementUnit placeOnReservedCapacity(Scheduler &scheduler, const PlacementUnit &unit,
+                                      ServiceCapacity &capacity, TimeMs now)
 {
     const bool heldBack = now - waitOf(unit, now).since >= scheduler.options.maxHeldBackMs;
-    std::vector<HeldReservation *> usable;
+    std::vector<HeldReservation *> harmless;
     std::vector<HeldReservation *> delayed;
     for (HeldReservation &held : capacity.held) {
-        const bool harmless = endsBefore(unit, held, now) || returnsAfterAnEnd(unit);
-        if (!harmless && !(heldBack && mayDelay(unit, held, now)))
-            continue;
-        usable.push_back(&held);
-        if (!harmless)
+        if (isHarmless(unit, held, now))
+            harmless.push_back(&held);
+        else if (heldBack && tasksThatMayDelay(unit, held, now) > 0)
             delayed.push_back(&held);
     }
-    if (usable.empty())
-        return {};
-    std::vector<WorkerResources> workers = capacity.workers;
-    for (const HeldReservation *held : usable) {
-        for (const std::size_t worker : held->placement)
-            workers[worker].freeCapacity += held->need;
-    }
-    Placement placement = findPlacement(demandOf(unit, capacity), workers);
-    if (placement.empty())
-        return {};
-    assignTasks(scheduler, unit, placement, capacity, now);
+    std::vector<HeldReservation *> all = harmless;
+    all.insert(all.end(), delayed.begin(), delayed.end());
+    const auto place = [&](const PlacementUnit &part, Reservations lent) {
+        std::size_t limit = part.tasks.size();
+        for (const HeldReservation *held : lent) {
+            if (!isHarmless(part, *held, now))
+                limit = std::min(limit, tasksThatMayDelay(part, *held, now));
+        }
+        return placeOnLentCapacity(scheduler, part, limit, lent, capacity, now);
+    };
+    if (delayed.empty() || unit.row->job->steps[unit.step].gang)
+        return place(unit, all);
+    // Each reservation has its own limit, so single tasks use one after another.
+    PlacementUnit rest = place(unit, harmless);
     for (HeldReservation *held : delayed) {
-        if (overlaps(held->placement, placement))
-            held->holder->delayingWork += workOf(unit);
+        std::vector<HeldReservation *> lent = harmless;
+        lent.push_back(held);
+        rest = place(rest, lent);
     }
-    return placement;
+    return delayed.size() > 1 ? place(rest, all) : rest;
 }
 
-// The part of the unit without its first `placed` tasks.
-PlacementUnit restOf(const PlacementUnit &unit, std::size_t placed)
+// See SchedulerOptions::maxUseToLift.
+bool mostlyIdle(const Scheduler &scheduler, const ServiceCapacity &capacity)
+{
+    const auto belowLimit = [&scheduler](std::int64_t inUse, std::int64_t total) {
+        return total == 0 || double(inUse) < scheduler.options.maxUseToLift * double(total);
+    };
+    return belowLimit(capacity.inUse.accelerators, capacity.total.accelerators)
+        && belowLimit(capacity.inUse.cpuMilli, capacity.total.cpuMilli);
+}
+
+// True when one more failed run does not fail the job.
+bool mayFailOnce(const PlacementUnit &unit, std::size_t task)
+{
+    const Job &job = *unit.row->job;
+    const Step &step = job.steps[unit.step];
+    const std::size_t counter = step.gang ? firstTaskNumber(unit) : task;
+    return step.longRunning || unit.row->progress.tasks[counter].failures + 1 < job.maxAttempts;
+}
+
+// Lifts one more restriction of the unit. Returns the number of its tasks that may then be placed;
+// 0: nothing changes for it. These tasks are moved to the front.
+std::size_t liftRestriction(const Scheduler &scheduler, WaitCause restriction,
+                            const ServiceCapacity &capacity, PlacementUnit &unit)
 {
+    switch (restriction) {
+    case WaitCause::Reserved:
+        return capacity.held.empty() ? 0 : unit.tasks.size();
+    case WaitCause::PreferredRack:
+        if (!prefersRack(unit) || unit.anyRack)
+            return 0;
+        unit.anyRack = true;
+        unit.estimateMs =
+            static_cast<TimeMs>(scheduler.options.offRackFactor * double(unit.estimateMs));
+        return unit.tasks.size();
+    case WaitCause::FailedWorker:
+        if (demandOf(unit, capacity).excludedWorkers.empty())
+            return 0;
+        unit.anyWorker = true;
+        return unit.tasks.size();
+    case WaitCause::UnusableWorkers:
+        if (std::none_of(capacity.workers.begin(), capacity.workers.end(),
+                         [](const WorkerResources &worker) { return worker.quarantined; }))
+            return 0;
+        unit.quarantinedWorkers = true;
+        return static_cast<std::size_t>(
+            std::stable_partition(unit.tasks.begin(), unit.tasks.end(),
+                                  [&unit](std::size_t task) { return mayFailOnce(unit, task); })
+            - unit.tasks.begin());
+    case WaitCause::NoFreeCapacity:
+    case WaitCause::NeverFits:
+        break;
+    }
+    return 0;
+}
+
+// True when a task of the unit has room on some worker once all its restrictions are lifted, and
+// for a gang all of them. It is a quick check: racks and limits per worker are not considered.
+bool mayFit(const PlacementUnit &unit, const ServiceCapacity &capacity)
+{
+    const Step &step = unit.row->job->steps[unit.step];
+    Demand demand;
+    demand.need = allocationFor(step);
+    demand.count = static_cast<std::uint32_t>(unit.tasks.size());
+    demand.allOrNothing = step.gang;
+    demand.requiredLabel = step.requiredLabel;
+    demand.maxPerWorker = step.maxPerWorker;
+    demand.quarantinedWorkers = true;
+    return countPlaces(demand, capacity.workers) >= (demand.allOrNothing ? demand.count : 1);
+}
+
+void logLiftedRestriction(Scheduler &scheduler, const PlacementUnit &unit, std::size_t tasks,
+                          WaitCause restriction, TimeMs waitedMs)
+{
+    logDecision(scheduler,
+                "event=restriction_lifted job=" + unit.row->job->id + " occurrence="
+                    + std::to_string(unit.occurrence) + " step=" + std::to_string(unit.step)
+                    + " tasks=" + std::to_string(tasks) + " waited_ms=" + std::to_string(waitedMs)
+                    + " cause=\"" + std::string(waitCauseName(restriction)) + "\"");
+}
+
+// Places a unit that has waited for long, or the rest of one, on any worker that may run it while
+// most of the service is idle. Returns the tasks that are left.
+PlacementUnit placeDespiteRestrictions(Scheduler &scheduler, const PlacementUnit &unit,
+                                       ServiceCapacity &capacity, TimeMs now)
+{
+    if (unit.tasks.empty())
+        return unit;
+    WaitState &wait = waitOf(unit, now);
+    if (!mostlyIdle(scheduler, capacity)) {
+        wait.idleSince.reset();
+        return unit;
+    }
+    wait.idleSince = wait.idleSince.value_or(now);
+    // By the last search for the cause, which lifts the same restrictions.
+    const bool hasNoRoom =
+        wait.cause == WaitCause::NoFreeCapacity || wait.cause == WaitCause::NeverFits;
+    if (hasNoRoom || now - *wait.idleSince < scheduler.options.maxHeldBackMs)
+        return unit;
+    const TimeMs waitedMs = now - wait.since;
+    std::vector<HeldReservation *> lent;
+    for (HeldReservation &held : capacity.held)
+        lent.push_back(&held);
+    lendReserved(lent, capacity);
+    PlacementUnit left = unit;
+    if (mayFit(unit, capacity)) {
+        for (const WaitCause restriction : liftedRestrictions) {
+            const std::size_t limit = liftRestriction(scheduler, restriction, capacity, left);
+            if (limit == 0 || left.tasks.empty())
+                continue;
+            PlacementUnit rest = placeBeside(scheduler, left, limit, lent, capacity, now);
+            const std::size_t placed = left.tasks.size() - rest.tasks.size();
+            if (placed > 0)
+                logLiftedRestriction(scheduler, unit, placed, restriction, waitedMs);
+            left = std::move(rest);
+        }
+    }
+    returnLent(lent, capacity);
     PlacementUnit rest = unit;
-    rest.tasks.erase(rest.tasks.begin(), rest.tasks.begin() + static_cast<std::ptrdiff_t>(placed));
+    rest.tasks = left.tasks;
     return rest;
 }
 
@@ -763,7 +1007,8 @@
     if (placement.size() == demand.count)
         return;
     PlacementUnit rest = restOf(unit, placement.size());
-    rest = restOf(rest, placeOnReservedCapacity(scheduler, rest, capacity, now).size());
+    rest = placeOnReservedCapacity(scheduler, rest, capacity, now);
+    rest = placeDespiteRestrictions(scheduler, rest, capacity, now);
     if (rest.tasks.empty())
         return;
     const Demand remaining = demandOf(rest, capacity);
--- a/tests/reservation_test.cc
+++ b/tests/reservation_test.cc
@@ -69,6 +69,21 @@
         }
     }
 
+    // Replaces the kind of the host's worker.
+    void label(const std::string &host, const std::string &kind)
+    {
+        this->rig.nextReports.at(host).worker->labels.front() = kind;
+        this->rig.sendReport(host);
+    }
+
+    void quarantine(const std::string &host)
+    {
+        for (auto &[key, worker] : this->rig.scheduler.workers) {
+            if (worker.host == host)
+                worker.quarantinedUntil = this->rig.now + this->rig.scheduler.options.quarantineMs;
+        }
+    }
+
     // Name of the host on which the task runs; empty: none.
     std::string hostOf(const std::string &task)
     {
@@ -296,6 +311,8 @@
 TEST(Reservation, taskReturnsToAWorkerWhereItFailedWhenThereIsNoOther)
 {
     Cluster cluster(1);
+    cluster.accept(cluster.rig.makeJob("running", 1, 5), 60000, 60000); // most is in use
+    cluster.advance(100);
     Job job = cluster.rig.makeJob("job", 1, 1);
     job.maxAttempts = 5;
     cluster.accept(job, 1000, 1000);
@@ -318,3 +335,233 @@
     cluster.advance(500);
     CHECK_EQUAL(1, cluster.runCount("plain"));
 }
+
+// Guards against a step of hundreds of single tasks of which none is placed beside a reservation,
+// because all of them together would delay the holder for too long.
+TEST(Reservation, wideStepUsesReservedCapacityUpToTheLimit)
+{
+    Cluster cluster(12);
+    cluster.accept(cluster.gang("running", 7), 5000, 100000);
+    cluster.advance(1000);
+    Job wide = cluster.gang("wide", 8);
+    wide.stretch = 1; // it misses its objective in any case
+    cluster.accept(wide, 10000, 10000); // 5,760 core-seconds
+    Job singles = cluster.rig.makeJob("singles", 300, 1, 2);
+    cluster.accept(singles, 20000, 20000); // 180 core-seconds a task
+    cluster.advance(2500);
+    CHECK_EQUAL(0, cluster.runCount("wide"));
+    CHECK_EQUAL(32, cluster.runCount("singles"));
+}
+
+// Guards against accepted work that is not started within 3 s although it fits three times over and
+// most of the service is idle: it would delay the holder of a reservation by more than its work.
+TEST(Reservation, longGangDoesNotWaitForAWiderOneWhileMostIsIdle)
+{
+    Cluster cluster(12);
+    cluster.accept(cluster.gang("running", 5), 5000, 100000);
+    cluster.advance(1000);
+    cluster.accept(cluster.gang("wide", 8), 2000, 2000);
+    Job small = cluster.gang("small", 2);
+    small.priority = 2;
+    cluster.accept(small, 20000, 20000);
+    cluster.advance(1900);
+    CHECK_EQUAL(0, cluster.runCount("small"));
+    cluster.advance(600);
+    CHECK_EQUAL(2, cluster.runCount("small"));
+}
+
+// As above, for tasks that never end, which may not use reserved capacity at their first start.
+TEST(Reservation, longRunningTaskDoesNotWaitForAGangWhileMostIsIdle)
+{
+    Cluster cluster(12);
+    cluster.accept(cluster.gang("running", 5), 5000, 100000);
+    cluster.advance(1000);
+    cluster.accept(cluster.gang("wide", 8), 5000, 5000);
+    Job service = cluster.rig.makeJob("service", 2, 8, 2);
+    service.steps[0].longRunning = true;
+    cluster.accept(service, 200, 1000000);
+    cluster.advance(2500);
+    CHECK_EQUAL(2, cluster.runCount("service"));
+}
+
+// Guards against accepted work that is not started within 3 s although it fits twice over and most
+// of the service is idle: the rack of its data is busy.
+TEST(Reservation, gangDoesNotWaitForItsRackWhileMostIsIdle)
+{
+    Cluster cluster(15);
+    Job running = cluster.gang("running", 5);
+    running.steps[0].dataRack = "r0";
+    cluster.accept(running, 6800, 60000);
+    cluster.advance(1000);
+    Job gang = cluster.gang("gang", 2);
+    gang.steps[0].dataRack = "r0";
+    cluster.accept(gang, 6800, 6800);
+    cluster.advance(1900);
+    CHECK_EQUAL(0, cluster.runCount("gang"));
+    cluster.advance(600);
+    CHECK_EQUAL(2, cluster.runCount("gang"));
+}
+
+// Guards against a wait for a rack that is as long again under each leader.
+TEST(Reservation, gangDoesNotWaitForItsRackAfterAChangeOfLeader)
+{
+    Cluster cluster(15);
+    Job running = cluster.gang("running", 5);
+    running.steps[0].dataRack = "r0";
+    cluster.accept(running, 6800, 60000);
+    cluster.advance(1000);
+    Job gang = cluster.gang("gang", 2);
+    gang.steps[0].dataRack = "r0";
+    cluster.accept(gang, 6800, 6800);
+    cluster.advance(1500);
+    const std::map<std::string, HostReport> reports = cluster.rig.nextReports;
+    cluster.rig.takeOver(1 << 21);
+    cluster.rig.nextReports = reports;
+    cluster.advance(2500);
+    CHECK_EQUAL(5, cluster.runCount("running"));
+    CHECK_EQUAL(2, cluster.runCount("gang"));
+}
+
+// As above, for a gang of one rack, of which none has room.
+TEST(Reservation, gangOfOneRackDoesNotWaitWhileMostIsIdle)
+{
+    Cluster cluster(10);
+    cluster.accept(cluster.gang("running0", 1), 60000, 60000);
+    cluster.advance(1000);
+    Job other = cluster.gang("running1", 1);
+    other.steps[0].dataRack = cluster.hostOf("running0.0.0.0") < "h5" ? "r1" : "r0";
+    cluster.accept(other, 60000, 60000);
+    cluster.advance(1000);
+    Job gang = cluster.gang("gang", 5);
+    gang.steps[0].sameRack = true;
+    cluster.accept(gang, 6800, 6800);
+    cluster.advance(2500);
+    CHECK_EQUAL(5, cluster.runCount("gang"));
+}
+
+// Guards against a wide gang that never starts because small ones that have waited use what it
+// reserves, again and again.
+TEST(Reservation, wideGangStartsAmongAModerateStreamOfSmallOnes)
+{
+    Cluster cluster(12);
+    const auto acceptSmall = [&cluster](int number) {
+        cluster.accept(cluster.gang("small" + std::to_string(number), 2), 4000, 4000);
+    };
+    for (int i = 0; i < 6; ++i) {
+        acceptSmall(i);
+        cluster.advance(1500);
+    }
+    cluster.accept(cluster.gang("wide", 10), 4000, 4000);
+    TimeMs waited = 0;
+    for (int i = 6; cluster.runCount("wide") == 0 && waited < 60000; ++i) {
+        acceptSmall(i);
+        cluster.advance(1500);
+        waited += 1500;
+    }
+    CHECK_COMPARE(waited, <=, 16000);
+}
+
+// Guards against accepted work that is not started within 3 s although a worker that may run it is
+// idle: one of its tasks failed there, and no other worker has the required label.
+TEST(Reservation, taskReturnsToTheOnlyWorkerOfItsLabelWhileMostIsIdle)
+{
+    Cluster cluster(3);
+    cluster.label("h0", "special");
+    Job job = cluster.rig.makeJob("job", 1, 1);
+    job.maxAttempts = 5;
+    job.steps[0].requiredLabel = "special";
+    cluster.accept(job, 1000, 10000);
+    cluster.advance(500);
+    CHECK_EQUAL(1, cluster.runCount("job"));
+    cluster.rig.endRun("h0", "job.0.0.0", 1, EndKind::Failed);
+    cluster.advance(1900);
+    CHECK_EQUAL(0, cluster.runCount("job"));
+    cluster.advance(900);
+    CHECK_EQUAL(1, cluster.runCount("job"));
+}
+
+// As above, for a worker in quarantine.
+TEST(Reservation, quarantinedWorkerIsTheLastChoiceWhileMostIsIdle)
+{
+    Cluster cluster(3);
+    cluster.label("h0", "special");
+    cluster.quarantine("h0");
+    Job job = cluster.rig.makeJob("job", 1, 1);
+    job.steps[0].requiredLabel = "special";
+    cluster.accept(job, 1000, 10000);
+    Job other = cluster.rig.makeJob("other", 1, 1);
+    cluster.accept(other, 1000, 10000);
+    cluster.advance(1900);
+    CHECK_EQUAL(0, cluster.runCount("job"));
+    CHECK(cluster.hostOf("other.0.0.0") != "h0");
+    cluster.advance(600);
+    CHECK_EQUAL(1, cluster.runCount("job"));
+    CHECK_EQUAL(1, cluster.rig.runCount("h0"));
+}
+
+// Guards against a job that fails because its last attempt is used on a worker in quarantine.
+TEST(Reservation, lastAttemptWaitsForTheEndOfAQuarantine)
+{
+    Cluster cluster(3);
+    cluster.label("h0", "special");
+    Job job = cluster.rig.makeJob("job", 2, 1); // of two attempts
+    job.steps[0].requiredLabel = "special";
+    cluster.accept(job, 1000, 20000);
+    cluster.advance(500);
+    cluster.rig.endRun("h0", "job.0.0.0", 1, EndKind::Failed);
+    cluster.rig.endRun("h0", "job.0.0.1", 1, EndKind::Stopped);
+    cluster.quarantine("h0");
+    cluster.advance(4000);
+    CHECK_EQUAL(std::string(), cluster.hostOf("job.0.0.0"));
+    CHECK_EQUAL(std::string("h0"), cluster.hostOf("job.0.0.1"));
+    cluster.advance(5000);
+    CHECK_EQUAL(std::string("h0"), cluster.hostOf("job.0.0.0"));
+}
+
+// Guards against work on workers in quarantine while the others are needed.
+TEST(Reservation, quarantineLastsWhileMostIsInUse)
+{
+    Cluster cluster(3);
+    cluster.label("h0", "special");
+    cluster.quarantine("h0");
+    cluster.accept(cluster.gang("running", 2), 60000, 60000);
+    Job job = cluster.rig.makeJob("job", 1, 1);
+    job.steps[0].requiredLabel = "special";
+    cluster.accept(job, 1000, 10000);
+    cluster.advance(4000);
+    CHECK_EQUAL(2, cluster.runCount("running"));
+    CHECK_EQUAL(0, cluster.runCount("job"));
+}
+
+// Guards against orders to a worker that leaves.
+TEST(Reservation, drainingWorkerGetsNoWorkHoweverIdleTheServiceIs)
+{
+    Cluster cluster(3);
+    cluster.label("h0", "special");
+    cluster.rig.nextReports.at("h0").worker->draining = true;
+    Job job = cluster.rig.makeJob("job", 1, 1);
+    job.steps[0].requiredLabel = "special";
+    cluster.advance(100);
+    cluster.accept(job, 1000, 10000);
+    cluster.advance(4000);
+    CHECK_EQUAL(0, cluster.runCount("job"));
+}
+
+// A line names what was lifted for a unit, for operators.
+TEST(Reservation, liftedRestrictionIsLogged)
+{
+    Cluster cluster(3);
+    cluster.label("h0", "special");
+    cluster.quarantine("h0");
+    Job job = cluster.rig.makeJob("job", 1, 1);
+    job.steps[0].requiredLabel = "special";
+    cluster.accept(job, 1000, 10000);
+    cluster.advance(2500);
+    int lines = 0;
+    for (const std::string &line : cluster.rig.scheduler.decisions)
+        lines += line.find("event=restriction_lifted job=job occurrence=0 step=0 tasks=1 ") == 0
+                && line.find("cause=\"workers are quarantined or draining\"") != std::string::npos
+            ? 1
+            : 0;
+    CHECK_EQUAL(1, lines);
+}
