Delete a stored end of a worker only when the worker reports long after it

The record of a worker's end was deleted without effect when, 2.5 s after the leader had first read it, the worker's last report was less than 2.5 s old. A report that the agent had sent before the end and that arrived just after the record (a slow link, a leader that was paused) met that, so the worker's tasks waited for its lease (10.6 s after that report).

The record now counts as contradicted only by a report that arrives more than the report timeout after the leader has read it.

scheduler_test before: storedEndOutweighsAReportThatArrivesLate "expected <1> but was <0>"; after: passes, as does storedEndOfAWorkerThatReportsHasNoEffect, unchanged.

--- a/flamingo/scheduler/scheduler.cc
+++ b/flamingo/scheduler/scheduler.cc
@@ -545,7 +545,8 @@
 }
 
 // A report of the worker's agent is newer than the stored end or will follow, so the end decides
-// only when the worker's host is silent. One that a reporting worker contradicts is deleted.
+// only when the worker's host is silent. One that a reporting worker contradicts is deleted; a
+// report that arrives within the report timeout may have been sent before the end.
 void releaseEndedWorkers(Scheduler &scheduler, TimeMs now)
 {
     std::set<std::string> released;
@@ -557,7 +558,8 @@
         const auto worker = scheduler.workers.find(key);
         if (worker != scheduler.workers.end()
             && now - worker->second.lastReport <= scheduler.options.reportTimeoutMs) {
-            ended.released = now - ended.seenAt > scheduler.options.reportTimeoutMs;
+            ended.released =
+                worker->second.lastReport - ended.seenAt > scheduler.options.reportTimeoutMs;
             continue;
         }
         ended.released = true;
--- a/tests/scheduler_test.cc
+++ b/tests/scheduler_test.cc
@@ -752,3 +752,22 @@
     CHECK_EQUAL(workerEndRecord(key).key, records[1].key);
     CHECK(records[1].value.empty());
 }
+
+// Guards against the whole lease for the tasks of a worker that has ended: a report that it sent
+// before its end arrives after the leader has read the stored end.
+TEST(Scheduler, storedEndOutweighsAReportThatArrivesLate)
+{
+    rig.addWorker("h1");
+    rig.accept(rig.makeJob("a", 1, 2));
+    rig.sendReport("h1");
+    rig.addWorker("h2");
+    rig.storeWorkerEnd(workerKey("h1", *rig.reportOf("h1").worker));
+    rig.planAndStore();
+    rig.advance(500);
+    rig.sendReport("h1"); // sent before the end
+    for (int i = 0; i < 40; ++i) {
+        rig.advance(100);
+        rig.sendReport("h2");
+    }
+    CHECK_EQUAL(1, rig.runCount("h2"));
+}
