Confirm the end of a worker only to an agent that knows the worker

The leader kept the confirmation of a worker's end for the host, also when the agent was restarted after it and knew no worker. Such an agent's reports never say that it knows of the confirmation, so the leader answered each of them with the next plan instead of after 600 ms, and the agent sent the next one 10 ms later, until a worker started on the host.

scheduler_test before: endOfAWorkerIsNotConfirmedToAnAgentThatDoesNotKnowTheWorker "CHECK_FALSE(hasOrders(...)) failed"; after: passes.

--- a/flamingo/scheduler/scheduler.cc
+++ b/flamingo/scheduler/scheduler.cc
@@ -621,6 +621,7 @@
     host.sequence = report.sequence;
     host.lastReport = now;
     if (!report.worker) {
+        host.endedWorker.clear();
         if (report.workerGone)
             dropOtherIncarnations(scheduler, report.host, "", now);
         return true;
--- a/tests/scheduler_test.cc
+++ b/tests/scheduler_test.cc
@@ -771,3 +771,18 @@
     }
     CHECK_EQUAL(1, rig.runCount("h2"));
 }
+
+// Guards against reports in a tight loop: the leader answered each one at once to confirm the end
+// of a worker that the agent, which was restarted, does not know.
+TEST(Scheduler, endOfAWorkerIsNotConfirmedToAnAgentThatDoesNotKnowTheWorker)
+{
+    rig.addWorker("h1");
+    rig.reportOf("h1").workerGone = true;
+    rig.sendReport("h1");
+    HostReport report = rig.reportOf("h1");
+    report.agentStart = 2;
+    report.worker.reset();
+    applyReport(rig.scheduler, report, rig.now);
+    rig.planAndStore();
+    CHECK_FALSE(hasOrders(ordersFor(rig.scheduler, "h1"), report));
+}
