Log runs whose worker refuses their start and then their stop

A worker that is too busy for a start refuses the stop that follows as well, and the task stays assigned to it until the stop is accepted. runs_unconfirmed left these runs out: the leader wants them to run, and their reported state is neither unknown nor starting.

unconfirmed_runs_test before: stopOfARefusedStartIsFound "expected <1> but was <0>"; after: passes. No decision changes.

--- a/flamingo/scheduler/unconfirmed_runs.cc
+++ b/flamingo/scheduler/unconfirmed_runs.cc
@@ -53,7 +53,8 @@
         return UnconfirmedCause::HostSilent;
     if (!worker.fenced)
         return UnconfirmedCause::WorkerNotFenced;
-    if (!shouldRun(scheduler, worker, run))
+    // An agent also stops a run whose start the worker has refused.
+    if (!shouldRun(scheduler, worker, run) || run.reported == RunState::Stopping)
         return UnconfirmedCause::StopNotConfirmed;
     if (run.reported == RunState::Unknown || run.reported == RunState::Starting)
         return UnconfirmedCause::StartNotConfirmed;
--- a/flamingo/scheduler/unconfirmed_runs.h
+++ b/flamingo/scheduler/unconfirmed_runs.h
@@ -25,7 +25,7 @@
     HostSilent, // its host does not report any more
     WorkerNotFenced, // the worker has not accepted this leader's fencing token
     StartNotConfirmed, // a start was ordered, and the worker has not listed the run
-    StopNotConfirmed, // the run is to be stopped, and the worker has not listed its end
+    StopNotConfirmed, // the run is being stopped, and the worker has not listed its end
 };
 
 // Text for logs; valid as long as the program runs.
--- a/tests/unconfirmed_runs_test.cc
+++ b/tests/unconfirmed_runs_test.cc
@@ -121,6 +121,18 @@
     CHECK(groups[0].cause == UnconfirmedCause::StopNotConfirmed);
 }
 
+// Guards against a task that is held without a line while its worker, too busy for the start, does
+// not accept the stop either.
+TEST(UnconfirmedRuns, stopOfARefusedStartIsFound)
+{
+    startTasks(1);
+    rig.reportOf("h1").runs[0].state = RunState::Stopping;
+    rig.sendReport("h1");
+    const auto groups = find();
+    CHECK_EQUAL(1, groups.size());
+    CHECK(groups[0].cause == UnconfirmedCause::StopNotConfirmed);
+}
+
 TEST(UnconfirmedRuns, groupIsLoggedAfterASecondAndThenEveryFewSeconds)
 {
     startTasks(1);
