Log every 5 s what a shutdown waits for

A daemon that got SIGTERM waits until its work has ended, without a limit and without a line that says for what. Not covered by a test; process test graceful_stop passes.

--- a/flamingo/adapters/agent_service.cc
+++ b/flamingo/adapters/agent_service.cc
@@ -17,6 +17,7 @@
 
 constexpr TimeMs tickMs = 100;
 constexpr TimeMs idleCheckMs = 50;
+constexpr TimeMs shutdownLogIntervalMs = 5000;
 
 OwnerOptions ownerOptions(const AgentSettings &settings)
 {
@@ -184,6 +185,14 @@
         this->loop.after(idleCheckMs, [this] { this->loop.stop(); });
         return;
     }
+    if (Loop::now() >= this->nextShutdownLogAt) {
+        const Agent &agent = this->node.agent;
+        LOG(INFO) << "shutdown waits tasks=" << agent.tasks.size()
+                  << " open_attempts=" << agent.openAttempts.size()
+                  << " gangs=" << agent.gangs.size() << " members=" << agent.members.size()
+                  << " bytes_written=" << this->peers->flushed();
+        this->nextShutdownLogAt = Loop::now() + shutdownLogIntervalMs;
+    }
     this->loop.after(idleCheckMs, [this] { this->stopWhenIdle(); });
 }
 
--- a/flamingo/adapters/agent_service.h
+++ b/flamingo/adapters/agent_service.h
@@ -52,6 +52,7 @@
     Metrics metrics;
     LogRateLimiter runLogLimiter{100, 100};
     bool stopping = false;
+    TimeMs nextShutdownLogAt = 0; // line with what the shutdown waits for
 };
 
 } // namespace flamingo::adapters
--- a/flamingo/adapters/entry_service.cc
+++ b/flamingo/adapters/entry_service.cc
@@ -20,6 +20,7 @@
 constexpr TimeMs tickMs = 100;
 constexpr TimeMs shutdownNoticeMs = 1000; // from the failing /ready until requests are refused
 constexpr TimeMs idleCheckMs = 50;
+constexpr TimeMs shutdownLogIntervalMs = 5000;
 constexpr TimeMs msPerSecond = 1000;
 constexpr std::string_view jobsPath = "/v1/jobs";
 constexpr std::string_view targetsPath = "/v1/targets";
@@ -51,6 +52,11 @@
     return response;
 }
 
+std::size_t unfinishedJobs(const Entry &entry)
+{
+    return entry.jobs.size() - entry.finished.size();
+}
+
 HttpServerOptions serverOptions(const EntrySettings &settings)
 {
     HttpServerOptions options;
@@ -342,6 +348,16 @@
         this->loop.after(idleCheckMs, [this] { this->loop.stop(); });
         return;
     }
+    if (Loop::now() >= this->nextShutdownLogAt) {
+        LOG(INFO) << "shutdown waits jobs=" << unfinishedJobs(this->entry)
+                  << " queued=" << this->entry.queue.size
+                  << " lookups=" << this->entry.lookups.size()
+                  << " drains=" << this->entry.drains.size()
+                  << " edits=" << this->entry.edits.pending.size()
+                  << " pending_requests=" << this->server->pendingCount()
+                  << " bytes_written=" << this->peers->flushed();
+        this->nextShutdownLogAt = Loop::now() + shutdownLogIntervalMs;
+    }
     this->loop.after(idleCheckMs, [this] { this->stopWhenIdle(); });
 }
 
--- a/flamingo/adapters/entry_service.h
+++ b/flamingo/adapters/entry_service.h
@@ -64,6 +64,7 @@
     LogRateLimiter replyLogLimiter{100, 100};
     LogRateLimiter reservationLogLimiter{100, 100};
     bool stopping = false;
+    TimeMs nextShutdownLogAt = 0; // line with what the shutdown waits for
     std::uint64_t nextJobNumber = 1; // last part of the next job id
 
     struct PendingRequest
