Move the key ranges of a draining agent before it leaves

What callers saw: after a graceful shutdown of an agent, keys of the ranges that it owned were refused until it had been silent for 10 s, although it had announced that it drains.

Cause: only an unreachable owner was replaced. A draining agent could also become the owner of further ranges.

Change: entries propose new owners for the ranges of an agent that reports that it drains, and do not choose it. It is not recorded as lost. On SIGTERM an idle agent waits for up to 5 s until its ranges have other owners.

Evidence, on the code before: tests/entry_wait_test.cc:423: error: Failure in TEST(EntryWait, theKeyRangesOfADrainingAgentAreMovedBeforeItLeaves) expected <1> but was <0>

Measured: owner_test, owner_fuzz_test and the process tests graceful_stop, owner_killed and entry_killed pass. How long keys are refused with and without the change was not measured.

--- a/flamingo/adapters/agent_service.cc
+++ b/flamingo/adapters/agent_service.cc
@@ -18,6 +18,9 @@
 constexpr TimeMs tickMs = 100;
 constexpr TimeMs idleCheckMs = 50;
 constexpr TimeMs shutdownLogIntervalMs = 5000;
+// Longest time after the drain for which a process that owns key ranges waits for the entries to
+// move them. They cannot when this is the last agent of the region.
+constexpr TimeMs handoverMs = 5000;
 
 OwnerOptions ownerOptions(const AgentSettings &settings)
 {
@@ -172,6 +175,7 @@
         return;
     LOG(INFO) << "shutdown requested, draining";
     this->stopping = true;
+    this->stoppingSince = Loop::now();
     Drain drain;
     drain.drain = true;
     this->dispatch(PeerMessage{this->settings.options.name, drain});
@@ -180,7 +184,9 @@
 
 void AgentService::stopWhenIdle()
 {
-    if (agentIdle(this->node.agent) && this->peers->flushed()) {
+    const bool handedOver = this->node.owner.ranges.empty() || !this->log->reachable()
+        || Loop::now() - this->stoppingSince >= handoverMs;
+    if (agentIdle(this->node.agent) && handedOver && this->peers->flushed()) {
         LOG(INFO) << "shutdown complete";
         this->loop.after(idleCheckMs, [this] { this->loop.stop(); });
         return;
@@ -190,6 +196,7 @@
         LOG(INFO) << "shutdown waits tasks=" << agent.tasks.size()
                   << " open_attempts=" << agent.openAttempts.size()
                   << " gangs=" << agent.gangs.size() << " members=" << agent.members.size()
+                  << " key_ranges=" << this->node.owner.ranges.size()
                   << " bytes_written=" << this->peers->flushed();
         this->nextShutdownLogAt = Loop::now() + shutdownLogIntervalMs;
     }
--- a/flamingo/adapters/agent_service.h
+++ b/flamingo/adapters/agent_service.h
@@ -28,7 +28,7 @@
                                                Reason &reason);
 
     // Drains the agent: accepts no new tasks, finishes the running ones and stops the loop when all
-    // outcomes are acknowledged.
+    // outcomes are acknowledged and the key ranges have other owners, or cannot get any.
     void shutDown();
 
 private:
@@ -52,6 +52,7 @@
     Metrics metrics;
     LogRateLimiter runLogLimiter{100, 100};
     bool stopping = false;
+    TimeMs stoppingSince = 0;
     TimeMs nextShutdownLogAt = 0; // line with what the shutdown waits for
 };
 
--- a/flamingo/entry.cc
+++ b/flamingo/entry.cc
@@ -345,7 +345,7 @@
 }
 
 // Appends the records that proposeTakeovers() returns to the claims stream: unreachable agents as
-// lost, and new owners for key ranges whose owner is missing, replaced or unreachable.
+// lost, and new owners for key ranges whose owner is missing, replaced, unreachable or draining.
 void proposeRangeTakeovers(EntryContext context)
 {
     auto &entry = context.entry;
@@ -359,6 +359,10 @@
     }
     TakeoverOptions options;
     options.contactTimeoutMs = entry.options.ownerSilentAfterMs;
+    for (const auto &agent : entry.view.agents) {
+        if (agent.report.draining)
+            options.drainingAgents.insert(agent.report.agent);
+    }
     auto lines = proposeTakeovers(entry.ranges, entry.options.region, lastContact, options,
                                   context.now, entry.takeovers, context.random);
     if (!lines.empty())
--- a/flamingo/owner.h
+++ b/flamingo/owner.h
@@ -140,6 +140,7 @@
 struct TakeoverOptions
 {
     TimeMs contactTimeoutMs = 10000; // an owner without contact for this long is replaced
+    std::set<std::string, std::less<>> drainingAgents; // replaced as owners, but not lost
     // Each entry delays a proposal by a random part of this time, so that in most cases only one
     // entry appends it.
     TimeMs jitterMs = 2000;
@@ -159,11 +160,11 @@
 };
 
 // Returns the lines to append to `claims` now: Lost records for announced agents of `region` that
-// are unreachable, and Epoch records for ranges of `region` whose owner is missing, replaced or
-// unreachable, or owns too many ranges. `lastContact` gives the time of the last message of each
-// agent to any entry. An agent is live when it is in `lastContact`, reachable and not lost. The new
-// owner is the agent with the highest hash of range and name, of the live agents that own less than
-// their share of the ranges.
+// are unreachable, and Epoch records for ranges of `region` whose owner is missing, replaced,
+// unreachable or draining, or owns too many ranges. `lastContact` gives the time of the last
+// message of each agent to any entry. An agent is live when it is in `lastContact`, reachable, not
+// draining and not lost. The new owner is the agent with the highest hash of range and name, of the
+// live agents that own less than their share of the ranges.
 std::vector<std::string>
 proposeTakeovers(const RangeMap &map, std::string_view region,
                  const std::map<std::string, TimeMs, std::less<>> &lastContact,
--- a/flamingo/range_map.cc
+++ b/flamingo/range_map.cc
@@ -540,7 +540,8 @@
             continue;
         const bool unreachable =
             now - lastContactAt(lastContact, name, timers.firstCallAt) > options.contactTimeoutMs;
-        if (!unreachable && !agent.lost && lastContact.find(name) != lastContact.end())
+        if (!unreachable && !agent.lost && lastContact.find(name) != lastContact.end()
+            && options.drainingAgents.count(name) == 0)
             owned.ranges[name] = 0;
         if (!unreachable || agent.lost) {
             timers.lostProposalDue.erase(name);
@@ -573,6 +574,7 @@
         const auto &agent = owners[range].agent;
         const auto known = map.agents.find(agent);
         const bool missing = agent.empty() || known == map.agents.end() || known->second.lost
+            || options.drainingAgents.count(agent) > 0
             || now - lastContactAt(lastContact, agent, timers.firstCallAt)
                 > options.contactTimeoutMs;
         if (!missing) {
--- a/tests/entry_wait_test.cc
+++ b/tests/entry_wait_test.cc
@@ -384,3 +384,42 @@
     CHECK(rig.takeReplies().empty());
     CHECK(started);
 }
+
+// ---- Owners of key ranges that leave ----
+
+// Guards against keys that are refused for 10 s after a graceful shutdown of their owner, because
+// its ranges are only moved when it is silent.
+TEST(EntryWait, theKeyRangesOfADrainingAgentAreMovedBeforeItLeaves)
+{
+    auto rig = rigWithAgents(2);
+    LogRead read;
+    read.stream = claimsStream;
+    const auto addLine = [&read](std::string text) {
+        read.lines.emplace_back();
+        read.lines.back().offset = read.next++;
+        read.lines.back().text = std::move(text);
+    };
+    addLine(announceLine("w0", "west", 1));
+    addLine(announceLine("w1", "west", 1));
+    for (std::uint32_t range = 0; range < rangesPerRegion; ++range)
+        addLine(epochLine("west", range, 1, range % 2 == 0 ? "w0" : "w1", 1));
+    rig.handle(read);
+    const auto runSeconds = [&rig](int seconds, bool draining) {
+        for (int i = 0; i < seconds; ++i) {
+            auto report = rig.report("w0");
+            report.draining = draining;
+            rig.handleFrom("w0", report);
+            rig.handleFrom("w1", rig.report("w1"));
+            rig.advance(1000);
+        }
+    };
+    runSeconds(5, false);
+    rig.out.appends.clear();
+    runSeconds(5, true);
+    std::set<std::string> lines;
+    for (const auto &append : rig.out.appends)
+        lines.insert(append.lines.begin(), append.lines.end());
+    for (std::uint32_t range = 0; range < rangesPerRegion; range += 2)
+        CHECK_EQUAL(1U, lines.count(epochLine("west", range, 2, "w1", 1)));
+    CHECK_EQUAL(std::size_t{rangesPerRegion / 2}, lines.size());
+}
