--- a/flamingo/jobs.cc
+++ b/flamingo/jobs.cc
@@ -670,8 +670,7 @@
 }
 
 // The time limit of the job's next reservation: reservationMs, doubled for each one that ended at
-// its limit. A limit that grows in this way exceeds the remaining time of the runs in the data
-// centre at some time, whatever they take.
+// its limit, and at most reservationMaxMs.
 TimeMs reservationLimitMs(const Entry &entry, const Job &job)
 {
     auto limitMs = entry.options.reservationMs;
