Return a long-running task that has ended while another has never started

Callers saw: a long-running task that has ended is not started again while a gang reserves its worker and another task of its step has never found room.

Cause: reserved capacity was open to long-running tasks only when all waiting tasks of the step had run before.

Change: those that have run before are placed there, the others are not.

Measured: longRunningTaskReturnsWhileAnotherHasNeverStarted fails before (0 runs instead of 1 after 5 s) and passes now with all of reservation_test.

--- a/flamingo/scheduler/planner.cc
+++ b/flamingo/scheduler/planner.cc
@@ -784,6 +784,14 @@
     }
 }
 
+// The first `count` tasks of the unit.
+PlacementUnit firstOf(const PlacementUnit &unit, std::size_t count)
+{
+    PlacementUnit first = unit;
+    first.tasks.resize(count);
+    return first;
+}
+
 // Places at most `limit` tasks of the unit, or the whole of a gang, and adds their work to what
 // delays the holders of the reservations that were lent. Returns the tasks that are left.
 PlacementUnit placeBeside(Scheduler &scheduler, const PlacementUnit &unit, std::size_t limit,
@@ -795,9 +803,10 @@
     if (placement.empty())
         return unit;
     assignTasks(scheduler, unit, placement, capacity, now);
+    const PlacementUnit placed = firstOf(unit, placement.size());
     for (HeldReservation *held : lent) {
-        if (!isHarmless(unit, *held, now))
-            recordDelay(unit, placement, *held);
+        if (!isHarmless(placed, *held, now))
+            recordDelay(placed, placement, *held);
     }
     return restOf(unit, placement.size());
 }
@@ -821,11 +830,31 @@
     return rest;
 }
 
+// Places the tasks of a long-running step that have run before on capacity that is reserved for
+// others, while other tasks of the step have never run. Returns the tasks that are left.
+PlacementUnit placeReturningTasks(Scheduler &scheduler, const PlacementUnit &unit,
+                                  ServiceCapacity &capacity, TimeMs now)
+{
+    PlacementUnit sorted = unit;
+    const auto firstNew =
+        std::stable_partition(sorted.tasks.begin(), sorted.tasks.end(), [&unit](std::size_t task) {
+            return unit.row->progress.tasks[task].run > 0;
+        });
+    const auto returning = static_cast<std::size_t>(firstNew - sorted.tasks.begin());
+    std::vector<HeldReservation *> lent;
+    for (HeldReservation &held : capacity.held)
+        lent.push_back(&held);
+    return placeOnLentCapacity(scheduler, sorted, returning, lent, capacity, now);
+}
+
 // Places a unit, or the rest of one, also on capacity that is reserved for others (see the top of
 // this file). Returns the tasks that are left.
 PlacementUnit placeOnReservedCapacity(Scheduler &scheduler, const PlacementUnit &unit,
                                       ServiceCapacity &capacity, TimeMs now)
 {
+    const bool gang = unit.row->job->steps[unit.step].gang;
+    if (!gang && !endsByItself(unit))
+        return placeReturningTasks(scheduler, unit, capacity, now);
     const bool heldBack = now - waitOf(unit, now).since >= scheduler.options.maxHeldBackMs;
     std::vector<HeldReservation *> harmless;
     std::vector<HeldReservation *> delayed;
@@ -845,7 +874,7 @@
         }
         return placeOnLentCapacity(scheduler, part, limit, lent, capacity, now);
     };
-    if (delayed.empty() || unit.row->job->steps[unit.step].gang)
+    if (delayed.empty() || gang)
         return place(unit, all);
     // Each reservation has its own limit, so single tasks use one after another.
     PlacementUnit rest = place(unit, harmless);
--- a/tests/reservation_test.cc
+++ b/tests/reservation_test.cc
@@ -282,6 +282,29 @@
     CHECK_EQUAL(1, cluster.runCount("service"));
 }
 
+// As above, while another task of the step has never found room.
+TEST(Reservation, longRunningTaskReturnsWhileAnotherHasNeverStarted)
+{
+    Cluster cluster(3);
+    cluster.label("h0", "special");
+    Job service = cluster.rig.makeJob("service", 2, 1, 2);
+    service.steps[0].longRunning = true;
+    service.steps[0].maxPerWorker = 1;
+    service.steps[0].requiredLabel = "special";
+    cluster.accept(service, 200, 1000000);
+    cluster.advance(500);
+    Job running = cluster.gang("running", 2);
+    running.steps[0].requiredLabel = "a";
+    cluster.accept(running, 60000, 60000);
+    cluster.advance(500);
+    CHECK_EQUAL(1, cluster.runCount("service"));
+    cluster.rig.endRun("h0", "service.0.0.0", 1, EndKind::Done);
+    cluster.accept(cluster.gang("wide", 3), 5000, 5000);
+    cluster.advance(5000);
+    CHECK_EQUAL(2, cluster.runCount("running"));
+    CHECK_EQUAL(1, cluster.runCount("service"));
+}
+
 // Guards against lower priorities that take capacity which a guaranteed gang waits for: it would
 // have to stop them again.
 TEST(Reservation, workThatHasWaitedDoesNotTakeWhatUrgentWorkReserves)
