flamingoctl account: an interval that begins with a leader follows a change

Intervals of runs whose worker never reported may begin in the millisecond in which their leader does; leader_changed was false for them. The vector of the parts of an interval is reserved, as clang-tidy asks.

Test, before the change: runsThatALeaderCannotConfirmAreNotInProgress: CHECK(...leaderChanged) failed

--- a/flamingo/adapters/idle_jobs.cc
+++ b/flamingo/adapters/idle_jobs.cc
@@ -536,6 +536,7 @@
             *std::next(cut) - *cut;
     }
     std::vector<IdlePart> parts;
+    parts.reserve(lengths.size());
     for (const auto &[reason, lengthMs] : lengths)
         parts.push_back({reason, lengthMs});
     std::stable_sort(parts.begin(), parts.end(),
@@ -551,7 +552,7 @@
     interval.endMs = idle.end;
     interval.parts = partsOf(idle, reasons);
     for (const Leadership &leadership : leaders.leaderships) {
-        if (leadership.beginMs > idle.begin && leadership.beginMs <= idle.end)
+        if (leadership.beginMs >= idle.begin && leadership.beginMs <= idle.end)
             interval.leaderChanged = true;
     }
     for (const WaitAccount &wait : job.waits) {
--- a/tests/day_account_test.cc
+++ b/tests/day_account_test.cc
@@ -487,6 +487,8 @@
     STRCMP_EQUAL("aa 4000-17000: assigned, not confirmed: its worker never reported to this leader "
                  "13000",
                  idleOf(neverReported).c_str());
+    // The interval begins with the leader.
+    CHECK(makeDayAccount(readLog(neverReported).events, {}).idle[0].leaderChanged);
     const std::string notStored = begin + leading("5000", "e2", "9") + known("5000", "aa", "9")
         + assigned("5000", "aa.0.0.0", "1", "9");
     STRCMP_EQUAL("aa 1000-5000: no leader 4000", idleOf(notStored).c_str());
