Test: no job stands still while most of the capacity is idle

The simulation did not notice jobs with nothing running while there was room. Once the faults are over, it now checks that no open job has nothing running for 3 s while all hosts are calm, less than half of the accelerators are in use and there is room for its next tasks twice over.

Not judged while an urgent job is open. The reservation of an urgent unit that is late is held without a limit (holdReservation() returns before it adds the unit to ServiceCapacity::held).

--- a/tests/scheduler_simulation.cc
+++ b/tests/scheduler_simulation.cc
@@ -12,6 +12,8 @@
 constexpr TimeMs stepMs = 10;
 constexpr TimeMs cancelBoundMs = 3000;
 constexpr TimeMs contactMs = 3000; // a host is calm this long after a fault
+constexpr TimeMs idleBoundMs = 3000;
+constexpr TimeMs idleCalmMs = 4000;
 constexpr TimeMs unansweredCallMs = 300;
 constexpr TimeMs lostReportMs = 400;
 constexpr TimeMs longestLateOrderMs = 12000;
@@ -21,6 +23,7 @@
 constexpr std::size_t entryCount = 2;
 constexpr std::size_t hostCount = 4;
 constexpr std::uint64_t epochStep = 1 << 20;
+const Resources workerCapacity = {64000, 100000, 8};
 
 // A replaced leader that is not paused reads the claim of its successor after this time.
 constexpr TimeMs claimReadMs = 2000;
@@ -145,6 +148,7 @@
         this->stepAgent(host);
         this->checkCancelledRuns(host);
     }
+    this->checkIdleJobs();
 }
 
 void SchedulerSimulation::injectFaults()
@@ -332,7 +336,7 @@
         info.id = worker.id;
         info.bornUnixMs = worker.incarnation;
         info.service = "s";
-        info.capacity = {64000, 100000, 8};
+        info.capacity = workerCapacity;
         info.labels = {"a", "r" + std::to_string((&host - this->hosts.data()) / 2)};
         applyHeartbeat(host.agent, info, ++worker.heartbeat, this->now);
     }
@@ -512,7 +516,7 @@
     Resources used = step.need;
     for (const auto &[key, run] : host.worker.runs)
         used += run.need;
-    if (!fits(used, {64000, 100000, 8}))
+    if (!fits(used, workerCapacity))
         this->recordViolation("allocations exceed the worker's capacity: " + task);
     this->checkCancelledStart(host, task, late);
     const auto name = parseTaskName(task);
@@ -578,6 +582,70 @@
     }
 }
 
+bool SchedulerSimulation::mostIsIdle() const
+{
+    std::int64_t used = 0;
+    for (const Host &host : this->hosts) {
+        for (const auto &[key, run] : host.worker.runs)
+            used += run.need.accelerators;
+    }
+    return 2 * used < static_cast<std::int64_t>(hostCount) * workerCapacity.accelerators;
+}
+
+bool SchedulerSimulation::urgentJobIsOpen() const
+{
+    return std::any_of(this->jobs.begin(), this->jobs.end(), [this](const auto &item) {
+        const auto state = callerVisibleState(this->entries[0].scheduler.table, item.first);
+        return item.second.priority == 0 && state && (*state == "queued" || *state == "running");
+    });
+}
+
+// True when none of the job's tasks is in progress and there is room twice over for its next ones:
+// a whole gang, or a task.
+bool SchedulerSimulation::couldRun(const Job &job) const
+{
+    for (const Host &host : this->hosts) {
+        for (const auto &[key, run] : host.worker.runs) {
+            if (parseTaskName(key.first)->jobId == job.id)
+                return false;
+        }
+    }
+    for (std::uint32_t i = 0; i < job.steps.size(); ++i) {
+        const Step &step = job.steps[i];
+        std::uint32_t open = 0;
+        for (std::uint32_t index = 0; index < step.count; ++index)
+            open += this->succeededTasks.count(taskName(job, {0, i, index})) == 0 ? 1 : 0;
+        if (open == 0)
+            continue;
+        const std::uint32_t needed = 2 * (step.gang ? step.count : 1);
+        std::uint32_t places = 0;
+        for (const Host &host : this->hosts) {
+            Resources used = step.need;
+            for (const auto &[key, run] : host.worker.runs)
+                used += run.need;
+            for (; host.worker.up && fits(used, workerCapacity) && places < needed; ++places)
+                used += step.need;
+        }
+        return places >= needed; // the later steps depend on this one
+    }
+    return false;
+}
+
+void SchedulerSimulation::checkIdleJobs()
+{
+    const bool judged = !this->faultsEnabled && this->mostIsIdle() && !this->urgentJobIsOpen()
+        && std::all_of(this->hosts.begin(), this->hosts.end(), [this](const Host &host) {
+               return this->now >= this->lastFaultAt(host) + idleCalmMs;
+           });
+    for (const auto &[id, job] : this->jobs) {
+        const bool idle = judged && this->cancelledAt.count(id) == 0 && this->couldRun(job);
+        TimeMs &lengthMs = this->idleMs[id];
+        lengthMs = idle ? lengthMs + stepMs : 0;
+        if (lengthMs > idleBoundMs)
+            this->recordViolation("nothing runs although there is room: " + id);
+    }
+}
+
 void SchedulerSimulation::checkNothingRuns()
 {
     for (const Host &host : this->hosts) {
--- a/tests/scheduler_simulation.h
+++ b/tests/scheduler_simulation.h
@@ -20,6 +20,10 @@
 //     which its host is calm. A host is calm when there has been no fault of its connection,
 //     worker, agent, the leaders or the log for `contactMs`. A lost report or a late stop lengthens
 //     the stretch by the time until the agent tries again.
+// Of open jobs it checks, once the faults are over, that none has nothing running for `idleBoundMs`
+// while all hosts have been calm for `idleCalmMs`, less than half of the accelerators are in use
+// and there is room for its next tasks twice over. Urgent jobs reserve capacity without a limit, so
+// nothing is judged while one of them is open.
 
 #include "flamingo/scheduler/host_agent.h"
 #include "flamingo/scheduler/scheduler.h"
@@ -178,6 +182,10 @@
     TimeMs lastFaultAt(const Host &host) const;
     void checkCancelledRuns(Host &host);
     void excuseRuns(Host &host, TimeMs delayMs);
+    void checkIdleJobs();
+    bool mostIsIdle() const;
+    bool urgentJobIsOpen() const;
+    bool couldRun(const scheduler::Job &job) const;
     void checkNothingRuns();
     void report(Host &host);
     void applyOrders(Host &host, const scheduler::HostOrders &orders, TimeMs sentAt,
@@ -204,6 +212,7 @@
     TimeMs lastLeaderChangeAt = 0;
     std::map<std::string, scheduler::Job> jobs;
     std::map<std::string, TimeMs> cancelledAt;
+    std::map<std::string, TimeMs> idleMs; // time in which a job could have run and did not
     std::map<std::string, std::vector<TimeMs>> startTimes; // by task
     std::map<std::string, TimeMs> acknowledgedSuccessAt; // by task
     std::set<std::string> succeededTasks; // tasks of which a run has ended with success
