Let others use what urgent work reserves that may not stop them

Cause: a reservation was left out of those that others may use, after 2 s or while most of the service is idle, whenever its holder is urgent. Urgent work beyond its guarantee that is late stops nothing, so it waits like any other, for as long as runs go on, and nothing limited that.

Change: a reservation is exempt only within a guarantee. Of urgent work that can still meet its objective it is lent only while most of the service is idle: such work may stop others again.

Evidence: reservation_test lateUrgentGangDoesNotHoldBackOthersWhileMostIsIdle failed before (0 runs instead of 1 after 2.5 s).

--- a/flamingo/scheduler/planner.cc
+++ b/flamingo/scheduler/planner.cc
@@ -16,7 +16,7 @@
 //     that, small tasks would fill each gap and a large gang would never start;
 //   * all other units wait.
 //
-// Capacity that is free but reserved for a unit that is not urgent is used by units that are
+// Capacity that is free but reserved for a unit that may not stop others is used by units that are
 // estimated to end before the reservation is complete, by tasks that never end and are placed
 // again, and by units that have waited for `maxHeldBackMs`. The latter delay the holder of the
 // reservation, within limits (see mayDelay()).
@@ -27,8 +27,8 @@
 // These limits protect work that would use the capacity later. While most of a service is idle (see
 // SchedulerOptions::maxUseToLift), a unit that has waited for `maxHeldBackMs` meanwhile is placed
 // on any worker that may run it: its restrictions are lifted one after another until it fits. What
-// urgent units reserve is never lifted. A service that is idle for a moment, while runs end that a
-// reservation waits for, does not count.
+// is reserved within a guarantee is never lifted. A service that is idle for a
+// moment, while runs end that a reservation waits for, does not count.
 
 #include "flamingo/scheduler/scheduler_parts.h"
 
@@ -161,6 +161,8 @@
     Resources need; // of one task
     WaitState *holder = nullptr;
     double holderWork = 0; // core-seconds
+    // The holder may stop other runs: its capacity is used only while most of the service is idle.
+    bool mayStopOthers = false;
     // The holder meets its objective if no other unit uses the capacity for longer than this; 0: it
     // misses it in any case.
     TimeMs spareMs = 0;
@@ -174,7 +176,7 @@
     std::vector<WorkerResources> workers;
     std::vector<Resources> reserved; // by worker index
     std::vector<WorkerResources> unusable; // quarantined or draining; without allocations
-    std::vector<HeldReservation> held; // the part of `reserved` that urgent units do not hold
+    std::vector<HeldReservation> held; // the part of `reserved` that others may use
     // Of the workers that report and are not draining, and what runs use of it.
     Resources total;
     Resources inUse;
@@ -697,6 +699,12 @@
            });
 }
 
+// True for urgent work within its organisation's guarantee or that can still meet its objective.
+bool mayStopOthers(const PlacementUnit &unit)
+{
+    return unit.priority == 0 && (unit.guaranteed || unit.lateness == Lateness::InTime);
+}
+
 // Reserves capacity for a unit that does not fit, or the rest of one. The time when it is expected
 // to fit only decreases: with each run that is placed on the reserved capacity the reservation
 // would move back, and short runs could take it for ever.
@@ -704,13 +712,14 @@
                      const Resources &need, ServiceCapacity &capacity, TimeMs now)
 {
     reserveCapacity(reservation.placement, need, capacity);
-    if (unit.priority == 0)
+    if (unit.guaranteed)
         return;
     WaitState &wait = waitOf(unit, now);
     const TimeMs expectedAt = now + reservation.freeInMs;
     wait.expectedAt = std::min(wait.expectedAt.value_or(expectedAt), expectedAt);
     const TimeMs spareMs = unit.slackMs >= reservation.freeInMs ? unit.slackMs : 0;
-    capacity.held.push_back({reservation.placement, need, &wait, workOf(unit), spareMs});
+    capacity.held.push_back(
+        {reservation.placement, need, &wait, workOf(unit), mayStopOthers(unit), spareMs});
 }
 
 // The part of the unit without its first `placed` tasks.
@@ -859,6 +868,8 @@
     std::vector<HeldReservation *> harmless;
     std::vector<HeldReservation *> delayed;
     for (HeldReservation &held : capacity.held) {
+        if (held.mayStopOthers)
+            continue;
         if (isHarmless(unit, held, now))
             harmless.push_back(&held);
         else if (heldBack && tasksThatMayDelay(unit, held, now) > 0)
@@ -1048,11 +1059,11 @@
         recordWait(scheduler, rest, remaining, capacity, reservation, reserving, now);
     };
     if (unit.priority == 0 && mayWait) {
-        reserveCapacity(reservation.placement, remaining.need, capacity);
+        holdReservation(rest, reservation, remaining.need, capacity, now);
         waits(true);
         return;
     }
-    if (unit.priority == 0 && (unit.guaranteed || unit.lateness == Lateness::InTime)) {
+    if (mayStopOthers(unit)) {
         if (reclaimFor(scheduler, unit, remaining, capacity))
             return;
         if (unit.guaranteed && placeOnAnyRack(scheduler, rest, capacity, now))
--- a/tests/reservation_test.cc
+++ b/tests/reservation_test.cc
@@ -588,3 +588,21 @@
             : 0;
     CHECK_EQUAL(1, lines);
 }
+
+// Guards against jobs that wait without a limit beside idle workers: an urgent gang that is too late
+// to stop other work reserves these workers until it fits.
+TEST(Reservation, lateUrgentGangDoesNotHoldBackOthersWhileMostIsIdle)
+{
+    Cluster cluster(6);
+    cluster.accept(cluster.gang("running", 2), 60000, 60000);
+    cluster.advance(300);
+    Job late = cluster.gang("late", 5);
+    late.priority = 0;
+    late.acceptedUnixMs -= 3600000;
+    cluster.accept(late, 1000, 1000);
+    cluster.advance(300);
+    cluster.accept(cluster.rig.makeJob("other", 1, 1), 30000, 30000);
+    cluster.advance(2500);
+    CHECK_EQUAL(2, cluster.runCount("running"));
+    CHECK_EQUAL(1, cluster.runCount("other"));
+}
--- a/tests/scheduler_simulation.cc
+++ b/tests/scheduler_simulation.cc
@@ -592,14 +592,6 @@
     return 2 * used < static_cast<std::int64_t>(hostCount) * workerCapacity.accelerators;
 }
 
-bool SchedulerSimulation::urgentJobIsOpen() const
-{
-    return std::any_of(this->jobs.begin(), this->jobs.end(), [this](const auto &item) {
-        const auto state = callerVisibleState(this->entries[0].scheduler.table, item.first);
-        return item.second.priority == 0 && state && (*state == "queued" || *state == "running");
-    });
-}
-
 // True when none of the job's tasks is in progress and there is room twice over for its next ones:
 // a whole gang, or a task.
 bool SchedulerSimulation::couldRun(const Job &job) const
@@ -633,7 +625,7 @@
 
 void SchedulerSimulation::checkIdleJobs()
 {
-    const bool judged = !this->faultsEnabled && this->mostIsIdle() && !this->urgentJobIsOpen()
+    const bool judged = !this->faultsEnabled && this->mostIsIdle()
         && std::all_of(this->hosts.begin(), this->hosts.end(), [this](const Host &host) {
                return this->now >= this->lastFaultAt(host) + idleCalmMs;
            });
--- a/tests/scheduler_simulation.h
+++ b/tests/scheduler_simulation.h
@@ -22,8 +22,7 @@
 //     the stretch by the time until the agent tries again.
 // Of open jobs it checks, once the faults are over, that none has nothing running for `idleBoundMs`
 // while all hosts have been calm for `idleCalmMs`, less than half of the accelerators are in use
-// and there is room for its next tasks twice over. Urgent jobs reserve capacity without a limit, so
-// nothing is judged while one of them is open.
+// and there is room for its next tasks twice over.
 
 #include "flamingo/scheduler/host_agent.h"
 #include "flamingo/scheduler/scheduler.h"
@@ -184,7 +183,6 @@
     void excuseRuns(Host &host, TimeMs delayMs);
     void checkIdleJobs();
     bool mostIsIdle() const;
-    bool urgentJobIsOpen() const;
     bool couldRun(const scheduler::Job &job) const;
     void checkNothingRuns();
     void report(Host &host);
