Place no work on a worker that answers nothing

Cause: a worker was usable as long as its agent reported.

Evidence, before: workerThatAnswersNothingIsReportedAsSilentUntilItAnswers and workerThatIsBusyForLongIsReportedAsSilent (host_agent_test) fail at CHECK(reportsSilence()); workerThatAnswersNothingGetsNoNewWork (scheduler_test) orders a start from the silent worker.

Change: the agent takes a worker for silent when it has carried out no call for 1.5 s after one that failed (no answer, busy, or another worker answers), and reports it; the leader places nothing on it until it carries out a call. The time counts from the first failure, so an agent that was paused does not take its own silence for the worker's. A missing field means that the worker is not silent, so adjacent versions read each other.

--- a/flamingo/scheduler/host_agent.cc
+++ b/flamingo/scheduler/host_agent.cc
@@ -51,6 +51,8 @@
     agent.workerEndOutstanding = false;
     agent.deregistered = false;
     agent.noListenerSince = 0;
+    agent.unansweredSince = 0;
+    agent.workerSilent = false;
     // A delayed call for the former incarnation may still reach the new one, if both have the same
     // id. A higher token fences it.
     agent.minimumToken = std::max(agent.minimumToken, agent.fencingToken + 1);
@@ -316,6 +318,41 @@
     logDecision(agent, "event=worker_gone worker=" + (agent.worker ? agent.worker->id : ""));
 }
 
+// Tracks for how long the worker has carried out no call, and marks it as silent after
+// `silentAfterMs`. The time counts from the first failed call, so that an agent which was paused
+// does not take its own silence for the worker's. Connections that fail are left to
+// updateWorkerGone().
+void updateSilence(HostAgent &agent, const WorkerAnswer &answer, TimeMs now)
+{
+    const CallResult result = answer.result;
+    if (result == CallResult::NoListener)
+        return;
+    const bool failed = result == CallResult::NoAnswer || result == CallResult::Busy
+        || result == CallResult::Misdirected;
+    if (!failed) {
+        if (std::exchange(agent.workerSilent, false)) {
+            // The next poll extends the lease again.
+            agent.pollNeeded = true;
+            agent.reportNeeded = true;
+            logDecision(agent,
+                        "event=worker_answers worker=" + agent.worker->id
+                            + " silent_ms=" + std::to_string(now - agent.unansweredSince));
+        }
+        agent.unansweredSince = 0;
+        return;
+    }
+    if (agent.unansweredSince == 0)
+        agent.unansweredSince = now;
+    if (agent.workerSilent || now - agent.unansweredSince < agent.options.silentAfterMs)
+        return;
+    agent.workerSilent = true;
+    agent.reportNeeded = true;
+    logDecision(agent,
+                "event=worker_silent worker=" + agent.worker->id
+                    + " silent_ms=" + std::to_string(now - agent.unansweredSince) + " runs="
+                    + std::to_string(agent.runs.size()) + " reason=\"" + answer.reason + "\"");
+}
+
 bool isSameIncarnation(const WorkerInfo &first, const WorkerInfo &second)
 {
     return first.id == second.id && first.bornUnixMs == second.bornUnixMs;
@@ -528,6 +565,7 @@
     }
     agent.workerConfirmed = agent.workerConfirmed || answer.result == CallResult::Done;
     updateWorkerGone(agent, answer.result, now);
+    updateSilence(agent, answer, now);
     if (agent.workerGone && answer.result == CallResult::Done) {
         agent.workerGone = false;
         agent.reportNeeded = true;
@@ -647,6 +685,7 @@
     report.worker = agent.worker;
     report.workerGone = agent.workerGone;
     report.workerEndStored = agent.workerEndStored;
+    report.workerSilent = agent.workerSilent;
     report.fencingToken = agent.tokenInForce;
     report.listClockMs = agent.listClockMs;
     for (auto &[key, run] : agent.runs) {
--- a/flamingo/scheduler/host_agent.h
+++ b/flamingo/scheduler/host_agent.h
@@ -104,6 +104,8 @@
     std::uint64_t agentStart = 0; // start time of the agent, which identifies its incarnation
     TimeMs pollWaitMs = 500; // a long poll returns after this long when no run ends
     TimeMs workerGoneAfterMs = 250; // the worker is gone when nothing listens for this long
+    // The worker is silent when it has carried out no call for this long after one that failed.
+    TimeMs silentAfterMs = 1500;
     TimeMs retryMs = 300; // delay before an unanswered call is repeated
     TimeMs busyRetryMs = 100; // delay before a poll or stop is repeated to a worker that is busy
     TimeMs stopMs = 1000; // a worker takes up to this long to stop a run, by its own clock
@@ -160,6 +162,9 @@
     bool workerEndOutstanding = false; // such an append has not been answered
     bool deregistered = false; // the worker has announced its shutdown
     TimeMs noListenerSince = 0; // first failed connection; 0: none since the last answer
+    // First call that the worker did not carry out, of those since the last that it did; 0: none.
+    TimeMs unansweredSince = 0;
+    bool workerSilent = false; // see AgentOptions::silentAfterMs
     std::uint64_t fencingToken = 0; // from the leader's orders
     // Highest token of a poll that the worker accepted; 0: none, or the worker has fenced a call.
     std::uint64_t tokenInForce = 0;
--- a/flamingo/scheduler/host_messages.h
+++ b/flamingo/scheduler/host_messages.h
@@ -75,6 +75,7 @@
     bool workerGone = false; // no worker process exists on the host
     bool workerEndStored = false; // the agent knows that the worker's end is stored in the job log
     bool workerBusy = false; // the worker was too busy to start one of `runs`
+    bool workerSilent = false; // the worker has carried out no call for a while
     std::uint64_t lostLeader = 0; // epoch of the leader that the agent cannot reach; 0: none
     std::uint64_t fencingToken = 0; // in force at the worker; `runs` and `ends` were read under it
     // The worker's clock when it listed `runs`; 0: they have not been listed.
--- a/flamingo/scheduler/planner.cc
+++ b/flamingo/scheduler/planner.cc
@@ -173,7 +173,8 @@
     // By key; free capacity less reservations. Includes workers in quarantine, without allocations.
     std::vector<WorkerResources> workers;
     std::vector<Resources> reserved; // by worker index
-    std::vector<WorkerResources> unusable; // quarantined or draining; without allocations
+    // Quarantined, draining or silent; without allocations.
+    std::vector<WorkerResources> unusable;
     std::vector<HeldReservation> held; // the part of `reserved` that urgent units do not hold
     // Of the workers that report and are not draining, and what runs use of it.
     Resources total;
@@ -248,9 +249,10 @@
     void addWorker(const Worker &worker, WorkerResources resources)
     {
         const bool quarantined = this->now < worker.quarantinedUntil;
-        if (worker.info.draining || quarantined)
+        const bool excluded = worker.info.draining || worker.silent;
+        if (excluded || quarantined)
             this->result.unusable.push_back(resources);
-        if (worker.info.draining)
+        if (excluded)
             return;
         resources.quarantined = quarantined;
         if (!quarantined)
--- a/flamingo/scheduler/records.cc
+++ b/flamingo/scheduler/records.cc
@@ -305,6 +305,7 @@
     reader.flag("workerGone", report.workerGone);
     reader.flag("workerEndStored", report.workerEndStored);
     reader.flag("workerBusy", report.workerBusy);
+    reader.flag("workerSilent", report.workerSilent);
     reader.integer("lostLeader", 0, maxEpoch, report.lostLeader);
     reader.integer("fencingToken", 0, maxCounter, report.fencingToken);
     reader.integer("listClockMs", 0, maxMilliseconds, report.listClockMs);
@@ -468,6 +469,7 @@
             {"workerGone", report.workerGone},
             {"workerEndStored", report.workerEndStored},
             {"workerBusy", report.workerBusy},
+            {"workerSilent", report.workerSilent},
             {"lostLeader", report.lostLeader},
             {"fencingToken", report.fencingToken},
             {"listClockMs", report.listClockMs},
--- a/flamingo/scheduler/scheduler.cc
+++ b/flamingo/scheduler/scheduler.cc
@@ -642,6 +642,7 @@
     host.workerKey = key;
     worker.info = *report.worker;
     worker.lastReport = now;
+    worker.silent = report.workerSilent;
     if (report.workerBusy)
         worker.busyUntil = now + scheduler.options.busyMs;
     replaceOutdatedToken(scheduler, worker, report.fencingToken);
--- a/flamingo/scheduler/scheduler.h
+++ b/flamingo/scheduler/scheduler.h
@@ -189,6 +189,7 @@
     WorkerInfo info;
     std::uint64_t fencingToken = 0;
     bool fenced = false; // the worker has accepted `fencingToken`
+    bool silent = false; // HostReport::workerSilent of the newest report
     TimeMs lastReport = 0;
     std::map<RunKey, Run> runs;
     std::uint64_t lastEnd = 0; // highest end number processed
--- a/tests/host_agent_test.cc
+++ b/tests/host_agent_test.cc
@@ -133,6 +133,26 @@
         this->apply(orders);
     }
 
+    // Lets `ms` pass, in which each call fails with `result` after 100 ms.
+    void failCalls(CallResult result, TimeMs ms)
+    {
+        for (TimeMs passed = 0; passed < ms; passed += 100) {
+            const std::vector<WorkerCall> calls = dueCalls(this->agent, this->now);
+            this->advance(100);
+            for (const WorkerCall &call : calls) {
+                WorkerAnswer failure;
+                failure.result = result;
+                applyAnswer(this->agent, call, failure, this->now);
+            }
+        }
+    }
+
+    bool reportsSilence() const
+    {
+        HostAgent copy = this->agent;
+        return makeReport(copy).workerSilent;
+    }
+
     RunState reportedState(const std::string &task) const
     {
         HostAgent copy = this->agent;
@@ -716,3 +736,35 @@
     fixture.confirmCandidate();
     STRCMP_EQUAL("next", fixture.agent.worker->id.c_str());
 }
+
+// Guards against a task that is assigned to a worker which answers nothing: no run of it begins.
+TEST(HostAgent, workerThatAnswersNothingIsReportedAsSilentUntilItAnswers)
+{
+    fixture.fenceWorker();
+    CHECK(!fixture.reportsSilence());
+    fixture.failCalls(CallResult::NoAnswer, fixture.agent.options.silentAfterMs - 200);
+    CHECK(!fixture.reportsSilence());
+    fixture.failCalls(CallResult::NoAnswer, 1000);
+    CHECK(fixture.reportsSilence());
+    CHECK(fixture.agent.reportNeeded);
+    fixture.pollNow();
+    CHECK(!fixture.reportsSilence());
+    CHECK(fixture.agent.reportNeeded);
+}
+
+// A worker that refuses every call as busy extends no lease and begins no run either.
+TEST(HostAgent, workerThatIsBusyForLongIsReportedAsSilent)
+{
+    fixture.fenceWorker();
+    fixture.failCalls(CallResult::Busy, fixture.agent.options.silentAfterMs + 1000);
+    CHECK(fixture.reportsSilence());
+}
+
+// An agent that was paused finds its calls unanswered, although the worker would answer.
+TEST(HostAgent, oneUnansweredCallAfterAPauseOfTheAgentIsNoSilence)
+{
+    fixture.fenceWorker();
+    fixture.advance(8000);
+    fixture.failCalls(CallResult::NoAnswer, 300);
+    CHECK(!fixture.reportsSilence());
+}
--- a/tests/scheduler_test.cc
+++ b/tests/scheduler_test.cc
@@ -281,6 +281,18 @@
     CHECK_EQUAL(1, rig.runCount("h1"));
 }
 
+// Guards against a task that waits for a worker which answers nothing, while others would start it.
+TEST(Scheduler, workerThatAnswersNothingGetsNoNewWork)
+{
+    rig.addWorker("h1");
+    rig.nextReports.at("h1").workerSilent = true;
+    rig.sendReport("h1");
+    rig.accept(rig.makeJob("a", 1, 2));
+    CHECK_EQUAL(0, rig.sendReport("h1").starts.size());
+    rig.nextReports.at("h1").workerSilent = false;
+    CHECK_EQUAL(1, rig.sendReport("h1").starts.size());
+}
+
 TEST(Scheduler, cancelledJobIsStoppedAndNotRestarted)
 {
     rig.addWorker("h1");
