Release the runs of a worker that answers nothing

Cause: the leader released the runs of a worker only when its agent was silent or said that the worker's process had ended. A worker that hangs, has no power or is cut off is neither. The agent extended its lease without limit.

Change: - The agent notes the latest end of the leases that it has sent, answered or not, on its own clock, for a worker's clock that is 2% slow. It sends none to a silent worker. When all have lapsed, and 0.3 s have passed besides, it removes the runs and reports it; the worker has killed them, and a start that is carried out late is refused, as its lease has lapsed too. - An agent that was restarted assumes the longest lease from when it follows the worker. Time between two steps of over 0.5 s does not count, as the worker's clock may have stood still. - Answers that were on their way may order a released run. The agent carries out nothing under the tokens that it had received, and reports the highest one; the leader drops the runs and issues another token. The worker then refuses what was sent before. - A new leader releases what it has adopted when the agent has its token and says that the leases have lapsed, 2.5 s after it began to lead at the earliest. - A released run that is listed later counts as unexpected, and is stopped, as before.

Not done: stopping starts that a silent worker has not answered. It would not place the task sooner.

--- a/flamingo/scheduler/host_agent.cc
+++ b/flamingo/scheduler/host_agent.cc
@@ -18,6 +18,9 @@
 // was complete.
 //
 // A Gone run is kept until the leader has answered a report that lists it.
+//
+// While the worker is silent, no lease is sent to it. When all those that were sent before have
+// lapsed, every run is removed, in any state, and the report says so.
 
 #include "flamingo/scheduler/host_agent.h"
 
@@ -29,6 +32,14 @@
 namespace flamingo::scheduler {
 namespace {
 
+// Longest time on the agent's clock in which the worker's clock, which may run 2% slow, advances by
+// 100; 1% is a margin for rounding.
+constexpr TimeMs slowClockPercent = 103;
+
+// A longer time between two steps counts as a pause of the machine, during which the worker's clock
+// may have stood still.
+constexpr TimeMs pauseMs = 500;
+
 // Added to the time that a stop may take before the stop is repeated.
 constexpr TimeMs stopSlackMs = 200;
 
@@ -44,7 +55,7 @@
     return "task=" + key.first + " run=" + std::to_string(key.second);
 }
 
-void resetWorkerState(HostAgent &agent)
+void resetWorkerState(HostAgent &agent, TimeMs now)
 {
     agent.workerGone = false;
     agent.workerEndStored = false;
@@ -53,6 +64,10 @@
     agent.noListenerSince = 0;
     agent.unansweredSince = 0;
     agent.workerSilent = false;
+    agent.leasesLapsed = false;
+    agent.leasesOverSince = 0;
+    // A former process of the agent may have extended the lease until now.
+    agent.leasesEndAt = now + agent.options.leaseMaxMs * slowClockPercent / 100;
     // A delayed call for the former incarnation may still reach the new one, if both have the same
     // id. A higher token fences it.
     agent.minimumToken = std::max(agent.minimumToken, agent.fencingToken + 1);
@@ -61,6 +76,7 @@
     agent.acknowledgedEnd = 0;
     agent.workerClockMs = 0;
     agent.workerClockReceivedAt = 0;
+    agent.pausedSinceReadingMs = 0;
     agent.listClockMs = 0;
     agent.heartbeatSequence = 0;
     agent.workerConfirmed = false;
@@ -74,16 +90,70 @@
 }
 
 // Returns the end of the leader's lease grant, converted to the worker's clock; 0 when the grant
-// has expired or the worker's clock is not known yet. The worker's clock may run slow, so the lease
-// may last up to 2% longer than the grant; the leader allows for that before it treats a lease as
-// lapsed.
+// has expired, the worker is silent or its clock is not known yet. The worker's clock may run slow,
+// so the lease may last up to 2% longer than the grant; the leader allows for that before it treats
+// a lease as lapsed.
 std::int64_t leaseUntil(const HostAgent &agent, TimeMs now)
 {
-    if (agent.workerClockReceivedAt == 0 || agent.grantUntil <= now)
+    if (agent.workerClockReceivedAt == 0 || agent.grantUntil <= now || agent.workerSilent)
         return 0;
     return agent.workerClockMs + (agent.grantUntil - agent.workerClockReceivedAt);
 }
 
+// Notes that a call with this lease is sent, which the worker may carry out at any time.
+void recordLease(HostAgent &agent, std::int64_t until)
+{
+    if (until == 0)
+        return;
+    const TimeMs lengthMs = until - agent.workerClockMs;
+    agent.leasesEndAt = std::max(agent.leasesEndAt,
+                                 agent.workerClockReceivedAt + agent.pausedSinceReadingMs
+                                     + lengthMs * slowClockPercent / 100);
+}
+
+// Does not count a pause of the agent as time on the worker's clock.
+void excludePause(HostAgent &agent, TimeMs now)
+{
+    const TimeMs lastStepAt = std::exchange(agent.lastStepAt, now);
+    const TimeMs sinceLastStepMs = now - lastStepAt;
+    if (lastStepAt == 0 || sinceLastStepMs <= pauseMs)
+        return;
+    agent.leasesEndAt += sinceLastStepMs;
+    agent.pausedSinceReadingMs += sinceLastStepMs;
+}
+
+// Releases the runs of a silent worker once every lease has lapsed. Nothing that was sent can begin
+// a run then, and nothing may be sent under the tokens that the agent has received so far: an
+// answer of the leader that is still on its way may contain a start of a released run.
+void releaseLapsedRuns(HostAgent &agent, TimeMs now)
+{
+    if (!agent.workerSilent || agent.leasesLapsed)
+        return;
+    if (now <= agent.leasesEndAt) {
+        agent.leasesOverSince = 0;
+        return;
+    }
+    // After a pause, the worker kills its runs while the agent sees the slack pass.
+    if (agent.leasesOverSince == 0)
+        agent.leasesOverSince = now;
+    if (now - agent.leasesOverSince < agent.options.leaseSlackMs)
+        return;
+    agent.leasesLapsed = true;
+    agent.reportNeeded = true;
+    agent.releasedToken = std::max({agent.releasedToken, agent.fencingToken, agent.tokenInForce});
+    logDecision(agent,
+                "event=leases_lapsed worker=" + agent.worker->id
+                    + " silent_ms=" + std::to_string(now - agent.unansweredSince)
+                    + " lapsed_ms=" + std::to_string(now - agent.leasesEndAt)
+                    + " worker_clock=" + (agent.workerClockReceivedAt == 0 ? "unknown" : "known")
+                    + " runs=" + std::to_string(agent.runs.size()));
+    for (const auto &[key, run] : agent.runs)
+        logDecision(agent,
+                    "event=run_gone " + runFields(key)
+                        + " reason=\"the worker does not answer and its lease has lapsed\"");
+    agent.runs.clear();
+}
+
 // Moves the run to Stopping, so that dueCalls() sends a stop. Does nothing when the run is already
 // stopping or gone.
 void beginStop(HostAgent &agent, AgentRun &run, std::string reason, TimeMs now)
@@ -331,6 +401,8 @@
         || result == CallResult::Misdirected;
     if (!failed) {
         if (std::exchange(agent.workerSilent, false)) {
+            agent.leasesLapsed = false;
+            agent.leasesOverSince = 0;
             // The next poll extends the lease again.
             agent.pollNeeded = true;
             agent.reportNeeded = true;
@@ -363,7 +435,7 @@
     logDecision(agent,
                 "event=worker_seen worker=" + info.id + " born=" + std::to_string(info.bornUnixMs)
                     + " service=" + info.service);
-    resetWorkerState(agent);
+    resetWorkerState(agent, now);
     agent.worker = info;
     agent.heartbeatSequence = sequence;
     agent.nextPollAt = now;
@@ -403,7 +475,7 @@
     logDecision(agent,
                 "event=worker_reborn worker=" + agent.worker->id
                     + " born=" + std::to_string(bornUnixMs));
-    resetWorkerState(agent);
+    resetWorkerState(agent, now);
     agent.worker->bornUnixMs = bornUnixMs;
     agent.worker->draining = false;
     agent.workerConfirmed = true;
@@ -495,11 +567,13 @@
         return;
     if (orders.fencingToken < agent.fencingToken)
         return;
-    agent.grantUntil = std::max(agent.grantUntil, reportSentAt + orders.grantMs);
-    agent.ordersAsOf = std::max(agent.ordersAsOf, reportSentAt - orders.jobLogAgeMs);
     if (orders.fencingToken > agent.tokenInForce && orders.fencingToken != agent.fencingToken)
         agent.pollNeeded = true;
     agent.fencingToken = orders.fencingToken;
+    if (orders.fencingToken <= agent.releasedToken)
+        return;
+    agent.grantUntil = std::max(agent.grantUntil, reportSentAt + orders.grantMs);
+    agent.ordersAsOf = std::max(agent.ordersAsOf, reportSentAt - orders.jobLogAgeMs);
     if (orders.acknowledgedEnd > agent.acknowledgedEnd) {
         agent.acknowledgedEnd = orders.acknowledgedEnd;
         agent.pollNeeded = true; // the poll carries the new acknowledgement to the worker
@@ -552,7 +626,7 @@
                     "event=heartbeat_ignored worker=" + agent.worker->id
                         + " born=" + std::to_string(agent.worker->bornUnixMs)
                         + " reason=\"a worker with another id answers\"");
-        resetWorkerState(agent);
+        resetWorkerState(agent, now);
         agent.worker.reset();
         agent.nextPollAt = now + agent.options.retryMs;
         return;
@@ -573,6 +647,7 @@
     if (answer.clockMs > agent.workerClockMs) {
         agent.workerClockMs = answer.clockMs;
         agent.workerClockReceivedAt = now;
+        agent.pausedSinceReadingMs = 0;
     }
     if (poll != nullptr)
         applyPollAnswer(agent, *poll, answer, now);
@@ -585,6 +660,8 @@
 std::vector<WorkerCall> dueCalls(HostAgent &agent, TimeMs now)
 {
     std::vector<WorkerCall> calls;
+    excludePause(agent, now);
+    releaseLapsedRuns(agent, now);
     if (!agent.worker) {
         // No heartbeat received yet: a poll finds out whether a worker is running. It carries no
         // token and no lease, so it does not change the worker's state.
@@ -610,6 +687,7 @@
         call.acknowledgedEnd = agent.acknowledgedEnd;
         call.leaseUntil = leaseUntil(agent, now);
         call.waitMs = waitMs;
+        recordLease(agent, call.leaseUntil);
         return call;
     };
     if (agent.pollNeeded && !agent.shortPollOutstanding && now >= agent.nextPollAt) {
@@ -634,6 +712,7 @@
                 const std::int64_t until = leaseUntil(agent, now);
                 if (until == 0 || run.orderToken != token || !startsAreValid)
                     continue;
+                recordLease(agent, until);
                 run.callOutstanding = true;
                 ++run.startsSent;
                 logDecision(agent,
@@ -686,6 +765,9 @@
     report.workerGone = agent.workerGone;
     report.workerEndStored = agent.workerEndStored;
     report.workerSilent = agent.workerSilent;
+    report.leasesLapsed = agent.leasesLapsed;
+    report.orderedToken = agent.fencingToken;
+    report.releasedToken = agent.releasedToken;
     report.fencingToken = agent.tokenInForce;
     report.listClockMs = agent.listClockMs;
     for (auto &[key, run] : agent.runs) {
--- a/flamingo/scheduler/host_agent.h
+++ b/flamingo/scheduler/host_agent.h
@@ -24,6 +24,14 @@
 // acknowledged. While its list is cut, a run that neither list contains may have ended with any
 // result: it keeps its state, and its progress is unknown.
 //
+// A worker that carries out no call is silent. It may have received every call that was sent to it,
+// and may carry them out later. The agent therefore notes the latest end of the leases that it has
+// sent, and sends no further one to a silent worker. When all of them have lapsed, the worker has
+// killed its runs, and a start that it carries out late is refused, because its lease has lapsed
+// too. The agent then reports that the leases have lapsed, and carries out nothing more under the
+// fencing tokens of before. An agent that was restarted assumes the longest lease, and pauses of
+// the agent do not count as time on the worker's clock.
+//
 // Answers may arrive out of order. Each carries the worker's clock, which orders them.
 //
 // The agent alone knows that its worker has ended. It reports that until the leader confirms that
@@ -106,6 +114,8 @@
     TimeMs workerGoneAfterMs = 250; // the worker is gone when nothing listens for this long
     // The worker is silent when it has carried out no call for this long after one that failed.
     TimeMs silentAfterMs = 1500;
+    TimeMs leaseMaxMs = 10000; // upper bound of a worker's lease, whatever was requested
+    TimeMs leaseSlackMs = 300; // a paused worker may continue its runs this long after its lease
     TimeMs retryMs = 300; // delay before an unanswered call is repeated
     TimeMs busyRetryMs = 100; // delay before a poll or stop is repeated to a worker that is busy
     TimeMs stopMs = 1000; // a worker takes up to this long to stop a run, by its own clock
@@ -165,6 +175,13 @@
     // First call that the worker did not carry out, of those since the last that it did; 0: none.
     TimeMs unansweredSince = 0;
     bool workerSilent = false; // see AgentOptions::silentAfterMs
+    // When every lease has lapsed that may have been sent to the worker, on the agent's clock, and
+    // since when the agent has seen that the worker is silent and they have; 0: not yet.
+    TimeMs leasesEndAt = 0;
+    TimeMs leasesOverSince = 0;
+    bool leasesLapsed = false; // see HostReport::leasesLapsed
+    TimeMs lastStepAt = 0; // last call of dueCalls(); 0: none
+    TimeMs pausedSinceReadingMs = 0; // pauses of the agent since `workerClockReceivedAt`
     std::uint64_t fencingToken = 0; // from the leader's orders
     // Highest token of a poll that the worker accepted; 0: none, or the worker has fenced a call.
     std::uint64_t tokenInForce = 0;
@@ -172,6 +189,7 @@
     // the leader had issued for the former incarnation. The new one therefore rejects delayed calls
     // that were meant for the former one.
     std::uint64_t minimumToken = 0;
+    std::uint64_t releasedToken = 0; // see HostReport::releasedToken
     std::uint64_t acknowledgedEnd = 0; // ends up to this number are stored by the leader
     TimeMs grantUntil = 0; // end of the leader's lease grant, on the agent's clock
     TimeMs ordersAsOf = 0; // the leader's orders take all earlier cancellations into account
--- a/flamingo/scheduler/host_messages.h
+++ b/flamingo/scheduler/host_messages.h
@@ -76,6 +76,13 @@
     bool workerEndStored = false; // the agent knows that the worker's end is stored in the job log
     bool workerBusy = false; // the worker was too busy to start one of `runs`
     bool workerSilent = false; // the worker has carried out no call for a while
+    // The worker is silent and every lease that may have been sent to it has lapsed: no run is in
+    // progress or can begin that was ordered under a lower token than `orderedToken`.
+    bool leasesLapsed = false;
+    std::uint64_t orderedToken = 0; // newest fencing token in the orders that the agent received
+    // All runs that were ordered under this token or a lower one have ended since, because the
+    // leases lapsed. The agent carries out no order under these tokens; 0: none.
+    std::uint64_t releasedToken = 0;
     std::uint64_t lostLeader = 0; // epoch of the leader that the agent cannot reach; 0: none
     std::uint64_t fencingToken = 0; // in force at the worker; `runs` and `ends` were read under it
     // The worker's clock when it listed `runs`; 0: they have not been listed.
--- a/flamingo/scheduler/records.cc
+++ b/flamingo/scheduler/records.cc
@@ -306,6 +306,9 @@
     reader.flag("workerEndStored", report.workerEndStored);
     reader.flag("workerBusy", report.workerBusy);
     reader.flag("workerSilent", report.workerSilent);
+    reader.flag("leasesLapsed", report.leasesLapsed);
+    reader.integer("orderedToken", 0, maxCounter, report.orderedToken);
+    reader.integer("releasedToken", 0, maxCounter, report.releasedToken);
     reader.integer("lostLeader", 0, maxEpoch, report.lostLeader);
     reader.integer("fencingToken", 0, maxCounter, report.fencingToken);
     reader.integer("listClockMs", 0, maxMilliseconds, report.listClockMs);
@@ -470,6 +473,9 @@
             {"workerEndStored", report.workerEndStored},
             {"workerBusy", report.workerBusy},
             {"workerSilent", report.workerSilent},
+            {"leasesLapsed", report.leasesLapsed},
+            {"orderedToken", report.orderedToken},
+            {"releasedToken", report.releasedToken},
             {"lostLeader", report.lostLeader},
             {"fencingToken", report.fencingToken},
             {"listClockMs", report.listClockMs},
--- a/flamingo/scheduler/scheduler.cc
+++ b/flamingo/scheduler/scheduler.cc
@@ -262,13 +262,19 @@
     return scheduler.epoch * tokensPerEpoch + ++scheduler.issuedTokens;
 }
 
+// True for a token of a later epoch: this leader has a successor.
+bool isOfLaterLeader(const Scheduler &scheduler, std::uint64_t token)
+{
+    return token >= (scheduler.epoch + 1) * tokensPerEpoch;
+}
+
 // Issues another token to a worker that has accepted a higher one of this epoch than its own, and
 // would reject its own for ever. That happens when an agent that was restarted first followed a
 // heartbeat with a wrong id or start time, for which a token was issued too. A token of a later
 // epoch is left alone: this leader has a successor.
 void replaceOutdatedToken(Scheduler &scheduler, Worker &worker, std::uint64_t accepted)
 {
-    if (accepted <= worker.fencingToken || accepted >= (scheduler.epoch + 1) * tokensPerEpoch)
+    if (accepted <= worker.fencingToken || isOfLaterLeader(scheduler, accepted))
         return;
     worker.fencingToken = issueToken(scheduler);
     worker.fenced = false;
@@ -355,6 +361,33 @@
     }
 }
 
+// Drops the runs of a worker whose leases have lapsed, see HostReport::leasesLapsed and
+// `releasedToken`. A worker whose token is released needs another.
+void releaseLapsedRuns(Scheduler &scheduler, Worker &worker, const HostReport &report, TimeMs now)
+{
+    const bool released = report.releasedToken >= worker.fencingToken
+        && !isOfLaterLeader(scheduler, report.releasedToken);
+    // The runs of a worker that has not accepted its token were ordered under a lower one.
+    const bool lapsed =
+        !worker.fenced && report.leasesLapsed && report.orderedToken == worker.fencingToken;
+    if (!released && (!lapsed || worker.runs.empty()))
+        return;
+    // An agent that is restarted may still follow an earlier leader, which orders the runs that it
+    // knows until `maxStoreUnreachableMs` after it lost contact with the store.
+    if (!worker.fenced && now - scheduler.leadingSince <= scheduler.options.maxStoreUnreachableMs)
+        return;
+    if (released)
+        worker.fencingToken = issueToken(scheduler);
+    worker.fenced = worker.fenced && !released;
+    logDecision(scheduler,
+                "event=runs_released worker=" + worker.key
+                    + " runs=" + std::to_string(worker.runs.size())
+                    + " token=" + std::to_string(worker.fencingToken));
+    for (const auto &[key, run] : std::exchange(worker.runs, {}))
+        dropRun(scheduler, run, worker.key, "its worker does not answer and its lease has lapsed",
+                now);
+}
+
 } // namespace
 
 void requeueTask(JobRow &row, std::size_t taskNumber)
@@ -648,8 +681,10 @@
     replaceOutdatedToken(scheduler, worker, report.fencingToken);
     // The worker has not confirmed this leader's token, so its lists may still change by orders of
     // an earlier leader.
-    if (report.fencingToken != worker.fencingToken)
+    if (report.fencingToken != worker.fencingToken) {
+        releaseLapsedRuns(scheduler, worker, report, now);
         return true;
+    }
     if (!worker.fenced) {
         worker.fenced = true;
         logDecision(scheduler,
@@ -665,6 +700,7 @@
         applyReportedEnd(scheduler, worker, end, now);
     }
     applyReportedRuns(scheduler, worker, report, now);
+    releaseLapsedRuns(scheduler, worker, report, now);
     return true;
 }
 
--- a/flamingo/scheduler/scheduler.h
+++ b/flamingo/scheduler/scheduler.h
@@ -13,7 +13,7 @@
 //     a later leader finds every run that may exist in the log.
 //   * A task is placed again only after its previous run has ended: the worker listed the end, or
 //     the agent reported that the run is gone, or the worker's incarnation has ended, or its lease
-//     has lapsed.
+//     has lapsed: the agent has not reported for long, or reports that the worker does not answer.
 //   * The end of a run is acknowledged to its worker only after the progress record is stored.
 //   * A worker is used only after it has accepted this leader's fencing token. From then on it
 //     rejects orders of earlier leaders and orders meant for earlier incarnations.
--- a/tests/host_agent_test.cc
+++ b/tests/host_agent_test.cc
@@ -140,6 +140,8 @@
             const std::vector<WorkerCall> calls = dueCalls(this->agent, this->now);
             this->advance(100);
             for (const WorkerCall &call : calls) {
+                if (const auto *poll = std::get_if<PollCall>(&call))
+                    this->lastLeaseUntil = std::max(this->lastLeaseUntil, poll->leaseUntil);
                 WorkerAnswer failure;
                 failure.result = result;
                 applyAnswer(this->agent, call, failure, this->now);
@@ -147,6 +149,35 @@
         }
     }
 
+    // The same, until the agent reports that the leases have lapsed, but for at most `ms`. Returns
+    // the time that has passed.
+    TimeMs failCallsUntilLapsed(TimeMs ms)
+    {
+        TimeMs passed = 0;
+        for (; passed < ms && !this->reportsLapse(); passed += 100)
+            this->failCalls(CallResult::NoAnswer, 100);
+        return passed;
+    }
+
+    bool reportsLapse() const
+    {
+        HostAgent copy = this->agent;
+        return makeReport(copy).leasesLapsed;
+    }
+
+    // Sends a start, which the worker confirms.
+    void startRun()
+    {
+        this->fenceWorker();
+        this->orderStart();
+        const auto start = this->nextCall<StartCall>();
+        CHECK(start.has_value());
+        applyAnswer(this->agent, *start, this->answer(), this->now);
+        this->listedRuns = {{"t", 1, RunState::Running, 10, "", ""}};
+        this->pollNow();
+        CHECK(this->reportedState("t") == RunState::Running);
+    }
+
     bool reportsSilence() const
     {
         HostAgent copy = this->agent;
@@ -167,6 +198,7 @@
     std::vector<ReportedRun> listedRuns;
     std::vector<ReportedEnd> listedEnds;
     bool endsComplete = true;
+    std::int64_t lastLeaseUntil = 0; // latest lease of the polls that failed
 };
 
 } // namespace
@@ -768,3 +800,86 @@
     fixture.failCalls(CallResult::NoAnswer, 300);
     CHECK(!fixture.reportsSilence());
 }
+
+// Guards against a run that stays assigned for ever: its worker answers nothing, and its agent
+// reports it as running.
+TEST(HostAgent, runsOfASilentWorkerAreReleasedWhenEveryLeaseHasLapsed)
+{
+    fixture.startRun();
+    fixture.apply(fixture.orders());
+    const std::int64_t clockBefore = fixture.workerClock;
+    const TimeMs passed = fixture.failCallsUntilLapsed(20000);
+    CHECK(fixture.reportsLapse());
+    CHECK(fixture.reportedState("t") == RunState::Unknown);
+    CHECK_EQUAL(leaderToken, makeReport(fixture.agent).orderedToken);
+    // The worker's clock may be 2% slow, and the worker may be paused beside.
+    CHECK(clockBefore + passed * 98 / 100
+          > fixture.lastLeaseUntil + fixture.agent.options.leaseSlackMs);
+    CHECK(passed < fixture.agent.options.silentAfterMs + grantMs * 103 / 100
+              + fixture.agent.options.leaseSlackMs + 1000);
+}
+
+// Guards against runs that are lost by a hang which the worker survives.
+TEST(HostAgent, leaseIsExtendedAtOnceWhenASilentWorkerAnswers)
+{
+    fixture.startRun();
+    fixture.apply(fixture.orders());
+    fixture.failCalls(CallResult::NoAnswer, 3000);
+    fixture.apply(fixture.orders());
+    fixture.failCalls(CallResult::NoAnswer, 3000);
+    fixture.apply(fixture.orders());
+    CHECK(fixture.reportsSilence());
+    CHECK(!fixture.reportsLapse());
+    CHECK(fixture.lastLeaseUntil > fixture.workerClock); // covers a worker that carries calls out
+    fixture.pollNow();
+    const auto poll = fixture.nextCall<PollCall>();
+    CHECK(poll.has_value());
+    CHECK_EQUAL(0, poll->waitMs);
+    CHECK(poll->leaseUntil > fixture.lastLeaseUntil);
+    CHECK(fixture.reportedState("t") == RunState::Running);
+}
+
+// Guards against two runs of a task at a time: a former process of the agent may have extended the
+// lease up to its end.
+TEST(HostAgent, restartedAgentOfASilentWorkerWaitsForTheLongestLease)
+{
+    fixture.failCalls(CallResult::NoAnswer, fixture.agent.options.leaseMaxMs * 102 / 100 - 100);
+    CHECK(fixture.reportsSilence());
+    CHECK(!fixture.reportsLapse());
+    fixture.failCalls(CallResult::NoAnswer, 1500);
+    CHECK(fixture.reportsLapse());
+}
+
+// Guards against a release that is too early: the worker's clock may have stood still during a
+// pause of the machine.
+TEST(HostAgent, pauseOfTheAgentIsNotCountedAsTimeOfTheLease)
+{
+    fixture.startRun();
+    fixture.apply(fixture.orders());
+    fixture.failCalls(CallResult::NoAnswer, 4000);
+    CHECK(fixture.reportsSilence());
+    fixture.now += 20000;
+    const TimeMs passed = fixture.failCallsUntilLapsed(20000);
+    CHECK(fixture.reportsLapse());
+    CHECK(passed > 5000);
+}
+
+// Guards against two runs of a task at a time: the answer to a report that was sent before the
+// release arrives after it, and orders the released run.
+TEST(HostAgent, ordersFromBeforeALapsedLeaseAreNotCarriedOut)
+{
+    fixture.fenceWorker();
+    fixture.failCallsUntilLapsed(20000);
+    CHECK(fixture.reportsLapse());
+    fixture.orderStart();
+    fixture.pollNow();
+    CHECK(!fixture.reportsLapse());
+    CHECK(!fixture.nextCall<StartCall>().has_value());
+    CHECK_EQUAL(leaderToken, makeReport(fixture.agent).releasedToken); // asks for another token
+    HostOrders orders = fixture.orders(1, leaderToken + 1);
+    orders.starts.push_back({"t", 2, "payload", ""});
+    fixture.apply(orders);
+    const auto start = fixture.nextCall<StartCall>();
+    CHECK(start.has_value());
+    CHECK_EQUAL(2, start->order.run);
+}
--- a/tests/odd_entries_test.cc
+++ b/tests/odd_entries_test.cc
@@ -192,7 +192,7 @@
 
 const std::string hostReport =
     R"({"host":"h","agentStart":1796000000000000,"sequence":7,"workerGone":false,"lostLeader":0,)"
-    R"("fencingToken":65537,"listClockMs":5,)"
+    R"("fencingToken":65537,"orderedToken":65537,"releasedToken":0,"listClockMs":5,)"
     R"("worker":{"id":"i","bornUnixMs":1796000000000,"service":"s","draining":false,)"
     R"("remainingMs":0,"labels":["a"],)"
     R"("capacity":{"cpuMilli":1,"memoryMb":2,"accelerators":3}},)"
@@ -576,9 +576,9 @@
 {
     CHECK_TEXT(decodeHostReport(hostReport, reason).has_value(), reason.text.c_str());
     for (const std::string &name :
-         Texts{"agentStart", "sequence", "lostLeader", "fencingToken", "listClockMs", "bornUnixMs",
-               "remainingMs", "cpuMilli", "memoryMb", "accelerators", "run", "state", "number",
-               "how"}) {
+         Texts{"agentStart", "sequence", "lostLeader", "fencingToken", "orderedToken",
+               "listClockMs", "bornUnixMs", "remainingMs", "cpuMilli", "memoryMb", "accelerators",
+               "run", "state", "number", "how"}) {
         for (const std::string &value : badAmounts) {
             reason = {};
             checkRefused(decodeHostReport(with(hostReport, name, value), reason).has_value(),
--- a/tests/scheduler_fuzz_test.cc
+++ b/tests/scheduler_fuzz_test.cc
@@ -101,6 +101,37 @@
     return faults;
 }
 
+// Workers do not answer for longer than a lease, while their agents report: some carry out nothing,
+// others carry out every call. Orders are late, and agents are restarted or paused.
+SimulationFaults silentWorkers()
+{
+    SimulationFaults faults;
+    faults.muteWorkersPerSecond = 0.06;
+    faults.unheardWorkersPerSecond = 0.06;
+    faults.longestMuteMs = 40000;
+    faults.lateOrder = 0.15;
+    faults.agentRestartsPerSecond = 0.1;
+    faults.agentPausesPerSecond = 0.03;
+    faults.hostDisconnectsPerSecond = 0.01;
+    faults.workerCrashesPerSecond = 0.01;
+    faults.jobsPerSecond = 0.3;
+    faults.longestEstimateMs = 12000;
+    return faults;
+}
+
+// The worker of one host never answers again, while its agent goes on.
+SimulationFaults workerSilentForEver()
+{
+    SimulationFaults faults;
+    faults.leaderChangesPerSecond = 0.02;
+    faults.agentRestartsPerSecond = 0.02;
+    faults.workerCrashesPerSecond = 0;
+    faults.hostDisconnectsPerSecond = 0;
+    faults.hostMuteFrom = 25000;
+    faults.mostAccelerators = 4; // the other workers have room for each job
+    return faults;
+}
+
 SimulationFaults cutLists()
 {
     SimulationFaults faults;
@@ -213,6 +244,20 @@
     STRCMP_EQUAL("", runSeeds(lapsedLeases(), numberOr("FLAMINGO_FUZZ_RUNS", shortRuns)).c_str());
 }
 
+// Guards against two runs of a task at a time: its worker did not answer for longer than its lease,
+// and carries out starts that were sent before.
+TEST(SchedulerFuzz, silentWorkersWithLateOrders)
+{
+    STRCMP_EQUAL("", runSeeds(silentWorkers(), numberOr("FLAMINGO_FUZZ_RUNS", shortRuns)).c_str());
+}
+
+// Guards against tasks that stay assigned to a worker which answers nothing.
+TEST(SchedulerFuzz, jobsEndBesideAWorkerThatIsSilentForEver)
+{
+    STRCMP_EQUAL(
+        "", runSeeds(workerSilentForEver(), numberOr("FLAMINGO_FUZZ_RUNS", shortRuns)).c_str());
+}
+
 // Guards against tasks that run again because their ends are not listed yet: no end is acknowledged
 // while the log is unavailable, and the workers list a few ends at a time.
 TEST(SchedulerFuzz, logOutagesBesideCutListsOfEnds)
@@ -295,10 +340,15 @@
     CHECK(violation.find("after its job was cancelled") != std::string::npos);
 }
 
-// The oracle detects an agent that sends starts from before its worker's lease lapsed.
+// The oracle detects an agent that sends starts from before its worker's lease lapsed. It does not
+// take workers for silent either, because it would then have released these runs.
 TEST(SchedulerFuzz, oracleDetectsStartsFromBeforeALapsedLease)
 {
-    const std::string violation = runSeeds(lapsedLeases(), 100, nullptr, keepStartsOfFormerOrders);
+    const std::string violation =
+        runSeeds(lapsedLeases(), 100, nullptr, [](HostAgent &agent, TimeMs now) {
+            agent.unansweredSince = 0;
+            keepStartsOfFormerOrders(agent, now);
+        });
     CHECK(violation.find("twice") != std::string::npos
           || violation.find("success") != std::string::npos);
 }
@@ -311,6 +361,29 @@
     CHECK(violation.find("after its job was cancelled") != std::string::npos);
 }
 
+// The oracle detects an agent that releases the runs of a silent worker before its lease has
+// lapsed.
+TEST(SchedulerFuzz, oracleDetectsRunsThatAreReleasedTooEarly)
+{
+    const std::string violation =
+        runSeeds(silentWorkers(), 100, nullptr, [](HostAgent &agent, TimeMs) {
+            if (agent.workerSilent)
+                agent.leasesEndAt = std::min(agent.leasesEndAt, agent.unansweredSince + 3000);
+        });
+    CHECK(violation.find("twice") != std::string::npos);
+}
+
+// The oracle detects an agent that takes a lease as known although a former process sent it.
+TEST(SchedulerFuzz, oracleDetectsARestartedAgentThatReleasesTooEarly)
+{
+    const std::string violation =
+        runSeeds(silentWorkers(), 100, nullptr, [](HostAgent &agent, TimeMs) {
+            if (agent.workerClockReceivedAt == 0)
+                agent.leasesEndAt = 0;
+        });
+    CHECK(violation.find("twice") != std::string::npos);
+}
+
 // The oracle detects an agent that takes a cut list of ends for the whole.
 TEST(SchedulerFuzz, oracleDetectsCutListsThatAreTakenAsWhole)
 {
--- a/tests/scheduler_simulation.cc
+++ b/tests/scheduler_simulation.cc
@@ -3,6 +3,7 @@
 #include "scheduler_simulation.h"
 
 #include <algorithm>
+#include <limits>
 
 namespace flamingo::tests {
 namespace {
@@ -183,7 +184,15 @@
         if (this->faults.muteWorkersPerSecond > 0
             && this->occurs(this->faults.muteWorkersPerSecond * share))
             host.muteUntil = this->now + this->randomBetween(500, this->faults.longestMuteMs);
+        if (this->faults.unheardWorkersPerSecond > 0
+            && this->occurs(this->faults.unheardWorkersPerSecond * share))
+            host.unheardUntil = this->now + this->randomBetween(500, this->faults.longestMuteMs);
+        if (this->faults.agentPausesPerSecond > 0
+            && this->occurs(this->faults.agentPausesPerSecond * share))
+            host.agentPausedUntil = this->now + this->randomBetween(500, 14000);
     }
+    if (this->faults.hostMuteFrom > 0 && this->now >= this->faults.hostMuteFrom)
+        this->hosts[0].muteUntil = std::numeric_limits<TimeMs>::max() / 2;
 }
 
 void SchedulerSimulation::crashWorker(Host &host)
@@ -201,7 +210,8 @@
 
 void SchedulerSimulation::submitJobs()
 {
-    if (!this->occurs(1.2 * double(stepMs) / 1000) || this->now < this->logDownUntil)
+    if (!this->occurs(this->faults.jobsPerSecond * double(stepMs) / 1000)
+        || this->now < this->logDownUntil)
         return;
     Job job;
     job.id = "j" + std::to_string(this->jobs.size());
@@ -218,7 +228,9 @@
     for (std::size_t i = 0; i < steps; ++i) {
         Step step;
         step.count = static_cast<std::uint32_t>(1 + this->random() % 4);
-        step.need = {8000, 1000, std::int64_t(1) << (this->random() % 4)};
+        step.need = {
+            8000, 1000,
+            std::min(std::int64_t(1) << (this->random() % 4), this->faults.mostAccelerators)};
         step.estimateMs = this->randomBetween(300, this->faults.longestEstimateMs);
         step.checkpointing = this->occurs(0.5);
         step.gang = this->occurs(0.4);
@@ -324,7 +336,7 @@
 
 void SchedulerSimulation::stepAgent(Host &host)
 {
-    if (this->now < host.agentDownUntil)
+    if (this->now < host.agentDownUntil || this->now < host.agentPausedUntil)
         return;
     FakeWorker &worker = host.worker;
     if (worker.up && this->now % 500 < stepMs) {
@@ -346,12 +358,27 @@
         this->report(host);
 }
 
+// A paused agent receives the answer when it continues.
+void SchedulerSimulation::answerAgent(Host &host, std::uint64_t generation, const WorkerCall &call,
+                                      const WorkerAnswer &answer)
+{
+    if (generation != host.agentGeneration)
+        return;
+    if (this->now < host.agentPausedUntil) {
+        this->scheduleAfter(host.agentPausedUntil - this->now,
+                            [this, &host, generation, call, answer] {
+                                this->answerAgent(host, generation, call, answer);
+                            });
+        return;
+    }
+    applyAnswer(host.agent, call, answer, this->now);
+}
+
 void SchedulerSimulation::callWorker(Host &host, const WorkerCall &call)
 {
     const std::uint64_t generation = host.agentGeneration;
     const auto reply = [this, &host, call, generation](const WorkerAnswer &answer) {
-        if (generation == host.agentGeneration)
-            applyAnswer(host.agent, call, answer, this->now);
+        this->answerAgent(host, generation, call, answer);
     };
     if (this->faultsEnabled && this->occurs(this->faults.lateOrder)) {
         this->scheduleAfter(this->randomBetween(500, longestLateOrderMs),
@@ -371,7 +398,8 @@
             return;
         }
         const WorkerAnswer answer = this->execute(host, call);
-        const bool lost = this->faultsEnabled && this->occurs(this->faults.lostAnswer);
+        const bool lost = (this->faultsEnabled && this->occurs(this->faults.lostAnswer))
+            || this->now < host.unheardUntil;
         this->scheduleAfter(lost ? unansweredCallMs : this->randomBetween(1, 10),
                             [reply, answer, lost] { reply(lost ? WorkerAnswer() : answer); });
     });
@@ -533,8 +561,8 @@
     if (cancelled == this->cancelledAt.end())
         return;
     const TimeMs sinceMs = this->now - cancelled->second;
-    const TimeMs lastFault =
-        std::max({this->logDownUntil, host.agentDownUntil, host.disconnectedUntil});
+    const TimeMs lastFault = std::max(
+        {this->logDownUntil, host.agentDownUntil, host.agentPausedUntil, host.disconnectedUntil});
     const bool inTouch = this->now >= lastFault + contactMs;
     // A late order may still be carried out after the bound for the cancellation.
     const bool calmEnd = !this->faultsEnabled && sinceMs > cancelBoundMs + longestLateOrderMs;
@@ -546,9 +574,9 @@
 // The end of the last fault that may delay a stop on the host.
 TimeMs SchedulerSimulation::lastFaultAt(const Host &host) const
 {
-    TimeMs result =
-        std::max({this->logDownUntil, this->lastLeaderChangeAt, host.agentDownUntil,
-                  host.workerDownUntil, host.disconnectedUntil, host.busyUntil, host.muteUntil});
+    TimeMs result = std::max({this->logDownUntil, this->lastLeaderChangeAt, host.agentDownUntil,
+                              host.workerDownUntil, host.disconnectedUntil, host.busyUntil,
+                              host.muteUntil, host.unheardUntil, host.agentPausedUntil});
     for (const Entry &entry : this->entries)
         result = std::max(result, entry.pausedUntil);
     return result;
@@ -714,6 +742,15 @@
 void SchedulerSimulation::applyOrders(Host &host, const HostOrders &orders, TimeMs sentAt,
                                       std::uint64_t sequence)
 {
+    if (this->now < host.agentPausedUntil) {
+        this->scheduleAfter(
+            host.agentPausedUntil - this->now,
+            [this, &host, orders, sentAt, sequence, generation = host.agentGeneration] {
+                if (generation == host.agentGeneration)
+                    this->applyOrders(host, orders, sentAt, sequence);
+            });
+        return;
+    }
     if (this->now >= host.agentDownUntil)
         scheduler::applyOrders(host.agent, orders, sentAt, sequence, this->now);
 }
--- a/tests/scheduler_simulation.h
+++ b/tests/scheduler_simulation.h
@@ -8,7 +8,8 @@
 // orders are lost, not answered and carried out seconds later, or carried out and not answered;
 // reports are lost; leaders are replaced while they are paused; agents and workers crash and
 // restart; the log is unavailable; busy workers refuse calls; mute workers neither answer calls nor
-// carry them out; workers ignore stops.
+// carry them out; unheard workers carry calls out and their answers are lost, so that their leases
+// are extended; agents are paused; workers ignore stops.
 //
 // An oracle checks the workers' runs against the rules, without using the scheduler's state. Of the
 // runs of a cancelled job it checks that
@@ -49,9 +50,14 @@
     double refusedCall = 0.8; // of a call to a busy worker
     double muteWorkersPerSecond = 0; // a worker does nothing and gives no answers for some seconds
     TimeMs longestMuteMs = 8000;
+    double unheardWorkersPerSecond = 0; // a worker carries out calls and is not heard for seconds
+    double agentPausesPerSecond = 0; // an agent does nothing for some seconds
+    TimeMs hostMuteFrom = 0; // the worker of the first host is mute from then on; 0: never
+    std::int64_t mostAccelerators = 8; // of a task
     std::size_t endsPerAnswer = 500; // a worker lists at most this many ends
     bool cutListsLookComplete = false; // answers do not tell that a list of ends is cut
     double ignoredStop = 0; // of a run: its first stop is accepted and not carried out
+    double jobsPerSecond = 1.2;
     double cancelledJob = 0.15;
     TimeMs longestCancelDelayMs = 6000; // from the submission to the cancellation
     TimeMs longestEstimateMs = 6000; // of a task
@@ -141,6 +147,8 @@
         TimeMs disconnectedUntil = 0;
         TimeMs busyUntil = 0; // the worker refuses calls
         TimeMs muteUntil = 0; // the worker neither answers calls nor carries them out
+        TimeMs unheardUntil = 0; // the worker's answers are lost
+        TimeMs agentPausedUntil = 0;
         std::uint64_t agentGeneration = 0;
     };
     struct SuccessfulEnd // of a run whose end may still be acknowledged
@@ -162,6 +170,8 @@
     void flush(std::size_t index);
     void stepAgent(Host &host);
     void callWorker(Host &host, const scheduler::WorkerCall &call);
+    void answerAgent(Host &host, std::uint64_t generation, const scheduler::WorkerCall &call,
+                     const scheduler::WorkerAnswer &answer);
     scheduler::WorkerAnswer execute(Host &host, const scheduler::WorkerCall &call,
                                     bool late = false);
     void start(Host &host, const scheduler::StartCall &call, bool late,
--- a/tests/scheduler_test.cc
+++ b/tests/scheduler_test.cc
@@ -293,6 +293,93 @@
     CHECK_EQUAL(1, rig.sendReport("h1").starts.size());
 }
 
+// Guards against a task that stays assigned for ever: its worker answers nothing, and its agent
+// reports.
+TEST(Scheduler, taskOfASilentWorkerIsPlacedAgainWhenItsLeasesHaveLapsed)
+{
+    rig.addWorker("h1");
+    rig.accept(rig.makeJob("a", 1, 2));
+    rig.sendReport("h1");
+    CHECK_EQUAL(1, rig.runCount("h1"));
+    rig.addWorker("h2");
+    HostReport &report = rig.nextReports.at("h1");
+    report.workerSilent = true;
+    rig.sendReport("h1");
+    CHECK_EQUAL(0, rig.sendReport("h2").starts.size());
+    report.runs.clear();
+    report.leasesLapsed = true;
+    report.releasedToken = report.fencingToken;
+    const std::uint64_t formerToken = report.fencingToken;
+    const HostOrders orders = rig.sendReport("h1");
+    CHECK(orders.starts.empty());
+    CHECK(orders.fencingToken > formerToken); // the agent carries out nothing under the former one
+    rig.advance(rig.scheduler.options.failureBackoffMs);
+    const HostOrders next = rig.sendReport("h2");
+    CHECK_EQUAL(1, next.starts.size());
+    CHECK_EQUAL(2, next.starts[0].run);
+}
+
+// A run that its worker still executes, whatever the agent concluded, is stopped.
+TEST(Scheduler, releasedRunThatAppearsLaterIsStopped)
+{
+    rig.addWorker("h1");
+    rig.accept(rig.makeJob("a", 1, 2));
+    rig.sendReport("h1");
+    HostReport &report = rig.nextReports.at("h1");
+    const std::vector<ReportedRun> runs = report.runs;
+    report.workerSilent = report.leasesLapsed = true;
+    report.releasedToken = report.fencingToken;
+    report.runs.clear();
+    rig.sendReport("h1");
+    report.workerSilent = report.leasesLapsed = false;
+    report.runs = runs;
+    const HostOrders orders = rig.sendReport("h1");
+    CHECK_EQUAL(1, orders.stops.size());
+    CHECK(orders.starts.empty());
+}
+
+// Guards against a release by a report from before the worker was used again.
+TEST(Scheduler, lapseUnderAnotherTokenReleasesNothing)
+{
+    rig.addWorker("h1");
+    rig.accept(rig.makeJob("a", 1, 2));
+    rig.sendReport("h1");
+    HostReport &report = rig.nextReports.at("h1");
+    report.leasesLapsed = true;
+    report.orderedToken = report.fencingToken;
+    report.releasedToken = report.fencingToken - 1;
+    rig.sendReport("h1");
+    CHECK_EQUAL(1, rig.scheduler.workers.begin()->second.runs.size());
+}
+
+// Guards against a task that the next leader holds as assigned for ever: the worker has not
+// accepted its token.
+TEST(Scheduler, nextLeaderReleasesTheTasksOfASilentWorker)
+{
+    rig.addWorker("h1");
+    rig.accept(rig.makeJob("a", 1, 2));
+    rig.sendReport("h1");
+    rig.takeOver(2 << 20);
+    HostReport &report = rig.reportOf("h1");
+    const auto sendLapse = [&] {
+        report.workerSilent = report.leasesLapsed = true;
+        const HostOrders orders = rig.sendReport("h1");
+        report.fencingToken = 0; // the worker does not answer
+        report.orderedToken = orders.fencingToken;
+    };
+    sendLapse();
+    sendLapse();
+    // A former leader may still be followed by an agent that is restarted.
+    CHECK_EQUAL(1, rig.scheduler.workers.begin()->second.runs.size());
+    rig.advance(rig.scheduler.options.maxStoreUnreachableMs + 1);
+    sendLapse();
+    CHECK_EQUAL(0, rig.scheduler.workers.begin()->second.runs.size());
+    rig.addWorker("h2");
+    rig.advance(rig.scheduler.options.failureBackoffMs);
+    rig.sendReport("h2");
+    CHECK_EQUAL(1, rig.runCount("h2"));
+}
+
 TEST(Scheduler, cancelledJobIsStoppedAndNotRestarted)
 {
     rig.addWorker("h1");
