Do not answer reports at once for a token that the agent has

What callers saw: while a worker does not accept the leader's fencing token, because it answers nothing, each report of its agent is answered at once and the next one follows. A worker whose runs were released waits for its new token in this state.

Cause: hasOrders() compares the token with the one that the worker has accepted.

Evidence, before: tokenThatTheAgentHasReceivedIsNotSentAgainAtOnce (scheduler_test) fails at CHECK(!hasOrders(...)) for a report that names the token as received.

Change: a token that the report names as received (HostReport::orderedToken) is no reason for an answer. The rate of reports was not measured.

--- a/flamingo/scheduler/scheduler.cc
+++ b/flamingo/scheduler/scheduler.cc
@@ -752,7 +752,8 @@
         return true;
     if (orders.workerKey.empty())
         return !orders.storedWorkerEnd.empty() && !lastReport.workerEndStored;
-    if (orders.fencingToken != lastReport.fencingToken)
+    if (orders.fencingToken != lastReport.fencingToken
+        && orders.fencingToken != lastReport.orderedToken)
         return true;
     return std::any_of(
         lastReport.ends.begin(), lastReport.ends.end(),
--- a/tests/scheduler_test.cc
+++ b/tests/scheduler_test.cc
@@ -380,6 +380,18 @@
     CHECK_EQUAL(1, rig.runCount("h2"));
 }
 
+// Guards against a flood of reports: a report was answered at once for as long as the worker had
+// not accepted the token, although the agent had received it.
+TEST(Scheduler, tokenThatTheAgentHasReceivedIsNotSentAgainAtOnce)
+{
+    HostReport &report = rig.reportOf("h1");
+    rig.sendReport("h1");
+    report.fencingToken = 0; // the worker does not answer
+    CHECK(hasOrders(ordersFor(rig.scheduler, "h1"), report));
+    report.orderedToken = ordersFor(rig.scheduler, "h1").fencingToken;
+    CHECK(!hasOrders(ordersFor(rig.scheduler, "h1"), report));
+}
+
 TEST(Scheduler, cancelledJobIsStoppedAndNotRestarted)
 {
     rig.addWorker("h1");
