--- a/tests/reservation_test.cc
+++ b/tests/reservation_test.cc
@@ -589,8 +589,8 @@
     CHECK_EQUAL(1, lines);
 }
 
-// Guards against jobs that wait without a limit beside idle workers: an urgent gang that is too late
-// to stop other work reserves these workers until it fits.
+// Guards against jobs that wait without a limit beside idle workers: an urgent gang that is too
+// late to stop other work reserves these workers until it fits.
 TEST(Reservation, lateUrgentGangDoesNotHoldBackOthersWhileMostIsIdle)
 {
     Cluster cluster(6);
