Grant no lease for a report without a worker

A restarted agent that has no heartbeat of its worker yet reports without one. The leader answered with the orders and the grant for the host's former worker, but did not count the report as one of that worker. An agent that learned of its worker before the answer arrived extended the lease from a report that the leader did not count, so a task could be placed again before the lease had lapsed.

The host has no worker until a report names one.

Before: reportWithoutAWorkerExtendsNoLease: expected <> but was <h1/w-h1@1>.

--- a/flamingo/scheduler/scheduler.cc
+++ b/flamingo/scheduler/scheduler.cc
@@ -655,6 +655,8 @@
     host.lastReport = now;
     if (!report.worker) {
         host.endedWorker.clear();
+        // The answer would grant a lease from this report on, which does not count for any worker.
+        host.workerKey.clear();
         if (report.workerGone)
             dropOtherIncarnations(scheduler, report.host, "", now);
         return true;
--- a/tests/scheduler_test.cc
+++ b/tests/scheduler_test.cc
@@ -214,6 +214,20 @@
     CHECK_EQUAL(0, rig.scheduler.workers.size());
 }
 
+// Guards against two runs of a task at a time: the lease counted from the report of a restarted
+// agent that did not know its worker yet, and the leader from the last report that named it.
+TEST(Scheduler, reportWithoutAWorkerExtendsNoLease)
+{
+    rig.addWorker("h1");
+    HostReport report = rig.nextReports.at("h1");
+    report.agentStart = 2;
+    report.sequence = 1;
+    report.worker.reset();
+    rig.advance(2000);
+    CHECK(applyReport(rig.scheduler, report, rig.now));
+    CHECK_EQUAL(std::string(), ordersFor(rig.scheduler, "h1").workerKey);
+}
+
 // Guards against an agent whose reports are ignored until the leader changes: a report of a former
 // process of the agent arrives late, after the agent was restarted twice.
 TEST(Scheduler, lateReportOfAFormerAgentIsIgnored)
