Convert a lease grant for the slowest clock of a worker

The agent added the time from its newest reading of the worker's clock to the end of the grant. On a clock that is 2% slow the lease ended after the grant, by 2% of the grant and of the age of the reading. That age has no bound: a worker may carry out polls whose answers are lost. The leader's margin of 1.3 s held for readings up to 54 s old.

The agent converts 98% of that time, so the lease ends by the end of the grant on any clock that is at most 2% slow, however old the reading. On an exact clock a lease is 0.18 s shorter.

Before: leaseEndsWithTheGrantOnASlowClockThatWasReadLongAgo: CHECK(poll->leaseUntil - clockMs <= 0.98 * (grantUntil - receivedAt)) failed

--- a/flamingo/scheduler/host_agent.cc
+++ b/flamingo/scheduler/host_agent.cc
@@ -42,6 +42,8 @@
 
 // Added to the time that a stop may take before the stop is repeated.
 constexpr TimeMs stopSlackMs = 200;
+// A worker's clock may run this slowly.
+constexpr TimeMs slowestClockPercent = 98;
 
 using RunKey = std::pair<std::string, std::uint32_t>;
 
@@ -89,15 +91,20 @@
     agent.reportNeeded = true;
 }
 
-// Returns the end of the leader's lease grant, converted to the worker's clock; 0 when the grant
-// has expired, the worker is silent or its clock is not known yet. The worker's clock may run slow,
-// so the lease may last up to 2% longer than the grant; the leader allows for that before it treats
-// a lease as lapsed.
+// Returns a time on the worker's clock that it reaches by the end of the leader's lease grant, also
+// if it runs `slowestClockPercent` of the true time, however old the newest reading of it is: the
+// time since the reading counts as well, because the clock may have been slow all the while.
+// 0 when the worker is silent or its clock is not known yet, or when an exact clock has passed that
+// time.
 std::int64_t leaseUntil(const HostAgent &agent, TimeMs now)
 {
-    if (agent.workerClockReceivedAt == 0 || agent.grantUntil <= now || agent.workerSilent)
+    if (agent.workerClockReceivedAt == 0 || agent.workerSilent)
         return 0;
-    return agent.workerClockMs + (agent.grantUntil - agent.workerClockReceivedAt);
+    const TimeMs leaseMs =
+        (agent.grantUntil - agent.workerClockReceivedAt) * slowestClockPercent / 100;
+    if (leaseMs <= now - agent.workerClockReceivedAt)
+        return 0;
+    return agent.workerClockMs + leaseMs;
 }
 
 // Notes that a call with this lease is sent, which the worker may carry out at any time.
--- a/tests/host_agent_test.cc
+++ b/tests/host_agent_test.cc
@@ -529,6 +529,33 @@
         CHECK_EQUAL(0, std::get<PollCall>(call).leaseUntil);
 }
 
+// Guards against a lease that ends after the grant: the newest reading of a slow worker's clock is
+// old, because the answers to its polls are lost.
+TEST(HostAgent, leaseEndsWithTheGrantOnASlowClockThatWasReadLongAgo)
+{
+    fixture.fenceWorker();
+    const std::int64_t clockMs = fixture.agent.workerClockMs;
+    const TimeMs receivedAt = fixture.agent.workerClockReceivedAt;
+    const TimeMs start = fixture.now;
+    int polls = 0;
+    while (fixture.now < start + 20000) {
+        fixture.advance(400);
+        fixture.apply(fixture.orders());
+        fixture.agent.pollNeeded = true;
+        for (const WorkerCall &call : dueCalls(fixture.agent, fixture.now)) {
+            const auto *poll = std::get_if<PollCall>(&call);
+            if (poll != nullptr) {
+                ++polls;
+                CHECK(poll->leaseUntil > clockMs + (fixture.now - receivedAt) + 8000);
+                CHECK(double(poll->leaseUntil - clockMs)
+                      <= 0.98 * double(fixture.agent.grantUntil - receivedAt));
+            }
+            applyAnswer(fixture.agent, call, {}, fixture.now);
+        }
+    }
+    CHECK(polls > 10);
+}
+
 // A worker without a lease would stop the task immediately.
 TEST(HostAgent, noTaskIsStartedWithoutALease)
 {
