Stop a run whose start its worker never confirms

A task is assigned to a worker that answers its agent's polls and never the start of that task.

Cause: the agent repeats such a start each 300 ms without a limit, the leader's stall timer begins only when a run is listed, and nothing else ends the run. The class: a wait without a bound.

Change: when the host's reports have listed the run as starting for 3 s (startTimeoutMs), the leader stops it. The agent reports it as gone only when the worker has answered the stop and does not list the run, so it cannot run twice; its task is then placed again, on another worker first. Time in which the host does not report does not count, and a worker that answers nothing is left to its lease.

Evidence: scheduler_test startThatIsNeverConfirmedIsStoppedAndPlacedElsewhere fails without the call in plan() (no stop order); timeWithoutReportsDoesNotCountAsAStartThatIsNotConfirmed guards the other side.

--- a/flamingo/scheduler/planner.cc
+++ b/flamingo/scheduler/planner.cc
@@ -1163,6 +1163,46 @@
     gang.runs.emplace_back(&worker, key);
 }
 
+// The run's gang; the run alone outside a gang. nullopt for a run that should not go on.
+std::optional<GangKey> gangOf(const Scheduler &scheduler, const Worker &worker, const Run &run)
+{
+    if (!shouldRun(scheduler, worker, run))
+        return std::nullopt;
+    const auto found = scheduler.table.jobs.find(run.jobId);
+    const TaskPosition position = taskPosition(*found->second.job, run.taskNumber);
+    const bool gang = found->second.job->steps[position.step].gang;
+    return GangKey(found->first, run.taskNumber - (gang ? position.index : 0), run.run);
+}
+
+// Stops runs whose workers answer other calls but do not confirm the start. Other workers come
+// first for their tasks, as after a start that was refused. A gang of which a member runs is left
+// to the worker of that member, which ends it when the others do not start in time.
+void stopUnconfirmedStarts(Scheduler &scheduler, TimeMs now)
+{
+    std::set<GangKey> begun;
+    std::vector<std::tuple<Worker *, RunKey, GangKey>> overdue;
+    for (auto &[key, worker] : scheduler.workers) {
+        if (!worker.fenced || worker.silent)
+            continue;
+        for (const auto &[runKey, run] : worker.runs) {
+            const bool running = run.reported == RunState::Running;
+            if (!running && run.startingMs < scheduler.options.startTimeoutMs)
+                continue;
+            const auto gang = gangOf(scheduler, worker, run);
+            if (gang && running)
+                begun.insert(*gang);
+            else if (gang)
+                overdue.emplace_back(&worker, runKey, *gang);
+        }
+    }
+    for (const auto &[worker, runKey, gang] : overdue) {
+        if (begun.count(gang) > 0)
+            continue;
+        stopRun(scheduler, worker->key, runKey, "its start is not confirmed");
+        worker->busyUntil = now + scheduler.options.busyMs;
+    }
+}
+
 // Stops runs that occupy resources without making progress, and quarantines the workers that
 // stalled them. A gang begins to work when all its members run, so their stall timers start then.
 void stopStalledRuns(Scheduler &scheduler, TimeMs now)
@@ -1262,6 +1302,7 @@
     dropLapsedWorkers(scheduler, now);
     releaseOrphanedTasks(scheduler, now);
     applyCancellations(scheduler, now);
+    stopUnconfirmedStarts(scheduler, now);
     stopStalledRuns(scheduler, now);
     const std::set<std::string> guaranteed = guaranteedJobs(scheduler);
     const std::set<TaskId> blocked = tasksWithRuns(scheduler);
--- a/flamingo/scheduler/scheduler.cc
+++ b/flamingo/scheduler/scheduler.cc
@@ -300,8 +300,9 @@
 }
 
 // `listClockMs` is HostReport::listClockMs.
+// `sinceLastReportMs` is the time since the worker's previous report.
 void applyReportedRun(Scheduler &scheduler, Worker &worker, const ReportedRun &reported,
-                      std::int64_t listClockMs, TimeMs now)
+                      std::int64_t listClockMs, TimeMs sinceLastReportMs, TimeMs now)
 {
     const RunKey key = {reported.task, reported.run};
     auto found = worker.runs.find(key);
@@ -331,6 +332,11 @@
         dropRun(scheduler, dropped, worker.key, reported.reason, now);
         return;
     }
+    const bool stillStarting =
+        run.reported == RunState::Starting && reported.state == RunState::Starting;
+    // A host that did not report may not have sent the start.
+    const bool counts = sinceLastReportMs <= scheduler.options.reportTimeoutMs;
+    run.startingMs = stillStarting && counts ? run.startingMs + sinceLastReportMs : 0;
     run.reported = reported.state;
     if (reported.state == RunState::Running && run.runningSince == 0)
         run.runningSince = now;
@@ -341,12 +347,13 @@
         job->second.progress.tasks[run.taskNumber].checkpoint = reported.checkpoint;
 }
 
-void applyReportedRuns(Scheduler &scheduler, Worker &worker, const HostReport &report, TimeMs now)
+void applyReportedRuns(Scheduler &scheduler, Worker &worker, const HostReport &report,
+                       TimeMs sinceLastReportMs, TimeMs now)
 {
     std::map<RunKey, bool> listed;
     for (const ReportedRun &reported : report.runs) {
         listed[{reported.task, reported.run}] = true;
-        applyReportedRun(scheduler, worker, reported, report.listClockMs, now);
+        applyReportedRun(scheduler, worker, reported, report.listClockMs, sinceLastReportMs, now);
     }
     for (auto run = worker.runs.begin(); run != worker.runs.end();) {
         if (listed.count(run->first) > 0 || run->second.reported == RunState::Unknown) {
@@ -676,7 +683,7 @@
     Worker &worker = findOrAddWorker(scheduler, key, report);
     host.workerKey = key;
     worker.info = *report.worker;
-    worker.lastReport = now;
+    const TimeMs sinceLastReportMs = now - std::exchange(worker.lastReport, now);
     worker.silent = report.workerSilent;
     if (report.workerBusy)
         worker.busyUntil = now + scheduler.options.busyMs;
@@ -701,7 +708,7 @@
         worker.endFlush[end.number] = scheduler.flush;
         applyReportedEnd(scheduler, worker, end, now);
     }
-    applyReportedRuns(scheduler, worker, report, now);
+    applyReportedRuns(scheduler, worker, report, sinceLastReportMs, now);
     releaseLapsedRuns(scheduler, worker, report, now);
     return true;
 }
--- a/flamingo/scheduler/scheduler.h
+++ b/flamingo/scheduler/scheduler.h
@@ -144,6 +144,9 @@
     // for `quarantineMs`. Runs of one job may fail because of the job.
     std::uint32_t quarantineAfterFailures = 4;
     TimeMs quarantineMs = 8000;
+    // A run whose worker answers other calls but has not confirmed its start for this long is
+    // stopped, and its task is placed again when the worker has confirmed that it does not run.
+    TimeMs startTimeoutMs = 3000;
     // Run time off the preferred rack, as a multiple of the usual one.
     double offRackFactor = 3;
     // Tasks wait for a preferred rack at least this long, also without an estimate.
@@ -175,6 +178,7 @@
     std::uint64_t flush = 0; // the start is ordered only after this flush is stored
     TimeMs assignedAt = 0; // 0: not assigned by this leader
     TimeMs runningSince = 0; // 0: not yet reported as running
+    TimeMs startingMs = 0; // for how long reports have listed it as starting
     RunProgress progress;
     bool resumed = false; // it was started from a checkpoint
 };
--- a/tests/host_agent_test.cc
+++ b/tests/host_agent_test.cc
@@ -534,6 +534,7 @@
 TEST(HostAgent, leaseEndsWithTheGrantOnASlowClockThatWasReadLongAgo)
 {
     fixture.fenceWorker();
+    fixture.agent.options.silentAfterMs = 60000; // a silent worker is sent no lease
     const std::int64_t clockMs = fixture.agent.workerClockMs;
     const TimeMs receivedAt = fixture.agent.workerClockReceivedAt;
     const TimeMs start = fixture.now;
--- a/tests/scheduler_test.cc
+++ b/tests/scheduler_test.cc
@@ -911,3 +911,40 @@
     rig.planAndStore();
     CHECK_FALSE(hasOrders(ordersFor(rig.scheduler, "h1"), report));
 }
+
+// Guards against a task that waits without a limit for a worker that answers polls and never the
+// start: its agent repeats the start, and nothing else ends the run.
+TEST(Scheduler, startThatIsNeverConfirmedIsStoppedAndPlacedElsewhere)
+{
+    rig.addWorker("h1");
+    rig.accept(rig.makeJob("a", 1, 2));
+    rig.sendReport("h1");
+    rig.addWorker("h2");
+    const auto reportStarting = [this](TimeMs ms) {
+        HostOrders orders;
+        for (TimeMs passed = 0; passed < ms; passed += 500) {
+            rig.advance(500);
+            rig.reportOf("h1").runs[0].state = RunState::Starting;
+            orders = rig.sendReport("h1");
+            CHECK(rig.sendReport("h2").starts.empty());
+        }
+        return orders;
+    };
+    CHECK(reportStarting(rig.scheduler.options.startTimeoutMs).stops.empty());
+    CHECK_EQUAL(1, reportStarting(500).stops.size());
+    rig.advance(500);
+    rig.sendReport("h1"); // lists the end of the run
+    CHECK_EQUAL(1, rig.sendReport("h2").starts.size());
+}
+
+// Guards against a start that is given up because its host, not its worker, was silent.
+TEST(Scheduler, timeWithoutReportsDoesNotCountAsAStartThatIsNotConfirmed)
+{
+    rig.addWorker("h1");
+    rig.accept(rig.makeJob("a", 1, 2));
+    rig.sendReport("h1");
+    rig.reportOf("h1").runs[0].state = RunState::Starting;
+    rig.sendReport("h1");
+    rig.advance(rig.scheduler.options.reportTimeoutMs + rig.scheduler.options.startTimeoutMs);
+    CHECK(rig.sendReport("h1").stops.empty());
+}
