Simulation: workers that leave in good order, hosts that are taken away, entries without power

Widened by what the tests missed: no simulated host left for good, and there was always an entry. A departure ends the worker after it has told its agent, and takes the host away 0.5 to 8 s later; a new host comes. All entries are without power for 1 to 14 s. The check: no task is still assigned to a worker 4 s after its end is stored and an entry leads that reads the log.

scheduler_fuzz_test workersLeaveWhileNoEntryRuns passes; oracleDetectsEndsOfWorkersThatAreNotStored shows that the check finds a leader that ignores the stored ends.

--- a/tests/scheduler_fuzz_test.cc
+++ b/tests/scheduler_fuzz_test.cc
@@ -132,6 +132,16 @@
     return faults;
 }
 
+SimulationFaults departures()
+{
+    SimulationFaults faults;
+    faults.departuresPerSecond = 0.04;
+    faults.powerLossesPerSecond = 0.03;
+    faults.logOutagesPerSecond = 0.01;
+    faults.agentRestartsPerSecond = 0;
+    return faults;
+}
+
 SimulationFaults cutLists()
 {
     SimulationFaults faults;
@@ -258,6 +268,13 @@
         "", runSeeds(workerSilentForEver(), numberOr("FLAMINGO_FUZZ_RUNS", shortRuns)).c_str());
 }
 
+// Guards against tasks that wait for the lease of a worker that has left in good order, also while
+// no entry ran, and against runs of such tasks beside those of a worker that is still there.
+TEST(SchedulerFuzz, workersLeaveWhileNoEntryRuns)
+{
+    STRCMP_EQUAL("", runSeeds(departures(), numberOr("FLAMINGO_FUZZ_RUNS", shortRuns)).c_str());
+}
+
 // Guards against tasks that run again because their ends are not listed yet: no end is acknowledged
 // while the log is unavailable, and the workers list a few ends at a time.
 TEST(SchedulerFuzz, logOutagesBesideCutListsOfEnds)
@@ -391,3 +408,13 @@
     faults.cutListsLookComplete = true;
     CHECK(runSeeds(faults, 100).find("success") != std::string::npos);
 }
+
+// The oracle detects agents that do not store the end of a worker, and take it for confirmed.
+TEST(SchedulerFuzz, oracleDetectsEndsOfWorkersThatAreNotStored)
+{
+    const std::string violation = runSeeds(departures(), 100, [](Scheduler &scheduler) {
+        for (auto &[key, ended] : scheduler.table.endedWorkers)
+            ended.released = true;
+    });
+    CHECK(violation.find("is held for a worker that has left") != std::string::npos);
+}
--- a/tests/scheduler_simulation.cc
+++ b/tests/scheduler_simulation.cc
@@ -14,6 +14,7 @@
 constexpr TimeMs cancelBoundMs = 3000;
 constexpr TimeMs contactMs = 3000; // a host is calm this long after a fault
 constexpr TimeMs idleBoundMs = 3000;
+constexpr TimeMs departedBoundMs = 4000;
 constexpr TimeMs idleCalmMs = 4000;
 constexpr TimeMs unansweredCallMs = 300;
 constexpr TimeMs lostReportMs = 400;
@@ -149,9 +150,113 @@
         this->stepAgent(host);
         this->checkCancelledRuns(host);
     }
+    this->checkDepartures();
     this->checkIdleJobs();
 }
 
+void SchedulerSimulation::losePower()
+{
+    const TimeMs lengthMs = this->randomBetween(1000, 14000);
+    this->lastLeaderChangeAt = this->now + lengthMs;
+    for (Entry &entry : this->entries) {
+        endLeading(entry.scheduler);
+        entry.offset = 0;
+        entry.flushing = false;
+        entry.pausedUntil = std::max(entry.pausedUntil, this->now + lengthMs);
+    }
+    this->scheduleAfter(lengthMs, [this, index = this->random() % this->entries.size()] {
+        this->restoreLeader(index);
+    });
+}
+
+void SchedulerSimulation::restoreLeader(std::size_t index)
+{
+    Entry &entry = this->entries[index];
+    if (this->now < this->logDownUntil || this->now < entry.pausedUntil) {
+        this->scheduleAfter(100, [this, index] { this->restoreLeader(index); });
+        return;
+    }
+    this->takeOver(entry);
+}
+
+// The worker ends after it has told its agent so. The agent runs on for a while.
+void SchedulerSimulation::leave(Host &host)
+{
+    if (!host.worker.up || host.takenAwayAt != 0)
+        return;
+    applyDeregistration(host.agent, host.worker.id);
+    this->crashWorker(host);
+    host.takenAwayAt = this->now + this->randomBetween(500, 8000);
+    host.workerDownUntil = host.takenAwayAt + this->randomBetween(200, 3000);
+}
+
+void SchedulerSimulation::replaceHost(Host &host)
+{
+    const AgentOptions options = host.agent.options;
+    host.agent = {};
+    host.agent.options = options;
+    host.agent.options.agentStart = ++host.agentGeneration;
+    host.name += "n";
+    host.agent.options.host = host.name;
+    host.agentDownUntil = this->now + 200;
+    host.reporting = false;
+    host.takenAwayAt = 0;
+    host.worker.id = host.name + "w";
+}
+
+void SchedulerSimulation::storeWorkerEnd(Host &host)
+{
+    const std::string name = host.name;
+    if (host.agent.worker && host.agent.workerGone && host.agent.workerEndStored)
+        this->departedAt.try_emplace(workerKey(name, *host.agent.worker), this->now);
+    const auto record = dueWorkerEnd(host.agent, this->now);
+    if (!record)
+        return;
+    const bool late = this->faultsEnabled && this->occurs(this->faults.lateOrder);
+    const TimeMs storedMs = late ? this->randomBetween(500, 6000) : this->randomBetween(5, 40);
+    const std::uint64_t generation = host.agentGeneration;
+    const std::string key = parseKey(record->key)->workerKey;
+    this->scheduleAfter(storedMs, [this, record = *record, key] {
+        if (this->now < this->logDownUntil)
+            return;
+        this->log.push_back(record);
+        this->departedAt.try_emplace(key, this->now);
+    });
+    this->scheduleAfter(late ? unansweredCallMs : storedMs + 5,
+                        [this, &host, key, generation, late] {
+                            if (generation != host.agentGeneration)
+                                return;
+                            AppendResult result;
+                            if (!late && this->now >= this->logDownUntil)
+                                result.status = AppendStatus::Stored;
+                            applyWorkerEndResult(host.agent, key, result, this->now);
+                        });
+}
+
+void SchedulerSimulation::checkDepartures()
+{
+    for (const Entry &entry : this->entries) {
+        if (entry.scheduler.epoch == 0 || entry.scheduler.epoch != this->logEpoch)
+            continue;
+        const TimeMs readsSince = std::max(
+            {entry.leadsSince, entry.pausedUntil, this->logDownUntil, this->lastLeaderChangeAt});
+        for (const auto &[id, row] : entry.scheduler.table.jobs) {
+            if (!row.job || row.progress.outcome != Outcome::Open)
+                continue;
+            for (const TaskProgress &task : row.progress.tasks) {
+                const bool assigned =
+                    task.phase == TaskPhase::Assigned || task.phase == TaskPhase::Stopping;
+                const auto departed =
+                    assigned ? this->departedAt.find(task.worker) : this->departedAt.end();
+                if (departed != this->departedAt.end()
+                    && this->now - std::max(readsSince, departed->second) > departedBoundMs)
+                    this->recordViolation("a task of " + id
+                                          + " is held for a worker that has left: " + task.worker);
+            }
+        }
+    }
+}
+
 void SchedulerSimulation::injectFaults()
 {
     const double share = double(stepMs) / 1000;
@@ -191,10 +296,16 @@
         if (this->faults.unheardWorkersPerSecond > 0
             && this->occurs(this->faults.unheardWorkersPerSecond * share))
             host.unheardUntil = this->now + this->randomBetween(500, this->faults.longestMuteMs);
+        if (this->faults.departuresPerSecond > 0
+            && this->occurs(this->faults.departuresPerSecond * share))
+            this->leave(host);
         if (this->faults.agentPausesPerSecond > 0
             && this->occurs(this->faults.agentPausesPerSecond * share))
             host.agentPausedUntil = this->now + this->randomBetween(500, 14000);
     }
+    if (this->faults.powerLossesPerSecond > 0
+        && this->occurs(this->faults.powerLossesPerSecond * share))
+        this->losePower();
     if (this->faults.hostMuteFrom > 0 && this->now >= this->faults.hostMuteFrom)
         this->hosts[0].muteUntil = std::numeric_limits<TimeMs>::max() / 2;
 }
@@ -296,6 +407,7 @@
     beginLeading(entry.scheduler, this->logEpoch, this->now);
     entry.flushing = false;
     entry.replacedForMs = 0;
+    entry.leadsSince = this->now;
 }
 
 void SchedulerSimulation::flush(std::size_t index)
@@ -340,6 +452,8 @@
 
 void SchedulerSimulation::stepAgent(Host &host)
 {
+    if (host.takenAwayAt != 0 && this->now >= host.takenAwayAt)
+        this->replaceHost(host);
     if (this->now < host.agentDownUntil || this->now < host.agentPausedUntil)
         return;
     FakeWorker &worker = host.worker;
@@ -354,6 +468,7 @@
     }
     if (this->beforeCalls)
         this->beforeCalls(host.agent, this->now);
+    this->storeWorkerEnd(host);
     for (const WorkerCall &call : dueCalls(host.agent, this->now))
         this->callWorker(host, call);
     host.agent.decisions.clear();
--- a/tests/scheduler_simulation.h
+++ b/tests/scheduler_simulation.h
@@ -24,6 +24,8 @@
 // Of open jobs it checks, once the faults are over, that none has nothing running for `idleBoundMs`
 // while all hosts have been calm for `idleCalmMs`, less than half of the accelerators are in use
 // and there is room for its next tasks twice over.
+// Of workers that have left it checks that no task is still assigned to one `departedBoundMs` after
+// both its end is stored and an entry leads that reads the log.
 
 #include "flamingo/scheduler/host_agent.h"
 #include "flamingo/scheduler/scheduler.h"
@@ -61,6 +63,8 @@
     bool cutListsLookComplete = false; // answers do not tell that a list of ends is cut
     double ignoredStop = 0; // of a run: its first stop is accepted and not carried out
     double jobsPerSecond = 1.2;
+    double departuresPerSecond = 0; // a worker ends in good order; later its host is taken away
+    double powerLossesPerSecond = 0; // all entries are without power for some seconds
     double cancelledJob = 0.15;
     TimeMs longestCancelDelayMs = 6000; // from the submission to the cancellation
     TimeMs longestEstimateMs = 6000; // of a task
@@ -136,6 +140,7 @@
         bool flushing = false;
         TimeMs pausedUntil = 0;
         TimeMs replacedForMs = 0; // how long it has led, unpaused, after another entry took over
+        TimeMs leadsSince = 0;
     };
     struct Host
     {
@@ -152,6 +157,7 @@
         TimeMs muteUntil = 0; // the worker neither answers calls nor carries them out
         TimeMs unheardUntil = 0; // the worker's answers are lost
         TimeMs agentPausedUntil = 0;
+        TimeMs takenAwayAt = 0; // a new host with another worker comes then; 0: it stays
         std::uint64_t agentGeneration = 0;
     };
     struct SuccessfulEnd // of a run whose end may still be acknowledged
@@ -191,6 +197,12 @@
     TimeMs lastFaultAt(const Host &host) const;
     void checkCancelledRuns(Host &host);
     void excuseRuns(Host &host, TimeMs delayMs);
+    void losePower();
+    void restoreLeader(std::size_t index);
+    void leave(Host &host);
+    void replaceHost(Host &host);
+    void storeWorkerEnd(Host &host);
+    void checkDepartures();
     void checkIdleJobs();
     bool mostIsIdle() const;
     bool couldRun(const scheduler::Job &job) const;
@@ -220,6 +232,8 @@
     TimeMs lastLeaderChangeAt = 0;
     std::map<std::string, scheduler::Job> jobs;
     std::map<std::string, TimeMs> cancelledAt;
+    // When the end of a worker was stored or confirmed to its agent, by worker key.
+    std::map<std::string, TimeMs> departedAt;
     std::map<std::string, TimeMs> idleMs; // time in which a job could have run and did not
     std::map<std::string, std::vector<TimeMs>> startTimes; // by task
     std::map<std::string, TimeMs> acknowledgedSuccessAt; // by task
