--- a/flamingo/scheduler/scheduler.h
+++ b/flamingo/scheduler/scheduler.h
@@ -90,7 +90,7 @@
     std::map<std::size_t, WaitState> waits; // by the number of the step's first task
 };
 
-// The end of a worker's incarnation, as its agent has stored it. Leader only:
+// The end of a worker's incarnation that its agent has stored. The fields are the leader's.
 struct EndedWorker
 {
     TimeMs seenAt = 0; // when a plan of this leader first considered it; 0: not yet
@@ -154,10 +154,10 @@
     // Tasks that have waited for this long may be placed on capacity that is reserved for others.
     TimeMs maxHeldBackMs = 2000;
     // When the use of a service has been below this for `maxHeldBackMs`, tasks that have waited all
-    // the while are placed on any worker that may run them: neither reservations of work that is
-    // not urgent nor preferred racks count, nor `suspectMs`, nor, while one more failure does not
-    // fail the job, quarantine. The use of a service is the share of accelerators, or of cores if
-    // that is larger, that runs hold on its workers that report and are not draining.
+    // the while are placed on any worker that may run them: neither reservations, except those
+    // within a guarantee, nor preferred racks count, nor `suspectMs`, nor, while one more failure
+    // does not fail the job, quarantine. The use of a service is the share of accelerators, or of
+    // cores if that is larger, that runs hold on its workers that report and are not draining.
     double maxUseToLift = 0.5;
     // The cause of a wait is searched for and logged after this time, and again after each such
     // time.
