--- a/flamingo/adapters/agent_service.cc
+++ b/flamingo/adapters/agent_service.cc
@@ -197,7 +197,7 @@
                   << " open_attempts=" << agent.openAttempts.size()
                   << " gangs=" << agent.gangs.size() << " members=" << agent.members.size()
                   << " key_ranges=" << this->node.owner.ranges.size()
-                  << " bytes_written=" << this->peers->flushed();
+                  << " all_sent=" << this->peers->flushed();
         this->nextShutdownLogAt = Loop::now() + shutdownLogIntervalMs;
     }
     this->loop.after(idleCheckMs, [this] { this->stopWhenIdle(); });
--- a/flamingo/adapters/entry_service.cc
+++ b/flamingo/adapters/entry_service.cc
@@ -355,7 +355,7 @@
                   << " drains=" << this->entry.drains.size()
                   << " edits=" << this->entry.edits.pending.size()
                   << " pending_requests=" << this->server->pendingCount()
-                  << " bytes_written=" << this->peers->flushed();
+                  << " all_sent=" << this->peers->flushed();
         this->nextShutdownLogAt = Loop::now() + shutdownLogIntervalMs;
     }
     this->loop.after(idleCheckMs, [this] { this->stopWhenIdle(); });
