--- a/flamingo/scheduler/planner.cc
+++ b/flamingo/scheduler/planner.cc
@@ -19,7 +19,7 @@
 // Capacity that is free but reserved for a unit that may not stop others is used by units that are
 // estimated to end before the reservation is complete, by tasks that never end and are placed
 // again, and by units that have waited for `maxHeldBackMs`. The latter delay the holder of the
-// reservation, within limits (see mayDelay()).
+// reservation, within limits (see tasksThatMayDelay()).
 //
 // A unit waits for a preferred rack as long as its tasks would lose on another one, then it is
 // placed on any rack.
@@ -27,8 +27,8 @@
 // These limits protect work that would use the capacity later. While most of a service is idle (see
 // SchedulerOptions::maxUseToLift), a unit that has waited for `maxHeldBackMs` meanwhile is placed
 // on any worker that may run it: its restrictions are lifted one after another until it fits. What
-// is reserved within a guarantee is never lifted. A service that is idle for a
-// moment, while runs end that a reservation waits for, does not count.
+// is reserved within a guarantee is never lifted. A service that is idle for a moment, while runs
+// end that a reservation waits for, does not count.
 
 #include "flamingo/scheduler/scheduler_parts.h"
 
--- a/flamingo/scheduler/unconfirmed_runs.cc
+++ b/flamingo/scheduler/unconfirmed_runs.cc
@@ -44,8 +44,8 @@
     }
 }
 
-// Returns nullopt for a run whose state the worker confirms, or that is only starting or stopping
-// as ordered in its last report.
+// Returns nullopt for a run that the worker lists and that should go on. The causes of the others
+// are normal for a moment.
 std::optional<UnconfirmedCause> causeOf(const Scheduler &scheduler, const Worker &worker,
                                         const Run &run, TimeMs now)
 {
