Look for begun gangs only when a start is overdue

Each plan looked up the job of every running run and put its gang into a set, to exempt gangs that have begun, also when no start was overdue, which is the usual case. The overdue starts are now searched for first. No change of behaviour: scheduler_test, stalled_runs_test, reservation_test and unconfirmed_runs_test pass; the time of a plan was not measured.

--- a/flamingo/scheduler/planner.cc
+++ b/flamingo/scheduler/planner.cc
@@ -1179,22 +1179,32 @@
 // to the worker of that member, which ends it when the others do not start in time.
 void stopUnconfirmedStarts(Scheduler &scheduler, TimeMs now)
 {
-    std::set<GangKey> begun;
+    const auto answers = [](const Worker &worker) { return worker.fenced && !worker.silent; };
     std::vector<std::tuple<Worker *, RunKey, GangKey>> overdue;
     for (auto &[key, worker] : scheduler.workers) {
-        if (!worker.fenced || worker.silent)
+        if (!answers(worker))
             continue;
         for (const auto &[runKey, run] : worker.runs) {
-            const bool running = run.reported == RunState::Running;
-            if (!running && run.startingMs < scheduler.options.startTimeoutMs)
+            if (run.startingMs < scheduler.options.startTimeoutMs
+                || run.reported == RunState::Running)
                 continue;
-            const auto gang = gangOf(scheduler, worker, run);
-            if (gang && running)
-                begun.insert(*gang);
-            else if (gang)
+            if (const auto gang = gangOf(scheduler, worker, run))
                 overdue.emplace_back(&worker, runKey, *gang);
         }
     }
+    if (overdue.empty())
+        return;
+    std::set<GangKey> begun;
+    for (const auto &[key, worker] : scheduler.workers) {
+        if (!answers(worker))
+            continue;
+        for (const auto &[runKey, run] : worker.runs) {
+            if (run.reported != RunState::Running)
+                continue;
+            if (const auto gang = gangOf(scheduler, worker, run))
+                begun.insert(*gang);
+        }
+    }
     for (const auto &[worker, runKey, gang] : overdue) {
         if (begun.count(gang) > 0)
             continue;
