--- a/review/rig-2/cases.cc
+++ b/review/rig-2/cases.cc
@@ -188,6 +188,53 @@
     return verdict(rig, violations);
 }
 
+// LOST: for 3 s a job has nothing running though a task's turn has come and nearly all is idle,
+// from 14 s after the end of the traffic on.
+Outcome longTask(const std::string &record)
+{
+    constexpr int hosts = 8;
+    std::vector<WorkerSettings> workers(hosts);
+    for (std::size_t i = 1; i < hosts; ++i)
+        workers[i].kind = "b";
+    Rig rig(record, 2, hosts);
+    if (!rig.start(workers))
+        return CannotRun;
+    Json usual = {{"TaskSpec", "8500 8500 done 9 0"}, {"Steps", {step(1, 1000)}}};
+    usual["Steps"][0]["EstimateMs"] = 8500;
+    Json job = usual;
+    job["TaskSpec"] = withTrouble() ? "1000 1000 failed 1 400000" : "1000 1000 failed 1 8500";
+    job["Steps"][0]["Requirements"] = "a";
+    // One job of 20 takes longer than estimated.
+    for (int i = 2; i <= 20; ++i) {
+        if (!rig.submit(jobId(i), usual))
+            return CannotRun;
+    }
+    if (!rig.submit(jobId(1), job))
+        return CannotRun;
+    const std::uint64_t finishAt = rig.acceptedAt() + 14000;
+    rig.pass(80000);
+    const std::string state = rig.state(1, jobId(1));
+    std::uint64_t quietSince = finishAt;
+    std::vector<std::string> violations;
+    const auto check = [&](std::uint64_t until) {
+        if (until > quietSince + 3000)
+            violations.push_back("LOST " + jobId(1) + " had nothing running for "
+                                 + std::to_string(until - quietSince) + " ms; it is " + state);
+    };
+    bool runs = false;
+    for (const RunEvent &event : rig.events()) {
+        if (event.task.compare(0, jobId(1).size(), jobId(1)) != 0)
+            continue;
+        if (event.start)
+            check(event.atMs);
+        runs = event.start;
+        quietSince = std::max(finishAt, event.atMs);
+    }
+    if (state != "completed" && !runs)
+        check(adapters::Loop::unixNow());
+    return verdict(rig, violations);
+}
+
 // RECLAIM: a job of priority 0 within its tenant's guarantee has not begun all tasks of its first
 // step ReclaimMs after its acknowledgement.
 Outcome guaranteedJob(const std::string &record)
@@ -240,6 +287,7 @@
         {"lasting-tasks-fail", lastingTasksFail},
         {"crash-loop", crashLoop},
         {"guaranteed-job", guaranteedJob},
+        {"long-task", longTask},
     };
     const auto found = argc == 3 ? cases.find(argv[1]) : cases.end();
     return found == cases.end() ? CannotRun : found->second(argv[2]);
