Back off for each task, not for the whole job

Cause: JobRow::notBefore was one time for the job. Each end of a long-running task, and each dropped run, moved it 200 ms on, so ends less than 200 ms apart held back all tasks of the job without a limit.

Evidence: scheduler_test tasksWaitOnlyForTheBackOffAfterTheirOwnRuns fails on the former code (scheduler_test.cc:293) and passes now.

Change: the time is kept for each task. A gang waits for the latest one of its members, as before.

Why it works: a task's wait depends on its own last run only, and ends 200 ms after it.

--- a/flamingo/scheduler/planner.cc
+++ b/flamingo/scheduler/planner.cc
@@ -379,17 +379,22 @@
     return result;
 }
 
-// Numbers of the waiting tasks of a step that are not in `blocked`; none for a gang unless these
-// are all its tasks.
+// Numbers of the waiting tasks of a step that are not in `blocked` and may be placed by now; none
+// for a gang unless these are all its tasks.
 std::vector<std::size_t> waitingTasks(const JobRow &row, std::uint32_t occurrence,
-                                      std::uint32_t step, const std::set<TaskId> &blocked)
+                                      std::uint32_t step, const std::set<TaskId> &blocked,
+                                      TimeMs now)
 {
+    const auto mayBePlaced = [&](std::size_t task) {
+        const auto notBefore = row.notBefore.find(task);
+        return (notBefore == row.notBefore.end() || now >= notBefore->second)
+            && (blocked.empty() || blocked.count({row.job->id, task}) == 0);
+    };
     const Step &checked = row.job->steps[step];
     const std::size_t first = *taskNumber(*row.job, {occurrence, step, 0});
     std::vector<std::size_t> result;
     for (std::size_t i = first; i < first + checked.count; ++i) {
-        if (row.progress.tasks[i].phase == TaskPhase::Waiting
-            && (blocked.empty() || blocked.count({row.job->id, i}) == 0))
+        if (row.progress.tasks[i].phase == TaskPhase::Waiting && mayBePlaced(i))
             result.push_back(i);
     }
     if (checked.gang && result.size() < checked.count)
@@ -420,7 +425,7 @@
 }
 
 void addUnits(const Scheduler &scheduler, JobRow &row, bool guaranteed,
-              const std::set<TaskId> &blocked, std::uint64_t unixNow,
+              const std::set<TaskId> &blocked, TimeMs now, std::uint64_t unixNow,
               std::vector<PlacementUnit> &units)
 {
     const Job &job = *row.job;
@@ -435,7 +440,7 @@
             if (!dependenciesDone(job, row.progress, occurrence, step))
                 continue;
             PlacementUnit unit;
-            unit.tasks = waitingTasks(row, occurrence, step, blocked);
+            unit.tasks = waitingTasks(row, occurrence, step, blocked, now);
             if (unit.tasks.empty())
                 continue;
             unit.row = &row;
@@ -525,6 +530,7 @@
         task.phase = TaskPhase::Assigned;
         task.run = step.gang ? gangRun : task.run + 1;
         task.worker = worker.key;
+        row.notBefore.erase(number);
         Run run;
         run.jobId = row.job->id;
         run.taskNumber = number;
@@ -1318,11 +1324,10 @@
     const std::set<TaskId> blocked = tasksWithRuns(scheduler);
     std::vector<PlacementUnit> units;
     for (auto &[id, row] : scheduler.table.jobs) {
-        if (!row.job || row.cancelled || row.progress.outcome != Outcome::Open
-            || now < row.notBefore)
+        if (!row.job || row.cancelled || row.progress.outcome != Outcome::Open)
             continue;
         logAcceptance(scheduler, row, guaranteed.count(id) > 0);
-        addUnits(scheduler, row, guaranteed.count(id) > 0, blocked, unixNow, units);
+        addUnits(scheduler, row, guaranteed.count(id) > 0, blocked, now, unixNow, units);
     }
     std::sort(units.begin(), units.end(), precedes);
     std::map<std::string, ServiceCapacity> capacityByService;
--- a/flamingo/scheduler/scheduler.cc
+++ b/flamingo/scheduler/scheduler.cc
@@ -209,7 +209,7 @@
     if (end.how == EndKind::Failed)
         recordFailure(scheduler, worker, row, *number, end.run, now);
     if (end.how == EndKind::Done)
-        row.notBefore = now + scheduler.options.failureBackoffMs;
+        row.notBefore[*number] = now + scheduler.options.failureBackoffMs;
     requeueTask(row, *number);
 }
 
@@ -229,7 +229,7 @@
                     + taskName(*row.job, taskPosition(*row.job, run.taskNumber))
                     + " run=" + std::to_string(run.run) + " worker=" + workerKey + " cause=\""
                     + std::string(cause) + "\"");
-    row.notBefore = now + scheduler.options.failureBackoffMs;
+    row.notBefore[run.taskNumber] = now + scheduler.options.failureBackoffMs;
     requeueTask(row, run.taskNumber);
 }
 
@@ -636,7 +636,7 @@
         row.durations.clear();
         row.waits.clear();
         row.endedAt = now;
-        row.notBefore = 0;
+        row.notBefore.clear();
     }
 }
 
--- a/flamingo/scheduler/scheduler.h
+++ b/flamingo/scheduler/scheduler.h
@@ -82,7 +82,8 @@
     bool cancellationHandled = false; // the cancellation has been applied to `progress`
     bool acceptanceLogged = false; // this leader has logged event=job_known
     TimeMs endedAt = 0; // when this leader set the outcome, or took over after it was set
-    TimeMs notBefore = 0; // earliest next placement; see SchedulerOptions::failureBackoffMs
+    // Earliest next placement, by task number; see SchedulerOptions::failureBackoffMs.
+    std::map<std::size_t, TimeMs> notBefore;
     std::map<std::size_t, FailedWorker> lastFailedWorker; // by task number
     // Run times of the tasks completed under this leader, by the number of their step's first task.
     // Removed when all tasks of the step are done.
--- a/tests/scheduler_test.cc
+++ b/tests/scheduler_test.cc
@@ -273,6 +273,27 @@
     CHECK_EQUAL(std::string("cancelled"), rig.jobState("a"));
 }
 
+// Guards against tasks that are never started again because others of their job end, each within
+// the back-off after the last.
+TEST(Scheduler, tasksWaitOnlyForTheBackOffAfterTheirOwnRuns)
+{
+    rig.addWorker("h1");
+    Job job = rig.makeJob("a", 8, 1);
+    job.steps[0].longRunning = true;
+    rig.accept(job);
+    rig.sendReport("h1");
+    CHECK_EQUAL(8, rig.runCount("h1"));
+    rig.endRun("h1", "a.0.0.0", 1, EndKind::Done);
+    rig.sendReport("h1");
+    for (int i = 1; i < 4; ++i) {
+        rig.advance(rig.scheduler.options.failureBackoffMs / 2);
+        rig.endRun("h1", "a.0.0." + std::to_string(i), 1, EndKind::Done);
+        rig.sendReport("h1");
+        rig.sendReport("h1");
+        CHECK_EQUAL(6, rig.runCount("h1"));
+    }
+}
+
 // Guards against work that is sent again and again to a worker that sheds load while others are
 // free. Its runs that end with success show nothing about the next start.
 TEST(Scheduler, workerThatWasTooBusyForAStartIsTheLastChoice)
