A moment of use does not restart the wait on an idle service

What callers saw: tasks that have waited 2 s beside an idle service are placed in spite of reservations, racks, exclusions and quarantine.

Cause: one plan that counted half or more as in use reset WaitState::idleSince. The leader counts a run from its assignment until its end is reported, so its count is above the real use for a moment at each start and end.

Change: a use above half has to last 500 ms to restart the wait. Nothing is placed in spite of restrictions while it lasts, as before.

--- a/flamingo/scheduler/planner.cc
+++ b/flamingo/scheduler/planner.cc
@@ -994,9 +994,14 @@
         return unit;
     WaitState &wait = waitOf(unit, now);
     if (!mostlyIdle(scheduler, capacity)) {
-        wait.idleSince.reset();
+        // A moment of use, such as between the end of a run and its report, does not interrupt the
+        // idle time.
+        wait.busySince = wait.busySince.value_or(now);
+        if (now - *wait.busySince >= scheduler.options.maxBusyGapMs)
+            wait.idleSince.reset();
         return unit;
     }
+    wait.busySince.reset();
     wait.idleSince = wait.idleSince.value_or(now);
     // By the last search for the cause, which lifts the same restrictions.
     const bool hasNoRoom =
--- a/flamingo/scheduler/scheduler.h
+++ b/flamingo/scheduler/scheduler.h
@@ -58,8 +58,9 @@
     TimeMs since = 0; // when a plan first failed to place them
     TimeMs checkedAt = 0; // when the cause was last searched for
     std::optional<WaitCause> cause; // nullopt: not searched for yet
-    // Since when most of the service has been idle meanwhile; nullopt: it was not in the last plan.
+    // Since when most of the service has been idle meanwhile, apart from moments.
     std::optional<TimeMs> idleSince;
+    std::optional<TimeMs> busySince; // since when it has not, by the last plans
     bool reserving = false; // they hold a reservation
     // When they were expected to fit, by the earliest of their reservations; nullopt: before the
     // first one.
@@ -160,6 +161,7 @@
     // does not fail the job, quarantine. The use of a service is the share of accelerators, or of
     // cores if that is larger, that runs hold on its workers that report and are not draining.
     double maxUseToLift = 0.5;
+    TimeMs maxBusyGapMs = 500; // a higher use for less than this does not interrupt that time
     // The cause of a wait is searched for and logged after this time, and again after each such
     // time.
     TimeMs waitCheckMs = 500;
--- a/tests/reservation_test.cc
+++ b/tests/reservation_test.cc
@@ -556,6 +556,24 @@
     CHECK_EQUAL(0, cluster.runCount("job"));
 }
 
+// Guards against a wait that begins anew each time the use of the service is above half for a
+// moment, as between the end of a run and its report.
+TEST(Reservation, momentOfUseDoesNotInterruptAnIdleTime)
+{
+    Cluster cluster(4);
+    cluster.label("h0", "special");
+    cluster.quarantine("h0");
+    cluster.accept(cluster.gang("running", 1), 60000, 60000);
+    cluster.advance(100);
+    Job job = cluster.rig.makeJob("job", 1, 1);
+    job.steps[0].requiredLabel = "special";
+    cluster.accept(job, 1000, 10000);
+    cluster.advance(1000);
+    cluster.accept(cluster.gang("short", 1), 200, 200);
+    cluster.advance(1900);
+    CHECK_EQUAL(1, cluster.runCount("job"));
+}
+
 // Guards against orders to a worker that leaves.
 TEST(Reservation, drainingWorkerGetsNoWorkHoweverIdleTheServiceIs)
 {
