Bound how long failing work holds other work back

Cause: each failed run in a row quarantines its worker for 8 s, and only a run that ends with success ends the row. Long-running tasks never end so, and are placed on workers in quarantine, where they fail again and renew it. A task of which one more failure would fail the job was kept from such workers without a limit, every other task while half of the service or more was in use. The exclusion of workers where tasks of the same step fail was renewed likewise.

Change: failed runs of long-running steps cause no quarantine; their worker is the last choice, as before. While most of the service is idle and half of its workers or more are in quarantine, last attempts use them too. However much is in use, a task that has room only on workers with failures waits for others at most 20 s, a long-running one 2 s.

Why it works: no hold depends any more on a row of failures that only a success can end. Few workers are bad at a time; when half of them seem to be, the work is more likely at fault.

--- a/flamingo/scheduler/planner.cc
+++ b/flamingo/scheduler/planner.cc
@@ -178,6 +178,7 @@
     // Quarantined, draining or silent; without allocations.
     std::vector<WorkerResources> unusable;
     std::vector<HeldReservation> held; // the part of `reserved` that others may use
+    std::size_t quarantined = 0; // number of `workers` in quarantine
     // Of the workers that report and are not draining, and what runs use of it.
     Resources total;
     Resources inUse;
@@ -257,6 +258,7 @@
         if (excluded)
             return;
         resources.quarantined = quarantined;
+        this->result.quarantined += quarantined ? 1 : 0;
         if (!quarantined)
             this->addAllocations(worker, resources);
         this->result.workers.push_back(std::move(resources));
@@ -678,6 +680,10 @@
     for (std::size_t i = 0; i < unreserved.size(); ++i)
         unreserved[i].freeCapacity += capacity.reserved[i];
     const WaitCause cause = findWaitCause(demand, unreserved, capacity.unusable);
+    if (cause != WaitCause::UnusableWorkers && cause != WaitCause::FailedWorker)
+        wait.avoidedSince.reset();
+    else if (!wait.avoidedSince)
+        wait.avoidedSince = now;
     if (wait.cause == cause && wait.reserving == reserving)
         return;
     wait.cause = cause;
@@ -924,10 +930,28 @@
     return step.longRunning || unit.row->progress.tasks[counter].failures + 1 < job.maxAttempts;
 }
 
+// True when failures, of the unit's tasks or of others, have held it back for as long as they may.
+bool hasWaitedForAvoided(const Scheduler &scheduler, const PlacementUnit &unit, TimeMs now)
+{
+    const auto found = unit.row->waits.find(firstTaskNumber(unit));
+    if (found == unit.row->waits.end() || !found->second.avoidedSince)
+        return false;
+    const TimeMs limitMs =
+        endsByItself(unit) ? scheduler.options.maxAvoidMs : scheduler.options.maxHeldBackMs;
+    return now - *found->second.avoidedSince >= limitMs;
+}
+
+// True while so many workers are in quarantine that the work is more likely at fault.
+bool manyAreQuarantined(const Scheduler &scheduler, const ServiceCapacity &capacity)
+{
+    return double(capacity.quarantined)
+        >= scheduler.options.maxQuarantinedShare * double(capacity.workers.size());
+}
+
 // Lifts one more restriction of the unit. Returns the number of its tasks that may then be placed;
 // 0: nothing changes for it. These tasks are moved to the front.
 std::size_t liftRestriction(const Scheduler &scheduler, WaitCause restriction,
-                            const ServiceCapacity &capacity, PlacementUnit &unit)
+                            const ServiceCapacity &capacity, TimeMs now, PlacementUnit &unit)
 {
     switch (restriction) {
     case WaitCause::Reserved:
@@ -949,6 +973,8 @@
                          [](const WorkerResources &worker) { return worker.quarantined; }))
             return 0;
         unit.quarantinedWorkers = true;
+        if (manyAreQuarantined(scheduler, capacity) || hasWaitedForAvoided(scheduler, unit, now))
+            return unit.tasks.size();
         return static_cast<std::size_t>(
             std::stable_partition(unit.tasks.begin(), unit.tasks.end(),
                                   [&unit](std::size_t task) { return mayFailOnce(unit, task); })
@@ -985,38 +1011,52 @@
                     + " cause=\"" + std::string(waitCauseName(restriction)) + "\"");
 }
 
-// Places a unit that has waited for long, or the rest of one, on any worker that may run it while
-// most of the service is idle. Returns the tasks that are left.
-PlacementUnit placeDespiteRestrictions(Scheduler &scheduler, const PlacementUnit &unit,
-                                       ServiceCapacity &capacity, TimeMs now)
+// True when most of the service is idle and has been for `maxHeldBackMs` while the unit waited. A
+// moment of use, such as between the end of a run and its report, does not interrupt that time.
+bool hasWaitedWhileIdle(const Scheduler &scheduler, const ServiceCapacity &capacity,
+                        WaitState &wait, TimeMs now)
 {
-    if (unit.tasks.empty())
-        return unit;
-    WaitState &wait = waitOf(unit, now);
     if (!mostlyIdle(scheduler, capacity)) {
-        // A moment of use, such as between the end of a run and its report, does not interrupt the
-        // idle time.
         wait.busySince = wait.busySince.value_or(now);
         if (now - *wait.busySince >= scheduler.options.maxBusyGapMs)
             wait.idleSince.reset();
-        return unit;
+        return false;
     }
     wait.busySince.reset();
     wait.idleSince = wait.idleSince.value_or(now);
+    return now - *wait.idleSince >= scheduler.options.maxHeldBackMs;
+}
+
+// Places a unit that has waited for long, or the rest of one, on any worker that may run it while
+// most of the service is idle; also when it is not, on workers that it has avoided for as long as
+// it may because of failures. Returns the tasks that are left.
+PlacementUnit placeDespiteRestrictions(Scheduler &scheduler, const PlacementUnit &unit,
+                                       ServiceCapacity &capacity, TimeMs now)
+{
+    constexpr std::array<WaitCause, 2> avoidance = {WaitCause::FailedWorker,
+                                                    WaitCause::UnusableWorkers};
+    if (unit.tasks.empty())
+        return unit;
+    WaitState &wait = waitOf(unit, now);
+    const bool idle = hasWaitedWhileIdle(scheduler, capacity, wait, now);
+    if (!idle && !hasWaitedForAvoided(scheduler, unit, now))
+        return unit;
     // By the last search for the cause, which lifts the same restrictions.
-    const bool hasNoRoom =
-        wait.cause == WaitCause::NoFreeCapacity || wait.cause == WaitCause::NeverFits;
-    if (hasNoRoom || now - *wait.idleSince < scheduler.options.maxHeldBackMs)
+    if (wait.cause == WaitCause::NoFreeCapacity || wait.cause == WaitCause::NeverFits)
         return unit;
+    const absl::Span<const WaitCause> lifted =
+        idle ? absl::MakeConstSpan(liftedRestrictions) : absl::MakeConstSpan(avoidance);
     const TimeMs waitedMs = now - wait.since;
     std::vector<HeldReservation *> lent;
-    for (HeldReservation &held : capacity.held)
-        lent.push_back(&held);
+    if (idle) {
+        for (HeldReservation &held : capacity.held)
+            lent.push_back(&held);
+    }
     lendReserved(lent, capacity);
     PlacementUnit left = unit;
     if (mayFit(unit, capacity)) {
-        for (const WaitCause restriction : liftedRestrictions) {
-            const std::size_t limit = liftRestriction(scheduler, restriction, capacity, left);
+        for (const WaitCause restriction : lifted) {
+            const std::size_t limit = liftRestriction(scheduler, restriction, capacity, now, left);
             if (limit == 0 || left.tasks.empty())
                 continue;
             PlacementUnit rest = placeBeside(scheduler, left, limit, lent, capacity, now);
--- a/flamingo/scheduler/scheduler.cc
+++ b/flamingo/scheduler/scheduler.cc
@@ -119,16 +119,26 @@
                     + " jobs in a row\" for_ms=" + std::to_string(scheduler.options.quarantineMs));
 }
 
-void recordFailure(Scheduler &scheduler, Worker &worker, JobRow &row, std::size_t taskNumber,
-                   std::uint32_t run, TimeMs now)
+// Runs of long-running steps are not counted: they may fail at any time, and never end with
+// success, which would show that their worker is sound.
+void countFailure(Scheduler &scheduler, Worker &worker, const std::string &jobId, TimeMs now)
 {
-    worker.suspectUntil = now + scheduler.options.suspectMs;
     ++worker.consecutiveFailures;
-    worker.failedJobs.insert(row.job->id);
+    worker.failedJobs.insert(jobId);
     if (worker.failedJobs.size() > 1
         || worker.consecutiveFailures >= scheduler.options.quarantineAfterFailures)
         quarantine(scheduler, worker, now);
+}
+
+void recordFailure(Scheduler &scheduler, Worker &worker, JobRow &row, std::size_t taskNumber,
+                   std::uint32_t run, TimeMs now)
+{
+    worker.suspectUntil = now + scheduler.options.suspectMs;
     row.lastFailedWorker[taskNumber] = {worker.key, worker.suspectUntil};
+    const TaskPosition position = taskPosition(*row.job, taskNumber);
+    const bool longRunning = row.job->steps[position.step].longRunning;
+    if (!longRunning)
+        countFailure(scheduler, worker, row.job->id, now);
     // A gang's run counts as one failure, however many of its members report it.
     const MemberRange members = memberRange(*row.job, taskNumber);
     TaskProgress &counter = row.progress.tasks[members.first];
@@ -136,8 +146,7 @@
         counter.failedRun = run;
         ++counter.failures;
     }
-    const TaskPosition position = taskPosition(*row.job, taskNumber);
-    if (counter.failures < row.job->maxAttempts || row.job->steps[position.step].longRunning
+    if (counter.failures < row.job->maxAttempts || longRunning
         || row.progress.outcome != Outcome::Open)
         return;
     row.progress.reason = "task " + taskName(*row.job, position) + " failed "
--- a/flamingo/scheduler/scheduler.h
+++ b/flamingo/scheduler/scheduler.h
@@ -67,6 +67,9 @@
     std::optional<TimeMs> expectedAt;
     // Core-seconds of other work that was placed on capacity reserved for them and delays them.
     double delayingWork = 0;
+    // Since when they have had room only on workers that they avoid because of failures; nullopt:
+    // they have not, by the last search for the cause.
+    std::optional<TimeMs> avoidedSince;
 };
 
 // A job's row in the job table.
@@ -143,9 +146,18 @@
     // with success meanwhile do not show that it accepts starts again.
     TimeMs busyMs = 3000;
     // After this many failed runs in a row, or after failed runs of two jobs, a worker gets no work
-    // for `quarantineMs`. Runs of one job may fail because of the job.
+    // for `quarantineMs`. Runs of one job may fail because of the job. Runs of long-running steps
+    // do not count.
     std::uint32_t quarantineAfterFailures = 4;
     TimeMs quarantineMs = 8000;
+    // A task that has room only on workers in quarantine, or on the one where it failed, waits for
+    // others at most this long; a long-running task, which may fail any number of times, only
+    // `maxHeldBackMs`.
+    TimeMs maxAvoidMs = 20000;
+    // While this share of a service's workers or more is in quarantine, the work is more likely at
+    // fault than they are, and quarantine no longer keeps last attempts from them while most of the
+    // service is idle.
+    double maxQuarantinedShare = 0.5;
     // A run whose worker answers other calls but has not confirmed its start for this long is
     // stopped, and its task is placed again when the worker has confirmed that it does not run.
     TimeMs startTimeoutMs = 3000;
@@ -158,8 +170,9 @@
     // When the use of a service has been below this for `maxHeldBackMs`, tasks that have waited all
     // the while are placed on any worker that may run them: neither reservations, except those
     // within a guarantee, nor preferred racks count, nor `suspectMs`, nor, while one more failure
-    // does not fail the job, quarantine. The use of a service is the share of accelerators, or of
-    // cores if that is larger, that runs hold on its workers that report and are not draining.
+    // does not fail the job or most workers are in it, quarantine. The use of a service is the
+    // share of accelerators, or of cores if that is larger, that runs hold on its workers that
+    // report and are not draining.
     double maxUseToLift = 0.5;
     TimeMs maxBusyGapMs = 500; // a higher use for less than this does not interrupt that time
     // The cause of a wait is searched for and logged after this time, and again after each such
--- a/tests/reservation_test.cc
+++ b/tests/reservation_test.cc
@@ -556,6 +556,68 @@
     CHECK_EQUAL(0, cluster.runCount("job"));
 }
 
+// Guards against a last attempt that is held back for as long as the runs of other jobs fail on
+// sound workers.
+TEST(Reservation, lastAttemptUsesWorkersInQuarantineWhenMostAreInIt)
+{
+    Cluster cluster(4);
+    Job job = cluster.rig.makeJob("job", 1, 1);
+    job.maxAttempts = 1;
+    cluster.accept(job, 1000, 10000);
+    const auto quarantineFor = [&](int hosts, TimeMs ms) {
+        for (TimeMs passed = 0; passed < ms; passed += 100) {
+            for (int i = 0; i < hosts; ++i)
+                cluster.quarantine("h" + std::to_string(i));
+            cluster.advance(100);
+        }
+    };
+    quarantineFor(4, 1500);
+    CHECK_EQUAL(0, cluster.runCount("job"));
+    quarantineFor(4, 1100);
+    CHECK_EQUAL(1, cluster.runCount("job"));
+}
+
+// Guards against a wait without a limit for a worker whose quarantine begins again and again.
+TEST(Reservation, quarantineHoldsATaskBackForALimitedTime)
+{
+    Cluster cluster(3);
+    cluster.label("h0", "special");
+    cluster.accept(cluster.gang("running", 2), 60000, 60000);
+    Job job = cluster.rig.makeJob("job", 1, 1);
+    job.maxAttempts = 1;
+    job.steps[0].requiredLabel = "special";
+    cluster.accept(job, 1000, 10000);
+    TimeMs waited = 0;
+    while (cluster.runCount("job") == 0 && waited < 60000) {
+        cluster.quarantine("h0");
+        cluster.advance(100);
+        waited += 100;
+    }
+    CHECK(waited > 20000);
+    CHECK(waited < 21500);
+}
+
+// Guards against a task that lasts and does not run, because of failures on its only worker, while
+// most of the service is in use.
+TEST(Reservation, longRunningTaskReturnsToAWorkerInQuarantineWhileMostIsInUse)
+{
+    Cluster cluster(3);
+    cluster.label("h0", "special");
+    cluster.accept(cluster.gang("running", 2), 60000, 60000);
+    Job job = cluster.rig.makeJob("job", 1, 1);
+    job.steps[0].longRunning = true;
+    job.steps[0].requiredLabel = "special";
+    cluster.accept(job, 1000, 60000);
+    cluster.advance(300);
+    cluster.rig.endRun("h0", "job.0.0.0", 1, EndKind::Failed);
+    for (int i = 0; i < 30; ++i) {
+        cluster.quarantine("h0");
+        cluster.advance(100);
+    }
+    CHECK_EQUAL(2, cluster.runCount("running"));
+    CHECK_EQUAL(1, cluster.runCount("job"));
+}
+
 // Guards against a wait that begins anew each time the use of the service is above half for a
 // moment, as between the end of a run and its report.
 TEST(Reservation, momentOfUseDoesNotInterruptAnIdleTime)
--- a/tests/scheduler_fuzz_test.cc
+++ b/tests/scheduler_fuzz_test.cc
@@ -150,6 +150,28 @@
     return faults;
 }
 
+// Jobs whose runs fail or end over and over beside tasks with one attempt left.
+SimulationFaults failingJobs()
+{
+    SimulationFaults faults;
+    faults.lastingJob = 0.25;
+    faults.failingJob = 0.15;
+    faults.lastAttemptJob = 0.5;
+    faults.cancelledJob = 0.05;
+    faults.mostAccelerators = 2;
+    faults.jobsPerSecond = 0.5;
+    faults.callsAfterFaultsMs = 40000;
+    return faults;
+}
+
+// The same, while all that some workers start fails.
+SimulationFaults failingJobsAndWorkers()
+{
+    SimulationFaults faults = failingJobs();
+    faults.greyWorkersPerSecond = 0.02;
+    return faults;
+}
+
 // Sends the starts that are still open under any token, as if the present leader had ordered them.
 void keepStartsOfFormerOrders(HostAgent &agent, TimeMs /*now*/)
 {
@@ -282,6 +304,20 @@
     STRCMP_EQUAL("", runSeeds(cutLists(), numberOr("FLAMINGO_FUZZ_RUNS", shortRuns)).c_str());
 }
 
+// Guards against tasks that are held back for as long as the runs of other tasks, or of other tasks
+// of their job, fail or end.
+TEST(SchedulerFuzz, lastAttemptsBesideJobsThatFail)
+{
+    STRCMP_EQUAL("", runSeeds(failingJobs(), numberOr("FLAMINGO_FUZZ_RUNS", shortRuns)).c_str());
+}
+
+// The same, beside workers on which all runs fail.
+TEST(SchedulerFuzz, lastAttemptsBesideJobsAndWorkersThatFail)
+{
+    STRCMP_EQUAL(
+        "", runSeeds(failingJobsAndWorkers(), numberOr("FLAMINGO_FUZZ_RUNS", shortRuns)).c_str());
+}
+
 // The oracle detects a scheduler that starts tasks before their record is stored.
 TEST(SchedulerFuzz, oracleDetectsUnstoredStarts)
 {
--- a/tests/scheduler_simulation.cc
+++ b/tests/scheduler_simulation.cc
@@ -16,6 +16,9 @@
 constexpr TimeMs idleBoundMs = 3000;
 constexpr TimeMs departedBoundMs = 4000;
 constexpr TimeMs idleCalmMs = 4000;
+constexpr TimeMs lastingBoundMs = 6000;
+// These leave half of the workers to the jobs that end.
+constexpr std::ptrdiff_t mostLastingJobs = 4;
 constexpr TimeMs unansweredCallMs = 300;
 constexpr TimeMs lostReportMs = 400;
 constexpr TimeMs longestLateOrderMs = 12000;
@@ -89,9 +92,16 @@
     while (this->now < end && this->firstViolation.empty())
         this->step();
     this->faultsEnabled = false;
-    const TimeMs calmEnd = this->now + calmMs;
-    while (this->now < calmEnd && this->firstViolation.empty() && !this->allEnded())
+    const TimeMs callsEnd = this->now + this->faults.callsAfterFaultsMs;
+    const TimeMs calmEnd = callsEnd + calmMs;
+    while (this->now < calmEnd && this->firstViolation.empty()
+           && (this->now < callsEnd || !this->allEnded())) {
+        if (this->now < callsEnd)
+            this->submitJobs();
         this->step();
+    }
+    this->checkFailedJobs();
+    this->cancelLastingJobs();
     if (!this->allEnded())
         this->recordViolation("a job has not ended although faults are over");
     const TimeMs settled = std::max(this->now, end + longestLateOrderMs) + contactMs + cancelBoundMs
@@ -101,6 +111,16 @@
     this->checkNothingRuns();
 }
 
+void SchedulerSimulation::cancelLastingJobs()
+{
+    for (const auto &[id, behaviour] : this->behaviours) {
+        if (!behaviour.lasts || this->cancelledAt.count(id) > 0)
+            continue;
+        this->log.push_back(cancellationRecord(id));
+        this->cancelledAt[id] = this->now;
+    }
+}
+
 std::size_t SchedulerSimulation::completed() const
 {
     std::size_t result = 0;
@@ -112,6 +132,9 @@
 bool SchedulerSimulation::allEnded() const
 {
     return std::all_of(this->jobs.begin(), this->jobs.end(), [this](const auto &item) {
+        const auto behaviour = this->behaviours.find(item.first);
+        if (behaviour != this->behaviours.end() && behaviour->second.lasts)
+            return true;
         const auto state = callerVisibleState(this->entries[0].scheduler.table, item.first);
         return state && *state != "queued" && *state != "running";
     });
@@ -296,6 +319,9 @@
         if (this->faults.unheardWorkersPerSecond > 0
             && this->occurs(this->faults.unheardWorkersPerSecond * share))
             host.unheardUntil = this->now + this->randomBetween(500, this->faults.longestMuteMs);
+        if (this->faults.greyWorkersPerSecond > 0
+            && this->occurs(this->faults.greyWorkersPerSecond * share))
+            host.greyUntil = this->now + this->randomBetween(2000, 8000);
         if (this->faults.departuresPerSecond > 0
             && this->occurs(this->faults.departuresPerSecond * share))
             this->leave(host);
@@ -353,6 +379,8 @@
             step.after = {0};
         job.steps.push_back(step);
     }
+    if (this->faults.lastingJob > 0 || this->faults.failingJob > 0)
+        this->behaviours[job.id] = this->drawBehaviour(job);
     this->jobs[job.id] = job;
     this->log.push_back(acceptanceRecord(job));
     if (this->occurs(0.1))
@@ -368,6 +396,37 @@
     });
 }
 
+// Draws what the runs of the job do, and changes the job accordingly.
+RunBehaviour SchedulerSimulation::drawBehaviour(Job &job)
+{
+    RunBehaviour behaviour;
+    const auto lasting = std::count_if(this->behaviours.begin(), this->behaviours.end(),
+                                       [](const auto &item) { return item.second.lasts; });
+    if (this->occurs(this->faults.lastingJob) && lasting < mostLastingJobs) {
+        Step &step = job.steps.front();
+        step.gang = false;
+        step.longRunning = true;
+        step.need.accelerators = 1;
+        step.maxPerWorker = this->occurs(0.5) ? 1 : 0;
+        job.steps.resize(1);
+        behaviour.lasts = true;
+        behaviour.fails = this->occurs(0.6);
+        behaviour.longestRunMs = this->occurs(0.8) ? this->randomBetween(200, 5000) : 0;
+        return behaviour;
+    }
+    behaviour.fails = this->occurs(this->faults.failingJob);
+    if (behaviour.fails) {
+        job.maxAttempts = static_cast<std::uint32_t>(this->randomBetween(1, 10));
+        behaviour.longestRunMs = 1000;
+        return behaviour;
+    }
+    if (!this->occurs(this->faults.lastAttemptJob))
+        return behaviour;
+    job.maxAttempts = static_cast<std::uint32_t>(this->randomBetween(1, 2));
+    behaviour.firstFails = job.maxAttempts > 1 && this->occurs(0.5);
+    return behaviour;
+}
+
 void SchedulerSimulation::followLog(Entry &entry)
 {
     entry.readAt = this->now;
@@ -636,6 +695,19 @@
     FakeWorker::Running run;
     run.leftMs = std::max<TimeMs>(50, step.estimateMs * this->randomBetween(20, 200) / 100);
     run.fails = this->faultsEnabled && this->occurs(this->faults.failedRun);
+    const auto found = this->behaviours.find(job->id);
+    if (found != this->behaviours.end()) {
+        const RunBehaviour &behaviour = found->second;
+        run.fails = run.fails || behaviour.fails || (behaviour.firstFails && key.second == 1);
+        if (behaviour.longestRunMs > 0)
+            run.leftMs = this->randomBetween(50, behaviour.longestRunMs);
+        else if (behaviour.lasts)
+            run.leftMs = std::numeric_limits<TimeMs>::max();
+    }
+    if (this->now < host.greyUntil) {
+        run.fails = true;
+        run.leftMs = this->randomBetween(100, 1500);
+    }
     run.need = step.need;
     run.startedAt = this->now;
     run.ignoresStop = this->faults.ignoredStop > 0 && this->occurs(this->faults.ignoredStop);
@@ -693,9 +765,10 @@
 // The end of the last fault that may delay a stop on the host.
 TimeMs SchedulerSimulation::lastFaultAt(const Host &host) const
 {
-    TimeMs result = std::max({this->logDownUntil, this->lastLeaderChangeAt, host.agentDownUntil,
-                              host.workerDownUntil, host.disconnectedUntil, host.busyUntil,
-                              host.muteUntil, host.unheardUntil, host.agentPausedUntil});
+    TimeMs result =
+        std::max({this->logDownUntil, this->lastLeaderChangeAt, host.agentDownUntil,
+                  host.workerDownUntil, host.disconnectedUntil, host.busyUntil, host.muteUntil,
+                  host.unheardUntil, host.agentPausedUntil, host.greyUntil});
     for (const Entry &entry : this->entries)
         result = std::max(result, entry.pausedUntil);
     return result;
@@ -735,6 +808,52 @@
     return 2 * used < static_cast<std::int64_t>(hostCount) * workerCapacity.accelerators;
 }
 
+bool SchedulerSimulation::isRunning(const std::string &task) const
+{
+    return std::any_of(this->hosts.begin(), this->hosts.end(), [&task](const Host &host) {
+        const auto found = host.worker.runs.lower_bound({task, 0});
+        return found != host.worker.runs.end() && found->first.first == task;
+    });
+}
+
+// Number of runs on the host of the step that the task belongs to.
+std::uint32_t SchedulerSimulation::runsOfStepOn(const Host &host, const std::string &task) const
+{
+    const auto name = parseTaskName(task);
+    std::uint32_t result = 0;
+    for (const auto &[key, run] : host.worker.runs) {
+        const auto other = parseTaskName(key.first);
+        result +=
+            other->jobId == name->jobId && other->position.step == name->position.step ? 1 : 0;
+    }
+    return result;
+}
+
+// Number of tasks of the step that the workers have room for now, at most as many as are asked for:
+// twice a gang, or two tasks.
+std::uint32_t SchedulerSimulation::placesFor(const Job &job, const Step &step) const
+{
+    const std::uint32_t needed = 2 * (step.gang ? step.count : 1);
+    const auto number = static_cast<std::uint32_t>(&step - job.steps.data());
+    std::uint32_t places = 0;
+    for (const Host &host : this->hosts) {
+        Resources used = step.need;
+        for (const auto &[key, run] : host.worker.runs)
+            used += run.need;
+        std::uint32_t left = needed;
+        if (step.maxPerWorker > 0) {
+            const std::uint32_t present = this->runsOfStepOn(host, taskName(job, {0, number, 0}));
+            left = step.maxPerWorker - std::min(step.maxPerWorker, present);
+        }
+        for (; host.worker.up && left > 0 && fits(used, workerCapacity) && places < needed;
+             --left) {
+            used += step.need;
+            ++places;
+        }
+    }
+    return places;
+}
+
 // True when none of the job's tasks is in progress and there is room twice over for its next ones:
 // a whole gang, or a task.
 bool SchedulerSimulation::couldRun(const Job &job) const
@@ -752,27 +871,37 @@
             open += this->succeededTasks.count(taskName(job, {0, i, index})) == 0 ? 1 : 0;
         if (open == 0)
             continue;
-        const std::uint32_t needed = 2 * (step.gang ? step.count : 1);
-        std::uint32_t places = 0;
-        for (const Host &host : this->hosts) {
-            Resources used = step.need;
-            for (const auto &[key, run] : host.worker.runs)
-                used += run.need;
-            for (; host.worker.up && fits(used, workerCapacity) && places < needed; ++places)
-                used += step.need;
-        }
-        return places >= needed; // the later steps depend on this one
+        // The later steps depend on this one.
+        return this->placesFor(job, step) >= 2 * (step.gang ? step.count : 1);
     }
     return false;
 }
 
-void SchedulerSimulation::checkIdleJobs()
+bool SchedulerSimulation::isCalm() const
 {
-    const bool judged = !this->faultsEnabled && this->mostIsIdle()
+    return !this->faultsEnabled
         && std::all_of(this->hosts.begin(), this->hosts.end(), [this](const Host &host) {
                return this->now >= this->lastFaultAt(host) + idleCalmMs;
            });
+}
+
+void SchedulerSimulation::checkIdleJobs()
+{
+    const bool calm = this->isCalm();
+    const bool judged = calm && this->mostIsIdle();
     for (const auto &[id, job] : this->jobs) {
+        const auto behaviour = this->behaviours.find(id);
+        if (behaviour != this->behaviours.end()) {
+            if (behaviour->second.lasts) {
+                this->checkIdleLastingTasks(job, calm && this->cancelledAt.count(id) == 0);
+                continue;
+            }
+            const auto state = callerVisibleState(this->entries[0].scheduler.table, id);
+            if (state && *state == "failed") {
+                this->idleMs[id] = 0;
+                continue;
+            }
+        }
         const bool idle = judged && this->cancelledAt.count(id) == 0 && this->couldRun(job);
         TimeMs &lengthMs = this->idleMs[id];
         lengthMs = idle ? lengthMs + stepMs : 0;
@@ -781,6 +910,48 @@
     }
 }
 
+void SchedulerSimulation::checkIdleLastingTasks(const Job &job, bool calm)
+{
+    const Step &step = job.steps.front();
+    const bool room = calm && this->placesFor(job, step) >= 2;
+    for (std::uint32_t i = 0; i < step.count; ++i) {
+        const std::string task = taskName(job, {0, 0, i});
+        TimeMs &lengthMs = this->idleTaskMs[task];
+        const bool idle =
+            room && this->now >= this->lastEndAt[task] + lastingBoundMs && !this->isRunning(task);
+        lengthMs = idle ? lengthMs + stepMs : 0;
+        if (lengthMs > idleBoundMs)
+            this->recordViolation("a task that lasts is not started again although there is room: "
+                                  + task);
+    }
+}
+
+void SchedulerSimulation::checkFailedJobs()
+{
+    std::map<std::string, std::size_t> mostFailedRuns; // of a task or a gang, by job
+    for (const auto &[task, runs] : this->failedRuns) {
+        std::size_t &most = mostFailedRuns[parseTaskName(task)->jobId];
+        most = std::max(most, runs.size());
+    }
+    for (const auto &[id, job] : this->jobs) {
+        const auto state = callerVisibleState(this->entries[0].scheduler.table, id);
+        if (state && *state == "failed" && mostFailedRuns[id] < job.maxAttempts)
+            this->recordViolation("shown as failed without a cause: " + id);
+    }
+}
+
+std::size_t SchedulerSimulation::soundJobsFailed() const
+{
+    std::size_t result = 0;
+    for (const auto &[id, job] : this->jobs) {
+        const auto behaviour = this->behaviours.find(id);
+        const bool sound = behaviour == this->behaviours.end() || !behaviour->second.fails;
+        const auto state = callerVisibleState(this->entries[0].scheduler.table, id);
+        result += sound && state && *state == "failed" ? 1 : 0;
+    }
+    return result;
+}
+
 void SchedulerSimulation::checkNothingRuns()
 {
     for (const Host &host : this->hosts) {
@@ -797,6 +968,18 @@
     std::uint32_t &refused = worker.refusedUpTo[key.first];
     refused = std::max(refused, key.second);
     worker.ends.push_back({++worker.lastEnd, key.first, key.second, how, "saved"});
+    const auto name = parseTaskName(key.first);
+    const Job &job = this->jobs.at(name->jobId);
+    const Step &step = job.steps[name->position.step];
+    if (how == EndKind::Failed) {
+        TaskPosition counter = name->position;
+        counter.index = step.gang ? 0 : counter.index;
+        this->failedRuns[taskName(job, counter)].insert(key.second);
+    }
+    if (step.longRunning) {
+        this->lastEndAt[key.first] = this->now;
+        return;
+    }
     if (how == EndKind::Done)
         this->succeededTasks.insert(key.first);
     if (how == EndKind::Done)
--- a/tests/scheduler_simulation.h
+++ b/tests/scheduler_simulation.h
@@ -24,8 +24,11 @@
 // Of open jobs it checks, once the faults are over, that none has nothing running for `idleBoundMs`
 // while all hosts have been calm for `idleCalmMs`, less than half of the accelerators are in use
 // and there is room for its next tasks twice over.
-// Of workers that have left it checks that no task is still assigned to one `departedBoundMs` after
-// both its end is stored and an entry leads that reads the log.
+// It checks the same of each task of a long-running step, from `lastingBoundMs` after its last run
+// on, whether others of its job run or not and however much is in use.
+// Of jobs that are shown as failed it checks that a task, or a gang, has failed as often as
+// allowed. Of workers that have left it checks that no task is still assigned to one
+// `departedBoundMs` after both its end is stored and an entry leads that reads the log.
 
 #include "flamingo/scheduler/host_agent.h"
 #include "flamingo/scheduler/scheduler.h"
@@ -69,6 +72,21 @@
     TimeMs longestCancelDelayMs = 6000; // from the submission to the cancellation
     TimeMs longestEstimateMs = 6000; // of a task
     TimeMs stopMs = 200; // a worker takes up to this long to stop a run
+    // Of a job: it runs until it is cancelled. The runs of most such jobs end over and over.
+    double lastingJob = 0;
+    double failingJob = 0; // of a job: all of its runs fail, wherever they are
+    double lastAttemptJob = 0; // of a job: it may fail once or twice; half of these fail once
+    double greyWorkersPerSecond = 0; // all that a worker starts fails, for some seconds
+    TimeMs callsAfterFaultsMs = 0; // jobs are submitted for this long after the faults
+};
+
+// What the runs of a job do by themselves, on a sound worker.
+struct RunBehaviour
+{
+    bool fails = false; // every run fails
+    bool firstFails = false; // the first run of each task fails
+    bool lasts = false; // runs go on until they are stopped
+    TimeMs longestRunMs = 0; // a run ends after up to this time; 0: by the estimate of its task
 };
 
 // A worker that behaves as the platform specifies, without admission control of its own.
@@ -124,6 +142,8 @@
     {
         return this->refusedStopCount;
     }
+    // Number of jobs that are shown as failed although they could have been done.
+    std::size_t soundJobsFailed() const;
 
     // Called before each plan; lets a test break a rule to show that the oracle detects it.
     std::function<void(scheduler::Scheduler &)> beforePlan;
@@ -156,6 +176,7 @@
         TimeMs busyUntil = 0; // the worker refuses calls
         TimeMs muteUntil = 0; // the worker neither answers calls nor carries them out
         TimeMs unheardUntil = 0; // the worker's answers are lost
+        TimeMs greyUntil = 0; // all that the worker starts fails
         TimeMs agentPausedUntil = 0;
         TimeMs takenAwayAt = 0; // a new host with another worker comes then; 0: it stays
         std::uint64_t agentGeneration = 0;
@@ -204,6 +225,14 @@
     void storeWorkerEnd(Host &host);
     void checkDepartures();
     void checkIdleJobs();
+    void checkIdleLastingTasks(const scheduler::Job &job, bool calm);
+    void checkFailedJobs();
+    bool isCalm() const;
+    RunBehaviour drawBehaviour(scheduler::Job &job);
+    void cancelLastingJobs();
+    bool isRunning(const std::string &task) const;
+    std::uint32_t placesFor(const scheduler::Job &job, const scheduler::Step &step) const;
+    std::uint32_t runsOfStepOn(const Host &host, const std::string &task) const;
     bool mostIsIdle() const;
     bool couldRun(const scheduler::Job &job) const;
     void checkNothingRuns();
@@ -235,6 +264,10 @@
     // When the end of a worker was stored or confirmed to its agent, by worker key.
     std::map<std::string, TimeMs> departedAt;
     std::map<std::string, TimeMs> idleMs; // time in which a job could have run and did not
+    std::map<std::string, TimeMs> idleTaskMs; // the same, by task of a long-running step
+    std::map<std::string, TimeMs> lastEndAt; // of a task of a long-running step
+    std::map<std::string, RunBehaviour> behaviours; // by job
+    std::map<std::string, std::set<std::uint32_t>> failedRuns; // by task; a gang's by its first one
     std::map<std::string, std::vector<TimeMs>> startTimes; // by task
     std::map<std::string, TimeMs> acknowledgedSuccessAt; // by task
     std::set<std::string> succeededTasks; // tasks of which a run has ended with success
