--- a/flamingo/scheduler/planner.cc
+++ b/flamingo/scheduler/planner.cc
@@ -29,6 +29,10 @@
 // on any worker that may run it: its restrictions are lifted one after another until it fits. What
 // is reserved within a guarantee is never lifted. A service that is idle for a moment, while runs
 // end that a reservation waits for, does not count.
+//
+// Failures hold a unit back for a limited time however much is in use, because they may go on for
+// ever: a unit that has room only on workers in quarantine, or where its tasks have failed, is
+// placed there after `maxAvoidMs`, a long-running one after `maxHeldBackMs`.
 
 #include "flamingo/scheduler/scheduler_parts.h"
 
@@ -80,6 +84,10 @@
     WaitCause::Reserved, WaitCause::PreferredRack, WaitCause::FailedWorker,
     WaitCause::UnusableWorkers};
 
+// Those of them that follow from failures, of the unit's own tasks or of others.
+constexpr std::array<WaitCause, 2> failureRestrictions = {WaitCause::FailedWorker,
+                                                          WaitCause::UnusableWorkers};
+
 // Whether a unit that starts now can end within its objective, by its estimate.
 enum class Lateness : std::uint8_t {
     InTime,
@@ -931,7 +939,7 @@
 }
 
 // True when failures, of the unit's tasks or of others, have held it back for as long as they may.
-bool hasWaitedForAvoided(const Scheduler &scheduler, const PlacementUnit &unit, TimeMs now)
+bool hasAvoidedLongEnough(const Scheduler &scheduler, const PlacementUnit &unit, TimeMs now)
 {
     const auto found = unit.row->waits.find(firstTaskNumber(unit));
     if (found == unit.row->waits.end() || !found->second.avoidedSince)
@@ -973,7 +981,7 @@
                          [](const WorkerResources &worker) { return worker.quarantined; }))
             return 0;
         unit.quarantinedWorkers = true;
-        if (manyAreQuarantined(scheduler, capacity) || hasWaitedForAvoided(scheduler, unit, now))
+        if (manyAreQuarantined(scheduler, capacity) || hasAvoidedLongEnough(scheduler, unit, now))
             return unit.tasks.size();
         return static_cast<std::size_t>(
             std::stable_partition(unit.tasks.begin(), unit.tasks.end(),
@@ -1033,19 +1041,17 @@
 PlacementUnit placeDespiteRestrictions(Scheduler &scheduler, const PlacementUnit &unit,
                                        ServiceCapacity &capacity, TimeMs now)
 {
-    constexpr std::array<WaitCause, 2> avoidance = {WaitCause::FailedWorker,
-                                                    WaitCause::UnusableWorkers};
     if (unit.tasks.empty())
         return unit;
     WaitState &wait = waitOf(unit, now);
     const bool idle = hasWaitedWhileIdle(scheduler, capacity, wait, now);
-    if (!idle && !hasWaitedForAvoided(scheduler, unit, now))
+    if (!idle && !hasAvoidedLongEnough(scheduler, unit, now))
         return unit;
     // By the last search for the cause, which lifts the same restrictions.
     if (wait.cause == WaitCause::NoFreeCapacity || wait.cause == WaitCause::NeverFits)
         return unit;
     const absl::Span<const WaitCause> lifted =
-        idle ? absl::MakeConstSpan(liftedRestrictions) : absl::MakeConstSpan(avoidance);
+        idle ? absl::MakeConstSpan(liftedRestrictions) : absl::MakeConstSpan(failureRestrictions);
     const TimeMs waitedMs = now - wait.since;
     std::vector<HeldReservation *> lent;
     if (idle) {
--- a/flamingo/scheduler/scheduler.h
+++ b/flamingo/scheduler/scheduler.h
@@ -150,9 +150,9 @@
     // do not count.
     std::uint32_t quarantineAfterFailures = 4;
     TimeMs quarantineMs = 8000;
-    // A task that has room only on workers in quarantine, or on the one where it failed, waits for
-    // others at most this long; a long-running task, which may fail any number of times, only
-    // `maxHeldBackMs`.
+    // A task that has room only on workers in quarantine, or where tasks of its step have failed,
+    // waits for others at most this long; a long-running task, which may fail any number of times,
+    // only `maxHeldBackMs`.
     TimeMs maxAvoidMs = 20000;
     // While this share of a service's workers or more is in quarantine, the work is more likely at
     // fault than they are, and quarantine no longer keeps last attempts from them while most of the
@@ -170,9 +170,9 @@
     // When the use of a service has been below this for `maxHeldBackMs`, tasks that have waited all
     // the while are placed on any worker that may run them: neither reservations, except those
     // within a guarantee, nor preferred racks count, nor `suspectMs`, nor, while one more failure
-    // does not fail the job or most workers are in it, quarantine. The use of a service is the
-    // share of accelerators, or of cores if that is larger, that runs hold on its workers that
-    // report and are not draining.
+    // does not fail the job or many workers are in it (`maxQuarantinedShare`), quarantine. The
+    // use of a service is the share of accelerators, or of cores if that is larger, that runs hold
+    // on its workers that report and are not draining.
     double maxUseToLift = 0.5;
     TimeMs maxBusyGapMs = 500; // a higher use for less than this does not interrupt that time
     // The cause of a wait is searched for and logged after this time, and again after each such
--- a/tests/scheduler_fuzz_test.cc
+++ b/tests/scheduler_fuzz_test.cc
@@ -318,6 +318,29 @@
         "", runSeeds(failingJobsAndWorkers(), numberOr("FLAMINGO_FUZZ_RUNS", shortRuns)).c_str());
 }
 
+// Guards against last attempts on workers that fail all they start: without quarantine, more jobs
+// fail that could have been done.
+TEST(SchedulerFuzz, quarantineKeepsLastAttemptsFromBadWorkers)
+{
+    SimulationFaults faults = failingJobsAndWorkers();
+    faults.greyWorkersPerSecond = 0.05;
+    const auto failedJobs = [&faults](const std::function<void(Scheduler &)> &beforePlan) {
+        std::size_t result = 0;
+        for (std::uint64_t seed = firstSeed; seed < firstSeed + 2 * shortRuns; ++seed) {
+            SchedulerSimulation simulation(seed, faults);
+            simulation.beforePlan = beforePlan;
+            simulation.run(faultyMs, calmMs);
+            result += simulation.soundJobsFailed();
+        }
+        return result;
+    };
+    const std::size_t withoutQuarantine = failedJobs([](Scheduler &scheduler) {
+        for (auto &[key, worker] : scheduler.workers)
+            worker.quarantinedUntil = worker.suspectUntil = 0;
+    });
+    CHECK(failedJobs(nullptr) < withoutQuarantine);
+}
+
 // The oracle detects a scheduler that starts tasks before their record is stored.
 TEST(SchedulerFuzz, oracleDetectsUnstoredStarts)
 {
