Test: give the retry of a start a fixed place between the stop and its repetition

Cause, by the log of that run: the first start was refused at 29.150 s, and the refusal of the stop is logged at 29.458 s. The test takes 20 ms to cancel the task; on the busy machine that took longer than the 200 ms after which the start is due again, so the second start came before the cancellation, and was right.

The test was also too weak: a client that repeats starts of tasks that are being stopped passed it, because the stop was repeated, and the task forgotten, after 100 ms, before the start was due.

Now the start is due again after 1.5 s, and the stop after 5 s. With the same fault put into the client, this test fails (2 starts), and the former one passes.

--- a/tests/worker_client_test.cc
+++ b/tests/worker_client_test.cc
@@ -180,8 +180,8 @@
     bool runsAtNotRun = false; // the same, with the verdict NotRun
     WorkerClient client;
 
-    Rig()
-        : client(this->loop, this->http, clientOptions(), [this](const WorkerEvent &event) {
+    explicit Rig(const WorkerClientOptions &clientOptions = ::clientOptions())
+        : client(this->loop, this->http, clientOptions, [this](const WorkerEvent &event) {
             this->events.push_back(event);
             std::visit([this](const auto &one) { this->handle(one); }, event);
         })
@@ -362,14 +362,19 @@
 // refused.
 TEST(WorkerClient, startIsNotRepeatedAfterARefusedStop)
 {
-    Rig rig;
+    // The start is due again well after the cancellation, also on a busy machine, and before the
+    // stop is.
+    WorkerClientOptions options = clientOptions();
+    options.retryMs = 1500;
+    options.stopRetryMs = 5000;
+    Rig rig(options);
     rig.worker.refuse("start", 500, 1);
     rig.worker.refuse("stop", 429, 1);
     rig.message(makeStart("t1", 8));
     CHECK(rig.runUntil([&] { return rig.worker.calls["start"] == 1; }));
     rig.runFor(20);
     rig.cancel("t1");
-    rig.runFor(1000);
+    rig.runFor(2500);
     CHECK_EQUAL(1, rig.worker.calls["start"]);
     CHECK(rig.worker.running.empty());
 }
