--- a/tests/quarantine_test.cc
+++ b/tests/quarantine_test.cc
@@ -100,7 +100,7 @@
     }
 };
 
-Job lasting(SchedulerRig &rig, const std::string &id, std::uint32_t count)
+Job longRunningJob(SchedulerRig &rig, const std::string &id, std::uint32_t count)
 {
     Job job = rig.makeJob(id, count, 1);
     job.steps[0].longRunning = true;
@@ -117,7 +117,7 @@
 TEST(Quarantine, lastAttemptStartsBesideALongRunningJobThatFailsEverywhere)
 {
     Fleet fleet(8);
-    fleet.rig.accept(lasting(fleet.rig, "loop", 8));
+    fleet.rig.accept(longRunningJob(fleet.rig, "loop", 8));
     fleet.failingJobs.insert("loop");
     fleet.advance(20000);
     CHECK_EQUAL(0, fleet.quarantined());
--- a/tests/scheduler_fuzz_test.cc
+++ b/tests/scheduler_fuzz_test.cc
@@ -154,13 +154,13 @@
 SimulationFaults failingJobs()
 {
     SimulationFaults faults;
-    faults.lastingJob = 0.25;
+    faults.longRunningJob = 0.25;
     faults.failingJob = 0.15;
     faults.lastAttemptJob = 0.5;
     faults.cancelledJob = 0.05;
     faults.mostAccelerators = 2;
     faults.jobsPerSecond = 0.5;
-    faults.callsAfterFaultsMs = 40000;
+    faults.jobsAfterFaultsMs = 40000;
     return faults;
 }
 
@@ -168,7 +168,7 @@
 SimulationFaults failingJobsAndWorkers()
 {
     SimulationFaults faults = failingJobs();
-    faults.greyWorkersPerSecond = 0.02;
+    faults.failingWorkersPerSecond = 0.02;
     return faults;
 }
 
@@ -323,7 +323,7 @@
 TEST(SchedulerFuzz, quarantineKeepsLastAttemptsFromBadWorkers)
 {
     SimulationFaults faults = failingJobsAndWorkers();
-    faults.greyWorkersPerSecond = 0.05;
+    faults.failingWorkersPerSecond = 0.05;
     const auto failedJobs = [&faults](const std::function<void(Scheduler &)> &beforePlan) {
         std::size_t result = 0;
         for (std::uint64_t seed = firstSeed; seed < firstSeed + 2 * shortRuns; ++seed) {
--- a/tests/scheduler_simulation.cc
+++ b/tests/scheduler_simulation.cc
@@ -16,9 +16,9 @@
 constexpr TimeMs idleBoundMs = 3000;
 constexpr TimeMs departedBoundMs = 4000;
 constexpr TimeMs idleCalmMs = 4000;
-constexpr TimeMs lastingBoundMs = 6000;
+constexpr TimeMs longRunningBoundMs = 6000;
 // These leave half of the workers to the jobs that end.
-constexpr std::ptrdiff_t mostLastingJobs = 4;
+constexpr std::ptrdiff_t mostLongRunningJobs = 4;
 constexpr TimeMs unansweredCallMs = 300;
 constexpr TimeMs lostReportMs = 400;
 constexpr TimeMs longestLateOrderMs = 12000;
@@ -92,16 +92,16 @@
     while (this->now < end && this->firstViolation.empty())
         this->step();
     this->faultsEnabled = false;
-    const TimeMs callsEnd = this->now + this->faults.callsAfterFaultsMs;
-    const TimeMs calmEnd = callsEnd + calmMs;
+    const TimeMs submissionsEnd = this->now + this->faults.jobsAfterFaultsMs;
+    const TimeMs calmEnd = submissionsEnd + calmMs;
     while (this->now < calmEnd && this->firstViolation.empty()
-           && (this->now < callsEnd || !this->allEnded())) {
-        if (this->now < callsEnd)
+           && (this->now < submissionsEnd || !this->allEnded())) {
+        if (this->now < submissionsEnd)
             this->submitJobs();
         this->step();
     }
     this->checkFailedJobs();
-    this->cancelLastingJobs();
+    this->cancelLongRunningJobs();
     if (!this->allEnded())
         this->recordViolation("a job has not ended although faults are over");
     const TimeMs settled = std::max(this->now, end + longestLateOrderMs) + contactMs + cancelBoundMs
@@ -111,10 +111,10 @@
     this->checkNothingRuns();
 }
 
-void SchedulerSimulation::cancelLastingJobs()
+void SchedulerSimulation::cancelLongRunningJobs()
 {
     for (const auto &[id, behaviour] : this->behaviours) {
-        if (!behaviour.lasts || this->cancelledAt.count(id) > 0)
+        if (!behaviour.longRunning || this->cancelledAt.count(id) > 0)
             continue;
         this->log.push_back(cancellationRecord(id));
         this->cancelledAt[id] = this->now;
@@ -133,7 +133,7 @@
 {
     return std::all_of(this->jobs.begin(), this->jobs.end(), [this](const auto &item) {
         const auto behaviour = this->behaviours.find(item.first);
-        if (behaviour != this->behaviours.end() && behaviour->second.lasts)
+        if (behaviour != this->behaviours.end() && behaviour->second.longRunning)
             return true;
         const auto state = callerVisibleState(this->entries[0].scheduler.table, item.first);
         return state && *state != "queued" && *state != "running";
@@ -319,9 +319,9 @@
         if (this->faults.unheardWorkersPerSecond > 0
             && this->occurs(this->faults.unheardWorkersPerSecond * share))
             host.unheardUntil = this->now + this->randomBetween(500, this->faults.longestMuteMs);
-        if (this->faults.greyWorkersPerSecond > 0
-            && this->occurs(this->faults.greyWorkersPerSecond * share))
-            host.greyUntil = this->now + this->randomBetween(2000, 8000);
+        if (this->faults.failingWorkersPerSecond > 0
+            && this->occurs(this->faults.failingWorkersPerSecond * share))
+            host.failingUntil = this->now + this->randomBetween(2000, 8000);
         if (this->faults.departuresPerSecond > 0
             && this->occurs(this->faults.departuresPerSecond * share))
             this->leave(host);
@@ -379,7 +379,7 @@
             step.after = {0};
         job.steps.push_back(step);
     }
-    if (this->faults.lastingJob > 0 || this->faults.failingJob > 0)
+    if (this->faults.longRunningJob > 0 || this->faults.failingJob > 0)
         this->behaviours[job.id] = this->drawBehaviour(job);
     this->jobs[job.id] = job;
     this->log.push_back(acceptanceRecord(job));
@@ -400,16 +400,17 @@
 RunBehaviour SchedulerSimulation::drawBehaviour(Job &job)
 {
     RunBehaviour behaviour;
-    const auto lasting = std::count_if(this->behaviours.begin(), this->behaviours.end(),
-                                       [](const auto &item) { return item.second.lasts; });
-    if (this->occurs(this->faults.lastingJob) && lasting < mostLastingJobs) {
+    const auto longRunning =
+        std::count_if(this->behaviours.begin(), this->behaviours.end(),
+                      [](const auto &item) { return item.second.longRunning; });
+    if (this->occurs(this->faults.longRunningJob) && longRunning < mostLongRunningJobs) {
         Step &step = job.steps.front();
         step.gang = false;
         step.longRunning = true;
         step.need.accelerators = 1;
         step.maxPerWorker = this->occurs(0.5) ? 1 : 0;
         job.steps.resize(1);
-        behaviour.lasts = true;
+        behaviour.longRunning = true;
         behaviour.fails = this->occurs(0.6);
         behaviour.longestRunMs = this->occurs(0.8) ? this->randomBetween(200, 5000) : 0;
         return behaviour;
@@ -701,10 +702,10 @@
         run.fails = run.fails || behaviour.fails || (behaviour.firstFails && key.second == 1);
         if (behaviour.longestRunMs > 0)
             run.leftMs = this->randomBetween(50, behaviour.longestRunMs);
-        else if (behaviour.lasts)
+        else if (behaviour.longRunning)
             run.leftMs = std::numeric_limits<TimeMs>::max();
     }
-    if (this->now < host.greyUntil) {
+    if (this->now < host.failingUntil) {
         run.fails = true;
         run.leftMs = this->randomBetween(100, 1500);
     }
@@ -768,7 +769,7 @@
     TimeMs result =
         std::max({this->logDownUntil, this->lastLeaderChangeAt, host.agentDownUntil,
                   host.workerDownUntil, host.disconnectedUntil, host.busyUntil, host.muteUntil,
-                  host.unheardUntil, host.agentPausedUntil, host.greyUntil});
+                  host.unheardUntil, host.agentPausedUntil, host.failingUntil});
     for (const Entry &entry : this->entries)
         result = std::max(result, entry.pausedUntil);
     return result;
@@ -892,8 +893,8 @@
     for (const auto &[id, job] : this->jobs) {
         const auto behaviour = this->behaviours.find(id);
         if (behaviour != this->behaviours.end()) {
-            if (behaviour->second.lasts) {
-                this->checkIdleLastingTasks(job, calm && this->cancelledAt.count(id) == 0);
+            if (behaviour->second.longRunning) {
+                this->checkIdleLongRunningTasks(job, calm && this->cancelledAt.count(id) == 0);
                 continue;
             }
             const auto state = callerVisibleState(this->entries[0].scheduler.table, id);
@@ -910,19 +911,19 @@
     }
 }
 
-void SchedulerSimulation::checkIdleLastingTasks(const Job &job, bool calm)
+void SchedulerSimulation::checkIdleLongRunningTasks(const Job &job, bool calm)
 {
     const Step &step = job.steps.front();
     const bool room = calm && this->placesFor(job, step) >= 2;
     for (std::uint32_t i = 0; i < step.count; ++i) {
         const std::string task = taskName(job, {0, 0, i});
         TimeMs &lengthMs = this->idleTaskMs[task];
-        const bool idle =
-            room && this->now >= this->lastEndAt[task] + lastingBoundMs && !this->isRunning(task);
+        const bool idle = room && this->now >= this->lastEndAt[task] + longRunningBoundMs
+            && !this->isRunning(task);
         lengthMs = idle ? lengthMs + stepMs : 0;
         if (lengthMs > idleBoundMs)
-            this->recordViolation("a task that lasts is not started again although there is room: "
-                                  + task);
+            this->recordViolation(
+                "a long-running task is not started again although there is room: " + task);
     }
 }
 
--- a/tests/scheduler_simulation.h
+++ b/tests/scheduler_simulation.h
@@ -24,11 +24,11 @@
 // Of open jobs it checks, once the faults are over, that none has nothing running for `idleBoundMs`
 // while all hosts have been calm for `idleCalmMs`, less than half of the accelerators are in use
 // and there is room for its next tasks twice over.
-// It checks the same of each task of a long-running step, from `lastingBoundMs` after its last run
-// on, whether others of its job run or not and however much is in use.
-// Of jobs that are shown as failed it checks that a task, or a gang, has failed as often as
-// allowed. Of workers that have left it checks that no task is still assigned to one
-// `departedBoundMs` after both its end is stored and an entry leads that reads the log.
+// It checks the same of each task of a long-running step, from `longRunningBoundMs` after its last
+// run on, whether others of its job run or not and however much is in use. Of jobs that are shown
+// as failed it checks that a task, or a gang, has failed as often as allowed. Of workers that have
+// left it checks that no task is still assigned to one `departedBoundMs` after both its end is
+// stored and an entry leads that reads the log.
 
 #include "flamingo/scheduler/host_agent.h"
 #include "flamingo/scheduler/scheduler.h"
@@ -73,11 +73,11 @@
     TimeMs longestEstimateMs = 6000; // of a task
     TimeMs stopMs = 200; // a worker takes up to this long to stop a run
     // Of a job: it runs until it is cancelled. The runs of most such jobs end over and over.
-    double lastingJob = 0;
+    double longRunningJob = 0;
     double failingJob = 0; // of a job: all of its runs fail, wherever they are
     double lastAttemptJob = 0; // of a job: it may fail once or twice; half of these fail once
-    double greyWorkersPerSecond = 0; // all that a worker starts fails, for some seconds
-    TimeMs callsAfterFaultsMs = 0; // jobs are submitted for this long after the faults
+    double failingWorkersPerSecond = 0; // all that a worker starts fails, for some seconds
+    TimeMs jobsAfterFaultsMs = 0; // jobs are submitted for this long after the faults
 };
 
 // What the runs of a job do by themselves, on a sound worker.
@@ -85,7 +85,7 @@
 {
     bool fails = false; // every run fails
     bool firstFails = false; // the first run of each task fails
-    bool lasts = false; // runs go on until they are stopped
+    bool longRunning = false; // runs go on until they are stopped
     TimeMs longestRunMs = 0; // a run ends after up to this time; 0: by the estimate of its task
 };
 
@@ -176,7 +176,7 @@
         TimeMs busyUntil = 0; // the worker refuses calls
         TimeMs muteUntil = 0; // the worker neither answers calls nor carries them out
         TimeMs unheardUntil = 0; // the worker's answers are lost
-        TimeMs greyUntil = 0; // all that the worker starts fails
+        TimeMs failingUntil = 0; // all that the worker starts fails
         TimeMs agentPausedUntil = 0;
         TimeMs takenAwayAt = 0; // a new host with another worker comes then; 0: it stays
         std::uint64_t agentGeneration = 0;
@@ -225,11 +225,11 @@
     void storeWorkerEnd(Host &host);
     void checkDepartures();
     void checkIdleJobs();
-    void checkIdleLastingTasks(const scheduler::Job &job, bool calm);
+    void checkIdleLongRunningTasks(const scheduler::Job &job, bool calm);
     void checkFailedJobs();
     bool isCalm() const;
     RunBehaviour drawBehaviour(scheduler::Job &job);
-    void cancelLastingJobs();
+    void cancelLongRunningJobs();
     bool isRunning(const std::string &task) const;
     std::uint32_t placesFor(const scheduler::Job &job, const scheduler::Step &step) const;
     std::uint32_t runsOfStepOn(const Host &host, const std::string &task) const;
