--- a/flamingo/adapters/host_agent_service.cc
+++ b/flamingo/adapters/host_agent_service.cc
@@ -91,6 +91,10 @@
         this->callWorker(call);
     for (const std::string &decision : std::exchange(this->agent.decisions, {}))
         this->decisions.write(decision);
+    if (this->agent.startsWithdrawn > 0)
+        this->metrics.raiseCounterTo("flamingo_starts_withdrawn_total",
+                                     "Starts not carried out because of an evacuation",
+                                     double(this->agent.startsWithdrawn));
     const bool entryTimedOut = this->currentEntryTimedOut(now);
     if (entryTimedOut)
         this->chooseNextEntry();
--- a/flamingo/adapters/scheduler_service.cc
+++ b/flamingo/adapters/scheduler_service.cc
@@ -11,6 +11,8 @@
 
 #include "flamingo/adapters/scheduler_service.h"
 
+#include "flamingo/scheduler/limits.h"
+
 #include <algorithm>
 #include <limits>
 #include <utility>
@@ -313,6 +315,8 @@
                            [](const auto &weak) { return weak.expired(); })
             ? this->openAttempts.erase(item)
             : std::next(item);
+    if (!this->scheduling.evacuations.empty() || !this->exportedEvacuations.empty())
+        this->exportEvacuations();
     if (this->leading()) {
         this->notifyStaleLog(now);
         this->schedulePlan();
@@ -496,9 +500,16 @@
     });
 }
 
+// False before the first read of the requests for evacuation. A leader then places nothing, because
+// all that it placed in an evacuated data centre would have to be withdrawn.
+bool SchedulerService::evacuationsAreKnown() const
+{
+    return !this->evacuationsAgeMs || this->evacuationsAgeMs() <= maxMilliseconds;
+}
+
 void SchedulerService::runPlan()
 {
-    if (!this->leading() || this->resigning)
+    if (!this->leading() || this->resigning || !this->evacuationsAreKnown())
         return;
     const TimeMs began = Loop::now();
     plan(this->scheduling, began, Loop::unixNow());
@@ -606,6 +617,8 @@
     orders.leaderAddress = this->options.agentAddress;
     orders.storeSilentMs = Loop::now() - this->logConfirmedAt;
     orders.jobLogAgeMs = std::max<TimeMs>(0, Loop::now() - this->tableReadAt);
+    if (this->evacuationsAgeMs)
+        orders.evacuationsAgeMs = std::clamp<TimeMs>(this->evacuationsAgeMs(), 0, maxMilliseconds);
     // Another entry may lead by now. It waits for the end of leases that were extended within this
     // limit, so no lease is extended after it.
     if (orders.storeSilentMs > this->scheduling.options.maxStoreUnreachableMs)
@@ -660,6 +673,52 @@
     this->scheduling.guarantees = std::move(guarantees);
 }
 
+void SchedulerService::setEvacuations(const Evacuations &evacuations)
+{
+    this->scheduling.evacuations = evacuations;
+    if (!this->leading())
+        return;
+    // Agents hold back starts at once, and need not wait for the next plan.
+    while (!this->waitingReports.empty())
+        this->answerReport(this->waitingReports.begin()->first);
+    this->schedulePlan();
+}
+
+// Exports the state of each evacuated data centre, as the leader sees it, and resets that of those
+// which are not any more.
+void SchedulerService::exportEvacuations()
+{
+    const auto set = [this](const std::string &name, const std::string &help, double value,
+                            const std::string &dataCentre) {
+        this->metrics.setGauge(name, help, value, {{"data_centre", dataCentre}});
+    };
+    std::set<std::string> former = std::move(this->exportedEvacuations);
+    this->exportedEvacuations.clear();
+    std::vector<EvacuationStatus> states;
+    if (this->leading())
+        states = evacuationStatus(this->scheduling);
+    for (const EvacuationStatus &state : states) {
+        former.erase(state.dataCentre);
+        this->exportedEvacuations.insert(state.dataCentre);
+    }
+    for (const std::string &dataCentre : former) {
+        EvacuationStatus ended;
+        ended.dataCentre = dataCentre;
+        ended.since = Loop::now();
+        states.push_back(std::move(ended));
+    }
+    for (const EvacuationStatus &state : states) {
+        set("flamingo_evacuation_seconds", "Time since the data centre is evacuated; 0: it is not",
+            seconds(Loop::now() - state.since), state.dataCentre);
+        set("flamingo_evacuation_hosts", "Hosts of the evacuated data centre that have reported",
+            double(state.hosts), state.dataCentre);
+        set("flamingo_evacuation_runs", "Runs that go on in the evacuated data centre",
+            double(state.runs), state.dataCentre);
+        set("flamingo_evacuation_starts_withdrawn", "Starts that the leader withdrew there",
+            double(state.startsWithdrawn), state.dataCentre);
+    }
+}
+
 void SchedulerService::submit(const Job &job, SubmitCallback done)
 {
     const auto found = this->scheduling.table.jobs.find(job.id);
--- a/flamingo/adapters/scheduler_service.h
+++ b/flamingo/adapters/scheduler_service.h
@@ -23,6 +23,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 
 namespace flamingo::adapters {
@@ -143,6 +144,16 @@
     // Sets the guaranteed accelerators of each organisation.
     void setGuarantees(std::map<std::string, std::int64_t> guarantees);
 
+    // Sets the data centres that operators have evacuated. Takes effect in the next plan.
+    void setEvacuations(const scheduler::Evacuations &evacuations);
+
+    // Sets the function that returns the time since the requests for evacuation were last read to
+    // their end. Without it, they count as known.
+    void setEvacuationsAge(std::function<TimeMs()> ageMs)
+    {
+        this->evacuationsAgeMs = std::move(ageMs);
+    }
+
     // Handles the report of a host. A leader answers with orders, as soon as there are any or after
     // `reportWaitMs`; it does not answer a report that is older than one already handled. A
     // follower answers at once with the address and epoch of the leader.
@@ -230,6 +241,8 @@
                      std::function<void(CancelOutcome)> done);
     std::shared_ptr<Attempt> beginAttempt(const scheduler::Record &record);
     void writeDecisions();
+    void exportEvacuations();
+    bool evacuationsAreKnown() const;
 
     Loop &loop;
     scheduler::JobLog &log;
@@ -271,6 +284,8 @@
     scheduler::PlanPace planPace;
     std::map<std::string, WaitingReport> waitingReports; // by host
     Relay relay;
+    std::function<TimeMs()> evacuationsAgeMs;
+    std::set<std::string> exportedEvacuations; // data centres with metrics
     std::vector<std::shared_ptr<Attempt>> queuedAttempts; // to be sent after the outstanding append
     bool appendOutstanding = false; // an unfenced append of attempts is outstanding
     std::map<std::string, std::vector<std::weak_ptr<Attempt>>>
--- a/flamingo/scheduler/host_agent.cc
+++ b/flamingo/scheduler/host_agent.cc
@@ -12,7 +12,7 @@
 // run adds the run as Stopping. A run is also removed in any state but Gone when the worker lists
 // its end, in Starting or Stopping when a call is fenced, and in Starting when the worker has
 // accepted a later token than that of the order and does not list the run. If the worker is
-// draining, a start order and a Starting run lead to Stopping.
+// draining or its data centre evacuated, a start order and a Starting run lead to Stopping.
 //
 // A run that is not listed leaves Running, Starting or Stopping only if the worker's list of ends
 // was complete.
@@ -178,6 +178,37 @@
     agent.reportNeeded = true;
 }
 
+// Stops a run that is still being started, if nothing may be started on the worker any more.
+// Returns whether it does.
+bool withdrawStart(HostAgent &agent, AgentRun &run, TimeMs now)
+{
+    if (agent.worker->draining) {
+        beginStop(agent, run, "the worker is draining", now);
+        return true;
+    }
+    if (!agent.evacuated)
+        return false;
+    ++agent.startsWithdrawn;
+    beginStop(agent, run, "the data centre is evacuated", now);
+    return true;
+}
+
+// Takes over what the leader knows of the host's data centre. Answers may overtake each other; the
+// one with the newest knowledge counts, and of two that are equally recent the last.
+void applyEvacuationState(HostAgent &agent, const HostOrders &orders, TimeMs reportSentAt)
+{
+    const TimeMs asOf = reportSentAt - orders.evacuationsAgeMs;
+    if (asOf < agent.evacuationsAsOf)
+        return;
+    agent.evacuationsAsOf = asOf;
+    if (std::exchange(agent.evacuated, orders.evacuated) == orders.evacuated)
+        return;
+    logDecision(agent,
+                "event=evacuation data_centre=" + agent.options.dataCentre
+                    + " state=" + (orders.evacuated ? "begun" : "ended")
+                    + " epoch=" + std::to_string(orders.epoch));
+}
+
 bool endIsListed(const HostAgent &agent, const RunKey &key)
 {
     return std::any_of(agent.ends.begin(), agent.ends.end(), [&key](const ReportedEnd &end) {
@@ -581,6 +612,7 @@
         return;
     agent.grantUntil = std::max(agent.grantUntil, reportSentAt + orders.grantMs);
     agent.ordersAsOf = std::max(agent.ordersAsOf, reportSentAt - orders.jobLogAgeMs);
+    applyEvacuationState(agent, orders, reportSentAt);
     if (orders.acknowledgedEnd > agent.acknowledgedEnd) {
         agent.acknowledgedEnd = orders.acknowledgedEnd;
         agent.pollNeeded = true; // the poll carries the new acknowledgement to the worker
@@ -605,8 +637,7 @@
         found->second.order = order;
         found->second.orderToken = orders.fencingToken;
         // An earlier process of the agent may have sent the start already.
-        if (agent.worker->draining)
-            beginStop(agent, found->second, "the worker is draining", now);
+        withdrawStart(agent, found->second, now);
     }
 }
 
@@ -708,14 +739,15 @@
     }
     if (agent.workerGone || agent.tokenInForce == 0 || agent.tokenInForce != agent.fencingToken)
         return calls;
-    const bool startsAreValid = now - agent.ordersAsOf <= agent.options.startValidMs;
+    const bool evacuationsAreKnown = agent.options.evacuationValidMs == 0
+        || now - agent.evacuationsAsOf <= agent.options.evacuationValidMs;
+    const bool startsAreValid =
+        now - agent.ordersAsOf <= agent.options.startValidMs && evacuationsAreKnown;
     for (auto &[key, run] : agent.runs) {
         if (run.callOutstanding || now < run.nextCallAt)
             continue;
         if (run.state == RunState::Starting) {
-            if (agent.worker->draining) {
-                beginStop(agent, run, "the worker is draining", now);
-            } else {
+            if (!withdrawStart(agent, run, now)) {
                 const std::int64_t until = leaseUntil(agent, now);
                 if (until == 0 || run.orderToken != token || !startsAreValid)
                     continue;
@@ -766,6 +798,7 @@
 {
     HostReport report;
     report.host = agent.options.host;
+    report.dataCentre = agent.options.dataCentre;
     report.agentStart = agent.options.agentStart;
     report.sequence = ++agent.sequence;
     report.worker = agent.worker;
--- a/flamingo/scheduler/host_agent.h
+++ b/flamingo/scheduler/host_agent.h
@@ -18,7 +18,11 @@
 //
 // A start is also not sent, or repeated, when the leader has not confirmed for `startValidMs` that
 // it should run: while no leader answers, or the leader does not read the job log, a cancellation
-// of the job is not known.
+// of the job is not known. The same holds for evacuations, after `evacuationValidMs`.
+//
+// While the host's data centre is evacuated (see evacuation.h) no start is sent; one that may have
+// been sent already is stopped unless the worker lists the run. The leader then places the task
+// elsewhere.
 //
 // A worker limits the number of ends in one answer, and lists more only when these have been
 // acknowledged. While its list is cut, a run that neither list contains may have ended with any
@@ -126,6 +130,11 @@
     // A start is sent only this long after the time as of which the leader knew the job log in its
     // last answer. Must be shorter than the time in which a cancellation takes effect.
     TimeMs startValidMs = 2500;
+    // A start is sent only this long after the time as of which the leader knew the requests for
+    // evacuation in its last answer. Must be shorter than the time in which they take effect; 0:
+    // no limit.
+    TimeMs evacuationValidMs = 0;
+    std::string dataCentre; // of the host
 };
 
 // The agent's state of one run of a task.
@@ -193,6 +202,9 @@
     std::uint64_t acknowledgedEnd = 0; // ends up to this number are stored by the leader
     TimeMs grantUntil = 0; // end of the leader's lease grant, on the agent's clock
     TimeMs ordersAsOf = 0; // the leader's orders take all earlier cancellations into account
+    bool evacuated = false; // by the leader's orders: nothing may be started on the worker
+    TimeMs evacuationsAsOf = 0; // the leader's orders take all earlier evacuations into account
+    std::uint64_t startsWithdrawn = 0; // because of an evacuation, since the agent began
     std::int64_t workerClockMs = 0; // newest reading of the worker's clock ...
     TimeMs workerClockReceivedAt = 0; // ... and when it arrived, on the agent's clock
     std::int64_t listClockMs = 0; // worker's clock of the newest lists that were applied
--- a/flamingo/scheduler/host_messages.h
+++ b/flamingo/scheduler/host_messages.h
@@ -27,6 +27,7 @@
     std::vector<std::string> labels; // kind and rack
     bool draining = false;
     TimeMs remainingMs = 0; // while draining: minimum time until the worker shuts down
+    TimeMs coldMs = 0; // how much longer it stays slow after its start, by its last heartbeat
 };
 
 enum class RunState : std::uint8_t {
@@ -69,6 +70,7 @@
 struct HostReport
 {
     std::string host;
+    std::string dataCentre; // of the host
     std::uint64_t agentStart = 0; // start time of the agent, which identifies its incarnation
     std::uint64_t sequence = 0; // increases within an incarnation
     std::optional<WorkerInfo> worker; // nullopt: the agent has received no heartbeat
@@ -122,6 +124,10 @@
     TimeMs storeSilentMs = 0; // time since the store of the job log last answered the leader
     // Time since the leader last read the job log to its end: it does not know later cancellations.
     TimeMs jobLogAgeMs = 0;
+    // The host's data centre is evacuated (see evacuation.h): nothing may be started on its worker.
+    bool evacuated = false;
+    // Time since the leader last read the requests for evacuation to their end.
+    TimeMs evacuationsAgeMs = 0;
     std::vector<StartOrder> starts;
     std::vector<StopOrder> stops;
 };
--- a/flamingo/scheduler/placement.h
+++ b/flamingo/scheduler/placement.h
@@ -46,6 +46,7 @@
     // A run failed or could not start here recently; used only when no other worker fits.
     bool suspect = false;
     bool quarantined = false; // used only by a demand with `quarantinedWorkers`, as last choice
+    bool evacuated = false; // of an evacuated data centre: never used; shown as cause of waits
     double slowness = 1; // run time on this worker as a multiple of the usual one
     std::vector<Allocation> allocations;
 };
--- a/flamingo/scheduler/planner.cc
+++ b/flamingo/scheduler/planner.cc
@@ -79,6 +79,9 @@
 constexpr double reclaimBaseCost = 400;
 constexpr double reclaimCostPerWork = 3;
 
+// Least WorkerResources::slowness of a worker that has started recently and says that it is slow.
+constexpr double coldSlowness = 1.5;
+
 // What is lifted for a unit that has waited for long, in this order; named as in wait_cause.h.
 constexpr std::array<WaitCause, 4> liftedRestrictions = {
     WaitCause::Reserved, WaitCause::PreferredRack, WaitCause::FailedWorker,
@@ -183,7 +186,7 @@
     // By key; free capacity less reservations. Includes workers in quarantine, without allocations.
     std::vector<WorkerResources> workers;
     std::vector<Resources> reserved; // by worker index
-    // Quarantined, draining or silent; without allocations.
+    // Quarantined, draining, silent or evacuated; without allocations.
     std::vector<WorkerResources> unusable;
     std::vector<HeldReservation> held; // the part of `reserved` that others may use
     std::size_t quarantined = 0; // number of `workers` in quarantine
@@ -213,7 +216,7 @@
             if (!reports(this->scheduler, worker, this->now))
                 continue;
             WorkerResources resources = this->resourcesOf(worker);
-            if (!worker.info.draining)
+            if (!worker.info.draining && !resources.evacuated)
                 this->addUse(resources);
             if (worker.fenced)
                 this->addWorker(worker, std::move(resources));
@@ -244,7 +247,10 @@
         resources.capacity = worker.info.capacity;
         resources.freeCapacity = worker.info.capacity;
         resources.suspect = this->now < std::max(worker.suspectUntil, worker.busyUntil);
+        resources.evacuated = isEvacuated(this->scheduler.evacuations, worker.dataCentre);
         resources.slowness = slowness(this->scheduler.speeds, worker.host, this->now);
+        if (this->now < worker.coldUntil)
+            resources.slowness = std::max(resources.slowness, coldSlowness);
         for (const auto &[key, run] : worker.runs)
             resources.freeCapacity -= run.need;
         return resources;
@@ -260,7 +266,7 @@
     void addWorker(const Worker &worker, WorkerResources resources)
     {
         const bool quarantined = this->now < worker.quarantinedUntil;
-        const bool excluded = worker.info.draining || worker.silent;
+        const bool excluded = worker.info.draining || worker.silent || resources.evacuated;
         if (excluded || quarantined)
             this->result.unusable.push_back(resources);
         if (excluded)
@@ -987,6 +993,7 @@
             std::stable_partition(unit.tasks.begin(), unit.tasks.end(),
                                   [&unit](std::size_t task) { return mayFailOnce(unit, task); })
             - unit.tasks.begin());
+    case WaitCause::Evacuated:
     case WaitCause::NoFreeCapacity:
     case WaitCause::NeverFits:
         break;
@@ -1270,6 +1277,26 @@
     }
 }
 
+// Stops the runs in evacuated data centres that their workers have not confirmed, so that their
+// tasks are placed elsewhere. A worker that has not accepted its token may run them already.
+void withdrawEvacuatedStarts(Scheduler &scheduler)
+{
+    if (scheduler.evacuations.empty())
+        return;
+    for (auto &[key, worker] : scheduler.workers) {
+        if (!worker.fenced || !isEvacuated(scheduler.evacuations, worker.dataCentre))
+            continue;
+        for (const auto &[runKey, run] : worker.runs) {
+            const bool confirmed =
+                run.reported == RunState::Running || run.reported == RunState::Stopping;
+            if (confirmed || !shouldRun(scheduler, worker, run))
+                continue;
+            ++scheduler.withdrawnStarts[worker.dataCentre];
+            stopRun(scheduler, key, runKey, "its data centre is evacuated");
+        }
+    }
+}
+
 // Stops runs that occupy resources without making progress, and quarantines the workers that
 // stalled them. A gang begins to work when all its members run, so their stall timers start then.
 void stopStalledRuns(Scheduler &scheduler, TimeMs now)
@@ -1369,6 +1396,7 @@
     dropLapsedWorkers(scheduler, now);
     releaseOrphanedTasks(scheduler, now);
     applyCancellations(scheduler, now);
+    withdrawEvacuatedStarts(scheduler);
     stopUnconfirmedStarts(scheduler, now);
     stopStalledRuns(scheduler, now);
     const std::set<std::string> guaranteed = guaranteedJobs(scheduler);
--- a/flamingo/scheduler/records.cc
+++ b/flamingo/scheduler/records.cc
@@ -90,7 +90,8 @@
             {"capacity", worker.capacity},
             {"labels", worker.labels},
             {"draining", worker.draining},
-            {"remainingMs", worker.remainingMs}};
+            {"remainingMs", worker.remainingMs},
+            {"coldMs", worker.coldMs}};
 }
 
 void to_json(Json &json, const ReportedRun &run)
@@ -137,6 +138,8 @@
             {"storedWorkerEnd", orders.storedWorkerEnd},
             {"storeSilentMs", orders.storeSilentMs},
             {"jobLogAgeMs", orders.jobLogAgeMs},
+            {"evacuated", orders.evacuated},
+            {"evacuationsAgeMs", orders.evacuationsAgeMs},
             {"starts", orders.starts},
             {"stops", orders.stops}};
 }
@@ -260,6 +263,7 @@
     reader.texts("labels", worker.labels);
     reader.flag("draining", worker.draining);
     reader.integer("remainingMs", 0, maxMilliseconds, worker.remainingMs);
+    reader.integer("coldMs", 0, maxMilliseconds, worker.coldMs);
     return reader.valid();
 }
 
@@ -300,6 +304,7 @@
     JsonObjectReader reader(json, reason);
     reader.require({"host", "agentStart", "sequence"});
     reader.text("host", report.host);
+    reader.text("dataCentre", report.dataCentre);
     reader.integer("agentStart", 0, maxIncarnation, report.agentStart);
     reader.integer("sequence", 0, maxCounter, report.sequence);
     reader.flag("workerGone", report.workerGone);
@@ -355,6 +360,8 @@
     // Negative if a read of the log was confirmed after this time was taken.
     reader.integer("storeSilentMs", -maxMilliseconds, maxMilliseconds, orders.storeSilentMs);
     reader.integer("jobLogAgeMs", 0, maxMilliseconds, orders.jobLogAgeMs);
+    reader.flag("evacuated", orders.evacuated);
+    reader.integer("evacuationsAgeMs", 0, maxMilliseconds, orders.evacuationsAgeMs);
     reader.list("starts", orders.starts, readStartOrder);
     reader.list("stops", orders.stops, readStopOrder);
     return reader.valid();
@@ -467,6 +474,7 @@
 void to_json(Json &json, const HostReport &report)
 {
     json = {{"host", report.host},
+            {"dataCentre", report.dataCentre},
             {"agentStart", report.agentStart},
             {"sequence", report.sequence},
             {"workerGone", report.workerGone},
--- a/flamingo/scheduler/scheduler.cc
+++ b/flamingo/scheduler/scheduler.cc
@@ -634,6 +634,7 @@
     scheduler.unconfirmed.checkedAt = 0;
     scheduler.unconfirmed.since.clear();
     scheduler.issuedTokens = 0;
+    scheduler.withdrawnStarts.clear();
     scheduler.flush = 1;
     scheduler.storedFlush = 0;
     for (auto &[key, ended] : scheduler.table.endedWorkers)
@@ -692,6 +693,8 @@
     Worker &worker = findOrAddWorker(scheduler, key, report);
     host.workerKey = key;
     worker.info = *report.worker;
+    worker.dataCentre = report.dataCentre;
+    worker.coldUntil = now + report.worker->coldMs;
     const TimeMs sinceLastReportMs = now - std::exchange(worker.lastReport, now);
     worker.silent = report.workerSilent;
     if (report.workerBusy)
@@ -747,6 +750,7 @@
     orders.workerKey = worker.key;
     orders.fencingToken = worker.fencingToken;
     orders.acknowledgedEnd = worker.storedEnd;
+    orders.evacuated = isEvacuated(scheduler.evacuations, worker.dataCentre);
     if (!worker.fenced)
         return orders;
     for (const auto &[key, run] : worker.runs) {
@@ -755,7 +759,8 @@
                 orders.stops.push_back({key.first, key.second});
             continue;
         }
-        if (run.reported != RunState::Unknown || run.flush > scheduler.storedFlush)
+        if (run.reported != RunState::Unknown || run.flush > scheduler.storedFlush
+            || orders.evacuated)
             continue;
         const JobRow &row = scheduler.table.jobs.at(run.jobId);
         orders.starts.push_back({key.first, key.second, row.job->payload,
@@ -778,6 +783,27 @@
         [&orders](const ReportedEnd &end) { return end.number <= orders.acknowledgedEnd; });
 }
 
+std::vector<EvacuationStatus> evacuationStatus(const Scheduler &scheduler)
+{
+    std::vector<EvacuationStatus> result;
+    for (const auto &[dataCentre, evacuation] : scheduler.evacuations) {
+        EvacuationStatus status;
+        status.dataCentre = dataCentre;
+        status.since = evacuation.since;
+        const auto withdrawn = scheduler.withdrawnStarts.find(dataCentre);
+        if (withdrawn != scheduler.withdrawnStarts.end())
+            status.startsWithdrawn = withdrawn->second;
+        for (const auto &[key, worker] : scheduler.workers) {
+            if (worker.dataCentre != dataCentre)
+                continue;
+            ++status.hosts;
+            status.runs += worker.runs.size();
+        }
+        result.push_back(std::move(status));
+    }
+    return result;
+}
+
 std::vector<Record> takeRecords(Scheduler &scheduler, TimeMs now)
 {
     std::vector<Record> records;
--- a/flamingo/scheduler/scheduler.h
+++ b/flamingo/scheduler/scheduler.h
@@ -27,6 +27,7 @@
 // No function does I/O or reads a clock: the time is an argument, and effects are returned or
 // stored in the structures passed in.
 
+#include "flamingo/scheduler/evacuation.h"
 #include "flamingo/scheduler/host_messages.h"
 #include "flamingo/scheduler/host_speed.h"
 #include "flamingo/scheduler/placement.h"
@@ -206,7 +207,9 @@
 {
     std::string key; // see workerKey()
     std::string host;
+    std::string dataCentre;
     WorkerInfo info;
+    TimeMs coldUntil = 0; // the worker is slow until then, by its heartbeats
     std::uint64_t fencingToken = 0;
     bool fenced = false; // the worker has accepted `fencingToken`
     bool silent = false; // HostReport::workerSilent of the newest report
@@ -243,8 +246,11 @@
     std::map<std::string, Worker> workers; // by key
     std::map<std::string, HostState> hosts; // by name
     std::map<std::string, std::int64_t> guarantees; // guaranteed accelerators by organisation
+    Evacuations evacuations; // kept up to date by the caller, also while it does not lead
     HostSpeeds speeds;
     std::uint64_t issuedTokens = 0; // number of fencing tokens issued in this epoch
+    // Starts withdrawn in this epoch because of evacuations, by data centre.
+    std::map<std::string, std::size_t> withdrawnStarts;
     std::uint64_t flush = 1; // number of the flush that will store changes made now
     std::uint64_t storedFlush = 0; // all flushes up to this number are stored
     UnconfirmedLog unconfirmed;
@@ -272,14 +278,26 @@
 bool hasOrders(const HostOrders &orders, const HostReport &lastReport);
 
 // Removes workers whose leases have lapsed or whose end is stored, requeues tasks of workers that
-// never reported, applies cancellations, stops stalled runs, places the waiting tasks that fit, and
-// stops runs of lower priorities for urgent tasks that do not.
+// never reported, applies cancellations, withdraws starts in evacuated data centres, stops stalled
+// runs, places the waiting tasks that fit, and stops runs of lower priorities for urgent tasks that
+// do not.
 void plan(Scheduler &scheduler, TimeMs now, std::uint64_t unixNow);
 
 // Returns the records of all changes since the last call, and those that delete expired jobs; they
 // belong to flush `scheduler.flush` - 1.
 std::vector<Record> takeRecords(Scheduler &scheduler, TimeMs now);
 
+// An evacuated data centre, as seen by the leader.
+struct EvacuationStatus
+{
+    std::string dataCentre;
+    TimeMs since = 0; // when this process learned of the request
+    std::size_t hosts = 0; // that have reported; 0: the request names none that is known
+    std::size_t runs = 0; // that go on there
+    std::size_t startsWithdrawn = 0; // under this leader
+};
+std::vector<EvacuationStatus> evacuationStatus(const Scheduler &scheduler);
+
 // The whole state as JSON, for operators.
 std::string dumpState(const Scheduler &scheduler);
 
--- a/flamingo/scheduler/wait_cause.cc
+++ b/flamingo/scheduler/wait_cause.cc
@@ -3,6 +3,9 @@
 
 #include "flamingo/scheduler/wait_cause.h"
 
+#include <algorithm>
+#include <iterator>
+
 namespace flamingo::scheduler {
 namespace {
 
@@ -24,6 +27,8 @@
         return "no room beside the workers where it failed";
     case WaitCause::UnusableWorkers:
         return "workers are quarantined or draining";
+    case WaitCause::Evacuated:
+        return "the data centre is evacuated";
     case WaitCause::NoFreeCapacity:
         return "no free capacity";
     case WaitCause::NeverFits:
@@ -46,10 +51,18 @@
     if (fitsNow(lifted, workers))
         return WaitCause::FailedWorker;
     std::vector<WorkerResources> all(workers.begin(), workers.end());
-    all.insert(all.end(), unusable.begin(), unusable.end());
-    lifted.placedPerWorker.resize(lifted.placedPerWorker.empty() ? 0 : all.size());
+    const auto addUnusable = [&](bool evacuated) {
+        std::copy_if(
+            unusable.begin(), unusable.end(), std::back_inserter(all),
+            [evacuated](const WorkerResources &worker) { return worker.evacuated == evacuated; });
+        lifted.placedPerWorker.resize(lifted.placedPerWorker.empty() ? 0 : all.size());
+    };
+    addUnusable(false);
     if (fitsNow(lifted, all))
         return WaitCause::UnusableWorkers;
+    addUnusable(true);
+    if (fitsNow(lifted, all))
+        return WaitCause::Evacuated;
     return canEverFit(lifted, all) ? WaitCause::NoFreeCapacity : WaitCause::NeverFits;
 }
 
--- a/flamingo/scheduler/wait_cause.h
+++ b/flamingo/scheduler/wait_cause.h
@@ -18,6 +18,7 @@
     PreferredRack, // enough is free, but not on one rack or not on the rack of the data
     FailedWorker, // enough is free only with a worker on which a task of the step has failed
     UnusableWorkers, // enough is free only with workers that get no work at present
+    Evacuated, // enough is free only with workers of an evacuated data centre
     NoFreeCapacity, // other runs use the capacity
     NeverFits, // the workers that report cannot hold the tasks even when empty
 };
@@ -26,7 +27,7 @@
 std::string_view waitCauseName(WaitCause cause);
 
 // `workers` are those that get work, with the free capacity before any reservation. `unusable` are
-// the other workers that report: quarantined or draining.
+// the other workers that report: quarantined, draining or evacuated.
 WaitCause findWaitCause(const Demand &demand, absl::Span<const WorkerResources> workers,
                         absl::Span<const WorkerResources> unusable);
 
--- a/tests/platform_test.cc
+++ b/tests/platform_test.cc
@@ -26,6 +26,7 @@
 namespace {
 
 constexpr TimeMs testTimeoutMs = 8000;
+constexpr TimeMs evacuationBoundMs = 2000;
 constexpr const char *storeAddress = "127.0.0.1:18600";
 constexpr const char *configuration =
     R"({"Version":3,"Routes":[{"Name":"r1","Hostname":"h.example","PathPrefix":"/q/",
@@ -48,6 +49,8 @@
     settings.storeAddress = storeAddress;
     settings.seedIps = {"127.0.0.2", "127.0.0.3"};
     settings.stopMs = 20;
+    settings.dataCentre = "d-" + name;
+    settings.evacuationMs = evacuationBoundMs;
     return settings;
 }
 
@@ -324,6 +327,88 @@
     LONGS_EQUAL(1, other.startedRuns());
 }
 
+// Evacuates the data centre of the first of two hosts while a job with many short tasks keeps both
+// busy, and lets a test bring about a failure right after the request was stored.
+struct EvacuationFixture : Fixture
+{
+    standin::PlatformWorker *evacuated = nullptr;
+    standin::PlatformWorker *other = nullptr;
+    std::size_t startedByThen = 0; // in the evacuated data centre, when the bound had passed
+
+    EvacuationFixture()
+    {
+        this->addEntry("e1", "127.0.0.2");
+        this->addEntry("e2", "127.0.0.3");
+        this->evacuated = &this->addHost("h1", "127.0.0.4");
+        this->other = &this->addHost("h2", "127.0.0.5");
+        CHECK(this->waitForLeader());
+        CHECK(this->waitUntil([this] {
+            return this->call("127.0.0.2", "POST", "/q/0123456789abcdef", job("150", 600)).status
+                == 200;
+        }));
+        CHECK(this->waitUntil([this] {
+            return this->evacuated->startedRuns() > 0 && this->other->startedRuns() > 0;
+        }));
+    }
+
+    void request(const std::string &value = R"({"Zone":"d-h1"})")
+    {
+        this->store->appendUnfenced("keyed.op", "evacuate/d-h1", value);
+    }
+
+    void waitForBound()
+    {
+        this->runFor(evacuationBoundMs);
+        this->startedByThen = this->evacuated->startedRuns();
+    }
+
+    // Runs on, and checks that work goes on and that none begins in the evacuated data centre.
+    void checkNothingStarts(TimeMs ms)
+    {
+        const std::size_t before = this->other->startedRuns();
+        this->runFor(ms);
+        LONGS_EQUAL(this->startedByThen, this->evacuated->startedRuns());
+        CHECK(this->other->startedRuns() > before);
+    }
+};
+
+TEST(Platform, evacuatedDataCentreStartsNothingUntilItIsTakenBack)
+{
+    EvacuationFixture fixture;
+    fixture.request();
+    fixture.waitForBound();
+    fixture.checkNothingStarts(1000);
+    // The newest record of the key is its removal, which the store may forget.
+    fixture.request("");
+    fixture.store->compact("keyed.op");
+    CHECK(fixture.waitUntil(
+        [&fixture] { return fixture.evacuated->startedRuns() > fixture.startedByThen; }));
+}
+
+TEST(Platform, unreadableRequestEvacuatesAndOneWithoutANameDoesNot)
+{
+    EvacuationFixture fixture;
+    fixture.store->appendUnfenced("keyed.op", "evacuate/", "{}");
+    fixture.store->appendUnfenced("keyed.op", "evacuate/no-such-place", "{}");
+    fixture.request("\x01 not JSON");
+    fixture.waitForBound();
+    fixture.checkNothingStarts(500);
+}
+
+TEST(Platform, evacuationHoldsWhenTheStoreFailsAfterTheRequest)
+{
+    EvacuationFixture fixture;
+    fixture.request();
+    fixture.store->setUnavailable(true);
+    fixture.waitForBound();
+    fixture.runFor(1000);
+    LONGS_EQUAL(fixture.startedByThen, fixture.evacuated->startedRuns());
+    fixture.store->setUnavailable(false);
+    CHECK(fixture.waitForLeader());
+    fixture.runFor(1500); // until the leader's orders are current again
+    fixture.checkNothingStarts(1500);
+}
+
 // The error message quotes the invalid bytes of the request; to write it as JSON ended the process.
 TEST(Platform, submissionWithInvalidTextIsRefusedAndTheEntryServesOn)
 {
--- a/tests/scheduler_fuzz_test.cc
+++ b/tests/scheduler_fuzz_test.cc
@@ -342,6 +342,47 @@
 }
 
 // The oracle detects a scheduler that starts tasks before their record is stored.
+// Guards against starts in a data centre after its evacuation was requested, whatever fails.
+TEST(SchedulerFuzz, evacuationsBesideRandomFaults)
+{
+    SimulationFaults faults;
+    faults.evacuationsPerSecond = 0.3;
+    faults.agentPausesPerSecond = 0.05;
+    STRCMP_EQUAL("", runSeeds(faults, shortRuns).c_str());
+}
+
+TEST(SchedulerFuzz, evacuationsBesideOutagesOfTheLog)
+{
+    SimulationFaults faults;
+    faults.evacuationsPerSecond = 0.5;
+    faults.logOutagesPerSecond = 0.2;
+    faults.leaderChangesPerSecond = 0.3;
+    STRCMP_EQUAL("", runSeeds(faults, shortRuns).c_str());
+}
+
+// A scheduler that does not read the requests.
+TEST(SchedulerFuzz, oracleDetectsStartsInEvacuatedDataCentres)
+{
+    SimulationFaults faults;
+    faults.evacuationsPerSecond = 0.3;
+    const auto ignoreRequests = [](Scheduler &scheduler) { scheduler.evacuations.clear(); };
+    CHECK(!runSeeds(faults, shortRuns, ignoreRequests).empty());
+}
+
+// Agents that do not bound the age of the leader's knowledge.
+TEST(SchedulerFuzz, oracleDetectsStartsByLeadersThatDoNotKnowOfAnEvacuation)
+{
+    SimulationFaults faults;
+    faults.evacuationsPerSecond = 0.5;
+    faults.logOutagesPerSecond = 0.2;
+    const auto unbounded = [](HostAgent &agent, TimeMs now) {
+        agent.options.evacuationValidMs = 0;
+        agent.options.startValidMs = std::numeric_limits<TimeMs>::max() / 2;
+        agent.ordersAsOf = std::max(agent.ordersAsOf, now - 1000);
+    };
+    CHECK(!runSeeds(faults, defaultRuns, nullptr, unbounded).empty());
+}
+
 TEST(SchedulerFuzz, oracleDetectsUnstoredStarts)
 {
     SimulationFaults faults;
--- a/tests/scheduler_simulation.cc
+++ b/tests/scheduler_simulation.cc
@@ -17,6 +17,9 @@
 constexpr TimeMs departedBoundMs = 4000;
 constexpr TimeMs idleCalmMs = 4000;
 constexpr TimeMs longRunningBoundMs = 6000;
+constexpr TimeMs evacuationBoundMs = 5000;
+constexpr TimeMs evacuationReserveMs = 500;
+constexpr TimeMs evacuationPollMs = 900; // an entry reads the requests this often
 // These leave half of the workers to the jobs that end.
 constexpr std::ptrdiff_t mostLongRunningJobs = 4;
 constexpr TimeMs unansweredCallMs = 300;
@@ -54,6 +57,10 @@
     for (std::size_t i = 0; i < this->hosts.size(); ++i) {
         Host &host = this->hosts[i];
         host.name = "h" + std::to_string(i);
+        host.dataCentre = "d" + std::to_string(i % 2);
+        host.agent.options.dataCentre = host.dataCentre;
+        if (faults.evacuationsPerSecond > 0)
+            host.agent.options.evacuationValidMs = evacuationBoundMs - evacuationReserveMs;
         host.agent.options.host = host.name;
         host.agent.options.agentStart = ++host.agentGeneration;
         host.agent.options.stopMs = faults.stopMs;
@@ -156,6 +163,8 @@
         if (this->now < entry.pausedUntil || this->now < this->logDownUntil)
             continue;
         this->followLog(entry);
+        if (this->now - entry.evacuationsReadAt >= evacuationPollMs)
+            this->readEvacuations(entry);
         this->stepDownIfReplaced(entry);
     }
     for (std::size_t i = 0; i < this->entries.size(); ++i) {
@@ -177,6 +186,38 @@
     this->checkIdleJobs();
 }
 
+// At most one data centre is evacuated at a time, so that work can go on.
+void SchedulerSimulation::requestEvacuation()
+{
+    if (!this->evacuatedAt.empty() || this->now < this->logDownUntil)
+        return;
+    const std::string dataCentre = this->hosts[this->random() % this->hosts.size()].dataCentre;
+    this->evacuatedAt[dataCentre] = this->now;
+    this->scheduleAfter(this->randomBetween(1000, 15000), [this, dataCentre] {
+        this->evacuatedAt.erase(dataCentre);
+        this->lastEvacuationEndAt = this->now;
+    });
+}
+
+void SchedulerSimulation::readEvacuations(Entry &entry)
+{
+    entry.evacuationsReadAt = this->now;
+    entry.scheduler.evacuations.clear();
+    for (const auto &[dataCentre, at] : this->evacuatedAt)
+        applyEvacuationRecord(entry.scheduler.evacuations, dataCentre, "{}", 0, this->now);
+}
+
+void SchedulerSimulation::checkEvacuatedStart(const Host &host, const std::string &task, bool late)
+{
+    const auto found = this->evacuatedAt.find(host.dataCentre);
+    if (found == this->evacuatedAt.end() || late)
+        return;
+    const TimeMs sinceMs = this->now - found->second;
+    if (sinceMs > evacuationBoundMs)
+        this->recordViolation("started " + std::to_string(sinceMs) + " ms after the evacuation of "
+                              + host.dataCentre + ": " + task + " on " + host.name);
+}
+
 void SchedulerSimulation::losePower()
 {
     const TimeMs lengthMs = this->randomBetween(1000, 14000);
@@ -329,6 +370,9 @@
             && this->occurs(this->faults.agentPausesPerSecond * share))
             host.agentPausedUntil = this->now + this->randomBetween(500, 14000);
     }
+    if (this->faults.evacuationsPerSecond > 0
+        && this->occurs(this->faults.evacuationsPerSecond * share))
+        this->requestEvacuation();
     if (this->faults.powerLossesPerSecond > 0
         && this->occurs(this->faults.powerLossesPerSecond * share))
         this->losePower();
@@ -735,6 +779,7 @@
     if (!fits(used, workerCapacity))
         this->recordViolation("allocations exceed the worker's capacity: " + task);
     this->checkCancelledStart(host, task, late);
+    this->checkEvacuatedStart(host, task, late);
     const auto name = parseTaskName(task);
     for (const std::uint32_t before : step.after) {
         const Job &job = this->jobs.at(name->jobId);
@@ -846,8 +891,8 @@
             const std::uint32_t present = this->runsOfStepOn(host, taskName(job, {0, number, 0}));
             left = step.maxPerWorker - std::min(step.maxPerWorker, present);
         }
-        for (; host.worker.up && left > 0 && fits(used, workerCapacity) && places < needed;
-             --left) {
+        const bool usable = host.worker.up && this->evacuatedAt.count(host.dataCentre) == 0;
+        for (; usable && left > 0 && fits(used, workerCapacity) && places < needed; --left) {
             used += step.need;
             ++places;
         }
@@ -880,7 +925,7 @@
 
 bool SchedulerSimulation::isCalm() const
 {
-    return !this->faultsEnabled
+    return !this->faultsEnabled && this->now >= this->lastEvacuationEndAt + idleCalmMs
         && std::all_of(this->hosts.begin(), this->hosts.end(), [this](const Host &host) {
                return this->now >= this->lastFaultAt(host) + idleCalmMs;
            });
@@ -1087,6 +1132,7 @@
                             applyReport(entry.scheduler, report, this->now);
                             HostOrders orders = ordersFor(entry.scheduler, host.name);
                             orders.jobLogAgeMs = this->now - entry.readAt;
+                            orders.evacuationsAgeMs = this->now - entry.evacuationsReadAt;
                             this->scheduleAfter(this->randomBetween(2, 20),
                                                 [this, &host, orders, sentAt, generation,
                                                  sequence = report.sequence] {
--- a/tests/scheduler_simulation.h
+++ b/tests/scheduler_simulation.h
@@ -25,7 +25,9 @@
 // while all hosts have been calm for `idleCalmMs`, less than half of the accelerators are in use
 // and there is room for its next tasks twice over.
 // It checks the same of each task of a long-running step, from `longRunningBoundMs` after its last
-// run on, whether others of its job run or not and however much is in use. Of jobs that are shown
+// run on, whether others of its job run or not and however much is in use. Of evacuated data
+// centres it checks that no order, unless it is carried out late, starts a task there later than
+// `evacuationBoundMs` after the request was stored; no fault is an excuse. Of jobs that are shown
 // as failed it checks that a task, or a gang, has failed as often as allowed. Of workers that have
 // left it checks that no task is still assigned to one `departedBoundMs` after both its end is
 // stored and an entry leads that reads the log.
@@ -78,6 +80,7 @@
     double lastAttemptJob = 0; // of a job: it may fail once or twice; half of these fail once
     double failingWorkersPerSecond = 0; // all that a worker starts fails, for some seconds
     TimeMs jobsAfterFaultsMs = 0; // jobs are submitted for this long after the faults
+    double evacuationsPerSecond = 0; // of a data centre; one at a time is taken back after seconds
 };
 
 // What the runs of a job do by themselves, on a sound worker.
@@ -161,10 +164,12 @@
         TimeMs pausedUntil = 0;
         TimeMs replacedForMs = 0; // how long it has led, unpaused, after another entry took over
         TimeMs leadsSince = 0;
+        TimeMs evacuationsReadAt = 0; // when it last read the requests for evacuation
     };
     struct Host
     {
         std::string name;
+        std::string dataCentre;
         scheduler::HostAgent agent;
         FakeWorker worker;
         std::size_t entryIndex = 0; // of the entry that the agent reports to
@@ -219,6 +224,9 @@
     void checkCancelledRuns(Host &host);
     void excuseRuns(Host &host, TimeMs delayMs);
     void losePower();
+    void requestEvacuation();
+    void readEvacuations(Entry &entry);
+    void checkEvacuatedStart(const Host &host, const std::string &task, bool late);
     void restoreLeader(std::size_t index);
     void leave(Host &host);
     void replaceHost(Host &host);
@@ -261,6 +269,8 @@
     TimeMs lastLeaderChangeAt = 0;
     std::map<std::string, scheduler::Job> jobs;
     std::map<std::string, TimeMs> cancelledAt;
+    std::map<std::string, TimeMs> evacuatedAt; // when its request was stored, by data centre
+    TimeMs lastEvacuationEndAt = 0;
     // When the end of a worker was stored or confirmed to its agent, by worker key.
     std::map<std::string, TimeMs> departedAt;
     std::map<std::string, TimeMs> idleMs; // time in which a job could have run and did not
--- a/tests/soak/checks.cc
+++ b/tests/soak/checks.cc
@@ -6,6 +6,7 @@
 #include <absl/strings/str_split.h>
 
 #include <algorithm>
+#include <cstdlib>
 #include <limits>
 #include <set>
 
@@ -390,6 +391,7 @@
     std::map<std::string, TimeMs> addedAt;
     std::map<std::string, TimeMs> withdrawnAt;
     std::map<std::string, TimeMs> drainingAt;
+    std::map<std::string, TimeMs> evacuatedAt;
     for (const Observation &seen : history.all) {
         const Bounds &bounds = history.bounds;
         if (seen.seen == Seen::KeyAdded)
@@ -407,6 +409,19 @@
             && withdrawn == withdrawnAt.end()
             && seen.sentAt > added->second + bounds.configurationMs)
             report(history, "valid key was refused", describe(seen));
+        if (seen.seen == Seen::Evacuated)
+            evacuatedAt[seen.process] = seen.at;
+        if (seen.seen == Seen::TakenBack)
+            evacuatedAt.erase(seen.process);
+        // A call that is held on the way to the worker, or by a paused one, may be carried out
+        // late.
+        const auto evacuated = seen.seen == Seen::Started
+            ? evacuatedAt.find(dataCentreOf(std::atoi(seen.process.c_str() + 1)))
+            : evacuatedAt.end();
+        if (evacuated != evacuatedAt.end() && seen.at > evacuated->second + bounds.evacuateMs
+            && calm(history, seen.at - bounds.contactMs, seen.at,
+                    {agentOf(seen.process), seen.process.substr(0, seen.process.find('.'))}))
+            report(history, "start in an evacuated data centre", describe(seen));
         const auto draining = drainingAt.find(seen.process);
         if (seen.seen == Seen::Started && draining != drainingAt.end()
             && seen.at > draining->second + bounds.drainMs
--- a/tests/soak/checks.h
+++ b/tests/soak/checks.h
@@ -22,6 +22,7 @@
     TimeMs configurationMs = 2500; // until a configuration is in force
     TimeMs lossSlackMs = 200; // a request that is cut sooner may not have been read
     TimeMs drainMs = 2500; // starts on a worker whose draining was acknowledged
+    TimeMs evacuateMs = 5000; // starts in a data centre whose evacuation was acknowledged
     TimeMs reclaimMs = 3400; // guaranteed jobs start all tasks of the first step
     TimeMs visibleMs = 3000; // an acknowledged job is known at every entry
     TimeMs contactMs = 3000; // a process is in touch this long after a fault
@@ -39,6 +40,8 @@
     Acknowledged, // the end of a run; `text`: outcome
     LeaseLapsed, // of a worker
     Draining, // the draining of a worker was acknowledged
+    Evacuated, // `process`: data centre; the store has acknowledged the request
+    TakenBack, // `process`: data centre; the removal of the request was sent
     KeyAdded, // `text`: key; the store has acknowledged the configuration
     KeyWithdrawn, // the same
     FaultBegan, // `process`: whom it concerns; "" concerns all; `text`: kind
--- a/tests/soak/plan.cc
+++ b/tests/soak/plan.cc
@@ -21,7 +21,9 @@
 constexpr int longestBusyMs = 10000;
 constexpr TimeMs longJobLeadMs = 1500; // before the workers get busy
 constexpr TimeMs longWorkMs = 30000;
-constexpr std::uint64_t busySeed = 0x9e3779b97f4a7c15; // makes a sequence of its own of the seed
+// These make sequences of their own of the seed.
+constexpr std::uint64_t busySeed = 0x9e3779b97f4a7c15;
+constexpr std::uint64_t evacuationSeed = 0xd1b54a32d192ed03;
 
 int pick(Random &random, int low, int high)
 {
@@ -93,6 +95,17 @@
     }
 }
 
+// One data centre is evacuated during the phase, beside its other faults; it is taken back before
+// the calm time.
+void addEvacuation(Plan &plan, TimeMs begin, TimeMs end, Random &random)
+{
+    const TimeMs at = begin + pick(random, 0, static_cast<int>(end - begin) / 4);
+    const TimeMs longest = end - at;
+    plan.faults.push_back(
+        {at, pick(random, static_cast<int>(longest / 2), static_cast<int>(longest)),
+         FaultKind::Evacuate, dataCentreOf(pick(random, 0, dataCentreCount - 1))});
+}
+
 Submission ordinaryJob(const PlanOptions &options, Random &random)
 {
     Submission job;
@@ -112,6 +125,11 @@
 
 } // namespace
 
+std::string dataCentreOf(int host)
+{
+    return absl::StrCat("dc", host % dataCentreCount);
+}
+
 std::string_view faultName(FaultKind kind)
 {
     constexpr std::array<std::string_view, static_cast<std::size_t>(FaultKind::Last)> names = {
@@ -132,7 +150,8 @@
         "store-refuses",
         "store-forgets",
         "worker-overloaded",
-        "worker-unhealthy"};
+        "worker-unhealthy",
+        "evacuate"};
     return names[static_cast<std::size_t>(kind)];
 }
 
@@ -142,11 +161,13 @@
     Plan plan;
     Random busyRandom(options.seed ^ busySeed);
     Plan busy; // added last, so that it changes no other number
+    Random evacuationRandom(options.seed ^ evacuationSeed);
     for (TimeMs begin = firstFaultMs; begin + options.calmMs < options.durationMs;
          begin += options.faultMs + options.calmMs) {
         const TimeMs end = std::min(begin + options.faultMs, options.durationMs - options.calmMs);
         addFaultPhase(plan, options, begin, end, random);
         addBusyWorkers(busy, options, begin, end, busyRandom);
+        addEvacuation(busy, begin, end, evacuationRandom);
     }
     plan.faults.insert(plan.faults.end(), busy.faults.begin(), busy.faults.end());
     std::stable_sort(plan.faults.begin(), plan.faults.end(),
--- a/tests/soak/plan.h
+++ b/tests/soak/plan.h
@@ -46,6 +46,7 @@
     StoreForgets, // history; the newest record of each key stays
     WorkerOverloaded, // the worker answers most calls with 429 and does nothing
     WorkerUnhealthy, // the same with 503
+    Evacuate, // the operators evacuate a data centre and take it back
     Last
 };
 
@@ -56,7 +57,8 @@
     TimeMs at = 0;
     TimeMs durationMs = 0;
     FaultKind kind = FaultKind::Kill;
-    std::string target; // "e0": entry, "a0": agent, "w0": worker, "store", "regions"
+    std::string target; // "e0": entry, "a0": agent, "w0": worker, "store", "regions", "dc0":
+                        // data centre
 };
 
 struct Step
@@ -93,6 +95,10 @@
     std::vector<KeyChange> keyChanges;
 };
 
+// Data centre of host number `host`.
+std::string dataCentreOf(int host);
+
+constexpr int dataCentreCount = 4;
 constexpr int organisationCount = 3;
 constexpr int refusedPercent = 80; // of the calls to a busy worker
 constexpr int guaranteedAccelerators = 8; // of organisation 0
--- a/tests/soak/soak.cc
+++ b/tests/soak/soak.cc
@@ -173,6 +173,8 @@
     file << "Node=" << name << "\nIp=" << own.substr(0, own.find(':')) << "\nInternalPorts=" << port
          << "," << port + 1 << "\nplatform.Address=" << processAddress("store", Store, network)
          << "\nRegion=region" << regionOf(soak, name) << "\nBounds.GraceS=" << graceMs / 1000
+         << "\nBounds.EvacuateMs=5000\nZone="
+         << (name[0] == 'e' ? "dc" : dataCentreOf(indexOf(name)))
          << "\nBounds.StopMs=900\nBounds.RestoreMs=250\nBounds.ReclaimMs=3400\n";
     file << "Seeds=";
     for (int i = 0; i < soak.options.entries; ++i)
@@ -611,12 +613,25 @@
     kill(process.pid, number);
 }
 
+// Requests the evacuation of a data centre, or withdraws it.
+void evacuate(Soak &soak, const std::string &dataCentre, bool begins)
+{
+    if (!begins)
+        observe(soak, Seen::TakenBack, dataCentre, "");
+    control(soak, "/append?Topic=keyed.op&Key=evacuate/" + dataCentre, begins ? "{}" : "",
+            [&soak, dataCentre, begins] {
+                if (begins)
+                    observe(soak, Seen::Evacuated, dataCentre, "");
+            });
+}
+
 void changeFault(Soak &soak, const Fault &fault, bool begins)
 {
     const std::string kind(faultName(fault.kind));
     // Stops are noted by stopProcess() and reap(); a reload or a malformed message is no excuse.
     const bool lasts = fault.kind != FaultKind::Terminate && fault.kind != FaultKind::Kill
-        && fault.kind != FaultKind::Reload && fault.kind != FaultKind::Malformed;
+        && fault.kind != FaultKind::Reload && fault.kind != FaultKind::Malformed
+        && fault.kind != FaultKind::Evacuate;
     if (begins) {
         ++soak.faultCounts[kind];
         soak.activeFaults.push_back(&fault);
@@ -630,6 +645,8 @@
     const bool others = !begins && isActive(soak, fault.kind, fault.target);
     if (others)
         return;
+    if (fault.kind == FaultKind::Evacuate)
+        evacuate(soak, fault.target, begins);
     if (fault.kind == FaultKind::Terminate && begins)
         stopProcess(soak, fault.target, SIGTERM);
     else if (fault.kind == FaultKind::Kill && begins)
--- a/tests/soak_checks_test.cc
+++ b/tests/soak_checks_test.cc
@@ -267,6 +267,18 @@
     CHECK_FALSE(fixture.finds("start on a worker that leaves"));
 }
 
+TEST(SoakChecks, startInAnEvacuatedDataCentreIsFound)
+{
+    fixture.add(1000, Seen::Evacuated, "dc1");
+    fixture.run(5900, Seen::Started, "w1.1", 0, 1);
+    fixture.run(7000, Seen::Started, "w0.1", 1, 1);
+    CHECK_FALSE(fixture.finds("start in an evacuated data centre"));
+    fixture.run(6100, Seen::Started, "w5.1", 2, 1);
+    CHECK(fixture.finds("start in an evacuated data centre"));
+    fixture.add(6050, Seen::TakenBack, "dc1");
+    CHECK_FALSE(fixture.finds("start in an evacuated data centre"));
+}
+
 TEST(SoakChecks, wrongUseOfKeysIsFound)
 {
     fixture.add(0, Seen::KeyAdded, "", "key");
