--- a/flamingo/scheduler/planner.cc
+++ b/flamingo/scheduler/planner.cc
@@ -113,7 +113,8 @@
     bool anyRack = false; // preferred racks are ignored
     bool anyWorker = false; // workers on which its tasks failed may be used
     bool quarantinedWorkers = false; // workers in quarantine may be used
-    TimeMs estimateMs = 0; // of the run time of one task
+    ExpectedRunTime expected; // run time of one task
+    TimeMs estimateMs = 0; // the same where it is to be placed: longer away from its data
     TimeMs reclaimTimeoutMs = 0; // urgent work may wait this long before it reclaims
     Lateness lateness = Lateness::InTime;
     std::int64_t latestStart = 0; // to meet the objective; Unix time in ms
@@ -125,12 +126,6 @@
     scheduler.decisions.push_back(std::move(text));
 }
 
-std::string rackOf(const WorkerInfo &worker)
-{
-    // The labels are the worker's kind, then its rack.
-    return worker.labels.empty() ? "" : worker.labels.back();
-}
-
 bool reports(const Scheduler &scheduler, const Worker &worker, TimeMs now)
 {
     return now - worker.lastReport <= scheduler.options.reportTimeoutMs;
@@ -155,12 +150,17 @@
     return cores * (seconds + 0.1) * restartFactor * (job.priority <= 1 ? 1.5 : 1.0);
 }
 
-// By the run's own pace, or by its estimate until that is known.
-TimeMs estimatedRemainingMs(const Step &step, const Run &run, TimeMs now)
+// By the run's own pace; until that is known by the learned run times of its kind, or by its
+// estimate.
+TimeMs estimatedRemainingMs(const RunTimes &times, const Job &job, std::uint32_t stepNumber,
+                            const Run &run, TimeMs now)
 {
     if (const auto remaining = remainingAtPaceMs(run.progress))
         return *remaining;
     const TimeMs since = run.runningSince == 0 ? run.assignedAt : run.runningSince;
+    if (const auto remaining = expectedRemainingMs(times, job, stepNumber, now - since))
+        return *remaining;
+    const Step &step = job.steps[stepNumber];
     const TimeMs left = since + step.estimateMs - now;
     return std::max<TimeMs>(left, TimeMs(minRemainingShare * double(step.estimateMs)));
 }
@@ -302,8 +302,10 @@
                 + "." + std::to_string(position.step)
                                            : key.first + "#" + std::to_string(key.second);
         allocation.runGroup = this->runGroupOf(name, worker, key);
-        allocation.freeInMs = allocation.stopping ? this->scheduler.options.stopMs
-                                                  : estimatedRemainingMs(step, run, this->now);
+        allocation.freeInMs = allocation.stopping
+            ? this->scheduler.options.stopMs
+            : estimatedRemainingMs(this->scheduler.table.runTimes, job, position.step, run,
+                                   this->now);
         allocation.neverFree = step.longRunning && !allocation.stopping;
         allocation.reclaimable = job.priority > 0;
         if (job.priority == 0)
@@ -421,10 +423,10 @@
 // How long an urgent unit may wait for free capacity and still meet its objective and its guarantee
 // after a reclaim. `begin` is when the occurrence was accepted or due, whichever is later.
 TimeMs reclaimTimeoutMs(const Scheduler &scheduler, const Job &job, const PlacementUnit &unit,
-                        std::uint64_t begin, std::uint64_t unixNow)
+                        TimeMs chainMs, std::uint64_t begin, std::uint64_t unixNow)
 {
     const auto waited = static_cast<TimeMs>(unixNow) - static_cast<TimeMs>(begin);
-    const double slack = (job.stretch - 1) * double(longestChainMs(job)) * usableSlackShare;
+    const double slack = (job.stretch - 1) * double(chainMs) * usableSlackShare;
     TimeMs timeout = static_cast<TimeMs>(slack) + job.targetLatencyMs - waited;
     if (unit.guaranteed)
         timeout = std::min(timeout, scheduler.options.guaranteeMs - startReserveMs - waited);
@@ -445,13 +447,17 @@
               std::vector<PlacementUnit> &units)
 {
     const Job &job = *row.job;
-    const TimeMs chain = longestChainMs(job);
+    const RunTimes &times = scheduler.table.runTimes;
+    std::optional<TimeMs> knownChain;
+    const auto chainMs = [&] {
+        if (!knownChain)
+            knownChain = expectedChainMs(times, job);
+        return *knownChain;
+    };
     for (std::uint32_t occurrence = 0; occurrence < occurrences(job); ++occurrence) {
         if (!isDue(job, occurrence, unixNow))
             break;
         const std::uint64_t begin = std::max(job.acceptedUnixMs, dueUnixMs(job, occurrence));
-        const auto deadline = static_cast<std::int64_t>(begin)
-            + static_cast<std::int64_t>(job.stretch * double(chain)) + job.targetLatencyMs;
         for (std::uint32_t step = 0; step < job.steps.size(); ++step) {
             if (!dependenciesDone(job, row.progress, occurrence, step))
                 continue;
@@ -459,14 +465,18 @@
             unit.tasks = waitingTasks(row, occurrence, step, blocked, now);
             if (unit.tasks.empty())
                 continue;
+            const auto deadline = static_cast<std::int64_t>(begin)
+                + static_cast<std::int64_t>(job.stretch * double(chainMs())) + job.targetLatencyMs;
             unit.row = &row;
             unit.occurrence = occurrence;
             unit.step = step;
             unit.priority = job.priority;
             unit.guaranteed = guaranteed;
-            unit.estimateMs = job.steps[step].estimateMs;
-            unit.reclaimTimeoutMs = reclaimTimeoutMs(scheduler, job, unit, begin, unixNow);
-            unit.latestStart = deadline - job.steps[step].estimateMs;
+            unit.expected = expectedRunTime(times, job, step);
+            unit.estimateMs = unit.expected.ms;
+            unit.reclaimTimeoutMs =
+                reclaimTimeoutMs(scheduler, job, unit, chainMs(), begin, unixNow);
+            unit.latestStart = deadline - unit.estimateMs;
             unit.slackMs = unit.latestStart - static_cast<std::int64_t>(unixNow);
             unit.lateness =
                 latenessOf(unit.latestStart, deadline - static_cast<std::int64_t>(begin),
@@ -563,6 +573,13 @@
                         + " worker=" + worker.key);
         scheduler.workers.at(worker.key).runs[{name, task.run}] = run;
     }
+    if (unit.expected.learned)
+        logDecision(scheduler,
+                    "event=run_time_expected job=" + row.job->id + " occurrence="
+                        + std::to_string(unit.occurrence) + " step=" + std::to_string(unit.step)
+                        + " estimate_ms=" + std::to_string(step.estimateMs)
+                        + " expected_ms=" + std::to_string(unit.expected.ms) + " finished_steps="
+                        + std::to_string(static_cast<std::int64_t>(unit.expected.weight)));
     row.dirty = true;
     if (placement.size() == unit.tasks.size())
         row.waits.erase(firstTaskNumber(unit));
@@ -1096,6 +1113,17 @@
     return now - waitOf(unit, now).since >= std::max(lossMs, scheduler.options.minRackWaitMs);
 }
 
+// True when the unit's capacity becomes free by itself as soon as a stop would free it. Runs that
+// do not end as expected hold the unit back only for a while; within a guarantee its own limit
+// holds.
+bool stopGainsNothing(const Scheduler &scheduler, const PlacementUnit &unit,
+                      const Reservation &reservation, TimeMs now)
+{
+    return !unit.guaranteed && !reservation.placement.empty()
+        && reservation.freeInMs <= scheduler.options.stopMs
+        && now - waitOf(unit, now).since < scheduler.options.maxUselessStopMs;
+}
+
 void placeUnit(Scheduler &scheduler, PlacementUnit unit, ServiceCapacity &capacity,
                int &reservations, TimeMs now)
 {
@@ -1124,7 +1152,7 @@
     const auto waits = [&](bool reserving) {
         recordWait(scheduler, rest, remaining, capacity, reservation, reserving, now);
     };
-    if (unit.priority == 0 && mayWait) {
+    if (unit.priority == 0 && (mayWait || stopGainsNothing(scheduler, rest, reservation, now))) {
         holdReservation(rest, reservation, remaining.need, capacity, now);
         waits(true);
         return;
--- a/flamingo/scheduler/records.cc
+++ b/flamingo/scheduler/records.cc
@@ -497,6 +497,8 @@
 
 const std::string_view leaderKey = "~leader";
 const std::string_view candidateKey = "~candidate";
+// Sorts before the leader record, so agents that look that one up do not read this one.
+const std::string_view runTimesKey = "r/run-times";
 
 Record acceptanceRecord(const Job &job)
 {
@@ -534,6 +536,8 @@
         return ParsedKey{RecordKind::Candidate, "", ""};
     if (key == leaderKey)
         return ParsedKey{RecordKind::Leader, "", ""};
+    if (key == runTimesKey)
+        return ParsedKey{RecordKind::RunTimes, "", ""};
     const std::string_view prefix = key.substr(0, 2);
     const std::string name(key.substr(prefix.size()));
     if (prefix == acceptancePrefix)
--- a/flamingo/scheduler/records.h
+++ b/flamingo/scheduler/records.h
@@ -21,7 +21,8 @@
     Cancellation,
     WorkerEnd,
     Candidate,
-    Leader
+    Leader,
+    RunTimes
 };
 
 struct Record
@@ -62,6 +63,9 @@
     std::string workerKey; // of WorkerEnd
 };
 
+// Key of the record of learned run times, see run_times.h.
+extern const std::string_view runTimesKey;
+
 // Returns nullopt for a key of unknown kind.
 std::optional<ParsedKey> parseKey(std::string_view key);
 // The decode functions return nullopt, with the cause in `reason`, for a value that is not valid.
--- a/flamingo/scheduler/scheduler.cc
+++ b/flamingo/scheduler/scheduler.cc
@@ -179,6 +179,39 @@
     row.durations.erase(first);
 }
 
+// Number of racks on which the members of the task's gang run; 1 outside a gang.
+std::size_t racksOfGang(const Scheduler &scheduler, const JobRow &row, std::size_t taskNumber)
+{
+    const MemberRange members = memberRange(*row.job, taskNumber);
+    std::set<std::string_view> racks;
+    for (std::size_t i = members.first; i < members.first + members.count; ++i) {
+        const auto found = scheduler.workers.find(row.progress.tasks[i].worker);
+        if (found != scheduler.workers.end())
+            racks.insert(rackOf(found->second.info));
+    }
+    return racks.size();
+}
+
+// Learns the run time of a run that has ended on the worker, converted to a usual worker near the
+// task's data. Runs that another leader assigned or that resumed from a checkpoint say too little.
+void learnRunTime(Scheduler &scheduler, const Worker &worker, const JobRow &row, const Run &run,
+                  bool finished, TimeMs now)
+{
+    const TaskPosition position = taskPosition(*row.job, run.taskNumber);
+    const Step &step = row.job->steps[position.step];
+    if (run.assignedAt == 0 || run.resumed || step.longRunning)
+        return;
+    const bool offRack = (!step.dataRack.empty() && rackOf(worker.info) != step.dataRack)
+        || (step.sameRack && racksOfGang(scheduler, row, run.taskNumber) > 1);
+    const double factor = slowness(scheduler.speeds, worker.host, now)
+        * (offRack ? scheduler.options.offRackFactor : 1);
+    const auto usualMs = static_cast<TimeMs>(double(now - run.assignedAt) / factor);
+    if (finished)
+        recordFinishedRun(scheduler.table.runTimes, *row.job, position.step, usualMs);
+    else
+        recordUnfinishedRun(scheduler.table.runTimes, *row.job, position.step, usualMs);
+}
+
 void applyReportedEnd(Scheduler &scheduler, Worker &worker, const ReportedEnd &end, TimeMs now)
 {
     const auto ended = worker.runs.extract({end.task, end.run});
@@ -211,10 +244,14 @@
     }
     if (success) {
         recordSuccess(scheduler, worker, row, *number, now);
-        if (!ended.empty())
+        if (!ended.empty()) {
+            learnRunTime(scheduler, worker, row, ended.mapped(), true, now);
             updateHostSpeeds(scheduler, worker, row, ended.mapped(), now);
+        }
         return;
     }
+    if (!ended.empty() && (end.how == EndKind::Stopped || end.how == EndKind::Failed))
+        learnRunTime(scheduler, worker, row, ended.mapped(), false, now);
     if (end.how == EndKind::Failed)
         recordFailure(scheduler, worker, row, *number, end.run, now);
     if (end.how == EndKind::Done)
@@ -432,6 +469,8 @@
             table.leader = *leader;
         return true;
     }
+    if (parsed->kind == RecordKind::RunTimes)
+        return leading || value.empty() || applyRunTimesRecord(table.runTimes, value, reason);
     if (parsed->kind == RecordKind::Candidate) {
         const auto candidate = decodeLeader(value, reason);
         if (candidate && candidate->epoch >= table.candidate.epoch)
@@ -517,6 +556,12 @@
     return result;
 }
 
+std::string rackOf(const WorkerInfo &worker)
+{
+    // The labels are the worker's kind, then its rack.
+    return worker.labels.empty() ? "" : worker.labels.back();
+}
+
 Resources allocationFor(const Step &step)
 {
     Resources result = step.need;
@@ -635,6 +680,10 @@
     scheduler.unconfirmed.since.clear();
     scheduler.issuedTokens = 0;
     scheduler.withdrawnStarts.clear();
+    RunTimes &times = scheduler.table.runTimes;
+    times.options = scheduler.options.runTimes;
+    times.storedAt.reset();
+    times.estimateErrorSum = times.expectationErrorSum = times.errorWeight = 0;
     scheduler.flush = 1;
     scheduler.storedFlush = 0;
     for (auto &[key, ended] : scheduler.table.endedWorkers)
@@ -831,6 +880,11 @@
             records.push_back({workerEndRecord(item->first).key, ""});
         item = item->second.released ? endedWorkers.erase(item) : std::next(item);
     }
+    // Only beside other records: an append of its own would cost as much as these together.
+    if (!records.empty()) {
+        if (auto value = takeRunTimesRecord(scheduler.table.runTimes, now))
+            records.push_back({std::string(runTimesKey), std::move(*value)});
+    }
     ++scheduler.flush;
     return records;
 }
--- a/flamingo/scheduler/scheduler.h
+++ b/flamingo/scheduler/scheduler.h
@@ -33,6 +33,7 @@
 #include "flamingo/scheduler/placement.h"
 #include "flamingo/scheduler/records.h"
 #include "flamingo/scheduler/run_progress.h"
+#include "flamingo/scheduler/run_times.h"
 #include "flamingo/scheduler/unconfirmed_runs.h"
 #include "flamingo/scheduler/wait_cause.h"
 
@@ -109,12 +110,14 @@
     std::map<std::string, EndedWorker> endedWorkers; // by worker key; see workerEndRecord()
     Leader leader; // the leader record with the highest epoch that was read
     Leader candidate; // the candidate record with the highest epoch that was read
+    RunTimes runTimes; // leader: current; other entries: as stored
 };
 
 // Applies one record to the table. An empty value (a deletion) of an acceptance removes the job; an
 // empty progress or cancellation is ignored. When `leading`, a progress record updates only the
-// stored state that callers are shown, because the leader's own progress is ahead of the log.
-// Returns false and sets `reason` for a record that cannot be decoded; the table is then unchanged.
+// stored state that callers are shown, and learned run times change nothing, because the leader's
+// own state is ahead of the log. Returns false and sets `reason` for a record that cannot be
+// decoded; the table is then unchanged.
 bool applyRecord(JobTable &table, std::string_view key, std::string_view value, bool leading,
                  Reason &reason);
 
@@ -166,6 +169,9 @@
     double offRackFactor = 3;
     // Tasks wait for a preferred rack at least this long, also without an estimate.
     TimeMs minRackWaitMs = 2000;
+    // Urgent work waits at most this long for runs that are expected to end as soon as a stop would
+    // end them, before it stops runs after all.
+    TimeMs maxUselessStopMs = 1000;
     // Tasks that have waited for this long may be placed on capacity that is reserved for others.
     TimeMs maxHeldBackMs = 2000;
     // When the use of a service has been below this for `maxHeldBackMs`, tasks that have waited all
@@ -179,6 +185,7 @@
     // The cause of a wait is searched for and logged after this time, and again after each such
     // time.
     TimeMs waitCheckMs = 500;
+    RunTimeOptions runTimes;
     // When a run counts as stalled: it is stopped, its task is placed again, and its worker gets no
     // work for `quarantineMs`.
     StallOptions stall;
--- a/flamingo/scheduler/scheduler_parts.h
+++ b/flamingo/scheduler/scheduler_parts.h
@@ -7,6 +7,9 @@
 
 namespace flamingo::scheduler {
 
+// Returns the rack of a worker; empty: it names none.
+std::string rackOf(const WorkerInfo &worker);
+
 // Returns the resources that a task of the step takes from its worker. The CPU need is zero for a
 // step with `fillsIdle`, which uses only idle CPU time.
 Resources allocationFor(const Step &step);
