--- a/flamingo/adapters/agent_service.cc
+++ b/flamingo/adapters/agent_service.cc
@@ -21,6 +21,7 @@
 // Longest time after the drain for which a process that owns key ranges waits for the entries to
 // move them. They cannot when this is the last agent of the region.
 constexpr TimeMs handoverMs = 5000;
+constexpr std::size_t maxHeldBytes = 8388608; // by the HTTP connections of operators together
 
 OwnerOptions ownerOptions(const AgentSettings &settings)
 {
@@ -56,6 +57,8 @@
         return nullptr;
     HttpServerOptions serverOptions;
     serverOptions.address = settings.httpAddress;
+    serverOptions.maxHeldBytes = maxHeldBytes;
+    limitUnknownClients(serverOptions);
     service->server = HttpServer::listen(
         loop, serverOptions, [service](const HttpRequest &request) { service->route(request); },
         nullptr, reason);
--- a/flamingo/adapters/entry_service.cc
+++ b/flamingo/adapters/entry_service.cc
@@ -63,6 +63,8 @@
     options.address = settings.httpAddress;
     options.maxBodyBytes = settings.maxBodyBytes;
     options.maxPendingRequests = settings.maxPendingRequests;
+    options.maxHeldBytes = settings.maxHeldBytes;
+    limitUnknownClients(options);
     return options;
 }
 
--- a/flamingo/settings.cc
+++ b/flamingo/settings.cc
@@ -86,6 +86,9 @@
          "Larger request bodies are refused with 413."},
         {"maxPendingRequests", "requests", &settings.maxPendingRequests, 1, 65536,
          "Unanswered HTTP requests; further ones are refused with 503."},
+        {"maxHeldBytes", "bytes", &settings.maxHeldBytes, 1048576, 1099511627776,
+         "Bytes that all HTTP connections hold; beyond, the one without progress for longest is "
+         "closed."},
         {"maxWaitMs", "ms", &settings.maxWaitMs, secondMs, maxHttpWaitMs,
          "A waiting request is answered with 202 after this time; the caller repeats it."},
         {"maxQueued", "jobs", &options.maxQueued, 1, 1000000,
--- a/flamingo/settings.h
+++ b/flamingo/settings.h
@@ -35,6 +35,7 @@
     std::string peerKey;
     std::size_t maxBodyBytes = 1048576;
     std::size_t maxPendingRequests = 4096;
+    std::size_t maxHeldBytes = 33554432; // by the HTTP connections of callers together
     TimeMs maxWaitMs = 60000; // after this time a waiting HTTP request is answered with 202
 };
 
--- a/tests/platform_test.cc
+++ b/tests/platform_test.cc
@@ -513,7 +513,7 @@
         CHECK_EQUAL(name + "=-1 is not a number from " + line.substr(begin + 2, end - begin - 2),
                     errors.front());
     }
-    LONGS_EQUAL(10, ranges);
+    LONGS_EQUAL(12, ranges);
 }
 
 TEST(Platform, submissionFieldsAreDecoded)
--- a/tools/crowd.sh
+++ b/tools/crowd.sh
@@ -63,8 +63,8 @@
     sleep 2
     checkBounds entry-1 "during the $label"
     checkBounds agent-3 "during the $label"
+    killProcess crowd # before its input ends, which would end it too
     killProcess feed
-    killProcess crowd
     waitFor 30 ordinaryJobIsServed
     checkBounds entry-1 "after the $label"
     checkBounds agent-3 "after the $label"
