--- a/flamingo/scheduler/planner.cc
+++ b/flamingo/scheduler/planner.cc
@@ -421,12 +421,19 @@
 }
 
 // How long an urgent unit may wait for free capacity and still meet its objective and its guarantee
-// after a reclaim. `begin` is when the occurrence was accepted or due, whichever is later.
+// after a reclaim: a share of the slack by the estimate; where run times are learned, what is left
+// of it when the run takes as long as few do. `begin` is when the occurrence was accepted or due,
+// whichever is later.
 TimeMs reclaimTimeoutMs(const Scheduler &scheduler, const Job &job, const PlacementUnit &unit,
                         TimeMs chainMs, std::uint64_t begin, std::uint64_t unixNow)
 {
     const auto waited = static_cast<TimeMs>(unixNow) - static_cast<TimeMs>(begin);
-    const double slack = (job.stretch - 1) * double(chainMs) * usableSlackShare;
+    const ExpectedRunTime &expected = unit.expected;
+    const double longRunMs = expected.learned
+        ? double(chainMs) * double(expected.highMs) / double(std::max<TimeMs>(expected.ms, 1))
+        : 0;
+    const double slack = expected.learned ? std::max(0.0, job.stretch * double(chainMs) - longRunMs)
+                                          : (job.stretch - 1) * double(chainMs) * usableSlackShare;
     TimeMs timeout = static_cast<TimeMs>(slack) + job.targetLatencyMs - waited;
     if (unit.guaranteed)
         timeout = std::min(timeout, scheduler.options.guaranteeMs - startReserveMs - waited);
--- a/flamingo/scheduler/run_times.cc
+++ b/flamingo/scheduler/run_times.cc
@@ -100,6 +100,21 @@
     return std::exp2((double(bucket) + 0.5 - double(runTimeBuckets) / 2) / bucketsPerDoubling);
 }
 
+// Ratio to the expected time within which `highQuantile` of the runs ended; at least 1.
+double highRatio(const RunTimeOptions &options, const RunTimeKind &kind)
+{
+    double total = 0;
+    for (const double count : kind.ratios)
+        total += count;
+    double passed = 0;
+    for (std::size_t i = 0; i < runTimeBuckets; ++i) {
+        passed += kind.ratios[i];
+        if (passed >= options.highQuantile * total)
+            return std::max(1.0, ratioOf(i));
+    }
+    return 1;
+}
+
 void addTo(LogMoments &moments, double value, double weight)
 {
     moments.sum += weight * value;
@@ -202,9 +217,11 @@
     const TimeMs estimateMs = job.steps[step].estimateMs;
     const RunTimeKind *kind = findKind(times, job, step);
     if (kind == nullptr || job.steps[step].longRunning)
-        return {estimateMs, false, 0};
-    const double ms = std::exp(expectedLog(times.options, *kind, estimateMs));
-    return {static_cast<TimeMs>(std::clamp(ms, 1.0, double(maxEstimateSumMs))), true, kind->weight};
+        return {estimateMs, estimateMs, false, 0};
+    const double ms = std::clamp(std::exp(expectedLog(times.options, *kind, estimateMs)), 1.0,
+                                 double(maxEstimateSumMs));
+    const double highMs = std::min(ms * highRatio(times.options, *kind), double(maxEstimateSumMs));
+    return {static_cast<TimeMs>(ms), static_cast<TimeMs>(highMs), true, kind->weight};
 }
 
 TimeMs expectedChainMs(const RunTimes &times, const Job &job)
--- a/flamingo/scheduler/run_times.h
+++ b/flamingo/scheduler/run_times.h
@@ -38,6 +38,8 @@
     // the number of steps that this assumption counts for.
     double priorError = 0.7;
     double priorWeight = 2;
+    // Share of the runs that end within ExpectedRunTime::highMs.
+    double highQuantile = 0.8;
     double clampDeviations = 2; // an estimate counts as at most this far from the kind's median
     std::size_t maxKinds = 1000; // the one that was updated least recently is dropped
     std::size_t maxStoredKinds = 32; // in the record of the job log, the most recently updated ones
@@ -79,7 +81,8 @@
 
 struct ExpectedRunTime
 {
-    TimeMs ms = 0;
+    TimeMs ms = 0; // median
+    TimeMs highMs = 0; // most runs end within this; equal to `ms` unless learned
     bool learned = false; // false: the caller's estimate
     double weight = 0; // finished steps that it is based on
 };
--- a/flamingo/scheduler/scheduler.cc
+++ b/flamingo/scheduler/scheduler.cc
@@ -205,7 +205,8 @@
         || (step.sameRack && racksOfGang(scheduler, row, run.taskNumber) > 1);
     const double factor = slowness(scheduler.speeds, worker.host, now)
         * (offRack ? scheduler.options.offRackFactor : 1);
-    const auto usualMs = static_cast<TimeMs>(double(now - run.assignedAt) / factor);
+    const TimeMs since = run.runningSince == 0 ? run.assignedAt : run.runningSince;
+    const auto usualMs = static_cast<TimeMs>(double(now - since) / factor);
     if (finished)
         recordFinishedRun(scheduler.table.runTimes, *row.job, position.step, usualMs);
     else
