--- a/daemons/ctl.cc
+++ b/daemons/ctl.cc
@@ -1,7 +1,8 @@
-// flamingoctl: parses the flags and runs one command of flamingo/adapters/ctl.h on the standard
-// streams.
+// flamingoctl: parses the flags and runs one command of flamingo/adapters/ctl.h, or the check of a
+// platform's configuration, on the standard streams.
 
 #include "flamingo/adapters/ctl.h"
+#include "platform/configuration_check.h"
 
 #include <absl/flags/flag.h>
 #include <absl/flags/parse.h>
@@ -27,6 +28,12 @@
 ABSL_FLAG(std::uint64_t, idle_ms, 3000, "shortest time without runs that account lists");
 ABSL_FLAG(std::string, plot, "", "file to which account writes an SVG image");
 
+ABSL_FLAG(std::string, in_force, "", "configuration in force, for config check");
+ABSL_FLAG(std::string, store, "",
+          "store that holds the configuration in force, IP:PORT, for config check");
+ABSL_FLAG(std::string, workers, "", "file with a heartbeat a line, for config check");
+ABSL_FLAG(std::uint64_t, memory_mb, 0, "memory of an entry in MB, for config check; 0: not known");
+
 namespace {
 
 using flamingo::adapters::CtlOutput;
@@ -50,13 +57,34 @@
     return user == nullptr ? "unknown" : user;
 }
 
+// Runs `config check FILE`; nullopt for other words.
+std::optional<int> checkConfiguration(flamingo::adapters::Loop &loop,
+                                      const std::vector<std::string> &words, CtlOutput output)
+{
+    if (words.size() < 2 || words[0] != "config" || words[1] != "check")
+        return std::nullopt;
+    if (words.size() != 3 || output == CtlOutput::Csv) {
+        std::cerr << "usage:\n" << flamingo::platform::configurationCheckHelp;
+        return static_cast<int>(flamingo::adapters::CtlExit::BadInput);
+    }
+    flamingo::platform::ConfigurationCheckOptions options;
+    options.file = words[2];
+    options.inForceFile = absl::GetFlag(FLAGS_in_force);
+    options.storeAddress = absl::GetFlag(FLAGS_store);
+    options.workersFile = absl::GetFlag(FLAGS_workers);
+    options.memoryMb = absl::GetFlag(FLAGS_memory_mb);
+    options.json = output == CtlOutput::Json;
+    return runConfigurationCheck(loop, options, std::cout, std::cerr);
+}
+
 } // namespace
 
 int main(int argc, char **argv)
 {
     using namespace flamingo::adapters;
 
-    absl::SetProgramUsageMessage(ctlHelp({}));
+    const std::string checkHelp(flamingo::platform::configurationCheckHelp);
+    absl::SetProgramUsageMessage(ctlHelp({}) + "\n" + checkHelp);
     const std::vector<char *> positional = absl::ParseCommandLine(argc, argv);
     google::InitGoogleLogging(argv[0]);
     const auto output = parseOutput(absl::GetFlag(FLAGS_output));
@@ -79,5 +107,14 @@
     options.plotFile = absl::GetFlag(FLAGS_plot);
     const std::vector<std::string> words(positional.begin() + 1, positional.end());
     Loop loop;
-    return static_cast<int>(runCtl(loop, options, words, std::cin, std::cout, std::cerr));
+    if (const auto exitCode = checkConfiguration(loop, words, *output))
+        return *exitCode;
+    if (words.size() > 1 && words[0] == "help" && words[1] == "config") {
+        std::cout << checkHelp;
+        return 0;
+    }
+    const auto exitCode = runCtl(loop, options, words, std::cin, std::cout, std::cerr);
+    if (words.size() == 1 && words[0] == "help")
+        std::cout << "\n" << checkHelp;
+    return static_cast<int>(exitCode);
 }
