--- a/bench/plan_bench.cc
+++ b/bench/plan_bench.cc
@@ -69,6 +69,9 @@
         const Record record = acceptanceRecord(job);
         Reason reason;
         applyRecord(this->scheduler.table, record.key, record.value, true, reason);
+        // The run times of the queue and of the kind are known.
+        for (int i = 0; i < 10; ++i)
+            recordFinishedRun(this->scheduler.table.runTimes, job, 0, job.steps[0].estimateMs);
     }
 
     // Reports of all hosts, with the runs that were ordered.
--- a/flamingo/adapters/scheduler_service.cc
+++ b/flamingo/adapters/scheduler_service.cc
@@ -14,6 +14,7 @@
 #include "flamingo/scheduler/limits.h"
 
 #include <algorithm>
+#include <cmath>
 #include <limits>
 #include <utility>
 
@@ -23,6 +24,7 @@
 using namespace flamingo::scheduler;
 
 constexpr TimeMs tickMs = 100;
+constexpr TimeMs runTimesExportMs = 5000;
 // Sequence numbers of the first two appends of an epoch.
 constexpr std::uint64_t candidateSequence = 0;
 constexpr std::uint64_t claimSequence = 1;
@@ -318,6 +320,10 @@
     if (!this->scheduling.evacuations.empty() || !this->exportedEvacuations.empty())
         this->exportEvacuations();
     if (this->leading()) {
+        if (now - this->runTimesExportedAt >= runTimesExportMs) {
+            this->runTimesExportedAt = now;
+            this->exportRunTimes();
+        }
         this->notifyStaleLog(now);
         this->schedulePlan();
         if (!this->flushing && !this->resigning
@@ -719,6 +725,24 @@
     }
 }
 
+// Exports how far off the callers' estimates and the learned run times were in this term, as usual
+// factors, over the runs for which there were both.
+void SchedulerService::exportRunTimes()
+{
+    const RunTimes &times = this->scheduling.table.runTimes;
+    if (times.errorWeight == 0)
+        return;
+    const auto set = [&](const char *source, double errorSum) {
+        this->metrics.setGauge("flamingo_run_time_error_factor",
+                               "Usual factor between expected and actual run times, by source",
+                               std::exp2(errorSum / times.errorWeight), {{"source", source}});
+    };
+    set("estimate", times.estimateErrorSum);
+    set("learned", times.expectationErrorSum);
+    this->metrics.setGauge("flamingo_run_time_kinds", "Kinds of task with learned run times",
+                           double(times.kinds.size()));
+}
+
 void SchedulerService::submit(const Job &job, SubmitCallback done)
 {
     const auto found = this->scheduling.table.jobs.find(job.id);
--- a/flamingo/adapters/scheduler_service.h
+++ b/flamingo/adapters/scheduler_service.h
@@ -243,6 +243,7 @@
     void writeDecisions();
     void exportEvacuations();
     bool evacuationsAreKnown() const;
+    void exportRunTimes();
 
     Loop &loop;
     scheduler::JobLog &log;
@@ -285,6 +286,7 @@
     std::map<std::string, WaitingReport> waitingReports; // by host
     Relay relay;
     std::function<TimeMs()> evacuationsAgeMs;
+    TimeMs runTimesExportedAt = 0;
     std::set<std::string> exportedEvacuations; // data centres with metrics
     std::vector<std::shared_ptr<Attempt>> queuedAttempts; // to be sent after the outstanding append
     bool appendOutstanding = false; // an unfenced append of attempts is outstanding
--- a/flamingo/scheduler/planner.cc
+++ b/flamingo/scheduler/planner.cc
@@ -1120,17 +1120,6 @@
     return now - waitOf(unit, now).since >= std::max(lossMs, scheduler.options.minRackWaitMs);
 }
 
-// True when the unit's capacity becomes free by itself as soon as a stop would free it. Runs that
-// do not end as expected hold the unit back only for a while; within a guarantee its own limit
-// holds.
-bool stopGainsNothing(const Scheduler &scheduler, const PlacementUnit &unit,
-                      const Reservation &reservation, TimeMs now)
-{
-    return !unit.guaranteed && !reservation.placement.empty()
-        && reservation.freeInMs <= scheduler.options.stopMs
-        && now - waitOf(unit, now).since < scheduler.options.maxUselessStopMs;
-}
-
 void placeUnit(Scheduler &scheduler, PlacementUnit unit, ServiceCapacity &capacity,
                int &reservations, TimeMs now)
 {
@@ -1159,7 +1148,7 @@
     const auto waits = [&](bool reserving) {
         recordWait(scheduler, rest, remaining, capacity, reservation, reserving, now);
     };
-    if (unit.priority == 0 && (mayWait || stopGainsNothing(scheduler, rest, reservation, now))) {
+    if (unit.priority == 0 && mayWait) {
         holdReservation(rest, reservation, remaining.need, capacity, now);
         waits(true);
         return;
--- a/flamingo/scheduler/scheduler.h
+++ b/flamingo/scheduler/scheduler.h
@@ -169,9 +169,6 @@
     double offRackFactor = 3;
     // Tasks wait for a preferred rack at least this long, also without an estimate.
     TimeMs minRackWaitMs = 2000;
-    // Urgent work waits at most this long for runs that are expected to end as soon as a stop would
-    // end them, before it stops runs after all.
-    TimeMs maxUselessStopMs = 400;
     // Tasks that have waited for this long may be placed on capacity that is reserved for others.
     TimeMs maxHeldBackMs = 2000;
     // When the use of a service has been below this for `maxHeldBackMs`, tasks that have waited all
