--- a/tests/byte_budget_test.cc
+++ b/tests/byte_budget_test.cc
@@ -12,6 +12,7 @@
 #include <unistd.h>
 
 #include <algorithm>
+#include <cerrno>
 #include <csignal>
 #include <numeric>
 
@@ -78,7 +79,9 @@
         target.sin_port = htons(port);
         inet_pton(AF_INET, "127.0.0.1", &target.sin_addr);
         const int client = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
-        connect(client, reinterpret_cast<const sockaddr *>(&target), sizeof target);
+        const int result =
+            connect(client, reinterpret_cast<const sockaddr *>(&target), sizeof target);
+        CHECK(result == 0 || errno == EINPROGRESS);
         this->clients.push_back(client);
         return client;
     }
