--- a/flamingo/adapters/http_server.cc
+++ b/flamingo/adapters/http_server.cc
@@ -263,18 +263,21 @@
 void HttpServer::keepWithinBudget()
 {
     while (const auto holder = nextToClose(this->budget)) {
-        if (!this->closeConnection(*holder, "too many bytes are held"))
-            return;
-        ++this->closed.overBudget;
+        // One that cannot be closed does not yield any more, so another one is next.
+        this->closed.overBudget +=
+            this->closeConnection(*holder, "too many bytes are held") ? 1 : 0;
     }
 }
 
-// Returns false if h2o does not read from the connection, which then cannot be closed.
+// Returns false if h2o does not read from the connection, which then cannot be closed and does not
+// yield.
 bool HttpServer::closeConnection(HolderId id, const char *cause)
 {
     const auto found = this->connections.find(id);
-    if (found == this->connections.end())
+    if (found == this->connections.end()) {
+        removeHolder(this->budget, id);
         return false;
+    }
     Connection &connection = *found->second;
     this->watch(connection);
     if (connection.socket->_cb.read != readAndCharge) {
--- a/flamingo/scheduler/scheduler.cc
+++ b/flamingo/scheduler/scheduler.cc
@@ -183,7 +183,7 @@
 std::size_t racksOfGang(const Scheduler &scheduler, const JobRow &row, std::size_t taskNumber)
 {
     const MemberRange members = memberRange(*row.job, taskNumber);
-    std::set<std::string_view> racks;
+    std::set<std::string> racks;
     for (std::size_t i = members.first; i < members.first + members.count; ++i) {
         const auto found = scheduler.workers.find(row.progress.tasks[i].worker);
         if (found != scheduler.workers.end())
