--- a/flamingo/scheduler/scheduler.cc
+++ b/flamingo/scheduler/scheduler.cc
@@ -199,7 +199,8 @@
 {
     const TaskPosition position = taskPosition(*row.job, run.taskNumber);
     const Step &step = row.job->steps[position.step];
-    if (run.assignedAt == 0 || run.resumed || step.longRunning)
+    if (!scheduler.options.runTimes.enabled || run.assignedAt == 0 || run.resumed
+        || step.longRunning)
         return;
     const bool offRack = (!step.dataRack.empty() && rackOf(worker.info) != step.dataRack)
         || (step.sameRack && racksOfGang(scheduler, row, run.taskNumber) > 1);
