--- a/flamingo/scheduler/run_times.cc
+++ b/flamingo/scheduler/run_times.cc
@@ -88,6 +88,14 @@
         / (historyVariance + estimateVariance);
 }
 
+// Median by the kind's statistics, in ms; within the range of estimates, whatever a record
+// contained.
+double expectedMsOf(const RunTimes &times, const RunTimeKind &kind, TimeMs estimateMs)
+{
+    return std::clamp(std::exp(expectedLog(times.options, kind, estimateMs)), 1.0,
+                      double(maxEstimateSumMs));
+}
+
 std::size_t bucketOf(double ratio)
 {
     const double position = std::log2(ratio) * bucketsPerDoubling + double(runTimeBuckets) / 2;
@@ -218,8 +226,7 @@
     const RunTimeKind *kind = findKind(times, job, step);
     if (kind == nullptr || job.steps[step].longRunning)
         return {estimateMs, estimateMs, false, 0};
-    const double ms = std::clamp(std::exp(expectedLog(times.options, *kind, estimateMs)), 1.0,
-                                 double(maxEstimateSumMs));
+    const double ms = expectedMsOf(times, *kind, estimateMs);
     const double highMs = std::min(ms * highRatio(times.options, *kind), double(maxEstimateSumMs));
     return {static_cast<TimeMs>(ms), static_cast<TimeMs>(highMs), true, kind->weight};
 }
@@ -239,8 +246,7 @@
     const RunTimeKind *kind = findKind(times, job, step);
     if (kind == nullptr || job.steps[step].longRunning)
         return std::nullopt;
-    const double expectedMs =
-        std::max(1.0, std::exp(expectedLog(times.options, *kind, job.steps[step].estimateMs)));
+    const double expectedMs = expectedMsOf(times, *kind, job.steps[step].estimateMs);
     const double age = double(std::max<TimeMs>(ageMs, 0)) / expectedMs;
     double left = 0;
     for (std::size_t i = 0; i < runTimeBuckets; ++i)
