--- a/review/rig-3/rig.cc
+++ b/review/rig-3/rig.cc
@@ -281,7 +281,7 @@
 
 Reply call(const std::string &ip, int port, const std::string &method, const std::string &target,
            const std::map<std::string, std::string> &headers, const std::string &body,
-           std::int64_t deadlineMs)
+           std::int64_t deadlineMs, bool leaveOpen)
 {
     Reply reply;
     const std::int64_t until = nowMs() + deadlineMs;
@@ -326,6 +326,8 @@
         pollfd waiting = {fd, POLLIN, 0};
         if (left <= 0 || poll(&waiting, 1, static_cast<int>(left)) <= 0) {
             reply.error = "no answer until the deadline";
+            if (leaveOpen)
+                return reply;
             break;
         }
         const ssize_t count = recv(fd, buffer, sizeof(buffer), 0);
@@ -890,10 +892,12 @@
                             << "\nRegion=r\nInternalPorts=" << port << "," << port + 15 << "\nSeeds=" << seeds
                             << "\nBootstrap=true\nplatform.Address=" << storeAddress
                             << "\nplatform.form=log\nplatform.RecordBytes=262144\nplatform.CallBytes=2097152"
-                               "\nLimits.MaxFds=4100\nHeartbeatMs=1500\nBounds.ContactMs=3000"
-                               "\nBounds.GraceS=6\nBounds.StrictRevocation=true\nBounds.RevokeMs=5000"
-                               "\nBounds.HoldMaxMs=10000\nBounds.StopMs=200\nBounds.cancel_ms=3000"
-                               "\nBounds.visible_ms=3000\nBounds.FarFactor=3\nBounds.RestoreMs=250"
+                               "\nLimits.MaxFds=4100\nHeartbeatMs=1500\nBounds.ContactMs="
+                            << this->contactMs
+                            << "\nBounds.GraceS=6\nBounds.StrictRevocation=true\nBounds.RevokeMs=5000"
+                               "\nBounds.HoldMaxMs=10000\nBounds.StopMs="
+                            << this->stopMs << "\nBounds.cancel_ms=" << this->cancelMs
+                            << "\nBounds.visible_ms=3000\nBounds.FarFactor=3\nBounds.RestoreMs=250"
                                "\nBounds.ReclaimMs=3400\nOrders=invoke\n"
                             << more;
         return path;
@@ -997,14 +1001,14 @@
 }
 
 Reply request(Deployment &deployment, int entry, const std::string &method, const std::string &target,
-              const std::string &key, const std::string &body, std::int64_t deadlineMs)
+              const std::string &key, const std::string &body, std::int64_t deadlineMs, bool leaveOpen)
 {
     const std::int64_t sentAt = nowMs();
     const Reply reply = call(deployment.entryIp(entry), deployment.frontPort, method, target,
                              {{"Host", "jobs.example"},
                               {"Authorization", "Bearer " + key},
                               {"X-Deadline-Ms", std::to_string(deadlineMs)}},
-                             body, deadlineMs);
+                             body, deadlineMs, leaveOpen);
     record("client: " + method + " " + target + " at front-" + std::to_string(entry + 1) + ", sent at "
            + std::to_string(sentAt) + ", answer "
            + (reply.status == 0 ? "none (" + reply.error + ")"
--- a/review/rig-3/rig.h
+++ b/review/rig-3/rig.h
@@ -85,10 +85,11 @@
     std::string error;
 };
 
-// Sends one request on a connection of its own and waits at most `deadlineMs`.
+// Sends one request on a connection of its own and waits at most `deadlineMs`. After a deadline the
+// connection is closed, or left open until the program ends if `leaveOpen` is set.
 Reply call(const std::string &ip, int port, const std::string &method, const std::string &target,
            const std::map<std::string, std::string> &headers, const std::string &body,
-           std::int64_t deadlineMs);
+           std::int64_t deadlineMs, bool leaveOpen = false);
 
 class Store
 {
@@ -225,6 +226,10 @@
     int workers = 3;
     std::size_t checkpointBytes = 16;
     std::int64_t cpu = 64000;
+    // Bounds of the settings files; the others are those of the site betelbors-sched.
+    int contactMs = 3000;
+    int cancelMs = 3000;
+    int stopMs = 200;
     std::string folder; // temporary
     int network = 0;
     std::unique_ptr<Store> store;
@@ -246,7 +251,8 @@
 
 // A request of a client to an entry; writes it and its answer to the record.
 Reply request(Deployment &deployment, int entry, const std::string &method, const std::string &target,
-              const std::string &key, const std::string &body, std::int64_t deadlineMs = 3000);
+              const std::string &key, const std::string &body, std::int64_t deadlineMs = 3000,
+              bool leaveOpen = false);
 
 Json route(const std::string &name, const std::string &prefix, int priority, int maxAttempts);
 std::string jobId(std::uint64_t number);
