--- a/review/rig-3/rig.cc
+++ b/review/rig-3/rig.cc
@@ -702,6 +702,16 @@
         if (body.contains("UntilMs"))
             extend(body["UntilMs"].get<std::int64_t>());
         const std::int64_t lastSeen = body.value("LastSeen", std::int64_t(0));
+        for (const Json &each : this->ended) {
+            if (each[0].get<std::int64_t>() > lastSeen)
+                continue;
+            for (auto start = this->begun.rbegin(); start != this->begun.rend(); ++start) {
+                if (start->task == each[1].get<std::string>() && start->run == each[2].get<std::int64_t>()) {
+                    start->notedAt = nowMs();
+                    break;
+                }
+            }
+        }
         this->ended.erase(std::remove_if(this->ended.begin(), this->ended.end(),
                                          [&](const Json &each) { return each[0].get<std::int64_t>() <= lastSeen; }),
                           this->ended.end());
@@ -749,7 +759,7 @@
     run.beganAt = now;
     run.workMs = workOf(spec, task);
     run.start = this->begun.size();
-    this->begun.push_back({this->options.id, task, number, nowMs(), 0, ""});
+    this->begun.push_back({this->options.id, task, number, nowMs(), 0, 0, ""});
     this->running[task] = run;
     record("worker " + this->options.id + ": " + task + " run " + std::to_string(number) + " starts");
     return this->withClock(200, Json::object());
--- a/review/rig-3/rig.h
+++ b/review/rig-3/rig.h
@@ -155,6 +155,7 @@
     std::int64_t run = 0;
     std::int64_t at = 0;
     std::int64_t endedAt = 0; // 0: still runs
+    std::int64_t notedAt = 0; // when LastSeen reached its end; 0: not yet
     std::string how;
 };
 
