--- a/review/rig-3/cancelled.cc
+++ b/review/rig-3/cancelled.cc
@@ -1,5 +1,5 @@
-// A client hands in a job, learns nothing of it, and cancels it at another entry, which answers 410.
-// Then the job arrives after all. Two ways, by VARIANT:
+// A client hands in a job, learns nothing of it, and cancels it at another entry, which answers
+// 410. Then the job arrives after all. Two ways, by VARIANT:
 //
 //   late    the store doesn't answer the appends of the job, and carries them out seconds later
 //   freeze  the entry stands still with the request in its socket, and wakes again
@@ -46,16 +46,17 @@
     deployment.stopMs = static_cast<int>(stopMs);
     Json queue = route("settle", "/settle/", 0, 3);
     queue["Public"] = std::getenv("VARIANT") != nullptr; // see claim.txt
-    deployment.start(Json::array({queue}),
-                     Json::array({{{"Name", "t1"}, {"ApiKeys", {"key-1"}}}}));
+    deployment.start(Json::array({queue}), Json::array({{{"Name", "t1"}, {"ApiKeys", {"key-1"}}}}));
     if (!deployment.waitUntilReady(20000)) {
         record("the deployment did not become ready");
         return 2;
     }
     // A job that runs without trouble, first.
     const std::string warm = "/settle/" + jobId(1);
-    request(deployment, 0, "POST", warm, "key-1",
-            jobBody("300", Json::array({{{"Count", 2}, {"Cpu", 1000}, {"MemMb", 64}, {"EstimateMs", 300}}})));
+    request(
+        deployment, 0, "POST", warm, "key-1",
+        jobBody("300",
+                Json::array({{{"Count", 2}, {"Cpu", 1000}, {"MemMb", 64}, {"EstimateMs", 300}}})));
     sleepMs(3000);
     const Reply shown = request(deployment, 0, "GET", warm, "key-1", "");
     if (shown.body.find("completed") == std::string::npos) {
@@ -69,7 +70,8 @@
     std::atomic<std::int64_t> carriedOutAt{0};
     if (trouble && !freezes) {
         // One append of the job, the first.
-        deployment.store->disturb = [&](const std::string &, const std::string &key, bool) -> std::int64_t {
+        deployment.store->disturb = [&](const std::string &, const std::string &key,
+                                        bool) -> std::int64_t {
             if (carriedOutAt != 0 || key.find(job) == std::string::npos)
                 return 0;
             carriedOutAt = nowMs() + lateMs;
@@ -78,14 +80,16 @@
     }
     const std::string body = jobBody(
         "6000",
-        Json::array({{{"Count", 1}, {"Cpu", 1000}, {"MemMb", 64}, {"EstimateMs", 6000}},
-                     {{"Count", 2}, {"Cpu", 1000}, {"MemMb", 64}, {"EstimateMs", 6000}, {"After", {0}}}}));
+        Json::array(
+            {{{"Count", 1}, {"Cpu", 1000}, {"MemMb", 64}, {"EstimateMs", 6000}},
+             {{"Count", 2}, {"Cpu", 1000}, {"MemMb", 64}, {"EstimateMs", 6000}, {"After", {0}}}}));
     Process &asleep = *deployment.entryList[2];
     const std::int64_t begin = nowMs();
     if (freeze)
         asleep.signal(SIGSTOP);
     // The client sends the job and gives up at its deadline.
-    const Reply handedIn = request(deployment, 2, "POST", target, "key-1", body, clientDeadlineMs, true);
+    const Reply handedIn =
+        request(deployment, 2, "POST", target, "key-1", body, clientDeadlineMs, true);
     const Reply cancelled = request(deployment, 0, "DELETE", target, "key-1", "", clientDeadlineMs);
     const std::int64_t acknowledgedAt = nowMs();
     if (freeze) {
@@ -94,7 +98,8 @@
         asleep.signal(SIGCONT);
     }
     const bool acknowledged = cancelled.status == 410 || cancelled.status / 100 == 2;
-    if (!acknowledged || (trouble && handedIn.status / 100 == 2) || (freeze && acknowledgedAt > begin + freezeMs)) {
+    if (!acknowledged || (trouble && handedIn.status / 100 == 2)
+        || (freeze && acknowledgedAt > begin + freezeMs)) {
         record("the client's calls did not go as planned");
         return 2;
     }
@@ -110,9 +115,12 @@
     for (std::size_t i = before; i < starts.size(); ++i) {
         const Start &start = starts[i];
         const std::int64_t after = start.at - acknowledgedAt;
-        std::string line = start.task + " run " + std::to_string(start.run) + " on " + start.worker + ": started "
-            + std::to_string(after) + " ms after the acknowledgement of the cancelling, ended "
-            + (start.endedAt == 0 ? "never" : std::to_string(start.endedAt - acknowledgedAt) + " ms after it (" + start.how + ")");
+        std::string line = start.task + " run " + std::to_string(start.run) + " on " + start.worker
+            + ": started " + std::to_string(after)
+            + " ms after the acknowledgement of the cancelling, ended "
+            + (start.endedAt == 0 ? "never"
+                                  : std::to_string(start.endedAt - acknowledgedAt)
+                       + " ms after it (" + start.how + ")");
         if (after > cancelMs && start.at > calmFrom) {
             line += "; UNASKED: starts later than cancel_ms, in touch";
             broken = true;
--- a/review/rig-3/overdue.cc
+++ b/review/rig-3/overdue.cc
@@ -1,9 +1,9 @@
 // Clients hand in scheduled jobs with many occurrences that overlap, five jobs a second. Far more
 // occurrences are due than there is room for.
 //
-// Rule LOST: finish_s after the end of the traffic it doesn't happen, for 3 s, that a job has nothing
-// running while a task's turn has come, there is capacity for it twice over, and under half of the
-// service's capacity is in use.
+// Rule LOST: finish_s after the end of the traffic it doesn't happen, for 3 s, that a job has
+// nothing running while a task's turn has come, there is capacity for it twice over, and under half
+// of the service's capacity is in use.
 
 #include "rig.h"
 
@@ -35,8 +35,9 @@
     Deployment deployment;
     deployment.entries = 3;
     deployment.workers = 11;
-    deployment.start(Json::array({route("score", "/score/", 1, 2), route("settle", "/settle/", 0, 2)}),
-                     Json::array({{{"Name", "t1"}, {"ApiKeys", {"key-1"}}}}));
+    deployment.start(
+        Json::array({route("score", "/score/", 1, 2), route("settle", "/settle/", 0, 2)}),
+        Json::array({{{"Name", "t1"}, {"ApiKeys", {"key-1"}}}}));
     if (!deployment.waitUntilReady(20000)) {
         record("the deployment did not become ready");
         return 2;
@@ -49,7 +50,8 @@
         next += paceMs;
         const std::string id = jobId(100 + static_cast<std::uint64_t>(i));
         const Json step = {{"Count", 1}, {"Cpu", taskCpu}, {"MemMb", 1024}, {"EstimateMs", 5000}};
-        const Json times = {{"FirstRunMs", unixMs()}, {"IntervalMs", intervalMs}, {"RepeatCount", repeats}};
+        const Json times = {
+            {"FirstRunMs", unixMs()}, {"IntervalMs", intervalMs}, {"RepeatCount", repeats}};
         const Reply reply = request(deployment, i % 3, "POST", "/score/" + id, "key-1",
                                     jobBody("5000", Json::array({step}), times));
         if (reply.status / 100 == 2)
@@ -60,12 +62,13 @@
     const Json small = {{"Count", 1}, {"Cpu", 1000}, {"MemMb", 64}, {"EstimateMs", 500}};
     Reply reply;
     for (int tries = 0; tries < 5 && reply.status / 100 != 2; ++tries)
-        reply = request(deployment, tries % 3, "POST", "/settle/" + urgent, "key-1", jobBody("500", Json::array({small})));
+        reply = request(deployment, tries % 3, "POST", "/settle/" + urgent, "key-1",
+                        jobBody("500", Json::array({small})));
     const std::int64_t trafficEnd = nowMs();
     sleepMs(finishMs);
 
-    // The longest time in which under half of the capacity is in use and a job whose occurrences are
-    // due has nothing running.
+    // The longest time in which under half of the capacity is in use and a job whose occurrences
+    // are due has nothing running.
     std::map<std::string, std::int64_t> idleSince;
     std::int64_t longest = 0;
     std::string longestJob;
@@ -107,10 +110,12 @@
         if (start.task.compare(0, urgent.size(), urgent) == 0)
             urgentRan = std::to_string(start.at - trafficEnd) + " ms after its answer";
     }
-    record("accepted: " + std::to_string(accepted.size()) + " of " + std::to_string(jobs) + " jobs with "
-           + std::to_string(repeats) + " occurrences; begun: " + std::to_string(begun) + " tasks, the last one at "
-           + std::to_string(lastStart) + "; urgent job: POST " + std::to_string(reply.status) + ", begun " + urgentRan);
-    record("longest time for which a job had due tasks and none running, with under half of the capacity in use: "
+    record("accepted: " + std::to_string(accepted.size()) + " of " + std::to_string(jobs)
+           + " jobs with " + std::to_string(repeats) + " occurrences; begun: "
+           + std::to_string(begun) + " tasks, the last one at " + std::to_string(lastStart)
+           + "; urgent job: POST " + std::to_string(reply.status) + ", begun " + urgentRan);
+    record("longest time for which a job had due tasks and none running, with under half of the "
+           "capacity in use: "
            + std::to_string(longest) + " ms" + (longest > 0 ? " (" + longestJob + ")" : ""));
     for (const std::string &name : deployment.endedProcesses())
         record("ended by itself: " + name);
--- a/review/rig-3/rig.cc
+++ b/review/rig-3/rig.cc
@@ -59,7 +59,7 @@
 std::string parseHead(const std::string &head, std::map<std::string, std::string> &headers)
 {
     std::size_t line = head.find("\r\n");
-    const std::string first = head.substr(0, line);
+    std::string first = head.substr(0, line);
     while (line != std::string::npos && line + 2 < head.size()) {
         const std::size_t next = head.find("\r\n", line + 2);
         const std::string text = head.substr(line + 2, next - line - 2);
@@ -123,9 +123,12 @@
     for (std::size_t i = 0; i < bytes.size(); i += 3) {
         unsigned value = 0;
         for (std::size_t j = 0; j < 3; ++j)
-            value = value << 8 | (i + j < bytes.size() ? static_cast<unsigned char>(bytes[i + j]) : 0);
+            value =
+                value << 8 | (i + j < bytes.size() ? static_cast<unsigned char>(bytes[i + j]) : 0);
         for (int j = 0; j < 4; ++j)
-            result += i + static_cast<std::size_t>(j) > bytes.size() ? '=' : digits[value >> (18 - 6 * j) & 63];
+            result += i + static_cast<std::size_t>(j) > bytes.size()
+                ? '='
+                : digits[value >> (18 - 6 * j) & 63];
     }
     return result;
 }
@@ -134,7 +137,8 @@
 
 std::int64_t nowMs()
 {
-    return std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::steady_clock::now() - began)
+    return std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::steady_clock::now()
+                                                                 - began)
         .count();
 }
 
@@ -270,7 +274,8 @@
                 ;
             break;
         }
-        usable = sendAll(fd, "HTTP/1.1 " + std::to_string(response.status) + " X\r\ncontent-type: "
+        usable = sendAll(fd,
+                         "HTTP/1.1 " + std::to_string(response.status) + " X\r\ncontent-type: "
                              + response.contentType + "\r\ncontent-length: "
                              + std::to_string(response.body.size()) + "\r\n\r\n" + response.body);
     }
@@ -296,7 +301,7 @@
     }
     std::string text = method + " " + target + " HTTP/1.1\r\n";
     for (const auto &[name, value] : headers)
-        text += name + ": " + value + "\r\n";
+        text.append(name).append(": ").append(value).append("\r\n");
     if (!body.empty())
         text += "Content-Type: application/json\r\n";
     text += "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
@@ -313,9 +318,11 @@
             std::map<std::string, std::string> answered;
             const std::string first = parseHead(input.substr(0, headEnd), answered);
             const std::string rest = input.substr(headEnd + 4);
-            const std::size_t length = std::strtoull(answered["content-length"].c_str(), nullptr, 10);
+            const std::size_t length =
+                std::strtoull(answered["content-length"].c_str(), nullptr, 10);
             const bool chunked = lower(answered["transfer-encoding"]) == "chunked";
-            const auto body = chunked ? decodeChunks(rest) : std::optional<std::string>(rest.substr(0, length));
+            const auto body =
+                chunked ? decodeChunks(rest) : std::optional<std::string>(rest.substr(0, length));
             if (body && (chunked || rest.size() >= length)) {
                 reply.status = std::atoi(first.substr(first.find(' ') + 1).c_str());
                 reply.body = *body;
@@ -358,7 +365,8 @@
     return response;
 }
 
-std::optional<std::vector<std::pair<std::string, std::string>>> decodeRecords(const std::string &body)
+std::optional<std::vector<std::pair<std::string, std::string>>>
+decodeRecords(const std::string &body)
 {
     std::vector<std::pair<std::string, std::string>> records;
     std::size_t at = 0;
@@ -429,15 +437,16 @@
         largest = std::max(largest, 1 + key.size() + value.size());
     if (largest > recordBytes || request.body.size() > callBytes) {
         ++this->refusedAppends;
-        this->largestRefused = std::max<std::int64_t>(this->largestRefused,
-                                                      static_cast<std::int64_t>(largest));
-        return refuse(413, largest > recordBytes ? "a record is larger than RecordBytes"
-                                                 : "the records are larger than CallBytes");
+        this->largestRefused =
+            std::max<std::int64_t>(this->largestRefused, static_cast<std::int64_t>(largest));
+        return refuse(413,
+                      largest > recordBytes ? "a record is larger than RecordBytes"
+                                            : "the records are larger than CallBytes");
     }
     if (this->disturb) {
         const std::string key = records->empty() ? "" : records->front().first;
-        const std::int64_t lateMs = this->disturb(request.query.at("Topic"), key,
-                                                  request.query.count("Producer") > 0);
+        const std::int64_t lateMs =
+            this->disturb(request.query.at("Topic"), key, request.query.count("Producer") > 0);
         if (lateMs > 0) {
             ++this->lateAppends;
             record("store: the append of " + key + " gets no answer and is carried out "
@@ -527,7 +536,10 @@
         const auto &[key, value] = topic.records[i];
         if (response.body.size() + value.size() > maxReadBytes && i > from)
             break;
-        response.body += bigEndian(1 + key.size() + value.size(), 4) + bigEndian(key.size(), 1) + key + value;
+        response.body.append(bigEndian(1 + key.size() + value.size(), 4))
+            .append(bigEndian(key.size(), 1))
+            .append(key)
+            .append(value);
     }
     return response;
 }
@@ -583,8 +595,9 @@
     , bornSteady(nowMs() - 1000)
     , bornUnix(unixMs())
 {
-    this->server = std::make_unique<Server>(
-        options.ip, options.appPort, [this](const Request &request) { return this->handle(request); });
+    this->server =
+        std::make_unique<Server>(options.ip, options.appPort,
+                                 [this](const Request &request) { return this->handle(request); });
     this->beats = std::thread([this] { this->beat(); });
     this->clockThread = std::thread([this] {
         while (!this->stopping) {
@@ -630,8 +643,9 @@
     if (saves == 0)
         return "";
     std::string text = std::to_string(saves);
-    text.insert(0, this->options.checkpointBytes - std::min(this->options.checkpointBytes, text.size()),
-                '0');
+    text.insert(
+        0, this->options.checkpointBytes - std::min(this->options.checkpointBytes, text.size()),
+        '0');
     return text;
 }
 
@@ -706,22 +720,25 @@
             if (each[0].get<std::int64_t>() > lastSeen)
                 continue;
             for (auto start = this->begun.rbegin(); start != this->begun.rend(); ++start) {
-                if (start->task == each[1].get<std::string>() && start->run == each[2].get<std::int64_t>()) {
+                if (start->task == each[1].get<std::string>()
+                    && start->run == each[2].get<std::int64_t>()) {
                     start->notedAt = nowMs();
                     break;
                 }
             }
         }
         this->ended.erase(std::remove_if(this->ended.begin(), this->ended.end(),
-                                         [&](const Json &each) { return each[0].get<std::int64_t>() <= lastSeen; }),
+                                         [&](const Json &each) {
+                                             return each[0].get<std::int64_t>() <= lastSeen;
+                                         }),
                           this->ended.end());
         const std::int64_t until = nowMs() + body.value("WaitMs", std::int64_t(0));
         while (this->ended.empty() && nowMs() < until && !this->stopping)
             this->changed.wait_for(lock, std::chrono::milliseconds(until - nowMs()));
         Json list = Json::array();
         for (const auto &[task, run] : this->running) {
-            const std::int64_t percent =
-                std::min<std::int64_t>(100, (this->clock() - run.beganAt) * 100 / std::max<std::int64_t>(1, run.workMs));
+            const std::int64_t percent = std::min<std::int64_t>(
+                100, (this->clock() - run.beganAt) * 100 / std::max<std::int64_t>(1, run.workMs));
             list.push_back(Json::array({task, run.run, this->checkpointOf(run), percent, 0}));
         }
         Json ends = Json::array();
@@ -751,7 +768,8 @@
         return this->withClock(409, {{"Reason", "late"}});
     extend(until);
     const auto highest = this->highest.find(task);
-    if (found != this->running.end() || (highest != this->highest.end() && number <= highest->second))
+    if (found != this->running.end()
+        || (highest != this->highest.end() && number <= highest->second))
         return this->withClock(409, {{"Reason", "old"}});
     const std::string spec = body.value("TaskSpec", std::string());
     Run run;
@@ -761,7 +779,8 @@
     run.start = this->begun.size();
     this->begun.push_back({this->options.id, task, number, nowMs(), 0, 0, ""});
     this->running[task] = run;
-    record("worker " + this->options.id + ": " + task + " run " + std::to_string(number) + " starts");
+    record("worker " + this->options.id + ": " + task + " run " + std::to_string(number)
+           + " starts");
     return this->withClock(200, Json::object());
 }
 
@@ -769,19 +788,22 @@
 {
     std::int64_t sequence = 0;
     while (!this->stopping) {
-        const Json body = {{"Service", this->options.service},
-                           {"Address", this->options.ip + ":" + std::to_string(this->options.appPort)},
-                           {"Zone", this->options.zone},
-                           {"Version", "v1"},
-                           {"Slots", 8},
-                           {"State", "ready"},
-                           {"ColdRemainingMs", 0},
-                           {"Capacity",
-                            {{"Cpu", this->options.cpu}, {"MemMb", this->options.memMb}, {"Gpus", this->options.gpus}}},
-                           {"Labels", {"a", this->options.rack}},
-                           {"ClockMs", this->clock()},
-                           {"born", this->bornUnix},
-                           {"Sequence", ++sequence}};
+        const Json body = {
+            {"Service", this->options.service},
+            {"Address", this->options.ip + ":" + std::to_string(this->options.appPort)},
+            {"Zone", this->options.zone},
+            {"Version", "v1"},
+            {"Slots", 8},
+            {"State", "ready"},
+            {"ColdRemainingMs", 0},
+            {"Capacity",
+             {{"Cpu", this->options.cpu},
+              {"MemMb", this->options.memMb},
+              {"Gpus", this->options.gpus}}},
+            {"Labels", {"a", this->options.rack}},
+            {"ClockMs", this->clock()},
+            {"born", this->bornUnix},
+            {"Sequence", ++sequence}};
         const Reply reply = call(this->options.ip, this->options.controlPort, "POST",
                                  "/api/Instances.Heartbeat/" + this->options.id,
                                  {{"Host", this->options.ip}}, body.dump(), 1000);
@@ -793,7 +815,8 @@
 
 // --- Processes.
 
-Process::Process(std::string name, std::string program, std::string settings, std::string logPath)
+Process::Process(std::string name, const std::string &program, const std::string &settings,
+                 const std::string &logPath)
     : name(std::move(name))
 {
     const pid_t parent = getpid();
@@ -838,6 +861,11 @@
 
 namespace {
 
+std::string addressText(const std::string &ip, int port)
+{
+    return ip + ":" + std::to_string(port);
+}
+
 bool isFree(const std::string &ip, int port)
 {
     const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
@@ -895,21 +923,22 @@
     std::string seeds;
     for (int i = 0; i < std::min(this->entries, 3); ++i)
         seeds += (i > 0 ? "," : "") + this->entryIp(i) + ":" + std::to_string(controlPort);
-    const auto settings = [&](const std::string &name, const std::string &ip, const std::string &zone,
-                              const std::string &more) {
-        const std::string path = this->folder + "/" + name + ".conf";
-        std::ofstream(path) << "Node=" << name << "\nIp=" << ip << "\nZone=" << zone
-                            << "\nRegion=r\nInternalPorts=" << port << "," << port + 15 << "\nSeeds=" << seeds
-                            << "\nBootstrap=true\nplatform.Address=" << storeAddress
-                            << "\nplatform.form=log\nplatform.RecordBytes=262144\nplatform.CallBytes=2097152"
-                               "\nLimits.MaxFds=4100\nHeartbeatMs=1500\nBounds.ContactMs="
-                            << this->contactMs
-                            << "\nBounds.GraceS=6\nBounds.StrictRevocation=true\nBounds.RevokeMs=5000"
-                               "\nBounds.HoldMaxMs=10000\nBounds.StopMs="
-                            << this->stopMs << "\nBounds.cancel_ms=" << this->cancelMs
-                            << "\nBounds.visible_ms=3000\nBounds.FarFactor=3\nBounds.RestoreMs=250"
-                               "\nBounds.ReclaimMs=3400\nOrders=invoke\n"
-                            << more;
+    const auto settings = [&](const std::string &name, const std::string &ip,
+                              const std::string &zone, const std::string &more) {
+        std::string path = this->folder + "/" + name + ".conf";
+        std::ofstream(path)
+            << "Node=" << name << "\nIp=" << ip << "\nZone=" << zone
+            << "\nRegion=r\nInternalPorts=" << port << "," << port + 15 << "\nSeeds=" << seeds
+            << "\nBootstrap=true\nplatform.Address=" << storeAddress
+            << "\nplatform.form=log\nplatform.RecordBytes=262144\nplatform.CallBytes=2097152"
+               "\nLimits.MaxFds=4100\nHeartbeatMs=1500\nBounds.ContactMs="
+            << this->contactMs
+            << "\nBounds.GraceS=6\nBounds.StrictRevocation=true\nBounds.RevokeMs=5000"
+               "\nBounds.HoldMaxMs=10000\nBounds.StopMs="
+            << this->stopMs << "\nBounds.cancel_ms=" << this->cancelMs
+            << "\nBounds.visible_ms=3000\nBounds.FarFactor=3\nBounds.RestoreMs=250"
+               "\nBounds.ReclaimMs=3400\nOrders=invoke\n"
+            << more;
         return path;
     };
     const char *zones[] = {"z-a", "z-b", "z-c"};
@@ -918,23 +947,25 @@
         const std::string ip = this->entryIp(i);
         const std::string path =
             settings(name, ip, zones[i % 3],
-                     "MachineClass=front\nServes=front,control\nLimits.CpuShare=0.25\nLimits.MemoryMb=260\nListen.Front="
-                         + ip + ":" + std::to_string(this->frontPort) + "\nListen.Ready=" + ip + ":"
-                         + std::to_string(this->readyPort) + "\nListen.Control=" + ip + ":"
-                         + std::to_string(controlPort) + "\n");
-        this->entryList.push_back(std::make_unique<Process>(name, "target/flamingo-schedulerd", path,
-                                                            this->folder + "/" + name + ".log"));
+                     "MachineClass=front\nServes=front,control\nLimits.CpuShare=0.25\nLimits."
+                     "MemoryMb=260\nListen.Front="
+                         + addressText(ip, this->frontPort)
+                         + "\nListen.Ready=" + addressText(ip, this->readyPort)
+                         + "\nListen.Control=" + addressText(ip, controlPort) + "\n");
+        this->entryList.push_back(std::make_unique<Process>(
+            name, "target/flamingo-schedulerd", path, this->folder + "/" + name + ".log"));
     }
     for (int i = 0; i < this->workers; ++i) {
         const std::string name = "side-" + std::to_string(i + 1);
         const std::string ip = this->workerIp(i);
         const std::string path =
             settings(name, ip, zones[i % 3],
-                     "MachineClass=side\nServes=side\nLimits.CpuShare=0.15\nLimits.MemoryMb=128\nService=svc\napp="
-                         + ip + ":" + std::to_string(appPort) + "\nListen.Control=" + ip + ":"
-                         + std::to_string(controlPort) + "\n");
-        this->agentList.push_back(std::make_unique<Process>(name, "target/flamingo-hostagentd", path,
-                                                            this->folder + "/" + name + ".log"));
+                     "MachineClass=side\nServes=side\nLimits.CpuShare=0.15\nLimits.MemoryMb="
+                     "128\nService=svc\napp="
+                         + addressText(ip, appPort)
+                         + "\nListen.Control=" + addressText(ip, controlPort) + "\n");
+        this->agentList.push_back(std::make_unique<Process>(
+            name, "target/flamingo-hostagentd", path, this->folder + "/" + name + ".log"));
         WorkerOptions options;
         options.id = "i-" + std::to_string(i + 1);
         options.ip = ip;
@@ -959,7 +990,7 @@
         for (int i = 0; i < this->entries; ++i)
             ready += call(this->entryIp(i), this->readyPort, "GET", "/api/readiness",
                           {{"Host", this->entryIp(i)}}, "", 1000)
-                             .status
+                         .status
                     == 200
                 ? 1
                 : 0;
@@ -978,7 +1009,8 @@
         for (const Start &start : worker->starts())
             result.push_back(start);
     }
-    std::sort(result.begin(), result.end(), [](const Start &a, const Start &b) { return a.at < b.at; });
+    std::sort(result.begin(), result.end(),
+              [](const Start &a, const Start &b) { return a.at < b.at; });
     return result;
 }
 
@@ -1010,17 +1042,18 @@
     }
 }
 
-Reply request(Deployment &deployment, int entry, const std::string &method, const std::string &target,
-              const std::string &key, const std::string &body, std::int64_t deadlineMs, bool leaveOpen)
+Reply request(Deployment &deployment, int entry, const std::string &method,
+              const std::string &target, const std::string &key, const std::string &body,
+              std::int64_t deadlineMs, bool leaveOpen)
 {
     const std::int64_t sentAt = nowMs();
-    const Reply reply = call(deployment.entryIp(entry), deployment.frontPort, method, target,
-                             {{"Host", "jobs.example"},
-                              {"Authorization", "Bearer " + key},
-                              {"X-Deadline-Ms", std::to_string(deadlineMs)}},
-                             body, deadlineMs, leaveOpen);
-    record("client: " + method + " " + target + " at front-" + std::to_string(entry + 1) + ", sent at "
-           + std::to_string(sentAt) + ", answer "
+    Reply reply = call(deployment.entryIp(entry), deployment.frontPort, method, target,
+                       {{"Host", "jobs.example"},
+                        {"Authorization", "Bearer " + key},
+                        {"X-Deadline-Ms", std::to_string(deadlineMs)}},
+                       body, deadlineMs, leaveOpen);
+    record("client: " + method + " " + target + " at front-" + std::to_string(entry + 1)
+           + ", sent at " + std::to_string(sentAt) + ", answer "
            + (reply.status == 0 ? "none (" + reply.error + ")"
                                 : std::to_string(reply.status) + " " + reply.body.substr(0, 100)));
     return reply;
@@ -1028,16 +1061,24 @@
 
 Json route(const std::string &name, const std::string &prefix, int priority, int maxAttempts)
 {
-    return {{"Name", name},         {"Hostname", "jobs.example"}, {"PathPrefix", prefix},
-            {"RouteKind", "unsafe"}, {"TimeoutMs", 3000},          {"TargetLatencyMs", 1200},
-            {"Priority", priority}, {"Service", "svc"},           {"MaxAttempts", maxAttempts},
-            {"Stretch", 3.0},       {"Public", false}};
+    return {{"Name", name},
+            {"Hostname", "jobs.example"},
+            {"PathPrefix", prefix},
+            {"RouteKind", "unsafe"},
+            {"TimeoutMs", 3000},
+            {"TargetLatencyMs", 1200},
+            {"Priority", priority},
+            {"Service", "svc"},
+            {"MaxAttempts", maxAttempts},
+            {"Stretch", 3.0},
+            {"Public", false}};
 }
 
 std::string jobId(std::uint64_t number)
 {
     char text[17];
-    snprintf(text, sizeof(text), "%016llx", static_cast<unsigned long long>(0x5c0e7a2100000000ULL + number));
+    snprintf(text, sizeof(text), "%016llx",
+             static_cast<unsigned long long>(0x5c0e7a2100000000ULL + number));
     return text;
 }
 
--- a/review/rig-3/rig.h
+++ b/review/rig-3/rig.h
@@ -1,13 +1,13 @@
 #ifndef REVIEW_RIG_H
 #define REVIEW_RIG_H
 
-// Stand-ins for the platform's store, the workers and the clients, and the processes under test, for
-// the scripts of this review. Plain sockets and threads, no library of the project, so that a fault
-// of the project cannot hide itself here. The stand-ins follow PROTOCOL.md:
+// Stand-ins for the platform's store, the workers and the clients, and the processes under test,
+// for the scripts of this review. Plain sockets and threads, no library of the project, so that a
+// fault of the project cannot hide itself here. The stand-ins follow PROTOCOL.md:
 //
-//   Store   the log, with keyed topics, long polls, producers with epochs, RecordBytes and CallBytes
-//   Worker  run-start, run-stop, hold, heartbeats; its clock starts with it
-//   Client  one request a connection, with a deadline
+//   Store   the log, with keyed topics, long polls, producers with epochs, RecordBytes and
+//   CallBytes Worker  run-start, run-stop, hold, heartbeats; its clock starts with it Client  one
+//   request a connection, with a deadline
 //
 // Everything is written to record.txt, a line an event, after the milliseconds since the start.
 
@@ -98,7 +98,8 @@
 
     // An append of which `disturb` returns a positive number is carried out that many milliseconds
     // later and never answered (platform_lost, late).
-    std::function<std::int64_t(const std::string &topic, const std::string &key, bool fenced)> disturb;
+    std::function<std::int64_t(const std::string &topic, const std::string &key, bool fenced)>
+        disturb;
 
     void put(const std::string &topic, const std::string &key, const std::string &value);
     // Number of records of `topic` whose key begins with `prefix`.
@@ -159,8 +160,8 @@
     std::string how;
 };
 
-// How long a task works: TaskSpec begins with "work_ms=N;", or with "work_ms=N..M;" if the tasks of a
-// step take from N to M milliseconds, by their number.
+// How long a task works: TaskSpec begins with "work_ms=N;", or with "work_ms=N..M;" if the tasks of
+// a step take from N to M milliseconds, by their number.
 class Worker
 {
 public:
@@ -209,7 +210,8 @@
 class Process
 {
 public:
-    Process(std::string name, std::string program, std::string settings, std::string logPath);
+    Process(std::string name, const std::string &program, const std::string &settings,
+            const std::string &logPath);
     ~Process();
     void signal(int number);
     bool hasEnded(); // by itself
@@ -251,9 +253,9 @@
 };
 
 // A request of a client to an entry; writes it and its answer to the record.
-Reply request(Deployment &deployment, int entry, const std::string &method, const std::string &target,
-              const std::string &key, const std::string &body, std::int64_t deadlineMs = 3000,
-              bool leaveOpen = false);
+Reply request(Deployment &deployment, int entry, const std::string &method,
+              const std::string &target, const std::string &key, const std::string &body,
+              std::int64_t deadlineMs = 3000, bool leaveOpen = false);
 
 Json route(const std::string &name, const std::string &prefix, int priority, int maxAttempts);
 std::string jobId(std::uint64_t number);
--- a/review/rig-3/same_id.cc
+++ b/review/rig-3/same_id.cc
@@ -1,8 +1,8 @@
 // Two tenants whose clients number their jobs choose the same job ID, each on a queue of its own.
 //
 // Rule MIXED: a job is not shown as `completed` while a task of it hasn't ended so.
-// Rule LOST: finish_s after the end of the traffic, an accepted job doesn't wait, with nothing running
-// and room for it.
+// Rule LOST: finish_s after the end of the traffic, an accepted job doesn't wait, with nothing
+// running and room for it.
 
 #include "rig.h"
 
@@ -30,9 +30,10 @@
     Deployment deployment;
     deployment.entries = 3;
     deployment.workers = 4;
-    deployment.start(Json::array({route("score", "/score/", 1, 2), route("settle", "/settle/", 0, 2)}),
-                     Json::array({{{"Name", "t1"}, {"ApiKeys", {"key-1"}}},
-                                  {{"Name", "t2"}, {"ApiKeys", {"key-2"}}}}));
+    deployment.start(
+        Json::array({route("score", "/score/", 1, 2), route("settle", "/settle/", 0, 2)}),
+        Json::array(
+            {{{"Name", "t1"}, {"ApiKeys", {"key-1"}}}, {{"Name", "t2"}, {"ApiKeys", {"key-2"}}}}));
     if (!deployment.waitUntilReady(20000)) {
         record("the deployment did not become ready");
         return 2;
@@ -58,14 +59,15 @@
             && start.endedAt - start.at > 650)
             ++ran;
     }
-    record("second job: POST " + std::to_string(two.status) + ", shown as " + shown.body + ", " + std::to_string(ran)
-           + " of its 5 tasks ended done");
+    record("second job: POST " + std::to_string(two.status) + ", shown as " + shown.body + ", "
+           + std::to_string(ran) + " of its 5 tasks ended done");
     const bool accepted = two.status / 100 == 2;
     const bool broken = accepted && ran < 5;
     if (broken && shown.body.find("completed") != std::string::npos)
         record("MIXED: shown as completed while its tasks haven't ended so");
     if (broken)
-        record("LOST: accepted, and never begun, " + std::to_string(finishMs) + " ms after the traffic");
+        record("LOST: accepted, and never begun, " + std::to_string(finishMs)
+               + " ms after the traffic");
     record(broken ? "BROKEN" : "held");
     std::puts(broken ? "BROKEN" : "held");
     return broken ? 1 : 0;
--- a/review/rig-3/wedge.cc
+++ b/review/rig-3/wedge.cc
@@ -41,19 +41,34 @@
     deployment.cancelMs = 5000;
     deployment.checkpointBytes = static_cast<std::size_t>(setting("CHECKPOINT", 1000));
     record("checkpoints of " + std::to_string(deployment.checkpointBytes) + " characters");
-    deployment.start(Json::array({route("fresh", "/fresh/", 2, 3), route("score", "/score/", 1, 3)}),
-                     Json::array({{{"Name", "t1"}, {"ApiKeys", {"key-1"}}}}));
+    deployment.start(
+        Json::array({route("fresh", "/fresh/", 2, 3), route("score", "/score/", 1, 3)}),
+        Json::array({{{"Name", "t1"}, {"ApiKeys", {"key-1"}}}}));
     if (!deployment.waitUntilReady(20000)) {
         record("the deployment did not become ready");
         return 2;
     }
     const std::string lasting = jobId(1);
-    const Json lasts = {{"Count", lastingTasks}, {"Cpu", 1000}, {"MemMb", 64}, {"EstimateMs", 9000}, {"LongRunning", true}};
-    if (request(deployment, 0, "POST", "/score/" + lasting, "key-1", jobBody("9000..50000", Json::array({lasts}))).status != 200)
+    const Json lasts = {{"Count", lastingTasks},
+                        {"Cpu", 1000},
+                        {"MemMb", 64},
+                        {"EstimateMs", 9000},
+                        {"LongRunning", true}};
+    if (request(deployment, 0, "POST", "/score/" + lasting, "key-1",
+                jobBody("9000..50000", Json::array({lasts})))
+            .status
+        != 200)
         return 2;
     if (trouble) {
-        const Json wide = {{"Count", width}, {"Cpu", 400}, {"MemMb", 64}, {"EstimateMs", 60000}, {"Checkpointing", true}};
-        if (request(deployment, 1, "POST", "/fresh/" + jobId(2), "key-1", jobBody("3000..150000", Json::array({wide}))).status != 200)
+        const Json wide = {{"Count", width},
+                           {"Cpu", 400},
+                           {"MemMb", 64},
+                           {"EstimateMs", 60000},
+                           {"Checkpointing", true}};
+        if (request(deployment, 1, "POST", "/fresh/" + jobId(2), "key-1",
+                    jobBody("3000..150000", Json::array({wide})))
+                .status
+            != 200)
             return 2;
     }
     sleepMs(watchMs);
@@ -91,14 +106,18 @@
         if (now - end > lastingBoundMs)
             lost.insert(task);
     }
-    record("tasks that last: " + std::to_string(lastEnd.size()) + " begun, " + std::to_string(restarts)
-           + " starts after an end, longest time without a run " + std::to_string(longest) + " ms");
+    record("tasks that last: " + std::to_string(lastEnd.size()) + " begun, "
+           + std::to_string(restarts) + " starts after an end, longest time without a run "
+           + std::to_string(longest) + " ms");
     for (const std::string &task : lost)
-        record("LOST: " + task + " was without a run for over " + std::to_string(lastingBoundMs) + " ms");
-    record("ends listed: " + std::to_string(ends) + ", not taken note of within " + std::to_string(ackTimeoutMs)
-           + " ms: " + std::to_string(unnoted) + (unnoted * 5 > ends ? " (Acks: more than a fifth)" : ""));
+        record("LOST: " + task + " was without a run for over " + std::to_string(lastingBoundMs)
+               + " ms");
+    record("ends listed: " + std::to_string(ends) + ", not taken note of within "
+           + std::to_string(ackTimeoutMs) + " ms: " + std::to_string(unnoted)
+           + (unnoted * 5 > ends ? " (Acks: more than a fifth)" : ""));
     record("appends that the store refused: " + std::to_string(deployment.store->refusedAppends)
-           + ", largest record of these " + std::to_string(deployment.store->largestRefused) + " bytes");
+           + ", largest record of these " + std::to_string(deployment.store->largestRefused)
+           + " bytes");
     for (const std::string &name : deployment.endedProcesses())
         record("ended by itself: " + name);
     if (lastEnd.size() != lastingTasks) {
