--- a/review/rig-3/rig.cc
+++ b/review/rig-3/rig.cc
@@ -900,8 +900,12 @@
 
 void Deployment::start(const Json &routes, const Json &tenants)
 {
-    char folderName[] = "/tmp/review-3-XXXXXX";
-    this->folder = mkdtemp(folderName);
+    const char *temporary = std::getenv("TMPDIR");
+    std::string folderName =
+        std::string(temporary == nullptr ? "/tmp" : temporary) + "/review-3-XXXXXX";
+    if (mkdtemp(folderName.data()) == nullptr)
+        throw std::runtime_error("no temporary folder");
+    this->folder = folderName;
     this->network = 20 + static_cast<int>(getpid() % 200);
     const std::string storeIp = "127." + std::to_string(this->network) + ".0.1";
     int port = 0;
