--- a/review/rig-3/wedge.cc
+++ b/review/rig-3/wedge.cc
@@ -19,8 +19,8 @@
 constexpr std::int64_t lastingBoundMs = 6000 + 3000;
 constexpr std::int64_t ackTimeoutMs = 8000;
 constexpr int width = 470; // largest of `fresh-check`
-constexpr int lastingTasks = 40;
-constexpr std::int64_t watchMs = 55000;
+constexpr int lastingTasks = 80;
+constexpr std::int64_t watchMs = 95000;
 
 long setting(const char *name, long otherwise)
 {
@@ -39,7 +39,7 @@
     deployment.workers = 11;
     deployment.contactMs = 5000;
     deployment.cancelMs = 5000;
-    deployment.checkpointBytes = static_cast<std::size_t>(setting("CHECKPOINT", 1000));
+    deployment.checkpointBytes = static_cast<std::size_t>(setting("CHECKPOINT", 2000));
     record("checkpoints of " + std::to_string(deployment.checkpointBytes) + " characters");
     deployment.start(
         Json::array({route("fresh", "/fresh/", 2, 3), route("score", "/score/", 1, 3)}),
