Decide about callers' requests in pure functions

submissionStep() and cancellationStep() take the job table and return what an entry does; the scheduler service carries it out. Behaviour is unchanged.

--- a/flamingo/adapters/scheduler_service.cc
+++ b/flamingo/adapters/scheduler_service.cc
@@ -12,6 +12,7 @@
 #include "flamingo/adapters/scheduler_service.h"
 
 #include "flamingo/scheduler/limits.h"
+#include "flamingo/scheduler/requests.h"
 
 #include <algorithm>
 #include <cmath>
@@ -745,8 +746,7 @@
 
 void SchedulerService::submit(const Job &job, SubmitCallback done)
 {
-    const auto found = this->scheduling.table.jobs.find(job.id);
-    if (found != this->scheduling.table.jobs.end() && found->second.job) {
+    if (submissionStep(this->scheduling.table, job) == SubmissionStep::Stored) {
         done(Verdict::Ran);
         return;
     }
@@ -956,12 +956,16 @@
 void SchedulerService::cancelSince(const std::string &jobId, TimeMs arrivedAt,
                                    std::function<void(CancelOutcome)> done)
 {
-    const auto found = this->scheduling.table.jobs.find(jobId);
-    if (found == this->scheduling.table.jobs.end() || !found->second.job) {
-        if (this->logLoaded && this->tableReadAt > arrivedAt)
-            done(CancelOutcome::UnknownJob);
-        else if (!this->logReachable
-                 || Loop::now() - arrivedAt >= this->options.submitRetryWindowMs)
+    const bool tableIsNewer = this->logLoaded && this->tableReadAt > arrivedAt;
+    switch (cancellationStep(this->scheduling.table, jobId, tableIsNewer)) {
+    case CancellationStep::Cancelled:
+        done(CancelOutcome::Cancelled);
+        return;
+    case CancellationStep::Unknown:
+        done(CancelOutcome::UnknownJob);
+        return;
+    case CancellationStep::ReadLog:
+        if (!this->logReachable || Loop::now() - arrivedAt >= this->options.submitRetryWindowMs)
             done(CancelOutcome::NotStored);
         else
             this->loop.after(this->options.submitRetryMs,
@@ -969,10 +973,8 @@
                                  this->cancelSince(jobId, arrivedAt, done);
                              });
         return;
-    }
-    if (found->second.cancelled || found->second.storedOutcome != Outcome::Open) {
-        done(CancelOutcome::Cancelled);
-        return;
+    case CancellationStep::AppendCancellation:
+        break;
     }
     const auto attempt = beginAttempt(cancellationRecord(jobId));
     attempt->done = [done = std::move(done)](Verdict verdict) {
