Keep a job whose cancellation was answered 410 from running later

Cause: an entry concluded from a recent read of the log without an acceptance that there is no such job. The append of the acceptance, which the first entry had given up, was carried out by the store 5.5 s later; or the first entry was paused with the submission in its socket and appended it when it went on. The 410 stored nothing, so nothing denied that acceptance.

Change: a cancellation of a job that is not known is stored before the 410, as an early cancellation of that caller's id. A job that it concerns is cancelled, whichever of the two records comes first, so neither a late append nor a paused entry can make it run. It carries the queue and the organisation, so that no organisation voids a job of another. Early cancellations are kept as long as ended jobs (300 s), survive compaction and changes of the leader, and are limited to 4,000 for each organisation; beyond that an unknown id is answered 429. A submission of a cancelled id is refused with 410. A cancellation of which it is unknown whether it is stored is answered 504 instead of 503.

Two related leaks: a late cancellation of a job that had been removed stayed for ever, and cancelled the next job with its id; and an entry that read the log again after a compaction kept rows of which it had missed the removal.

The soak has such callers too, counts a 410 as an acknowledgement, and excuses a start after it only by a fault within 3 s before the start, no longer by any since the acknowledgement.

--- a/flamingo/adapters/entry_relay.cc
+++ b/flamingo/adapters/entry_relay.cc
@@ -25,7 +25,8 @@
     const auto key = scheduler::parseKey(record.key);
     const bool entryWrites = key
         && (key->kind == scheduler::RecordKind::Acceptance
-            || key->kind == scheduler::RecordKind::Cancellation);
+            || key->kind == scheduler::RecordKind::Cancellation
+            || key->kind == scheduler::RecordKind::EarlyCancellation);
     if (entryWrites && !record.value.empty())
         return scheduler::applyRecord(table, record.key, record.value, false, reason);
     reason = {ReasonCode::InvalidInput,
--- a/flamingo/adapters/scheduler_service.cc
+++ b/flamingo/adapters/scheduler_service.cc
@@ -106,6 +106,7 @@
         this->load(page.records.back().record.key);
         return;
     }
+    this->removeUnlistedRecords();
     this->logLoaded = true;
     this->tableReadAt = std::max(this->tableReadAt, this->loadStartedAt);
     this->decisions.write("event=job_log_loaded jobs="
@@ -116,6 +117,28 @@
     this->readNextRecords();
 }
 
+// Removes what a former load or read has found and this load has not: an entry that reads the log
+// again because records have expired may have missed the deletion of their keys.
+void SchedulerService::removeUnlistedRecords()
+{
+    const auto isListed = [this](const std::string &key) {
+        return this->loadedOffsets.count(key) > 0;
+    };
+    JobTable &table = this->scheduling.table;
+    for (auto row = table.jobs.begin(); row != table.jobs.end();) {
+        const auto keys = jobRecordKeys(row->first);
+        row = std::any_of(keys.begin(), keys.end(), isListed) ? std::next(row)
+                                                              : table.jobs.erase(row);
+    }
+    std::vector<EarlyCancellations::Key> unlisted;
+    for (const auto &[key, cancellation] : table.earlyCancellations.entries) {
+        if (!isListed(earlyCancellationKey(key.first, key.second)))
+            unlisted.push_back(key);
+    }
+    for (const auto &key : unlisted)
+        removeEarlyCancellation(table.earlyCancellations, key);
+}
+
 void SchedulerService::readNextRecords()
 {
     // After a failure the read does not long-poll: its answer shows at once that the log is
@@ -201,6 +224,12 @@
                               + " offset=" + std::to_string(stored.offset));
     if (key->kind == RecordKind::Leader)
         this->handleLeaderRecord();
+    if (key->kind == RecordKind::EarlyCancellation)
+        this->metrics.setGauge("flamingo_early_cancellations",
+                               "Stored cancellations of jobs that were not known",
+                               double(this->scheduling.table.earlyCancellations.entries.size()));
+    if (key->kind == RecordKind::Acceptance && this->logLoaded)
+        this->logCancelledAcceptance(key->jobId, stored.offset);
     if (key->kind == RecordKind::Candidate)
         this->handleCandidateRecord(stored.offset);
     if (key->kind == RecordKind::Progress)
@@ -209,6 +238,15 @@
     this->completeReadBack(stored);
 }
 
+void SchedulerService::logCancelledAcceptance(const std::string &jobId, std::uint64_t offset)
+{
+    const auto found = this->scheduling.table.jobs.find(jobId);
+    if (found != this->scheduling.table.jobs.end() && found->second.job
+        && isCancelledEarly(this->scheduling.table.earlyCancellations, *found->second.job))
+        this->decisions.write("event=acceptance_after_cancellation job=" + jobId
+                              + " offset=" + std::to_string(offset));
+}
+
 // Completes the flush and the attempts whose append this record confirms as stored.
 void SchedulerService::completeReadBack(const StoredRecord &stored)
 {
@@ -746,8 +784,9 @@
 
 void SchedulerService::submit(const Job &job, SubmitCallback done)
 {
-    if (submissionStep(this->scheduling.table, job) == SubmissionStep::Stored) {
-        done(Verdict::Ran);
+    const SubmissionStep step = submissionStep(this->scheduling.table, job);
+    if (step != SubmissionStep::Append) {
+        done(step == SubmissionStep::Stored ? Verdict::Ran : Verdict::NotRun);
         return;
     }
     const bool outage =
@@ -780,7 +819,7 @@
 // instead: an append sent then could only have an unknown outcome.
 void SchedulerService::runAttempt(const std::shared_ptr<Attempt> &attempt)
 {
-    if (attempt->ended || attempt->queued || attempt->appendPending)
+    if (attempt->ended || attempt->stored || attempt->queued || attempt->appendPending)
         return;
     if (!this->logReachable) {
         this->relayAttempt(attempt);
@@ -812,6 +851,8 @@
         return;
     this->queuedAttempts.erase(found);
     attempt->queued = false;
+    if (attempt->stored)
+        return;
     endAttempt(*attempt, this->mayStillBeStored(*attempt) ? Verdict::MayHaveRun : Verdict::NotRun);
 }
 
@@ -820,10 +861,10 @@
 // can answer.
 void SchedulerService::sendQueuedAppend()
 {
-    this->queuedAttempts.erase(std::remove_if(this->queuedAttempts.begin(),
-                                              this->queuedAttempts.end(),
-                                              [](const auto &attempt) { return attempt->ended; }),
-                               this->queuedAttempts.end());
+    this->queuedAttempts.erase(
+        std::remove_if(this->queuedAttempts.begin(), this->queuedAttempts.end(),
+                       [](const auto &attempt) { return attempt->ended || attempt->stored; }),
+        this->queuedAttempts.end());
     if (this->appendOutstanding || this->queuedAttempts.empty())
         return;
     const std::size_t count = std::min(this->queuedAttempts.size(), this->options.maxGroupCommit);
@@ -859,13 +900,25 @@
 {
     attempt->appendPending = false;
     if (result.status == AppendStatus::Stored) {
-        endAttempt(*attempt, Verdict::Ran);
+        this->endStoredAttempt(attempt);
         return;
     }
     attempt->mayBeStored = attempt->mayBeStored || result.status == AppendStatus::Unknown;
     this->retryOrEnd(attempt);
 }
 
+// Ends an attempt whose record is stored, at the end of its time if it is to be read back first.
+void SchedulerService::endStoredAttempt(const std::shared_ptr<Attempt> &attempt)
+{
+    attempt->stored = true;
+    const TimeMs waitMs = attempt->startedAt + this->options.submitRetryWindowMs - Loop::now();
+    if (!attempt->awaitsReadBack || waitMs <= 0) {
+        endAttempt(*attempt, Verdict::Ran);
+        return;
+    }
+    this->loop.after(waitMs, [attempt] { endAttempt(*attempt, Verdict::Ran); });
+}
+
 void SchedulerService::endAttempt(Attempt &attempt, Verdict verdict)
 {
     if (!std::exchange(attempt.ended, true))
@@ -885,7 +938,7 @@
                                        "Acceptances given to another entry, by its verdict", 1,
                                        {{"stored", verdict == Verdict::Ran ? "true" : "false"}});
         if (verdict == Verdict::Ran)
-            endAttempt(*attempt, Verdict::Ran);
+            this->endStoredAttempt(attempt);
         attempt->mayBeStored = attempt->mayBeStored || verdict == Verdict::MayHaveRun;
         if (!this->logReachable)
             this->retryOrEnd(attempt);
@@ -911,7 +964,7 @@
 
 void SchedulerService::retryOrEnd(const std::shared_ptr<Attempt> &attempt)
 {
-    if (attempt->ended)
+    if (attempt->ended || attempt->stored)
         return;
     const TimeMs now = Loop::now();
     const TimeMs window = this->options.submitRetryWindowMs;
@@ -946,39 +999,85 @@
     });
 }
 
-void SchedulerService::cancel(const std::string &jobId, std::function<void(CancelOutcome)> done)
+void SchedulerService::cancel(const std::string &jobId, const Caller &caller, CancelCallback done)
 {
-    this->cancelSince(jobId, Loop::now(), std::move(done));
+    this->cancelSince(jobId, caller, Loop::now(), std::move(done));
 }
 
-// Cancels a job on a request that arrived at `arrivedAt`. A job that is not in the table is looked
-// up again until the table is known to be newer than the request.
-void SchedulerService::cancelSince(const std::string &jobId, TimeMs arrivedAt,
-                                   std::function<void(CancelOutcome)> done)
+// Cancels a job on a request that arrived at `arrivedAt`.
+void SchedulerService::cancelSince(const std::string &jobId, const Caller &caller, TimeMs arrivedAt,
+                                   CancelCallback done)
 {
     const bool tableIsNewer = this->logLoaded && this->tableReadAt > arrivedAt;
-    switch (cancellationStep(this->scheduling.table, jobId, tableIsNewer)) {
+    const auto pending = this->pendingEarlyCancellations.find(caller.organisation);
+    const std::size_t pendingEarly =
+        pending == this->pendingEarlyCancellations.end() ? 0 : pending->second;
+    const CancellationStep step = cancellationStep(this->scheduling.table, this->scheduling.options,
+                                                   jobId, caller, tableIsNewer, pendingEarly);
+    switch (step) {
     case CancellationStep::Cancelled:
         done(CancelOutcome::Cancelled);
         return;
     case CancellationStep::Unknown:
         done(CancelOutcome::UnknownJob);
         return;
+    case CancellationStep::RefuseTooMany:
+        done(CancelOutcome::TooMany);
+        return;
     case CancellationStep::ReadLog:
         if (!this->logReachable || Loop::now() - arrivedAt >= this->options.submitRetryWindowMs)
             done(CancelOutcome::NotStored);
         else
             this->loop.after(this->options.submitRetryMs,
-                             [this, jobId, arrivedAt, done = std::move(done)] {
-                                 this->cancelSince(jobId, arrivedAt, done);
+                             [this, jobId, caller, arrivedAt, done = std::move(done)] {
+                                 this->cancelSince(jobId, caller, arrivedAt, done);
                              });
         return;
     case CancellationStep::AppendCancellation:
-        break;
+        this->appendCancellation(jobId, std::move(done));
+        return;
+    case CancellationStep::AppendEarlyCancellation:
+        this->appendEarlyCancellation(jobId, caller, std::move(done));
+        return;
     }
+}
+
+void SchedulerService::appendCancellation(const std::string &jobId, CancelCallback done)
+{
     const auto attempt = beginAttempt(cancellationRecord(jobId));
     attempt->done = [done = std::move(done)](Verdict verdict) {
-        done(verdict == Verdict::Ran ? CancelOutcome::Cancelled : CancelOutcome::NotStored);
+        if (verdict == Verdict::Ran)
+            done(CancelOutcome::Cancelled);
+        else
+            done(verdict == Verdict::NotRun ? CancelOutcome::NotStored
+                                            : CancelOutcome::MayBeStored);
+    };
+    this->runAttempt(attempt);
+}
+
+// Ends when the record is read back, because the table then has all jobs that were stored before.
+void SchedulerService::appendEarlyCancellation(const std::string &jobId, const Caller &caller,
+                                               CancelCallback done)
+{
+    ++this->pendingEarlyCancellations[caller.organisation];
+    const auto attempt = beginAttempt(earlyCancellationRecord(jobId, caller));
+    attempt->awaitsReadBack = true;
+    attempt->done = [this, jobId, caller, done = std::move(done)](Verdict verdict) {
+        const auto pending = this->pendingEarlyCancellations.find(caller.organisation);
+        if (--pending->second == 0)
+            this->pendingEarlyCancellations.erase(pending);
+        if (verdict == Verdict::NotRun) {
+            done(CancelOutcome::NotStored);
+            return;
+        }
+        if (verdict == Verdict::MayHaveRun) {
+            done(CancelOutcome::MayBeStored);
+            return;
+        }
+        const auto found = this->scheduling.table.jobs.find(jobId);
+        const bool known = found != this->scheduling.table.jobs.end() && found->second.job
+            && isJobOf(*found->second.job, caller);
+        done(known ? CancelOutcome::Cancelled : CancelOutcome::UnknownJob);
     };
     this->runAttempt(attempt);
 }
--- a/flamingo/adapters/scheduler_service.h
+++ b/flamingo/adapters/scheduler_service.h
@@ -73,9 +73,17 @@
     using Relay = std::function<void(const scheduler::Record &record, SubmitCallback done)>;
     using OrdersCallback = std::function<void(scheduler::HostOrders)>;
 
-    // NotStored: the cancellation is not known to be stored, or the job is missing from a table
-    // that is not recent.
-    enum class CancelOutcome : std::uint8_t { Cancelled, UnknownJob, NotStored };
+    // UnknownJob: no such job is stored, and if its acceptance is stored later it will not run.
+    // NotStored: the cancellation has no effect. MayBeStored: it may have, now or later. TooMany:
+    // the caller's organisation has cancelled too many unknown jobs.
+    enum class CancelOutcome : std::uint8_t {
+        Cancelled,
+        UnknownJob,
+        NotStored,
+        MayBeStored,
+        TooMany
+    };
+    using CancelCallback = std::function<void(CancelOutcome)>;
 
     SchedulerService(Loop &loop, scheduler::JobLog &log, DecisionLog &decisions, Metrics &metrics,
                      const SchedulerServiceOptions &options);
@@ -100,18 +108,19 @@
     // timeout.
     void resign(std::function<void()> done);
 
-    // Stores the acceptance of a job. Within `submitRetryWindowMs` of the call a failed append is
-    // retried if its outcome is unknown, or if the log became unreachable less than that time ago.
-    // The submission is refused at once if the log is not loaded. It is also refused at once if the
-    // log has been unreachable for longer, unless a relay is set or an earlier append of the job is
-    // unresolved.
+    // Stores the acceptance of a job, unless submissionStep() refuses it. Within
+    // `submitRetryWindowMs` of the call a failed append is retried if its outcome is unknown, or if
+    // the log became unreachable less than that time ago. The submission is refused at once if the
+    // log is not loaded. It is also refused at once if the log has been unreachable for longer,
+    // unless a relay is set or an earlier append of the job is unresolved.
     void submit(const scheduler::Job &job, SubmitCallback done);
 
     // Stores the cancellation of a job, also without a leader. The leader then ends the job as
     // cancelled unless it has decided another end before. Cancelled is also reported for a job that
-    // has ended. UnknownJob is reported only after a log read that was sent after the call: the
-    // table may lack a job that another entry has just accepted.
-    void cancel(const std::string &jobId, std::function<void(CancelOutcome)> done);
+    // has ended. UnknownJob is reported only after an early cancellation (see records.h) is stored
+    // and, if the log can be read in time, read back: the table may lack a job that another entry
+    // has just accepted.
+    void cancel(const std::string &jobId, const scheduler::Caller &caller, CancelCallback done);
 
     const scheduler::JobTable &table() const
     {
@@ -176,7 +185,8 @@
         OrdersCallback done;
         Loop::TimerId timer = 0;
     };
-    // One acceptance or cancellation, from the call of submit() or cancel() to its verdict.
+    // One acceptance or cancellation of a caller, from the call of submit() or cancel() to its
+    // verdict.
     struct Attempt
     {
         scheduler::Record record;
@@ -188,6 +198,8 @@
         bool retryPending = false; // a timer for the next retry is running
         bool ended = false; // `done` has been called
         bool mayBeStored = false; // the outcome of an earlier append is unknown
+        bool awaitsReadBack = false; // ends when its record is read, if that takes not too long
+        bool stored = false; // waits only to be read back
         std::function<void(Verdict)> done;
     };
 
@@ -199,6 +211,7 @@
     bool logIsSlow() const;
     void handleReadResult(const scheduler::ReadResult &result, TimeMs confirmedAt);
     void applyStored(const scheduler::StoredRecord &stored);
+    void logCancelledAcceptance(const std::string &jobId, std::uint64_t offset);
     void completeReadBack(const scheduler::StoredRecord &stored);
     void recordAnswerTime(TimeMs sentAt);
     void handleLeaderRecord();
@@ -234,11 +247,16 @@
                             const scheduler::AppendResult &result);
     void relayAttempt(const std::shared_ptr<Attempt> &attempt);
     static void endAttempt(Attempt &attempt, Verdict verdict);
+    void endStoredAttempt(const std::shared_ptr<Attempt> &attempt);
     void expireQueued(const std::shared_ptr<Attempt> &attempt);
     void retryOrEnd(const std::shared_ptr<Attempt> &attempt);
     bool mayStillBeStored(const Attempt &attempt) const;
-    void cancelSince(const std::string &jobId, TimeMs arrivedAt,
-                     std::function<void(CancelOutcome)> done);
+    void cancelSince(const std::string &jobId, const scheduler::Caller &caller, TimeMs arrivedAt,
+                     CancelCallback done);
+    void appendCancellation(const std::string &jobId, CancelCallback done);
+    void appendEarlyCancellation(const std::string &jobId, const scheduler::Caller &caller,
+                                 CancelCallback done);
+    void removeUnlistedRecords();
     std::shared_ptr<Attempt> beginAttempt(const scheduler::Record &record);
     void writeDecisions();
     void exportEvacuations();
@@ -293,6 +311,8 @@
     std::map<std::string, std::vector<std::weak_ptr<Attempt>>>
         openAttempts; // attempts, by record key
     std::map<std::string, TimeMs> unresolvedJobs; // job id -> time of the verdict MayHaveRun
+    // Early cancellations that are being appended, by organisation.
+    std::map<std::string, std::size_t> pendingEarlyCancellations;
     bool resigning = false; // resign() was called
     bool resignationSent = false; // the leader record with the resignation was appended
     std::function<void()> onResigned; // callback of resign(), until it is called
--- a/flamingo/scheduler/job.cc
+++ b/flamingo/scheduler/job.cc
@@ -165,6 +165,13 @@
     return std::nullopt;
 }
 
+bool isJobOf(const Job &job, const Caller &caller)
+{
+    return job.queue == caller.queue
+        && (caller.anyOrganisation || job.organisation.empty()
+            || job.organisation == caller.organisation);
+}
+
 TimeMs longestChainMs(const Job &job)
 {
     std::vector<TimeMs> stepEndMs(job.steps.size(), 0);
--- a/flamingo/scheduler/job.h
+++ b/flamingo/scheduler/job.h
@@ -71,6 +71,18 @@
     std::uint32_t repeatCount = 0; // number of occurrences; 0: runs once, immediately
 };
 
+// Who sends a request about jobs, and to which queue.
+struct Caller
+{
+    std::string queue;
+    std::string organisation; // by the request's API key; empty with `anyOrganisation`
+    bool anyOrganisation = false; // the queue needs no API key
+};
+
+// True when the job is the caller's: job ids of different queues and organisations are unrelated. A
+// job that was submitted without an API key belongs to every caller of its queue.
+bool isJobOf(const Job &job, const Caller &caller);
+
 enum class TaskPhase : std::uint8_t {
     Waiting, // to be placed
     Assigned, // to `worker`, where it may be running
--- a/flamingo/scheduler/records.cc
+++ b/flamingo/scheduler/records.cc
@@ -154,6 +154,7 @@
 constexpr double maxProcessorShare = 1e6;
 constexpr std::string_view acceptancePrefix = "a/";
 constexpr std::string_view cancellationPrefix = "c/";
+constexpr std::string_view earlyCancellationPrefix = "e/";
 constexpr std::string_view progressPrefix = "p/";
 constexpr std::string_view workerEndPrefix = "w/";
 
@@ -253,6 +254,16 @@
     return reader.valid();
 }
 
+bool readCaller(const Json &json, Caller &caller, Reason &reason)
+{
+    JsonObjectReader reader(json, reason);
+    reader.require({"queue"});
+    reader.text("queue", caller.queue);
+    reader.text("organisation", caller.organisation);
+    reader.flag("anyOrganisation", caller.anyOrganisation);
+    return reader.valid();
+}
+
 bool readWorker(const Json &json, WorkerInfo &worker, Reason &reason)
 {
     JsonObjectReader reader(json, reason);
@@ -515,6 +526,16 @@
     return {recordKey(cancellationPrefix, jobId), "{}"};
 }
 
+Record earlyCancellationRecord(std::string_view jobId, const Caller &caller)
+{
+    Json value = {{"queue", caller.queue}};
+    if (caller.anyOrganisation)
+        value["anyOrganisation"] = true;
+    else
+        value["organisation"] = caller.organisation;
+    return {earlyCancellationKey(jobId, callerKey(caller)), jsonText(value)};
+}
+
 Record workerEndRecord(std::string_view workerKey)
 {
     return {recordKey(workerEndPrefix, workerKey), "{}"};
@@ -530,24 +551,57 @@
     return {std::string(candidateKey), jsonText(Json(candidate))};
 }
 
+// A hash of fixed length, because the length of keys is limited and that of names is not.
+std::string callerKey(const Caller &caller)
+{
+    // FNV-1a. The hash is stored, so it must be the same in all versions and on all machines.
+    constexpr std::uint64_t offsetBasis = 0xcbf29ce484222325;
+    constexpr std::uint64_t prime = 0x100000001b3;
+    std::uint64_t hash = offsetBasis;
+    const std::string text =
+        caller.queue + '\0' + (caller.anyOrganisation ? "*" : "=" + caller.organisation);
+    for (const unsigned char byte : text)
+        hash = (hash ^ byte) * prime;
+    constexpr std::string_view digits = "0123456789abcdef";
+    std::string result;
+    for (int shift = 60; shift >= 0; shift -= 4)
+        result += digits[hash >> shift & 0xf];
+    return result;
+}
+
+std::string earlyCancellationKey(std::string_view jobId, std::string_view callerKey)
+{
+    return recordKey(earlyCancellationPrefix, jobId) + "/" + std::string(callerKey);
+}
+
+std::array<std::string, 3> jobRecordKeys(std::string_view jobId)
+{
+    return {recordKey(acceptancePrefix, jobId), recordKey(cancellationPrefix, jobId),
+            recordKey(progressPrefix, jobId)};
+}
+
 std::optional<ParsedKey> parseKey(std::string_view key)
 {
     if (key == candidateKey)
-        return ParsedKey{RecordKind::Candidate, "", ""};
+        return ParsedKey{RecordKind::Candidate, "", "", ""};
     if (key == leaderKey)
-        return ParsedKey{RecordKind::Leader, "", ""};
+        return ParsedKey{RecordKind::Leader, "", "", ""};
     if (key == runTimesKey)
-        return ParsedKey{RecordKind::RunTimes, "", ""};
+        return ParsedKey{RecordKind::RunTimes, "", "", ""};
     const std::string_view prefix = key.substr(0, 2);
     const std::string name(key.substr(prefix.size()));
     if (prefix == acceptancePrefix)
-        return ParsedKey{RecordKind::Acceptance, name, ""};
+        return ParsedKey{RecordKind::Acceptance, name, "", ""};
     if (prefix == progressPrefix)
-        return ParsedKey{RecordKind::Progress, name, ""};
+        return ParsedKey{RecordKind::Progress, name, "", ""};
     if (prefix == cancellationPrefix)
-        return ParsedKey{RecordKind::Cancellation, name, ""};
+        return ParsedKey{RecordKind::Cancellation, name, "", ""};
     if (prefix == workerEndPrefix)
-        return ParsedKey{RecordKind::WorkerEnd, "", name};
+        return ParsedKey{RecordKind::WorkerEnd, "", "", name};
+    const std::size_t slash = name.find('/');
+    if (prefix == earlyCancellationPrefix && slash != std::string::npos)
+        return ParsedKey{RecordKind::EarlyCancellation, name.substr(0, slash),
+                         name.substr(slash + 1), ""};
     return std::nullopt;
 }
 
@@ -568,6 +622,11 @@
     return decode<JobProgress>(value, reason, readProgress);
 }
 
+std::optional<Caller> decodeCaller(std::string_view value, Reason &reason)
+{
+    return decode<Caller>(value, reason, readCaller);
+}
+
 std::optional<Leader> decodeLeader(std::string_view value, Reason &reason)
 {
     return decode<Leader>(value, reason, readLeader);
@@ -625,11 +684,13 @@
                         {"lastReport", worker.lastReport},
                         {"runs", runs}};
     }
-    return jsonText(Json{{"epoch", scheduler.epoch},
-                         {"leader", scheduler.table.leader},
-                         {"jobs", jobs},
-                         {"workers", workers}},
-                    1);
+    return jsonText(
+        Json{{"epoch", scheduler.epoch},
+             {"earlyCancellations", scheduler.table.earlyCancellations.countByOrganisation},
+             {"leader", scheduler.table.leader},
+             {"jobs", jobs},
+             {"workers", workers}},
+        1);
 }
 
 } // namespace flamingo::scheduler
--- a/flamingo/scheduler/records.h
+++ b/flamingo/scheduler/records.h
@@ -7,18 +7,29 @@
 // A job has up to three keys, because different entries (see job_log.h) write its acceptance (any
 // entry), its progress (the leader) and its cancellation (any entry) at any time, and none may
 // overwrite the record of another. A repeated acceptance or cancellation replaces a record with the
-// same content. The end of a worker is written by its agent while no leader confirms it, and
+// same content.
+//
+// A caller may cancel a job of which it does not know whether it is stored. If no acceptance is
+// stored when the cancellation is, one may still follow: of an append that an entry has given up,
+// or by an entry that was paused. An early cancellation cancels the job of that caller whenever its
+// acceptance is stored, before or after it. Its key contains the caller, so that the cancellations
+// of different organisations do not replace each other.
+//
+// The end of a worker is written by its agent while no leader confirms it, and
 // deleted by a leader that has requeued the worker's tasks. All records are in one partition, so
 // that a single fence and a single order apply to them.
 
 #include "flamingo/scheduler/job.h"
 
+#include <array>
+
 namespace flamingo::scheduler {
 
 enum class RecordKind : std::uint8_t {
     Acceptance,
     Progress,
     Cancellation,
+    EarlyCancellation,
     WorkerEnd,
     Candidate,
     Leader,
@@ -46,6 +57,7 @@
 Record acceptanceRecord(const Job &job);
 Record progressRecord(std::string_view jobId, const JobProgress &progress);
 Record cancellationRecord(std::string_view jobId);
+Record earlyCancellationRecord(std::string_view jobId, const Caller &caller);
 // States that the incarnation of a worker has ended, with all its runs. See workerKey().
 Record workerEndRecord(std::string_view workerKey);
 Record leaderRecord(const Leader &leader);
@@ -59,18 +71,28 @@
 struct ParsedKey
 {
     RecordKind kind = RecordKind::Acceptance;
-    std::string jobId; // of Acceptance, Progress and Cancellation
+    std::string jobId; // of Acceptance, Progress, Cancellation and EarlyCancellation
+    std::string callerKey; // of EarlyCancellation; see callerKey()
     std::string workerKey; // of WorkerEnd
 };
 
 // Key of the record of learned run times, see run_times.h.
 extern const std::string_view runTimesKey;
 
+// Keys of all records of a job but early cancellations.
+std::array<std::string, 3> jobRecordKeys(std::string_view jobId);
+
+// Identifies a caller's organisation and queue in the key of an early cancellation. Callers of an
+// open queue have the same one, whatever their organisation.
+std::string callerKey(const Caller &caller);
+std::string earlyCancellationKey(std::string_view jobId, std::string_view callerKey);
+
 // Returns nullopt for a key of unknown kind.
 std::optional<ParsedKey> parseKey(std::string_view key);
 // The decode functions return nullopt, with the cause in `reason`, for a value that is not valid.
 std::optional<Job> decodeJob(std::string_view value, Reason &reason);
 std::optional<JobProgress> decodeProgress(std::string_view value, Reason &reason);
+std::optional<Caller> decodeCaller(std::string_view value, Reason &reason);
 std::optional<Leader> decodeLeader(std::string_view value, Reason &reason);
 
 } // namespace flamingo::scheduler
--- a/flamingo/scheduler/scheduler.cc
+++ b/flamingo/scheduler/scheduler.cc
@@ -17,6 +17,8 @@
 // one. 15,000 workers that are each replaced several times under one leader stay below this number.
 constexpr std::uint64_t tokensPerEpoch = 1 << 18;
 
+constexpr TimeMs earlyCancellationsCheckMs = 1000;
+
 void logDecision(Scheduler &scheduler, std::string text)
 {
     scheduler.decisions.push_back(std::move(text));
@@ -482,6 +484,8 @@
     if (value.empty()) {
         if (parsed->kind == RecordKind::Acceptance)
             table.jobs.erase(parsed->jobId);
+        if (parsed->kind == RecordKind::EarlyCancellation)
+            removeEarlyCancellation(table.earlyCancellations, {parsed->jobId, parsed->callerKey});
         if (parsed->kind == RecordKind::WorkerEnd)
             table.endedWorkers.erase(parsed->workerKey);
         return true;
@@ -494,6 +498,16 @@
         table.jobs[parsed->jobId].cancelled = true;
         return true;
     }
+    if (parsed->kind == RecordKind::EarlyCancellation) {
+        const auto caller = decodeCaller(value, reason);
+        if (!caller)
+            return false;
+        addEarlyCancellation(table.earlyCancellations, {parsed->jobId, parsed->callerKey}, *caller);
+        const auto found = table.jobs.find(parsed->jobId);
+        if (found != table.jobs.end() && found->second.job && isJobOf(*found->second.job, *caller))
+            found->second.cancelled = true;
+        return true;
+    }
     if (parsed->kind == RecordKind::Acceptance) {
         auto job = decodeJob(value, reason);
         if (!job)
@@ -506,6 +520,7 @@
         if (row.job)
             return true; // a repeated acceptance
         row.job = std::move(*job);
+        row.cancelled = row.cancelled || isCancelledEarly(table.earlyCancellations, *row.job);
         row.progress.tasks.resize(taskCount(*row.job));
         return true;
     }
@@ -855,6 +870,40 @@
     return result;
 }
 
+namespace {
+
+// Removes the early cancellations that have expired and returns the records that delete them. One
+// that concerns a job is kept until the job's end is stored.
+std::vector<Record> takeExpiredEarlyCancellations(Scheduler &scheduler, TimeMs now)
+{
+    std::vector<Record> records;
+    JobTable &table = scheduler.table;
+    if (now - scheduler.earlyCancellationsCheckedAt < earlyCancellationsCheckMs)
+        return records;
+    scheduler.earlyCancellationsCheckedAt = now;
+    std::vector<EarlyCancellations::Key> expired;
+    for (auto &[key, cancellation] : table.earlyCancellations.entries) {
+        if (cancellation.seenAt == 0)
+            cancellation.seenAt = now;
+        if (now - cancellation.seenAt <= scheduler.options.retainMs)
+            continue;
+        const auto found = table.jobs.find(key.first);
+        if (found != table.jobs.end() && found->second.job
+            && found->second.storedOutcome == Outcome::Open)
+            continue;
+        if (expired.size() == scheduler.options.maxEarlyCancellationsPerFlush)
+            break;
+        expired.push_back(key);
+    }
+    for (const auto &key : expired) {
+        records.push_back({earlyCancellationKey(key.first, key.second), ""});
+        removeEarlyCancellation(table.earlyCancellations, key);
+    }
+    return records;
+}
+
+} // namespace
+
 std::vector<Record> takeRecords(Scheduler &scheduler, TimeMs now)
 {
     std::vector<Record> records;
@@ -865,17 +914,21 @@
             records.push_back(progressRecord(id, row.progress));
             continue;
         }
+        // The append of a cancellation may be carried out after the job has expired.
+        const bool onlyCancelled = !row.job && row.cancelled && row.progress.tasks.empty();
+        if (onlyCancelled && row.endedAt == 0)
+            row.endedAt = now;
         const bool ended = row.job && row.progress.outcome != Outcome::Open;
-        if (ended && now - row.endedAt > scheduler.options.retainMs)
+        if ((ended || onlyCancelled) && now - row.endedAt > scheduler.options.retainMs)
             expired.push_back(id);
     }
     for (const std::string &id : expired) {
-        const Record dropped[] = {acceptanceRecord(*scheduler.table.jobs[id].job),
-                                  cancellationRecord(id), progressRecord(id, {})};
-        for (const Record &record : dropped)
-            records.push_back({record.key, ""});
+        for (const std::string &key : jobRecordKeys(id))
+            records.push_back({key, ""});
         scheduler.table.jobs.erase(id);
     }
+    for (Record &record : takeExpiredEarlyCancellations(scheduler, now))
+        records.push_back(std::move(record));
     auto &endedWorkers = scheduler.table.endedWorkers;
     for (auto item = endedWorkers.begin(); item != endedWorkers.end();) {
         if (item->second.released)
--- a/flamingo/scheduler/scheduler.h
+++ b/flamingo/scheduler/scheduler.h
@@ -27,6 +27,7 @@
 // No function does I/O or reads a clock: the time is an argument, and effects are returned or
 // stored in the structures passed in.
 
+#include "flamingo/scheduler/early_cancellations.h"
 #include "flamingo/scheduler/evacuation.h"
 #include "flamingo/scheduler/host_messages.h"
 #include "flamingo/scheduler/host_speed.h"
@@ -107,6 +108,7 @@
 struct JobTable
 {
     std::map<std::string, JobRow> jobs;
+    EarlyCancellations earlyCancellations;
     std::map<std::string, EndedWorker> endedWorkers; // by worker key; see workerEndRecord()
     Leader leader; // the leader record with the highest epoch that was read
     Leader candidate; // the candidate record with the highest epoch that was read
@@ -140,7 +142,9 @@
     TimeMs reportTimeoutMs = 2500; // a host without reports for this long gets no new work
     // A leader that has not reached the store for this long stops extending leases.
     TimeMs maxStoreUnreachableMs = 2500;
-    TimeMs retainMs = 300000; // ended jobs are kept this long
+    TimeMs retainMs = 300000; // ended jobs and early cancellations are kept this long
+    std::size_t maxEarlyCancellations = 4000; // of one organisation
+    std::size_t maxEarlyCancellationsPerFlush = 500; // that one flush deletes
     // Before a task is placed again whose run was dropped, or a long-running one that has ended.
     TimeMs failureBackoffMs = 200;
     // After a failed run, a worker is the last choice for this long, and is not used for the failed
@@ -255,6 +259,7 @@
     std::uint64_t issuedTokens = 0; // number of fencing tokens issued in this epoch
     // Starts withdrawn in this epoch because of evacuations, by data centre.
     std::map<std::string, std::size_t> withdrawnStarts;
+    TimeMs earlyCancellationsCheckedAt = 0; // when expired ones were last looked for
     std::uint64_t flush = 1; // number of the flush that will store changes made now
     std::uint64_t storedFlush = 0; // all flushes up to this number are stored
     UnconfirmedLog unconfirmed;
--- a/tests/fake_job_log.h
+++ b/tests/fake_job_log.h
@@ -38,6 +38,7 @@
     bool rejectsCalls = false; // calls fail after delayMs, without an effect
     bool dropsAnswers = false; // appends are executed, but their answers are lost
     bool dropsAppends = false; // appends are lost; reads work
+    TimeMs lateAppendMs = 0; // appends are not answered, and executed after this time; 0: off
     bool waitsInFull = false; // a read that has to wait is answered only when its wait ends
     TimeMs delayMs = 2; // until a call is answered
     TimeMs timeoutMs = 300; // until an unanswered call fails
@@ -172,6 +173,14 @@
             this->loop.after(this->timeoutMs, [done = std::move(done)] { done({}); });
             return;
         }
+        if (this->lateAppendMs > 0 && std::is_same_v<Result, scheduler::AppendResult>) {
+            this->loop.after(this->lateAppendMs, [fill] {
+                Result ignored;
+                fill(ignored);
+            });
+            this->loop.after(this->timeoutMs, [done = std::move(done)] { done({}); });
+            return;
+        }
         if ((this->dropsAnswers || this->dropsAppends)
             && std::is_same_v<Result, scheduler::AppendResult>) {
             this->loop.after(this->delayMs, [fill, appendLost = this->dropsAppends] {
--- a/tests/platform_test.cc
+++ b/tests/platform_test.cc
@@ -257,6 +257,24 @@
     LONGS_EQUAL(410, fixture.call("127.0.0.2", "DELETE", "/q/" + id).status);
 }
 
+TEST(Platform, cancelledIdIsRefusedWithAnErrorAtEveryEntry)
+{
+    Fixture fixture;
+    fixture.addEntry("e1", "127.0.0.2");
+    fixture.addEntry("e2", "127.0.0.3");
+    CHECK(fixture.waitForLeader());
+    const std::string id = "00000000000000cc";
+    LONGS_EQUAL(410, fixture.call("127.0.0.2", "DELETE", "/q/" + id).status);
+    LONGS_EQUAL(410, fixture.call("127.0.0.3", "DELETE", "/q/" + id).status);
+    fixture.runFor(200);
+    for (const char *entry : {"127.0.0.2", "127.0.0.3"}) {
+        const HttpResult result = fixture.call(entry, "POST", "/q/" + id, job("1"));
+        LONGS_EQUAL(410, result.status);
+        STRCMP_CONTAINS("was cancelled", result.body.c_str());
+        LONGS_EQUAL(410, fixture.call(entry, "GET", "/q/" + id).status);
+    }
+}
+
 // While the store is unavailable, a submission cannot be stored, and the entry must not report an
 // unknown job as missing: another entry may have stored it. Both answers are 503.
 TEST(Platform, storeOutageIsReportedToCallers)
--- a/tests/scheduler_fuzz_test.cc
+++ b/tests/scheduler_fuzz_test.cc
@@ -145,6 +145,21 @@
     return faults;
 }
 
+// Callers hand in and cancel jobs at entries that pause, and appends are carried out seconds after
+// the entry has given them up. Most callers without an answer cancel the job. Other faults are
+// rare.
+SimulationFaults failingRequests()
+{
+    SimulationFaults faults = promptCancellations();
+    faults.requestsMayFail = true;
+    faults.entryPausesPerSecond = 0.05;
+    faults.lateAppend = 0.15;
+    faults.cancelledUnanswered = 0.7;
+    faults.cancelledJob = 0.3;
+    faults.longestEstimateMs = 5000;
+    return faults;
+}
+
 // Sends the starts that are still open under any token, as if the present leader had ordered them.
 void keepStartsOfFormerOrders(HostAgent &agent, TimeMs /*now*/)
 {
@@ -293,6 +308,18 @@
 
 // Guards against last attempts on workers that fail all they start: without quarantine, more jobs
 // fail that could have been done.
+// Guards against runs of a job whose cancellation was acknowledged before the append of its
+// acceptance, which its entry had given up or which a paused entry sent late, was carried out.
+TEST(SchedulerFuzz, cancellationsBesideLateAppendsAndPausedEntries)
+{
+    std::size_t acceptedTooLate = 0;
+    STRCMP_EQUAL("",
+                 runSeeds(failingRequests(), numberOr("FLAMINGO_FUZZ_RUNS", shortRuns), nullptr,
+                          nullptr, &acceptedTooLate)
+                     .c_str());
+    CHECK(acceptedTooLate > 0);
+}
+
 TEST(SchedulerFuzz, quarantineKeepsLastAttemptsFromBadWorkers)
 {
     SimulationFaults faults = failingJobsAndWorkers();
--- a/tests/scheduler_simulation.h
+++ b/tests/scheduler_simulation.h
@@ -13,8 +13,8 @@
 //
 // An oracle checks the workers' runs against the rules, without using the scheduler's state. Of the
 // runs of a cancelled job it checks that
-//   * none starts later than `cancelBoundMs` after the cancellation, unless the order was a late
-//   one,
+//   * none starts later than `cancelBoundMs` after the cancellation was acknowledged, unless the
+//   order was a late one,
 //     or the agent, its connection or the log had a fault in the last `contactMs`. Changes of the
 //     leader and faults of the worker are no excuse;
 //   * they end: none is in progress after a stretch of `cancelBoundMs` and the time of a stop in
@@ -83,6 +83,13 @@
     // Of an entry: it cannot read the requests for evacuation for some seconds, and reads the log.
     double requestOutagesPerSecond = 0;
     double evacuationsPerSecond = 0; // of a data centre; one at a time is taken back after seconds
+    // Callers hand in and cancel jobs at entries, of which the following may go wrong.
+    bool requestsMayFail = false;
+    double entryPausesPerSecond = 0; // an entry does nothing for seconds; its requests wait for it
+    // Of an append of an acceptance or a cancellation: the entry gives it up without an answer, and
+    // it is carried out seconds later.
+    double lateAppend = 0;
+    double cancelledUnanswered = 0.5; // of a submission without an answer; others are sent again
 };
 
 // What the runs of a job do by themselves, on a sound worker.
@@ -143,6 +150,11 @@
         return this->startCount;
     }
     std::size_t completed() const;
+    // Number of acceptances that were stored after the cancellation of their job was acknowledged.
+    std::size_t acceptancesAfterCancellation() const
+    {
+        return this->acceptedTooLate;
+    }
     std::size_t refusedStops() const
     {
         return this->refusedStopCount;
@@ -201,6 +213,14 @@
     void step();
     void injectFaults();
     void submitJobs();
+    void sendSubmission(const scheduler::Job &job, int attempt);
+    void handleSubmission(std::size_t index, const scheduler::Job &job);
+    void sendCancellation(const std::string &jobId);
+    void handleCancellation(std::size_t index, const std::string &jobId, TimeMs arrivedAt);
+    void appendForCaller(std::size_t index, const scheduler::Record &record,
+                         const std::function<void()> &answer);
+    bool canServe(const Entry &entry) const;
+    bool isUnstored(const std::string &jobId) const;
     void followLog(Entry &entry);
     void stepDownIfReplaced(Entry &entry);
     void takeOver(Entry &entry);
@@ -272,6 +292,9 @@
     TimeMs lastLeaderChangeAt = 0;
     std::map<std::string, scheduler::Job> jobs;
     std::map<std::string, TimeMs> cancelledAt;
+    std::set<std::string> answeredJobs; // the caller has an answer to its submission
+    std::set<std::string> storedJobs; // an acceptance is in the log; with `requestsMayFail` only
+    std::size_t acceptedTooLate = 0; // acceptances stored after an acknowledged cancellation
     std::map<std::string, TimeMs> evacuatedAt; // when its request was stored, by data centre
     TimeMs lastEvacuationEndAt = 0;
     // When the end of a worker was stored or confirmed to its agent, by worker key.
--- a/tests/soak/plan.cc
+++ b/tests/soak/plan.cc
@@ -24,6 +24,7 @@
 // These make sequences of their own of the seed.
 constexpr std::uint64_t busySeed = 0x9e3779b97f4a7c15;
 constexpr std::uint64_t evacuationSeed = 0xd1b54a32d192ed03;
+constexpr std::uint64_t unansweredSeed = 0x8cb92ba72f3d8dd7;
 
 int pick(Random &random, int low, int high)
 {
@@ -106,6 +107,29 @@
          FaultKind::Evacuate, dataCentreOf(pick(random, 0, dataCentreCount - 1))});
 }
 
+// The jobs have two steps, so that one that runs in spite of its cancellation starts tasks for
+// long.
+void addUnansweredJobs(Plan &plan, const PlanOptions &options, TimeMs begin, TimeMs end,
+                       Random &random)
+{
+    const int entry = pick(random, 0, options.entries - 1);
+    const TimeMs duration = std::min<TimeMs>(pick(random, 3000, 5000), end - begin);
+    const TimeMs at = begin + pick(random, 0, static_cast<int>(end - begin - duration));
+    const auto kind = pick(random, 0, 1) == 0 ? FaultKind::StoreCut : FaultKind::Pause;
+    plan.faults.push_back({at, duration, kind, absl::StrCat("e", entry)});
+    for (TimeMs time = at; time < at + duration; time += pick(random, 50, 400)) {
+        Submission job;
+        job.at = time;
+        job.id = absl::StrFormat("%016x", random());
+        job.organisation = pick(random, 1, organisationCount - 1);
+        job.priority = pick(random, 0, 1);
+        job.steps = {{1, 1, 5000, false, false}, {2, 1, 5000, false, true}};
+        job.entry = entry;
+        job.cancelUnanswered = true;
+        plan.submissions.push_back(job);
+    }
+}
+
 Submission ordinaryJob(const PlanOptions &options, Random &random)
 {
     Submission job;
@@ -162,12 +186,14 @@
     Random busyRandom(options.seed ^ busySeed);
     Plan busy; // added last, so that it changes no other number
     Random evacuationRandom(options.seed ^ evacuationSeed);
+    Random unansweredRandom(options.seed ^ unansweredSeed);
     for (TimeMs begin = firstFaultMs; begin + options.calmMs < options.durationMs;
          begin += options.faultMs + options.calmMs) {
         const TimeMs end = std::min(begin + options.faultMs, options.durationMs - options.calmMs);
         addFaultPhase(plan, options, begin, end, random);
         addBusyWorkers(busy, options, begin, end, busyRandom);
         addEvacuation(busy, begin, end, evacuationRandom);
+        addUnansweredJobs(busy, options, begin, end, unansweredRandom);
     }
     plan.faults.insert(plan.faults.end(), busy.faults.begin(), busy.faults.end());
     std::stable_sort(plan.faults.begin(), plan.faults.end(),
--- a/tests/soak/plan.h
+++ b/tests/soak/plan.h
@@ -5,7 +5,9 @@
 // It follows from the options alone. All times are milliseconds since the start of the load.
 //
 // In each phase some hosts have busy workers at the same time, and jobs with long runs are
-// cancelled soon. Both are drawn from a random sequence of their own.
+// cancelled soon; and an entry is paused or does not reach the store while callers hand in jobs
+// there, which they cancel elsewhere if they get no answer. Each of these has a random sequence of
+// its own.
 //
 // Phases alternate: faults for faultMs, in series and overlapping, then calmMs without new faults,
 // in which guaranteed jobs are due in time. Half of the regions' entries are in each region.
@@ -80,6 +82,8 @@
     TimeMs cancelAfterMs = 0; // after it was accepted; 0: never
     int entry = 0; // the first attempt goes there
     bool repeat = true; // whether the caller sends a refused job again
+    // Whether the caller cancels the job, instead of sending it again, if it gets no answer or 504.
+    bool cancelUnanswered = false;
 };
 
 struct KeyChange
--- a/tests/soak_checks_test.cc
+++ b/tests/soak_checks_test.cc
@@ -105,6 +105,20 @@
     Fixture fixture;
 };
 
+// Guards against a check that does not find a job whose late acceptance follows its cancellation,
+// because of a fault between the two.
+TEST(SoakChecks, startAfterACancellationWithAFaultInBetween)
+{
+    fixture.submit();
+    fixture.answer(100, "DELETE", 410);
+    fixture.add(200, Seen::FaultBegan, "e1", "pause");
+    fixture.add(2000, Seen::FaultEnded, "e1", "pause");
+    fixture.run(4900, Seen::Started, "w0.1", 0, 1);
+    CHECK(!fixture.finds("start after a cancellation")); // e1 is not in touch again
+    fixture.run(5100, Seen::Started, "w0.1", 1, 1);
+    CHECK(fixture.finds("start after a cancellation"));
+}
+
 TEST(SoakChecks, goodHistoryPasses)
 {
     fixture.goodHistory();
