Bound the checkpoints in a report of a host agent

Cause: a report contains the checkpoints of all runs and ends. The entries reject a body of more than 1,048,576 bytes with 413, and the agent sent the same report again, so it received neither a grant nor an acknowledgement of ends.

Change: a report has at most 512 KiB of checkpoints, in JSON. Ends come first; the runs are taken in turn, so that each is reported after a few reports. The leader keeps the last checkpoint that it has received, so leaving one out only makes it older.

--- a/flamingo/scheduler/host_agent.cc
+++ b/flamingo/scheduler/host_agent.cc
@@ -794,6 +794,53 @@
     agent.workerEndStored = agent.workerEndStored || (stored && agent.workerGone);
 }
 
+namespace {
+
+// Upper bound of the size of a text in JSON.
+std::size_t maxEncodedBytes(std::string_view text)
+{
+    constexpr std::size_t longestEscape = 6;
+    std::size_t bytes = 0;
+    for (const char character : text) {
+        const bool plain =
+            character >= ' ' && character <= '~' && character != '"' && character != '\\';
+        bytes += plain ? 1 : longestEscape;
+    }
+    return bytes;
+}
+
+// Removes checkpoints from the report. The runs that keep theirs are taken in turn, so that each
+// is reported in time.
+void limitCheckpoints(HostAgent &agent, HostReport &report)
+{
+    std::size_t bytes = 0;
+    const auto isLeftOut = [&](std::string &checkpoint) {
+        const std::size_t added = maxEncodedBytes(checkpoint);
+        const bool leftOut = bytes + added > agent.options.maxReportedCheckpointBytes;
+        if (leftOut)
+            checkpoint.clear();
+        else
+            bytes += added;
+        return leftOut;
+    };
+    for (ReportedEnd &end : report.ends)
+        isLeftOut(end.checkpoint);
+    const auto isBefore = [&agent](const ReportedRun &run) {
+        return std::make_pair(run.task, run.run) < agent.nextReportedCheckpoint;
+    };
+    // The runs are in the order of their keys.
+    const auto first = std::find_if_not(report.runs.begin(), report.runs.end(), isBefore);
+    const auto firstIndex = static_cast<std::size_t>(first - report.runs.begin());
+    agent.nextReportedCheckpoint = {};
+    for (std::size_t i = 0; i < report.runs.size(); ++i) {
+        ReportedRun &run = report.runs[(firstIndex + i) % report.runs.size()];
+        if (isLeftOut(run.checkpoint) && agent.nextReportedCheckpoint.first.empty())
+            agent.nextReportedCheckpoint = {run.task, run.run};
+    }
+}
+
+} // namespace
+
 HostReport makeReport(HostAgent &agent)
 {
     HostReport report;
@@ -820,6 +867,7 @@
                                listed ? run.percent : unknownPercent, run.checkpoint, run.reason});
     }
     report.ends = agent.ends;
+    limitCheckpoints(agent, report);
     agent.reportNeeded = false;
     return report;
 }
--- a/flamingo/scheduler/host_agent.h
+++ b/flamingo/scheduler/host_agent.h
@@ -135,6 +135,9 @@
     // no limit.
     TimeMs evacuationValidMs = 0;
     std::string dataCentre; // of the host
+    // Checkpoints in one report, in bytes of their JSON. With the rest of the report they must stay
+    // below the size of a body that entries accept.
+    std::size_t maxReportedCheckpointBytes = 524288;
 };
 
 // The agent's state of one run of a task.
@@ -214,6 +217,8 @@
     TimeMs nextPollAt = 0; // earliest time of the next poll
     std::map<std::pair<std::string, std::uint32_t>, AgentRun> runs;
     std::vector<ReportedEnd> ends; // not yet acknowledged by the leader
+    // The first run of which the last report left the checkpoint out; none if it had all.
+    std::pair<std::string, std::uint32_t> nextReportedCheckpoint;
     bool reportNeeded = false; // the state changed: report to the leader without delay
     std::vector<std::string> decisions; // lines for the decision log; the caller removes them
 };
@@ -250,7 +255,9 @@
 void applyWorkerEndResult(HostAgent &agent, std::string_view workerKey, const AppendResult &result,
                           TimeMs now);
 
-// Builds the next report to the leader: advances the sequence and clears `reportNeeded`.
+// Builds the next report to the leader: advances the sequence and clears `reportNeeded`. Leaves out
+// checkpoints that exceed AgentOptions::maxReportedCheckpointBytes: those of runs follow in later
+// reports, and for those of ends the leader keeps the last one that was reported.
 HostReport makeReport(HostAgent &agent);
 
 } // namespace flamingo::scheduler
--- a/tests/host_agent_test.cc
+++ b/tests/host_agent_test.cc
@@ -7,6 +7,8 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <set>
+
 using namespace flamingo;
 using namespace flamingo::scheduler;
 
@@ -911,3 +913,34 @@
     CHECK(start.has_value());
     CHECK_EQUAL(2, start->order.run);
 }
+
+// Guards against a worker that loses its lease for ever: the entries reject a report with long
+// checkpoints, and the agent sends it again.
+TEST(HostAgent, reportLeavesOutCheckpointsThatMakeItTooLarge)
+{
+    fixture.agent.options.maxReportedCheckpointBytes = 1000;
+    constexpr int runCount = 10;
+    for (int i = 0; i < runCount; ++i) {
+        AgentRun run;
+        run.checkpoint = std::string(300, 'c');
+        fixture.agent.runs[{"t" + std::to_string(i), 1}] = run;
+    }
+    fixture.agent.ends.push_back({1, "e", 1, EndKind::Done, std::string(300, 'c')});
+    fixture.agent.ends.push_back({2, "e", 2, EndKind::Done, std::string(300, '"')});
+    std::set<std::string> reported;
+    for (int i = 0; i < runCount; ++i) {
+        const HostReport report = makeReport(fixture.agent);
+        CHECK_EQUAL(std::size_t(runCount), report.runs.size());
+        CHECK_EQUAL(2, report.ends.size());
+        CHECK_EQUAL(300, report.ends[0].checkpoint.size());
+        CHECK(report.ends[1].checkpoint.empty()); // its JSON is six times as long
+        int checkpoints = 0;
+        for (const ReportedRun &run : report.runs) {
+            checkpoints += run.checkpoint.empty() ? 0 : 1;
+            if (!run.checkpoint.empty())
+                reported.insert(run.task);
+        }
+        CHECK_EQUAL(2, checkpoints);
+    }
+    CHECK_EQUAL(std::size_t(runCount), reported.size());
+}
