Bound the size of records and appends to the job log

Cause: the progress record of a job contains the checkpoints of all its tasks. The store refuses a record of more than RecordBytes for good; the leader took that for a lost answer and sent the same append, with the changes of all jobs, again and again. The same would follow from appends of more than CallBytes, of a leader or of callers, and from an acceptance larger than a record.

Change: progressRecord() leaves out checkpoints that do not fit; the leader keeps them, so they are lost only with it, and the task then begins anew. A flush that is larger than one append is stored in several, in order, and counts as stored after the last one. Appends of callers' records are limited by their size too.

--- a/flamingo/adapters/scheduler_service.cc
+++ b/flamingo/adapters/scheduler_service.cc
@@ -2,7 +2,8 @@
 // record from the end offset that the first page stated. A leader reads too; its own progress
 // records then only update the state that callers are shown.
 //
-// A flush is a fenced append with the changes that a leader has made. One is outstanding at a time;
+// A flush is a fenced append with the changes that a leader has made, or several in turn if they
+// are larger than one may be; it counts as stored after the last one. One is outstanding at a time;
 // changes made meanwhile are batched into the next one, so the number of appends adapts to the
 // log's speed.
 //
@@ -529,6 +530,7 @@
                           + " cause=\"" + std::string(cause) + "\"");
     this->role = Role::Following;
     this->flushing = false;
+    this->flushRest.clear();
     endLeading(this->scheduling);
     recordLeaderContact(this->leadership, this->scheduling.table.leader.epoch, false, Loop::now());
     this->answerReadyReports();
@@ -581,11 +583,29 @@
         markFlushStored(this->scheduling, number);
         return;
     }
-    this->flushRecords = std::move(records);
+    this->flushRest = std::move(records);
     this->flushNumber = number;
+    this->takeNextAppend();
     this->sendFlush();
 }
 
+// Moves as many records as fit into one append from `flushRest` to `flushRecords`, in their order:
+// the deletion of a worker's end follows the progress of the tasks that were requeued for it.
+void SchedulerService::takeNextAppend()
+{
+    std::size_t bytes = 0;
+    auto end = this->flushRest.begin();
+    while (end != this->flushRest.end()) {
+        bytes += appendedBytes(*end);
+        if (bytes > this->options.maxAppendBytes && end != this->flushRest.begin())
+            break;
+        ++end;
+    }
+    this->flushRecords.assign(std::make_move_iterator(this->flushRest.begin()),
+                              std::make_move_iterator(end));
+    this->flushRest.erase(this->flushRest.begin(), end);
+}
+
 // Appends `flushRecords`. If there are none, appends a leader record, as a keep-alive or as the
 // resignation.
 void SchedulerService::sendFlush()
@@ -639,9 +659,14 @@
     // Without the offset no later flush is completed by reading it back, because an earlier append
     // may contain an equal record.
     this->ownAppendsEnd = end == 0 ? std::numeric_limits<std::uint64_t>::max() : end;
+    this->logConfirmedAt = std::max(this->logConfirmedAt, this->lastFlushAt);
+    if (!this->flushRest.empty()) {
+        this->takeNextAppend();
+        this->sendFlush();
+        return;
+    }
     if (this->flushNumber > 0)
         markFlushStored(this->scheduling, this->flushNumber);
-    this->logConfirmedAt = std::max(this->logConfirmedAt, this->lastFlushAt);
     if (this->resigning) {
         this->finishResigning();
         return;
@@ -867,7 +892,15 @@
         this->queuedAttempts.end());
     if (this->appendOutstanding || this->queuedAttempts.empty())
         return;
-    const std::size_t count = std::min(this->queuedAttempts.size(), this->options.maxGroupCommit);
+    std::size_t count = 0;
+    std::size_t bytes = 0;
+    for (const auto &attempt : this->queuedAttempts) {
+        bytes += appendedBytes(attempt->record);
+        if (count == this->options.maxGroupCommit
+            || (count > 0 && bytes > this->options.maxAppendBytes))
+            break;
+        ++count;
+    }
     std::vector<std::shared_ptr<Attempt>> sent(
         this->queuedAttempts.begin(), this->queuedAttempts.begin() + static_cast<long>(count));
     this->queuedAttempts.erase(this->queuedAttempts.begin(),
--- a/flamingo/adapters/scheduler_service.h
+++ b/flamingo/adapters/scheduler_service.h
@@ -45,7 +45,8 @@
     // recently.
     TimeMs timeoutGraceMs = 900;
     TimeMs retryMs = 100; // delay before a failed read or fenced append is retried
-    std::size_t maxGroupCommit = 100; // records in one append; the log accepts 2 MB a call
+    std::size_t maxGroupCommit = 100; // records of callers in one append
+    std::size_t maxAppendBytes = 2096128; // the log refuses larger appends
     // The log may still store an unanswered append up to this long after the verdict MayHaveRun.
     TimeMs unresolvedAppendMs = 30000;
     // Minimum delay before an unanswered append is also relayed to another entry. The delay grows
@@ -234,6 +235,7 @@
     void schedulePlan();
     void runPlan();
     void flush();
+    void takeNextAppend();
     void sendFlush();
     void handleFlushResult(const scheduler::AppendResult &result);
     void completeFlush(std::uint64_t end);
@@ -298,6 +300,7 @@
     // All earlier appends of this leader lie before this offset; the maximum if it is not known.
     std::uint64_t ownAppendsEnd = 0;
     std::vector<scheduler::Record> flushRecords; // of the outstanding or last fenced append
+    std::vector<scheduler::Record> flushRest; // of the same flush, for the appends after it
     TimeMs lastFlushAt = 0; // when the last fenced append was sent
     bool planPending = false; // a timer for the next plan is running
     scheduler::PlanPace planPace;
--- a/flamingo/scheduler/records.cc
+++ b/flamingo/scheduler/records.cc
@@ -516,6 +516,40 @@
     return {recordKey(acceptancePrefix, job.id), jsonText(Json(job))};
 }
 
+std::size_t appendedBytes(const Record &record)
+{
+    constexpr std::size_t lengthBytes = 5;
+    return lengthBytes + record.key.size() + record.value.size();
+}
+
+Record progressRecord(std::string_view jobId, const JobProgress &progress, std::size_t maxBytes,
+                      std::size_t &leftOut)
+{
+    leftOut = 0;
+    Record record = progressRecord(jobId, progress);
+    if (record.value.size() <= maxBytes)
+        return record;
+    // Fields before the checkpoint that are written only because of it, and its separators.
+    constexpr std::size_t fieldsBytes = 16;
+    JobProgress shortened = progress;
+    for (TaskProgress &task : shortened.tasks)
+        task.checkpoint.clear();
+    std::size_t bytes = jsonText(Json(shortened)).size();
+    for (std::size_t i = 0; i < progress.tasks.size(); ++i) {
+        const TaskProgress &task = progress.tasks[i];
+        if (task.phase == TaskPhase::Done || task.checkpoint.empty())
+            continue;
+        const std::size_t added = fieldsBytes + jsonText(Json(task.checkpoint)).size();
+        if (bytes + added > maxBytes) {
+            ++leftOut;
+            continue;
+        }
+        bytes += added;
+        shortened.tasks[i].checkpoint = task.checkpoint;
+    }
+    return progressRecord(jobId, shortened);
+}
+
 Record progressRecord(std::string_view jobId, const JobProgress &progress)
 {
     return {recordKey(progressPrefix, jobId), jsonText(Json(progress))};
--- a/flamingo/scheduler/records.h
+++ b/flamingo/scheduler/records.h
@@ -42,6 +42,9 @@
     std::string value; // empty: deletes the key
 };
 
+// What a record adds to the size of an append: key, value and their lengths.
+std::size_t appendedBytes(const Record &record);
+
 // The entry that leads and its epoch, which fences all earlier leaders.
 struct Leader
 {
@@ -55,6 +58,10 @@
 };
 
 Record acceptanceRecord(const Job &job);
+// If the value would exceed `maxBytes`, checkpoints are left out, and `leftOut` is their number; a
+// task of which the log has no checkpoint begins anew under the next leader.
+Record progressRecord(std::string_view jobId, const JobProgress &progress, std::size_t maxBytes,
+                      std::size_t &leftOut);
 Record progressRecord(std::string_view jobId, const JobProgress &progress);
 Record cancellationRecord(std::string_view jobId);
 Record earlyCancellationRecord(std::string_view jobId, const Caller &caller);
--- a/flamingo/scheduler/scheduler.cc
+++ b/flamingo/scheduler/scheduler.cc
@@ -911,15 +911,24 @@
     for (auto &[id, row] : scheduler.table.jobs) {
         if (row.dirty) {
             row.dirty = false;
-            records.push_back(progressRecord(id, row.progress));
+            std::size_t leftOut = 0;
+            records.push_back(
+                progressRecord(id, row.progress, scheduler.options.maxRecordBytes, leftOut));
+            if (leftOut > 0 && !std::exchange(row.leftOutLogged, true))
+                logDecision(scheduler,
+                            "event=checkpoints_not_stored job=" + id
+                                + " tasks=" + std::to_string(leftOut)
+                                + " reason=\"the job's progress exceeds the size of a record\"");
             continue;
         }
-        // The append of a cancellation may be carried out after the job has expired.
-        const bool onlyCancelled = !row.job && row.cancelled && row.progress.tasks.empty();
-        if (onlyCancelled && row.endedAt == 0)
+        // The append of a cancellation may be carried out after the job has expired, and of its
+        // deletion only a part may be stored.
+        const bool remains =
+            !row.job && (row.storedOutcome != Outcome::Open || row.progress.tasks.empty());
+        if (remains && row.endedAt == 0)
             row.endedAt = now;
         const bool ended = row.job && row.progress.outcome != Outcome::Open;
-        if ((ended || onlyCancelled) && now - row.endedAt > scheduler.options.retainMs)
+        if ((ended || remains) && now - row.endedAt > scheduler.options.retainMs)
             expired.push_back(id);
     }
     for (const std::string &id : expired) {
--- a/flamingo/scheduler/scheduler.h
+++ b/flamingo/scheduler/scheduler.h
@@ -88,6 +88,7 @@
     bool dirty = false; // `progress` differs from its stored record
     bool cancellationHandled = false; // the cancellation has been applied to `progress`
     bool acceptanceLogged = false; // this leader has logged event=job_known
+    bool leftOutLogged = false; // this leader has logged event=checkpoints_not_stored
     TimeMs endedAt = 0; // when this leader set the outcome, or took over after it was set
     // Earliest next placement, by task number; see SchedulerOptions::failureBackoffMs.
     std::map<std::size_t, TimeMs> notBefore;
@@ -143,6 +144,7 @@
     // A leader that has not reached the store for this long stops extending leases.
     TimeMs maxStoreUnreachableMs = 2500;
     TimeMs retainMs = 300000; // ended jobs and early cancellations are kept this long
+    std::size_t maxRecordBytes = 261120; // value of a record; the job log refuses larger ones
     std::size_t maxEarlyCancellations = 4000; // of one organisation
     std::size_t maxEarlyCancellationsPerFlush = 500; // that one flush deletes
     // Before a task is placed again whose run was dropped, or a long-running one that has ended.
--- a/tests/fake_job_log.h
+++ b/tests/fake_job_log.h
@@ -44,6 +44,7 @@
     TimeMs timeoutMs = 300; // until an unanswered call fails
     std::size_t maxRecordsPerRead = std::numeric_limits<std::size_t>::max();
     int appends = 0; // number of append calls
+    std::size_t largestAppendBytes = 0;
     int outstandingReads = 0;
     int maxOutstandingReads = 0;
 
@@ -122,8 +123,12 @@
         });
     }
 
-    static std::vector<scheduler::Record> copyRecords(absl::Span<const scheduler::Record> records)
+    std::vector<scheduler::Record> copyRecords(absl::Span<const scheduler::Record> records)
     {
+        std::size_t bytes = 0;
+        for (const scheduler::Record &record : records)
+            bytes += scheduler::appendedBytes(record);
+        this->largestAppendBytes = std::max(this->largestAppendBytes, bytes);
         return {records.begin(), records.end()};
     }
 
--- a/tests/scheduler_service_test.cc
+++ b/tests/scheduler_service_test.cc
@@ -727,6 +727,37 @@
                      [](const auto &stored) { return stored.record.key == "a/" + smallJob().id; }));
 }
 
+// Guards against changes that are never stored, because the log refuses an append of their size.
+TEST(SchedulerService, largeFlushIsAppendedInParts)
+{
+    SchedulerServiceOptions options;
+    options.process = "a";
+    options.readWaitMs = 50;
+    options.leadership.firstLeaderTimeoutMs = 50;
+    options.leadership.randomDelayMs = 100;
+    options.maxAppendBytes = 1000;
+    Entry &entry = fixture.entries.emplace_back(fixture.loop, fixture.state, options);
+    fixture.start();
+    fixture.waitUntil([&entry] { return entry.service.leading(); });
+    scheduler::Job job = smallJob();
+    for (int i = 0; i < 50; ++i) {
+        job.id = "j" + std::to_string(i);
+        fixture.state.records.push_back({fixture.state.records.size(), acceptanceRecord(job)});
+        fixture.state.records.push_back(
+            {fixture.state.records.size(), scheduler::cancellationRecord(job.id)});
+    }
+    const auto ended = [&entry] {
+        const auto &jobs = entry.service.table().jobs;
+        return jobs.size() == 50 && std::all_of(jobs.begin(), jobs.end(), [](const auto &item) {
+                   return item.second.storedOutcome == scheduler::Outcome::Cancelled;
+               });
+    };
+    entry.log.delayMs = 5;
+    fixture.waitUntil(ended);
+    CHECK(entry.log.largestAppendBytes <= options.maxAppendBytes);
+    CHECK(entry.service.leading());
+}
+
 // Guards against ids that an entry refuses for ever, and against rows of removed jobs: the records
 // that delete their keys expired before the entry read them.
 TEST(SchedulerService, recordsRemovedWhileTheLogWasNotReadAreForgotten)
--- a/tests/scheduler_test.cc
+++ b/tests/scheduler_test.cc
@@ -659,6 +659,35 @@
 
 // Pattern: wide jobs on hundreds of hosts. Every entry reads each change of a job, over a link
 // that its region shares; at 75 bytes a task the link was full and orders arrived seconds late.
+// Guards against a leader that stores nothing any more: the job log refuses the record of a job
+// whose tasks have long checkpoints, and with it all records of the same append, again and again.
+TEST(Scheduler, progressRecordLeavesOutCheckpointsThatTheLogWouldRefuse)
+{
+    rig.scheduler.options.maxRecordBytes = 10000;
+    rig.accept(rig.makeJob("a", 100, 1));
+    JobRow &row = rig.scheduler.table.jobs.at("a");
+    for (std::size_t i = 0; i < row.progress.tasks.size(); ++i) {
+        row.progress.tasks[i].run = 3;
+        row.progress.tasks[i].checkpoint = std::string(300, i % 2 == 0 ? 'c' : '"');
+    }
+    row.progress.tasks[0].checkpoint = "short";
+    row.progress.tasks[1].checkpoint = std::string(20000, 'c');
+    row.dirty = true;
+    const std::vector<Record> records = takeRecords(rig.scheduler, rig.now);
+    CHECK_EQUAL(1, records.size());
+    CHECK(records[0].value.size() <= rig.scheduler.options.maxRecordBytes);
+    CHECK(records[0].value.size() > rig.scheduler.options.maxRecordBytes * 9 / 10);
+    Reason reason;
+    const auto decoded = decodeProgress(records[0].value, reason);
+    CHECK(decoded.has_value());
+    CHECK_EQUAL(100, decoded->tasks.size());
+    CHECK_EQUAL(std::string("short"), decoded->tasks[0].checkpoint);
+    CHECK(decoded->tasks[1].checkpoint.empty());
+    CHECK_EQUAL(3, decoded->tasks[99].run);
+    // The leader itself keeps all.
+    CHECK_EQUAL(std::size_t(20000), row.progress.tasks[1].checkpoint.size());
+}
+
 TEST(Scheduler, progressRecordOfAWideJobIsSmall)
 {
     JobProgress progress;
