Tell the jobs of different callers with the same id apart

Cause: jobs were looked up by their id alone, and an acceptance of a known id counted as a repetition, whoever sent it.

Change: a job is shown to, and cancelled by, callers of its queue and organisation only; others are told that it does not exist. A submission with an id that another caller's job has is refused with 409, because the names of tasks contain only the id of their job. When two entries accept such jobs at the same time, the first record in the log counts, and the leader stores it again: the log keeps only the newest record of a key, and the next leader would have found the other job. The second caller has then been answered 200 wrongly; this can happen within the milliseconds in which its entry has not read the first record.

--- a/flamingo/scheduler/job.cc
+++ b/flamingo/scheduler/job.cc
@@ -172,6 +172,11 @@
             || job.organisation == caller.organisation);
 }
 
+bool haveSameOwner(const Job &job, const Job &other)
+{
+    return isJobOf(job, {other.queue, other.organisation, other.organisation.empty()});
+}
+
 TimeMs longestChainMs(const Job &job)
 {
     std::vector<TimeMs> stepEndMs(job.steps.size(), 0);
--- a/flamingo/scheduler/job.h
+++ b/flamingo/scheduler/job.h
@@ -83,6 +83,10 @@
 // job that was submitted without an API key belongs to every caller of its queue.
 bool isJobOf(const Job &job, const Caller &caller);
 
+// True when both were submitted by the same caller; their ids are compared by the caller of this
+// function.
+bool haveSameOwner(const Job &job, const Job &other);
+
 enum class TaskPhase : std::uint8_t {
     Waiting, // to be placed
     Assigned, // to `worker`, where it may be running
--- a/flamingo/scheduler/requests.cc
+++ b/flamingo/scheduler/requests.cc
@@ -6,11 +6,21 @@
 {
     const auto found = table.jobs.find(job.id);
     if (found != table.jobs.end() && found->second.job)
-        return SubmissionStep::Stored;
+        return haveSameOwner(*found->second.job, job) ? SubmissionStep::Stored
+                                                      : SubmissionStep::RefuseIdInUse;
     return isCancelledEarly(table.earlyCancellations, job) ? SubmissionStep::RefuseCancelled
                                                            : SubmissionStep::Append;
 }
 
+std::optional<std::string_view> visibleStateFor(const JobTable &table, const std::string &jobId,
+                                                const Caller &caller)
+{
+    const auto found = table.jobs.find(jobId);
+    const bool known =
+        found != table.jobs.end() && found->second.job && isJobOf(*found->second.job, caller);
+    return known ? callerVisibleState(table, jobId) : std::nullopt;
+}
+
 CancellationStep cancellationStep(const JobTable &table, const SchedulerOptions &options,
                                   const std::string &jobId, const Caller &caller, bool tableIsNewer,
                                   std::size_t pendingEarly)
--- a/flamingo/scheduler/requests.h
+++ b/flamingo/scheduler/requests.h
@@ -12,7 +12,9 @@
 
 #include "flamingo/scheduler/scheduler.h"
 
+#include <optional>
 #include <string>
+#include <string_view>
 
 namespace flamingo::scheduler {
 
@@ -20,10 +22,16 @@
     Append, // the acceptance record
     Stored, // the job is in the table: a repeated submission
     RefuseCancelled, // the caller has cancelled this id; the job would not run
+    RefuseIdInUse, // a job of another caller has this id, and names of tasks contain only the id
 };
 
 SubmissionStep submissionStep(const JobTable &table, const Job &job);
 
+// State of the caller's job as callerVisibleState() returns it; nullopt if the caller has no such
+// job.
+std::optional<std::string_view> visibleStateFor(const JobTable &table, const std::string &jobId,
+                                                const Caller &caller);
+
 enum class CancellationStep : std::uint8_t {
     AppendCancellation, // cancellationRecord(); then the job is cancelled
     Cancelled, // a cancellation is stored, or the job has ended
--- a/flamingo/scheduler/scheduler.cc
+++ b/flamingo/scheduler/scheduler.cc
@@ -517,8 +517,13 @@
             return false;
         }
         JobRow &row = table.jobs[parsed->jobId];
-        if (row.job)
-            return true; // a repeated acceptance
+        if (row.job) {
+            row.acceptanceReplaced = !haveSameOwner(*row.job, *job);
+            if (row.acceptanceReplaced)
+                reason = {ReasonCode::InvalidInput,
+                          "the id is in use by a job of queue '" + row.job->queue + "'"};
+            return !row.acceptanceReplaced; // if it is the same caller's: a repeated acceptance
+        }
         row.job = std::move(*job);
         row.cancelled = row.cancelled || isCancelledEarly(table.earlyCancellations, *row.job);
         row.progress.tasks.resize(taskCount(*row.job));
@@ -909,6 +914,8 @@
     std::vector<Record> records;
     std::vector<std::string> expired;
     for (auto &[id, row] : scheduler.table.jobs) {
+        if (std::exchange(row.acceptanceReplaced, false))
+            records.push_back(acceptanceRecord(*row.job));
         if (row.dirty) {
             row.dirty = false;
             std::size_t leftOut = 0;
--- a/flamingo/scheduler/scheduler.h
+++ b/flamingo/scheduler/scheduler.h
@@ -84,6 +84,8 @@
     // As stored in the log; callers are shown only this.
     Outcome storedOutcome = Outcome::Open;
     bool storedStarted = false; // a run of some task has been assigned
+    // The acceptance of another caller's job with the same id replaces this job's in the log.
+    bool acceptanceReplaced = false;
     // Leader only.
     bool dirty = false; // `progress` differs from its stored record
     bool cancellationHandled = false; // the cancellation has been applied to `progress`
@@ -120,7 +122,8 @@
 // empty progress or cancellation is ignored. When `leading`, a progress record updates only the
 // stored state that callers are shown, and learned run times change nothing, because the leader's
 // own state is ahead of the log. Returns false and sets `reason` for a record that cannot be
-// decoded; the table is then unchanged.
+// decoded, and for the acceptance of a job whose id another caller's job has; the job in the table
+// is then unchanged.
 bool applyRecord(JobTable &table, std::string_view key, std::string_view value, bool leading,
                  Reason &reason);
 
--- a/tests/early_cancellation_test.cc
+++ b/tests/early_cancellation_test.cc
@@ -93,6 +93,42 @@
     CHECK(rig.stepOf("b", owner) == CancellationStep::AppendCancellation);
 }
 
+// Guards against a job that is answered as accepted and never runs, and against one caller's job
+// that is shown to another or cancelled by it: jobs were looked up by their id alone.
+TEST(EarlyCancellation, idOfAnotherCallersJobIsRefused)
+{
+    rig.accept(rig.makeJob("a", 1, 1));
+    Job other = rig.makeJob("a", 2, 1);
+    other.organisation = "other";
+    CHECK(submissionStep(rig.scheduler.table, other) == SubmissionStep::RefuseIdInUse);
+    other = rig.makeJob("a", 2, 1);
+    other.queue = "other";
+    CHECK(submissionStep(rig.scheduler.table, other) == SubmissionStep::RefuseIdInUse);
+    CHECK(!visibleStateFor(rig.scheduler.table, "a", {"queue", "other", false}).has_value());
+    CHECK(!visibleStateFor(rig.scheduler.table, "a", {"other", "lots", false}).has_value());
+    CHECK(visibleStateFor(rig.scheduler.table, "a", owner) == "queued");
+    CHECK(visibleStateFor(rig.scheduler.table, "a", {"queue", "", true}) == "queued");
+}
+
+// Two entries may accept jobs with the same id at the same time. The first record in the log
+// counts, also for the next leader, which finds only the newest record of the key.
+TEST(EarlyCancellation, firstOfTwoJobsWithTheSameIdStaysInTheLog)
+{
+    const Job first = rig.makeJob("a", 1, 1);
+    Job second = rig.makeJob("a", 2, 1);
+    second.organisation = "other";
+    rig.accept(first);
+    takeRecords(rig.scheduler, rig.now);
+    rig.accept(second);
+    CHECK_EQUAL(first.organisation, rig.scheduler.table.jobs.at("a").job->organisation);
+    const std::vector<Record> records = takeRecords(rig.scheduler, rig.now);
+    CHECK_EQUAL(1, records.size());
+    CHECK_EQUAL(acceptanceRecord(first).key, records[0].key);
+    CHECK_EQUAL(acceptanceRecord(first).value, records[0].value);
+    rig.apply(records[0]);
+    CHECK(takeRecords(rig.scheduler, rig.now).empty());
+}
+
 // The key has a fixed length, whatever the names of queue and organisation.
 TEST(EarlyCancellation, recordSurvivesItsEncoding)
 {
