Limit the occurrences of a job that one plan considers

Cause: a plan made a unit of each due occurrence and searched all workers for each. It took seconds on the entry's only thread, so the leader's next sign of life came too late, and its successor planned as long.

Change: a plan considers at most 8 occurrences with waiting tasks of each job, in the order in which they would be placed: those that can still meet their objective, then those that can end within three times it, then the others.

Not limited: the number of jobs that a plan considers.

--- a/bench/plan_bench.cc
+++ b/bench/plan_bench.cc
@@ -150,6 +150,38 @@
     bench.measure(name);
 }
 
+// Jobs with far more due occurrences than there is room for.
+void measureOccurrences(const char *name)
+{
+    Bench bench;
+    bench.report();
+    bench.report();
+    Job job;
+    job.queue = "queue";
+    job.organisation = "organisation";
+    job.service = "service";
+    job.payload = "payload";
+    job.priority = 1;
+    job.maxAttempts = 2;
+    job.stretch = 2;
+    job.acceptedUnixMs = unixStart;
+    job.firstRunUnixMs = unixStart;
+    job.intervalMs = 1;
+    job.repeatCount = 2500;
+    Step step;
+    step.need = {16000, 1000, 0};
+    step.estimateMs = 5000;
+    job.steps.push_back(step);
+    for (int i = 0; i < 170; ++i) {
+        job.id = "repeating-" + std::to_string(i);
+        const Record record = acceptanceRecord(job);
+        Reason reason;
+        applyRecord(bench.scheduler.table, record.key, record.value, true, reason);
+    }
+    bench.now += 5000;
+    bench.measure(name);
+}
+
 } // namespace
 
 int main()
@@ -160,5 +192,6 @@
     measureUse("40% in use, no worker has the label", workerCount * 8 * 4 / 10, true, true);
     measureUse("40% in use, gangs of a full rack wait", workerCount * 8 * 4 / 10, true, false);
     measureLimitPerWorker("40% in use, steps at their limit wait");
+    measureOccurrences("full, 170 jobs of 2,500 occurrences wait");
     return 0;
 }
--- a/flamingo/scheduler/planner.cc
+++ b/flamingo/scheduler/planner.cc
@@ -449,49 +449,139 @@
                                                                    : Lateness::TooLate;
 }
 
-void addUnits(const Scheduler &scheduler, JobRow &row, bool guaranteed,
-              const std::set<TaskId> &blocked, TimeMs now, std::uint64_t unixNow,
-              std::vector<PlacementUnit> &units)
+// When an occurrence was accepted or due, whichever is later; Unix time in ms.
+std::uint64_t occurrenceBegin(const Job &job, std::uint32_t occurrence)
 {
-    const Job &job = *row.job;
-    const RunTimes &times = scheduler.table.runTimes;
-    std::optional<TimeMs> knownChain;
-    const auto chainMs = [&] {
-        if (!knownChain)
-            knownChain = expectedChainMs(times, job);
-        return *knownChain;
-    };
-    for (std::uint32_t occurrence = 0; occurrence < occurrences(job); ++occurrence) {
-        if (!isDue(job, occurrence, unixNow))
-            break;
-        const std::uint64_t begin = std::max(job.acceptedUnixMs, dueUnixMs(job, occurrence));
-        for (std::uint32_t step = 0; step < job.steps.size(); ++step) {
-            if (!dependenciesDone(job, row.progress, occurrence, step))
-                continue;
-            PlacementUnit unit;
-            unit.tasks = waitingTasks(row, occurrence, step, blocked, now);
-            if (unit.tasks.empty())
-                continue;
-            const auto deadline = static_cast<std::int64_t>(begin)
-                + static_cast<std::int64_t>(job.stretch * double(chainMs())) + job.targetLatencyMs;
-            unit.row = &row;
-            unit.occurrence = occurrence;
-            unit.step = step;
-            unit.priority = job.priority;
-            unit.guaranteed = guaranteed;
-            unit.expected = expectedRunTime(times, job, step);
-            unit.estimateMs = unit.expected.ms;
-            unit.reclaimTimeoutMs =
-                reclaimTimeoutMs(scheduler, job, unit, chainMs(), begin, unixNow);
-            unit.latestStart = deadline - unit.estimateMs;
-            unit.slackMs = unit.latestStart - static_cast<std::int64_t>(unixNow);
-            unit.lateness =
-                latenessOf(unit.latestStart, deadline - static_cast<std::int64_t>(begin),
-                           static_cast<std::int64_t>(unixNow));
-            units.push_back(std::move(unit));
+    return std::max(job.acceptedUnixMs, dueUnixMs(job, occurrence));
+}
+
+// The units of one job are made by occurrence. Only as many occurrences with waiting tasks are
+// considered as `maxWaitingOccurrences` says: the work of a plan would else grow with a backlog of
+// which most does not fit. They are considered in the order in which their units are placed: those
+// that can still meet their objective, then those that can end within `lateObjectives` times it,
+// then the others.
+class JobUnits
+{
+public:
+    JobUnits(const Scheduler &scheduler, JobRow &row, bool guaranteed,
+             const std::set<TaskId> &blocked, TimeMs now, std::uint64_t unixNow,
+             std::vector<PlacementUnit> &units)
+        : scheduler(scheduler)
+        , row(row)
+        , job(*row.job)
+        , guaranteed(guaranteed)
+        , blocked(blocked)
+        , now(now)
+        , unixNow(unixNow)
+        , units(units)
+    {
+    }
+
+    void add()
+    {
+        const std::uint32_t due = this->firstOccurrence([this](std::uint32_t occurrence) {
+            return !isDue(this->job, occurrence, this->unixNow);
+        });
+        if (this->job.repeatCount == 0) {
+            this->addOccurrences(0, due);
+            return;
         }
+        const std::uint32_t inTime = std::min(due, this->firstWithin(1));
+        const std::uint32_t late = std::min(inTime, this->firstWithin(lateObjectives));
+        this->addOccurrences(inTime, due);
+        this->addOccurrences(late, inTime);
+        this->addOccurrences(0, late);
     }
-}
+
+private:
+    // First occurrence for which `condition` holds; it holds for all later ones.
+    template <typename Condition>
+    std::uint32_t firstOccurrence(Condition condition) const
+    {
+        std::uint32_t low = 0;
+        std::uint32_t high = occurrences(this->job);
+        while (low < high) {
+            const std::uint32_t middle = low + (high - low) / 2;
+            if (condition(middle))
+                high = middle;
+            else
+                low = middle + 1;
+        }
+        return low;
+    }
+
+    // First occurrence that can end within this multiple of its objective if it starts now.
+    std::uint32_t firstWithin(int objectives)
+    {
+        return this->firstOccurrence([this, objectives](std::uint32_t occurrence) {
+            const auto begin = static_cast<std::int64_t>(occurrenceBegin(this->job, occurrence));
+            return static_cast<std::int64_t>(this->unixNow) + this->chainMs()
+                <= begin + objectives * this->objectiveMs();
+        });
+    }
+
+    void addOccurrences(std::uint32_t begin, std::uint32_t end)
+    {
+        for (std::uint32_t occurrence = begin; occurrence < end; ++occurrence) {
+            if (this->added >= this->scheduler.options.maxWaitingOccurrences)
+                return;
+            const std::size_t before = this->units.size();
+            for (std::uint32_t step = 0; step < this->job.steps.size(); ++step)
+                this->addStep(occurrence, step);
+            this->added += this->units.size() > before ? 1 : 0;
+        }
+    }
+
+    void addStep(std::uint32_t occurrence, std::uint32_t step)
+    {
+        if (!dependenciesDone(this->job, this->row.progress, occurrence, step))
+            return;
+        PlacementUnit unit;
+        unit.tasks = waitingTasks(this->row, occurrence, step, this->blocked, this->now);
+        if (unit.tasks.empty())
+            return;
+        const std::uint64_t begin = occurrenceBegin(this->job, occurrence);
+        const std::int64_t deadline = static_cast<std::int64_t>(begin) + this->objectiveMs();
+        unit.row = &this->row;
+        unit.occurrence = occurrence;
+        unit.step = step;
+        unit.priority = this->job.priority;
+        unit.guaranteed = this->guaranteed;
+        unit.expected = expectedRunTime(this->scheduler.table.runTimes, this->job, step);
+        unit.estimateMs = unit.expected.ms;
+        unit.reclaimTimeoutMs = reclaimTimeoutMs(this->scheduler, this->job, unit, this->chainMs(),
+                                                 begin, this->unixNow);
+        unit.latestStart = deadline - unit.estimateMs;
+        unit.slackMs = unit.latestStart - static_cast<std::int64_t>(this->unixNow);
+        unit.lateness = latenessOf(unit.latestStart, this->objectiveMs(),
+                                   static_cast<std::int64_t>(this->unixNow));
+        this->units.push_back(std::move(unit));
+    }
+
+    TimeMs chainMs()
+    {
+        if (!this->knownChain)
+            this->knownChain = expectedChainMs(this->scheduler.table.runTimes, this->job);
+        return *this->knownChain;
+    }
+
+    std::int64_t objectiveMs()
+    {
+        return static_cast<std::int64_t>(this->job.stretch * double(this->chainMs()))
+            + this->job.targetLatencyMs;
+    }
+
+    const Scheduler &scheduler;
+    JobRow &row;
+    const Job &job;
+    bool guaranteed;
+    const std::set<TaskId> &blocked;
+    TimeMs now;
+    std::uint64_t unixNow;
+    std::vector<PlacementUnit> &units;
+    std::optional<TimeMs> knownChain;
+    std::size_t added = 0; // occurrences with waiting tasks
+};
 
 bool precedes(const PlacementUnit &a, const PlacementUnit &b)
 {
@@ -1430,7 +1520,7 @@
         if (!row.job || row.cancelled || row.progress.outcome != Outcome::Open)
             continue;
         logAcceptance(scheduler, row, guaranteed.count(id) > 0);
-        addUnits(scheduler, row, guaranteed.count(id) > 0, blocked, now, unixNow, units);
+        JobUnits(scheduler, row, guaranteed.count(id) > 0, blocked, now, unixNow, units).add();
     }
     std::sort(units.begin(), units.end(), precedes);
     std::map<std::string, ServiceCapacity> capacityByService;
--- a/flamingo/scheduler/scheduler.h
+++ b/flamingo/scheduler/scheduler.h
@@ -174,6 +174,7 @@
     // A run whose worker answers other calls but has not confirmed its start for this long is
     // stopped, and its task is placed again when the worker has confirmed that it does not run.
     TimeMs startTimeoutMs = 3000;
+    std::size_t maxWaitingOccurrences = 8; // of one job that a plan places at the most
     // Run time off the preferred rack, as a multiple of the usual one.
     double offRackFactor = 3;
     // Tasks wait for a preferred rack at least this long, also without an estimate.
--- a/tests/scheduler_test.cc
+++ b/tests/scheduler_test.cc
@@ -5,6 +5,8 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <algorithm>
+
 using namespace flamingo;
 using namespace flamingo::scheduler;
 using flamingo::tests::SchedulerRig;
@@ -471,6 +473,39 @@
     CHECK_EQUAL(2, rig.sendReport("h1").starts.size());
 }
 
+// Guards against plans that take seconds because of a backlog of occurrences, so that other entries
+// take over and plan as long.
+TEST(Scheduler, backlogOfOccurrencesIsPlannedInPartsThoseInTimeFirst)
+{
+    rig.addWorker("h1");
+    rig.scheduler.options.maxWaitingOccurrences = 4;
+    Job job = rig.makeJob("a", 1, 0);
+    job.steps[0].need = {1000, 100, 0};
+    job.steps[0].estimateMs = 1000;
+    job.stretch = 1;
+    job.targetLatencyMs = 1000; // each may wait for a second
+    job.repeatCount = 20;
+    job.intervalMs = 1000;
+    job.firstRunUnixMs = rig.unixNow;
+    rig.accept(job);
+    rig.advance(9500); // ten are due, one of them can still meet its objective, two end late
+    const auto startsOf = [this] {
+        std::vector<std::uint32_t> result;
+        for (const StartOrder &start : rig.sendReport("h1").starts)
+            result.push_back(parseTaskName(start.task)->position.occurrence);
+        std::sort(result.begin(), result.end());
+        return result;
+    };
+    const auto first = startsOf();
+    CHECK_EQUAL(4, first.size());
+    CHECK_EQUAL(9, first.back());
+    CHECK(std::count(first.begin(), first.end(), 0) == 0);
+    CHECK_EQUAL(4, startsOf().size());
+    const auto last = startsOf();
+    CHECK_EQUAL(2, last.size());
+    CHECK_EQUAL(0, startsOf().size());
+}
+
 TEST(Scheduler, occurrencesWaitUntilTheyAreDue)
 {
     rig.addWorker("h1");
