Place nothing by the kind of a worker's former incarnation

Cause: when an answer shows a new incarnation before its first heartbeat, the agent kept the labels and the capacity of the former one and reported them.

Change: both are unknown until the heartbeat, so nothing fits on the worker. It gets work later by up to the time until that heartbeat.

--- a/flamingo/scheduler/host_agent.cc
+++ b/flamingo/scheduler/host_agent.cc
@@ -516,6 +516,9 @@
     resetWorkerState(agent, now);
     agent.worker->bornUnixMs = bornUnixMs;
     agent.worker->draining = false;
+    // It may be of another kind and size: nothing fits on it before its first heartbeat.
+    agent.worker->capacity = {};
+    agent.worker->labels.clear();
     agent.workerConfirmed = true;
 }
 
--- a/tests/host_agent_test.cc
+++ b/tests/host_agent_test.cc
@@ -604,6 +604,32 @@
 }
 
 // A delayed call for the former incarnation must be fenced by a higher token.
+// Guards against tasks that are placed by the labels and the capacity of the former incarnation.
+TEST(HostAgent, kindOfARestartedWorkerIsUnknownUntilItsHeartbeat)
+{
+    WorkerInfo info = *fixture.agent.worker;
+    info.labels = {"a", "r1"};
+    info.capacity = {64000, 1000, 8};
+    CHECK(applyHeartbeat(fixture.agent, info, 2, fixture.now));
+    for (const WorkerCall &call : dueCalls(fixture.agent, fixture.now)) {
+        WorkerAnswer answer = fixture.answer();
+        answer.bornUnixMs = info.bornUnixMs + 1;
+        applyAnswer(fixture.agent, call, answer, fixture.now);
+    }
+    CHECK_EQUAL(info.bornUnixMs + 1, fixture.agent.worker->bornUnixMs);
+    HostReport report = makeReport(fixture.agent);
+    CHECK(report.worker->labels.empty());
+    CHECK_EQUAL(0, report.worker->capacity.cpuMilli);
+    CHECK_EQUAL(0, report.worker->capacity.accelerators);
+    info.bornUnixMs += 1;
+    info.labels = {"b", "r1"};
+    info.capacity = {8000, 1000, 0};
+    CHECK(applyHeartbeat(fixture.agent, info, 1, fixture.now));
+    report = makeReport(fixture.agent);
+    CHECK_EQUAL(std::string("b"), report.worker->labels.front());
+    CHECK_EQUAL(8000, report.worker->capacity.cpuMilli);
+}
+
 TEST(HostAgent, restartedWorkerIsFencedBeforeTheLeaderReceivesAReport)
 {
     fixture.fenceWorker();
