Give a task more time after a run that was stopped as stalled

Cause: until the percentage changes, only the estimate says how long a run may stand still, and whole percents of such a task take longer than that.

Change: after each run of a task that was stopped before its percentage had changed, the next one may stand still three times as long, at most five times.

--- a/flamingo/scheduler/planner.cc
+++ b/flamingo/scheduler/planner.cc
@@ -1335,9 +1335,12 @@
     gang.size = step.gang ? step.count : 1;
     gang.allRunning = gang.allRunning && run.reported == RunState::Running;
     gang.begun = gang.begun || run.progress.percent > run.progress.firstPercent;
-    gang.progress.push_back(
-        {workerNumber, run.progress.percent,
-         stillness(run.progress, step.estimateMs, run.resumed, scheduler.options.stall)});
+    const auto stalled = found->second.stalledRuns.find(run.taskNumber);
+    const std::uint32_t stalledRuns =
+        stalled == found->second.stalledRuns.end() ? 0 : stalled->second;
+    gang.progress.push_back({workerNumber, run.progress.percent,
+                             stillness(run.progress, step.estimateMs, run.resumed, stalledRuns,
+                                       scheduler.options.stall)});
     gang.runs.emplace_back(&worker, key);
 }
 
@@ -1437,6 +1440,9 @@
         const StalledMembers stalled = findStalled(gang.progress);
         for (const std::size_t member : stalled.members) {
             const auto &[worker, runKey] = gang.runs[member];
+            const Run &run = worker->runs.at(runKey);
+            if (run.progress.percent == run.progress.firstPercent)
+                ++scheduler.table.jobs.at(run.jobId).stalledRuns[run.taskNumber];
             stopRun(scheduler, worker->key, runKey, "no progress");
             if (stalled.workersAtFault)
                 worker->quarantinedUntil = now + scheduler.options.quarantineMs;
--- a/flamingo/scheduler/run_progress.cc
+++ b/flamingo/scheduler/run_progress.cc
@@ -5,6 +5,7 @@
 #include "flamingo/scheduler/run_progress.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace flamingo::scheduler {
 namespace {
@@ -46,7 +47,7 @@
 }
 
 double stillness(const RunProgress &progress, TimeMs estimateMs, bool resumed,
-                 const StallOptions &options)
+                 std::uint32_t stalledRuns, const StallOptions &options)
 {
     if (progress.firstListedAt == 0)
         return 0;
@@ -54,7 +55,9 @@
         std::max(options.estimateShare * double(estimateMs), options.paceFactor * paceMs(progress));
     const double limitMs =
         double(options.baseMs) + expectedMs + (resumed ? double(options.restoreMs) : 0);
-    return double(progress.listedAt - progress.changedAt) / limitMs;
+    const double patience =
+        std::pow(options.retryFactor, double(std::min(stalledRuns, options.maxRetries)));
+    return double(progress.listedAt - progress.changedAt) / (limitMs * patience);
 }
 
 std::optional<TimeMs> remainingAtPaceMs(const RunProgress &progress)
--- a/flamingo/scheduler/run_progress.h
+++ b/flamingo/scheduler/run_progress.h
@@ -44,6 +44,10 @@
     double estimateShare = 0.1;
     double paceFactor = 3; // multiple of the time that one percent has taken on average
     TimeMs restoreMs = 600; // added for a run that resumes from a checkpoint
+    // A run gets this multiple of the time for each earlier run of its task that was stopped
+    // before its percentage had changed, because the task may take far longer than estimated.
+    double retryFactor = 3;
+    std::uint32_t maxRetries = 5; // that count
 };
 
 // Records the percentage of a run in a list that was read at `clockMs`. Ignores a list that is not
@@ -55,9 +59,10 @@
 void restartStallTimer(RunProgress &progress);
 
 // Returns the time since the percentage last changed, as a multiple of the time that `options`
-// allow; 0 for a run that has not been listed. Above 1, the run stands still.
+// allow; 0 for a run that has not been listed. Above 1, the run stands still. `stalledRuns`:
+// earlier runs of the task that were stopped before their percentage had changed.
 double stillness(const RunProgress &progress, TimeMs estimateMs, bool resumed,
-                 const StallOptions &options);
+                 std::uint32_t stalledRuns, const StallOptions &options);
 
 // Returns the time until the run is complete if it goes on at its own pace so far; nullopt while it
 // has advanced too little to tell.
--- a/flamingo/scheduler/scheduler.h
+++ b/flamingo/scheduler/scheduler.h
@@ -95,6 +95,8 @@
     // Earliest next placement, by task number; see SchedulerOptions::failureBackoffMs.
     std::map<std::size_t, TimeMs> notBefore;
     std::map<std::size_t, FailedWorker> lastFailedWorker; // by task number
+    // Runs that this leader stopped as stalled before their percentage had changed, by task number.
+    std::map<std::size_t, std::uint32_t> stalledRuns;
     // Run times of the tasks completed under this leader, by the number of their step's first task.
     // Removed when all tasks of the step are done.
     std::map<std::size_t, std::vector<TaskDuration>> durations;
--- a/tests/stalled_runs_test.cc
+++ b/tests/stalled_runs_test.cc
@@ -221,6 +221,25 @@
     CHECK_EQUAL(0, stops);
 }
 
+// Guards against a task that never ends, because each of its runs is stopped before it can show
+// that it advances: it takes more than a hundred times as long as a run may stand still.
+TEST(StalledRuns, taskThatIsStoppedBeforeItsFirstPercentGetsMoreTime)
+{
+    start({1}, false, 8500);
+    taskMs = 400000;
+    std::size_t stopsBefore = 0;
+    for (int i = 0; i < 30 && stops < 3; ++i) {
+        pass(2000);
+        if (stops == stopsBefore)
+            continue;
+        stopsBefore = stops;
+        hosts[0].percent = 0;
+        rig.advance(rig.scheduler.options.quarantineMs);
+    }
+    CHECK_EQUAL(1, stops);
+    CHECK(hosts[0].percent > 1);
+}
+
 TEST(StalledRuns, runThatRestoresACheckpointIsNotStopped)
 {
     rig.scheduler.options.stall.restoreMs = 3000;
