Let guaranteed work stop urgent work that uses its accelerators

Cause: runs of priority 0 were never stopped, whoever they belonged to, although they used what is guaranteed to others only because it was idle.

Change: when stopping lower priorities is not enough, on any rack, a unit within its guarantee that has waited for 0.5 s may stop runs of urgent jobs of other organisations that are beyond their guarantee. The wait gives a new leader the time to hear of all workers.

Tests: Scheduler guaranteedWorkReclaimsFromUrgentWorkBeyondAGuarantee.

--- a/flamingo/scheduler/planner.cc
+++ b/flamingo/scheduler/planner.cc
@@ -8,7 +8,8 @@
 //
 //   * urgent work (priority 0) waits for free capacity while its slack allows, then reclaims
 //     resources from lower priorities. Within its organisation's guarantee it may stop any of their
-//     work, beyond it only work up to a bounded cost, and only while it can still meet its
+//     work and, where that is not enough, urgent work of other organisations beyond their
+//     guarantee; beyond it only work up to a bounded cost, and only while it can still meet its
 //     objective: a late result is worth little to its caller. The resources that it will get are
 //     reserved, so that nothing else is placed on them meanwhile;
 //   * of the other units that do not fit, including urgent ones that may not stop enough work, the
@@ -196,14 +197,17 @@
     TimeMs collectedAt = 0;
     // Worker key and run of each run in a group, by group number.
     std::vector<std::vector<std::pair<std::string, RunKey>>> groupRuns;
+    // Organisations of the groups of urgent jobs beyond a guarantee, by group number.
+    std::map<std::size_t, std::string> unguaranteedUrgent;
 };
 
 // Collects the capacity of one service. build() may be called once.
 class CapacityBuilder
 {
 public:
-    CapacityBuilder(const Scheduler &scheduler, TimeMs now)
+    CapacityBuilder(const Scheduler &scheduler, const std::set<std::string> &guaranteed, TimeMs now)
         : scheduler(scheduler)
+        , guaranteed(guaranteed)
         , now(now)
     {
     }
@@ -310,6 +314,8 @@
         allocation.reclaimable = job.priority > 0;
         if (job.priority == 0)
             this->urgentGroups.insert(allocation.runGroup);
+        if (job.priority == 0 && this->guaranteed.count(job.id) == 0)
+            this->result.unguaranteedUrgent[allocation.runGroup] = job.organisation;
         this->groupCost[allocation.runGroup] += stopCost(job, step, run, this->now);
         TimeMs &groupFreeInMs = this->groupFreeInMs[allocation.runGroup];
         groupFreeInMs = std::max(groupFreeInMs, allocation.freeInMs);
@@ -326,6 +332,7 @@
     }
 
     const Scheduler &scheduler;
+    const std::set<std::string> &guaranteed; // ids of jobs
     TimeMs now;
     ServiceCapacity result;
     std::map<std::string, std::size_t> groupNumbers;
@@ -718,12 +725,48 @@
     return reclaimBaseCost + reclaimCostPerWork * workOf(unit);
 }
 
-// Stops the runs of lower priorities that cost least to make room for `demand`, and reserves the
-// room. Returns false when that is not possible within the unit's limit on lost work.
+// The workers, where the runs of urgent jobs of other organisations beyond their guarantee may be
+// stopped as well.
+std::vector<WorkerResources> withUnguaranteedUrgent(const ServiceCapacity &capacity,
+                                                    const std::string &organisation)
+{
+    std::vector<WorkerResources> workers = capacity.workers;
+    for (WorkerResources &worker : workers) {
+        for (Allocation &allocation : worker.allocations) {
+            const auto found = capacity.unguaranteedUrgent.find(allocation.runGroup);
+            if (found != capacity.unguaranteedUrgent.end() && found->second != organisation)
+                allocation.reclaimable = true;
+        }
+    }
+    return workers;
+}
+
+// Only after a while, because a new leader does not know all workers yet, nor those of which it has
+// not received a report.
+bool mayStopUnguaranteedUrgent(const Scheduler &scheduler, const PlacementUnit &unit, TimeMs now)
+{
+    const auto wait = unit.row->waits.find(firstTaskNumber(unit));
+    return unit.guaranteed && wait != unit.row->waits.end()
+        && now - wait->second.since >= scheduler.options.reclaimUrgentAfterMs;
+}
+
+enum class Reclaimable : std::uint8_t {
+    LowerPriorities,
+    UnguaranteedUrgent, // and lower priorities; for units within a guarantee
+};
+
+// Stops the runs that cost least to make room for `demand`, and reserves the room. Returns false
+// when that is not possible within the unit's limit on lost work.
 bool reclaimFor(Scheduler &scheduler, const PlacementUnit &unit, const Demand &demand,
-                ServiceCapacity &capacity)
+                ServiceCapacity &capacity, Reclaimable reclaimable)
 {
-    const Reclaim reclaim = findReclaim(demand, capacity.workers, maxReclaimCost(unit));
+    const bool urgent = reclaimable == Reclaimable::UnguaranteedUrgent;
+    if (urgent && capacity.unguaranteedUrgent.empty())
+        return false;
+    const Reclaim reclaim = findReclaim(
+        demand,
+        urgent ? withUnguaranteedUrgent(capacity, unit.row->job->organisation) : capacity.workers,
+        maxReclaimCost(unit));
     if (reclaim.placement.empty())
         return false;
     for (const std::size_t stopped : reclaim.runGroups) {
@@ -743,7 +786,7 @@
 // Places a guaranteed unit for which no rack that it prefers has room or can be reclaimed: a
 // guarantee holds on any rack, where the tasks run slower.
 bool placeOnAnyRack(Scheduler &scheduler, const PlacementUnit &unit, ServiceCapacity &capacity,
-                    TimeMs now)
+                    Reclaimable reclaimable, TimeMs now)
 {
     if (!prefersRack(unit))
         return false;
@@ -752,7 +795,7 @@
     const Demand demand = demandOf(anywhere, capacity);
     const Placement placement = findPlacement(demand, capacity.workers);
     if (placement.size() < demand.count)
-        return reclaimFor(scheduler, unit, demand, capacity);
+        return reclaimFor(scheduler, unit, demand, capacity, reclaimable);
     assignTasks(scheduler, unit, placement, capacity, now);
     return true;
 }
@@ -1244,10 +1287,16 @@
         return;
     }
     if (mayStopOthers(unit)) {
-        if (reclaimFor(scheduler, unit, remaining, capacity))
-            return;
-        if (unit.guaranteed && placeOnAnyRack(scheduler, rest, capacity, now))
-            return;
+        for (const auto reclaimable :
+             {Reclaimable::LowerPriorities, Reclaimable::UnguaranteedUrgent}) {
+            if (reclaimable == Reclaimable::UnguaranteedUrgent
+                && !mayStopUnguaranteedUrgent(scheduler, unit, now))
+                continue;
+            if (reclaimFor(scheduler, unit, remaining, capacity, reclaimable))
+                return;
+            if (unit.guaranteed && placeOnAnyRack(scheduler, rest, capacity, reclaimable, now))
+                return;
+        }
     }
     const bool reserving = reservations < maxReservations && !reservation.placement.empty();
     if (reserving) {
@@ -1536,7 +1585,8 @@
         auto capacity = capacityByService.find(service);
         if (capacity == capacityByService.end())
             capacity =
-                capacityByService.emplace(service, CapacityBuilder(scheduler, now).build(service))
+                capacityByService
+                    .emplace(service, CapacityBuilder(scheduler, guaranteed, now).build(service))
                     .first;
         placeUnit(scheduler, unit, capacity->second, reservations[service], now);
     }
--- a/flamingo/scheduler/scheduler.h
+++ b/flamingo/scheduler/scheduler.h
@@ -144,6 +144,9 @@
     TimeMs leaseSlackMs = 300; // a paused worker may continue its runs this long after its lease
     // Urgent work (priority 0) within a guarantee starts within this time after its acceptance.
     TimeMs guaranteeMs = 2700;
+    // Work within a guarantee that has waited this long may stop urgent work of other organisations
+    // beyond their guarantee.
+    TimeMs reclaimUrgentAfterMs = 500;
     TimeMs stopMs = 1000; // a worker takes up to this long to stop a run
     TimeMs reportTimeoutMs = 2500; // a host without reports for this long gets no new work
     // A leader that has not reached the store for this long stops extending leases.
--- a/tests/reservation_test.cc
+++ b/tests/reservation_test.cc
@@ -311,9 +311,11 @@
 {
     Cluster cluster(4);
     cluster.rig.scheduler.guarantees["guaranteed"] = 32;
+    cluster.rig.scheduler.guarantees["urgent"] = 32; // its runs may not be stopped
     for (const char *id : {"urgent1", "urgent2"}) {
         Job urgent = cluster.gang(id, 2);
         urgent.priority = 0;
+        urgent.organisation = "urgent";
         cluster.accept(urgent, 5000, id == std::string("urgent1") ? 9000 : 5000);
     }
     cluster.advance(500);
--- a/tests/scheduler_test.cc
+++ b/tests/scheduler_test.cc
@@ -546,6 +546,38 @@
     CHECK_EQUAL(1, rig.sendReport("h1").starts.size());
 }
 
+// Guards against a guarantee that another organisation's urgent jobs use up: of their runs only
+// those beyond their own guarantee may be stopped, and only for work within one.
+TEST(Scheduler, guaranteedWorkReclaimsFromUrgentWorkBeyondAGuarantee)
+{
+    rig.scheduler.guarantees = {{"lots", 4}, {"other", 4}};
+    rig.addWorker("h1");
+    for (const std::string id : {"u1", "u2"}) {
+        Job job = rig.makeJob(id, 4, 1, 0);
+        job.organisation = "other";
+        job.steps[0].estimateMs = 100000;
+        job.acceptedUnixMs += id == "u2" ? 1 : 0;
+        rig.accept(job);
+    }
+    CHECK_EQUAL(8, rig.sendReport("h1").starts.size());
+    Job beyond = rig.makeJob("b", 8, 1, 0);
+    rig.accept(beyond);
+    CHECK_EQUAL(0, rig.sendReport("h1").stops.size());
+    rig.cancel("b");
+    rig.accept(rig.makeJob("a", 4, 1, 0));
+    CHECK_EQUAL(0, rig.sendReport("h1").stops.size());
+    rig.advance(rig.scheduler.options.reclaimUrgentAfterMs);
+    const HostOrders orders = rig.sendReport("h1");
+    CHECK_EQUAL(4, orders.stops.size());
+    for (const StopOrder &stop : orders.stops)
+        CHECK_EQUAL(std::string("u2"), parseTaskName(stop.task)->jobId);
+    rig.sendReport("h1");
+    CHECK_EQUAL(4,
+                std::count_if(
+                    rig.nextReports.at("h1").runs.begin(), rig.nextReports.at("h1").runs.end(),
+                    [](const ReportedRun &run) { return parseTaskName(run.task)->jobId == "a"; }));
+}
+
 // Urgent work within its organisation's guarantee must not wait until work of lower priority ends.
 TEST(Scheduler, guaranteedWorkReclaimsCapacity)
 {
