--- a/flamingo/adapters/scheduler_service.cc
+++ b/flamingo/adapters/scheduler_service.cc
@@ -38,6 +38,15 @@
 constexpr TimeMs resignTimeoutMs = 400; // the log normally answers within tens of milliseconds
 constexpr std::string_view appendLatencyHelp = "Time until the job log answered, by call";
 
+SchedulerService::CancelOutcome cancelOutcome(Verdict verdict,
+                                              SchedulerService::CancelOutcome ifStored)
+{
+    if (verdict == Verdict::Ran)
+        return ifStored;
+    return verdict == Verdict::NotRun ? SchedulerService::CancelOutcome::NotStored
+                                      : SchedulerService::CancelOutcome::MayBeStored;
+}
+
 double seconds(TimeMs ms)
 {
     return double(ms) / 1000;
@@ -1079,11 +1088,7 @@
 {
     const auto attempt = beginAttempt(cancellationRecord(jobId));
     attempt->done = [done = std::move(done)](Verdict verdict) {
-        if (verdict == Verdict::Ran)
-            done(CancelOutcome::Cancelled);
-        else
-            done(verdict == Verdict::NotRun ? CancelOutcome::NotStored
-                                            : CancelOutcome::MayBeStored);
+        done(cancelOutcome(verdict, CancelOutcome::Cancelled));
     };
     this->runAttempt(attempt);
 }
@@ -1099,18 +1104,8 @@
         const auto pending = this->pendingEarlyCancellations.find(caller.organisation);
         if (--pending->second == 0)
             this->pendingEarlyCancellations.erase(pending);
-        if (verdict == Verdict::NotRun) {
-            done(CancelOutcome::NotStored);
-            return;
-        }
-        if (verdict == Verdict::MayHaveRun) {
-            done(CancelOutcome::MayBeStored);
-            return;
-        }
-        const auto found = this->scheduling.table.jobs.find(jobId);
-        const bool known = found != this->scheduling.table.jobs.end() && found->second.job
-            && isJobOf(*found->second.job, caller);
-        done(known ? CancelOutcome::Cancelled : CancelOutcome::UnknownJob);
+        const bool known = visibleStateFor(this->scheduling.table, jobId, caller).has_value();
+        done(cancelOutcome(verdict, known ? CancelOutcome::Cancelled : CancelOutcome::UnknownJob));
     };
     this->runAttempt(attempt);
 }
--- a/flamingo/scheduler/scheduler.h
+++ b/flamingo/scheduler/scheduler.h
@@ -91,7 +91,8 @@
     bool cancellationHandled = false; // the cancellation has been applied to `progress`
     bool acceptanceLogged = false; // this leader has logged event=job_known
     bool leftOutLogged = false; // this leader has logged event=checkpoints_not_stored
-    TimeMs endedAt = 0; // when this leader set the outcome, or took over after it was set
+    // When this leader set the outcome, took over after it was set, or found a row without a job.
+    TimeMs endedAt = 0;
     // Earliest next placement, by task number; see SchedulerOptions::failureBackoffMs.
     std::map<std::size_t, TimeMs> notBefore;
     std::map<std::size_t, FailedWorker> lastFailedWorker; // by task number
