Don't copy the workers for each reclaim of lower priorities

reclaimFor() chose between a new vector and the workers of the service with a conditional expression, which copied the latter, with all their allocations, for each unit that tries to reclaim. A span refers to them now. No behaviour changes.

--- a/flamingo/scheduler/planner.cc
+++ b/flamingo/scheduler/planner.cc
@@ -763,10 +763,13 @@
     const bool urgent = reclaimable == Reclaimable::UnguaranteedUrgent;
     if (urgent && capacity.unguaranteedUrgent.empty())
         return false;
-    const Reclaim reclaim = findReclaim(
-        demand,
-        urgent ? withUnguaranteedUrgent(capacity, unit.row->job->organisation) : capacity.workers,
-        maxReclaimCost(unit));
+    std::vector<WorkerResources> changed;
+    absl::Span<const WorkerResources> workers = capacity.workers;
+    if (urgent) {
+        changed = withUnguaranteedUrgent(capacity, unit.row->job->organisation);
+        workers = changed;
+    }
+    const Reclaim reclaim = findReclaim(demand, workers, maxReclaimCost(unit));
     if (reclaim.placement.empty())
         return false;
     for (const std::size_t stopped : reclaim.runGroups) {
